Lay the frame: workspace, ports, verdict and messages between daemons

The first step of the whole path: five crates, the ports through which the application reaches the world, the verdict type, the exchange messages between front and home, resource types and placement by rendezvous hashing. Nothing runs yet.

--- /dev/null
+++ b/crates/bench/src/demo.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load, experiments and history checks.
--- /dev/null
+++ b/crates/coordination/src/lib.rs
@@ -0,0 +1,10 @@
+//! Coordination parts of stilequay, for embedding in other programs.
+//!
+//! The crate knows nothing of SQL or of the resources of the proxy. It reaches
+//! the world through traits ([`clock::Clock`] and the transports of the
+//! individual modules), so that a program can embed one part without the rest.
+
+pub mod clock;
+pub mod identity;
+pub mod placement;
+pub mod position;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Operator commands as a library.
--- /dev/null
+++ b/crates/daemon/src/adapters/mod.rs
@@ -0,0 +1,1 @@
+//! Adapters: the ports over real protocols.
--- /dev/null
+++ b/crates/daemon/src/app/mod.rs
@@ -0,0 +1,3 @@
+//! The application: one task for each connection and each peer.
+
+pub mod homes;
--- /dev/null
+++ b/crates/daemon/src/domain/configuration.rs
@@ -0,0 +1,30 @@
+//! The configuration in force at a daemon: an immutable picture of one revision.
+
+use super::names::{GroupName, PolicyName, Revision, ServiceName};
+use super::resource::{DatabaseGroupSpec, ServiceSpec, SessionPolicySpec};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Everything operators have declared, as of one revision.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Configuration {
+    /// The last change contained.
+    pub revision: Revision,
+    /// Database groups.
+    pub groups: BTreeMap<GroupName, Arc<DatabaseGroupSpec>>,
+    /// Services.
+    pub services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
+    /// Session policies.
+    pub policies: BTreeMap<PolicyName, Arc<SessionPolicySpec>>,
+}
+
+impl Configuration {
+    /// The policy of a service: its own, or the default where it names none.
+    pub fn policy_of(&self, service: &ServiceSpec) -> Arc<SessionPolicySpec> {
+        service
+            .policy
+            .as_ref()
+            .and_then(|name| self.policies.get(name).cloned())
+            .unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/domain/mod.rs
@@ -0,0 +1,8 @@
+//! Types without input or output: what the daemon reasons about.
+
+pub mod configuration;
+pub mod exchange;
+pub mod membership;
+pub mod names;
+pub mod resource;
+pub mod verdict;
--- /dev/null
+++ b/crates/daemon/src/ports/mod.rs
@@ -0,0 +1,7 @@
+//! Traits through which the application reaches the world.
+
+pub mod configuration;
+pub mod exchange;
+pub mod fleet;
+pub mod homes;
+pub mod platform;
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the outside systems.
