Add batched rounds and the session-floor register

confirmation: callers join a round that begins after their call; one is in flight at a time and the next serves all that came meanwhile. The test runs the same check against a wrong variant that lets callers share the round in flight, and the check finds it (a call at 5 ms gets the round begun at 0 ms).

floors: a home's register (bounded, evicting raises the default floor, default floor from a barrier after the register stores, epochs), the task that makes a home ready, and the client that stores at and reads from a majority over a transport port.

Two rules go beyond what was planned, because the simulation or the reasoning needed them: a home keeps floors, too, only in a sealed epoch, since else a reader of the old set misses a write of the new one; and an epoch is sealed only after the one before it, so an acknowledgement tells which epoch its home knows to be sealed. A home that was in both sets waits for the seal as well and keeps what it has.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,8 @@
 //! individual modules), so that a program can embed one part without the rest.
 
 pub mod clock;
+pub mod confirmation;
+pub mod floors;
 pub mod identity;
 pub mod limit;
 pub mod placement;
