--- a/crates/coordination/tests/floors.rs
+++ b/crates/coordination/tests/floors.rs
@@ -85,10 +85,13 @@
     home.begin(placement(1, "abc", ""));
     assert_eq!(home.readiness(), Readiness::Storing);
     assert_eq!(store(&mut home, 1, "s", 9), FloorReply::Stored);
+    assert_eq!(store(&mut home, 1, "late", 2), FloorReply::Stored);
     assert_eq!(load(&mut home, 1, "s"), NOT_READY);
     home.set_default_floor(Epoch(1), floor(5));
     assert_eq!(load(&mut home, 1, "s"), FloorReply::Floor(floor(9)));
     assert_eq!(load(&mut home, 1, "unknown"), FloorReply::Floor(floor(5)));
+    // An earlier life may have kept a higher floor of this session than the late one.
+    assert_eq!(load(&mut home, 1, "late"), FloorReply::Floor(floor(5)));
 }
 
 #[test]
