Serve callers: PostgreSQL v3, classification, retries and planned stop

One task for each caller connection. A unit is retried at another home only where it was not run, only reads, or is marked as safe to repeat, and only while nothing of its answer has gone to the caller. Transactions and session state hold their exchange; losing it ends the caller's connection, so that later statements can't run outside of their transaction. Named and unnamed statements are renamed by a hash of their content. COPY is refused as not run.

The codec panics on lengths and counts that point beyond a frame and replaces bytes that are not UTF-8; the shape of a frame is checked before.

Partial: TLS and GSS are declined; SHOW of the proxy's own settings is left to the back end; retries are bounded by attempts and time only.

--- /dev/null
+++ b/crates/daemon/src/app/front/caller.rs
@@ -0,0 +1,189 @@
+//! One authenticated caller: reads its messages and runs its units, one at a time.
+
+use super::Shared;
+use super::cancel::CancelHandle;
+use super::limits::ServicePermit;
+use super::reply::{ErrorReply, ready_for_query};
+use super::session::Session;
+use super::socket::{CallerSocket, SocketError};
+use super::statements::StatementStore;
+use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION, UnitBuilder};
+use crate::domain::exchange::{Access, TransactionState};
+use crate::domain::names::{GroupName, ServiceName};
+use crate::domain::verdict::{FailureKind, RequestFailure};
+use crate::ports::exchange::HomeExchange;
+use bytes::BytesMut;
+use pgwire::messages::PgWireFrontendMessage;
+use std::sync::Arc;
+use tokio::time::sleep;
+
+/// SQLSTATE `idle_in_transaction_session_timeout`.
+const IDLE_IN_TRANSACTION: &str = "25P03";
+
+/// A caller's connection after its authentication.
+pub(super) struct Caller {
+    pub(super) socket: CallerSocket,
+    pub(super) shared: Arc<Shared>,
+    pub(super) service: ServiceName,
+    pub(super) group: GroupName,
+    pub(super) session: Session,
+    pub(super) statements: StatementStore,
+    pub(super) builder: UnitBuilder,
+    pub(super) cancel: CancelHandle,
+    /// The exchange that a transaction or session state holds.
+    pub(super) held: Option<HeldExchange>,
+    /// An error was answered before its Sync came: what comes until then is dropped.
+    pub(super) skips_to_sync: bool,
+    pub(super) _permit: ServicePermit,
+}
+
+/// An exchange that can't be shared between units.
+pub(super) struct HeldExchange {
+    pub(super) exchange: Box<dyn HomeExchange>,
+    /// What the units of the transaction in progress ask for.
+    pub(super) access: Access,
+    pub(super) transaction: TransactionState,
+    pub(super) has_session_state: bool,
+}
+
+/// How a caller's connection ends.
+pub(super) enum ConnectionEnd {
+    /// The caller said so.
+    Terminated,
+    /// The connection broke, or is not fit to say anything more.
+    Gone,
+    /// The caller is told why.
+    Fatal(ErrorReply),
+}
+
+impl From<ErrorReply> for ConnectionEnd {
+    fn from(reply: ErrorReply) -> Self {
+        Self::Fatal(reply)
+    }
+}
+
+impl From<SocketError> for ConnectionEnd {
+    fn from(error: SocketError) -> Self {
+        let sqlstate = match &error {
+            SocketError::Gone(_) => return Self::Gone,
+            SocketError::Malformed(_) => PROTOCOL_VIOLATION,
+            SocketError::TooLarge { .. } => LIMIT_EXCEEDED,
+        };
+        Self::Fatal(ErrorReply::fatal(sqlstate, error.to_string()))
+    }
+}
+
+/// What woke a caller's task.
+enum Event {
+    Message(Result<PgWireFrontendMessage, SocketError>),
+    Leaving,
+    IdleInTransaction,
+}
+
+impl Caller {
+    /// Serves the caller until its connection ends.
+    pub(super) async fn serve(mut self) {
+        let end = self.run().await;
+        match end {
+            ConnectionEnd::Terminated => self.terminate().await,
+            ConnectionEnd::Gone => {}
+            ConnectionEnd::Fatal(reply) => {
+                log::info!(
+                    service:% = self.service, group:% = self.group, sqlstate = reply.sqlstate;
+                    "closing a caller's connection: {}", reply.message
+                );
+                // The held exchange is dropped first, so that its work is undone at once.
+                drop(self.held.take());
+                self.socket.close_with(&reply.encode()).await;
+            }
+        }
+    }
+
+    async fn run(&mut self) -> ConnectionEnd {
+        loop {
+            let step = match self.next_event().await {
+                Event::Message(Ok(message)) => self.take(message).await,
+                Event::Message(Err(error)) => Err(error.into()),
+                Event::Leaving => Err(leaving().into()),
+                Event::IdleInTransaction => Err(ErrorReply::fatal(
+                    IDLE_IN_TRANSACTION,
+                    "the transaction was idle for too long",
+                )
+                .into()),
+            };
+            if let Err(end) = step {
+                return end;
+            }
+        }
+    }
+
+    /// Waits for the caller. A transaction in progress is let go on during a
+    /// planned stop, but not for ever.
+    async fn next_event(&mut self) -> Event {
+        let in_transaction = self.transaction() != TransactionState::Idle;
+        let shared = Arc::clone(&self.shared);
+        let stop = if in_transaction {
+            &shared.cut
+        } else {
+            &shared.leaving
+        };
+        tokio::select! {
+            // A stop comes first: what arrives after it is answered as not run.
+            biased;
+            () = stop.cancelled() => Event::Leaving,
+            message = self.socket.next_message() => Event::Message(message),
+            () = sleep(shared.settings.idle_in_transaction()), if in_transaction => {
+                Event::IdleInTransaction
+            }
+        }
+    }
+
+    async fn take(&mut self, message: PgWireFrontendMessage) -> Result<(), ConnectionEnd> {
+        if matches!(message, PgWireFrontendMessage::Terminate(_)) {
+            return Err(ConnectionEnd::Terminated);
+        }
+        if self.skips_to_sync && !matches!(message, PgWireFrontendMessage::Sync(_)) {
+            return Ok(());
+        }
+        self.skips_to_sync = false;
+        match self.builder.push(message, &mut self.statements)? {
+            // Boxed, so that the state of a running unit takes no memory while idle.
+            Some(unit) => Box::pin(self.run_unit(unit)).await,
+            None => Ok(()),
+        }
+    }
+
+    /// The transaction state as the caller knows it.
+    pub(super) fn transaction(&self) -> TransactionState {
+        self.held
+            .as_ref()
+            .map_or(TransactionState::Idle, |held| held.transaction)
+    }
+
+    /// Sends the greeting, and that the caller may begin.
+    pub(super) async fn greet(&mut self, mut greeting: BytesMut) -> Result<(), SocketError> {
+        greeting.extend_from_slice(&ready_for_query(TransactionState::Idle));
+        self.socket.write(&greeting).await
+    }
+
+    /// A connection that is between transactions goes back in good order; one
+    /// within a transaction is dropped, which undoes the transaction.
+    async fn terminate(&mut self) {
+        if let Some(held) = self.held.take()
+            && held.transaction == TransactionState::Idle
+        {
+            held.exchange.release().await;
+        }
+    }
+}
+
+/// What callers are told at a planned stop; it also answers whatever they send
+/// from then on.
+fn leaving() -> ErrorReply {
+    let failure = RequestFailure::not_run(
+        FailureKind::ShuttingDown,
+        "terminating connection: the proxy is being stopped",
+    );
+    let failure = super::retry::with_return_time(failure);
+    ErrorReply::of_failure(super::reply::Severity::Fatal, &failure)
+}
--- a/crates/daemon/src/domain/mod.rs
+++ b/crates/daemon/src/domain/mod.rs
@@ -1,5 +1,6 @@
 //! Types without input or output: what the daemon reasons about.
 
+pub mod classify;
 pub mod configuration;
 pub mod exchange;
 pub mod membership;
