Add the history checker

Sessions record what they asked and were told; the checker compares that with the final state of each group and counts lost, doubled, mixed, stale, misdelivered, wrongly NotRun and acknowledged by a replaced primary.

Rows that a read showed and that no final state has are counted apart: no promise covers a write that was never acknowledged.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,4 @@
 //! Load, experiments and history checks.
+
+pub mod checker;
+pub mod history;
