--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,3 +2,5 @@
 
 pub mod checker;
 pub mod history;
+pub mod launch;
+pub mod load;
