Add stand-ins for the platform and a fault-injecting proxy

The table service speaks the part of the DynamoDB JSON protocol that the daemons use, with transactions, condition expressions (read by the SQL parser) and request tokens; the object store speaks S3 REST with conditional puts; the machine list shows changes after a lag. Each can be refused, hung, failing, throttled, slow, or lose answers before or after their effect. The proxy has TCP links (cut, freeze, delay, refuse, half-open, reset, close after bytes, rate) and UDP links (cut, delay, drops by a seed).

quick-xml and httpdate, both already in the lock file through other libraries, become direct dependencies of the stand-ins.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,7 @@
-//! Stand-ins for the outside systems.
+//! Stand-ins for the outside systems, for tests and measurements: the
+//! platform's services and a fault-injecting proxy.
+
+pub mod command_line;
+pub mod faults;
+pub mod platform;
+pub mod switched_listener;
