--- a/crates/bench/src/launch/mod.rs
+++ b/crates/bench/src/launch/mod.rs
@@ -2,7 +2,11 @@
 //! proxy and daemons.
 
 pub mod binaries;
+pub mod daemon;
 pub mod error;
 pub mod http;
+pub mod links;
+pub mod operator;
+pub mod platform;
 pub mod process;
 pub mod wait;
