Add membership and distribution to the coordination library

Membership probes the nodes of a zone over UDP, suspects before it gives up, and carries news between zones through representatives. Distribution takes numbered changes from two relays of each zone through a fan-out tree to all nodes and counts what is in force. Both listen on one control address.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,6 +5,11 @@
 //! individual modules), so that a program can embed one part without the rest.
 
 pub mod clock;
+pub mod control;
+pub mod distribution;
 pub mod identity;
+pub mod membership;
 pub mod placement;
 pub mod position;
+pub mod revision;
+pub mod traffic;
--- /dev/null
+++ b/crates/coordination/src/membership/exchange.rs
@@ -0,0 +1,166 @@
+//! The task that carries news between zones, on the nodes that represent theirs.
+//!
+//! Each zone has [`REPRESENTATIVES`] representatives, which talk to those of the
+//! other zones of the region; each region has as many, which talk to those of the
+//! other regions. Every node works out from its own view who they are. Two nodes
+//! that disagree for a while cost some messages and nothing else.
+
+use super::datagram::Purpose;
+use super::shared::{Audience, Shared};
+use super::view::{Member, MembershipView};
+use crate::identity::{NodeId, RegionName, ZoneName};
+use crate::placement::{Candidate, place};
+use rand::seq::IndexedRandom;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::time::MissedTickBehavior;
+
+/// Representatives of a zone, and of a region.
+const REPRESENTATIVES: usize = 2;
+
+/// The rendezvous key under which representatives are chosen.
+const RANKING: &str = "representative";
+
+/// A group that was not heard of for so many intervals is approached through any
+/// of its nodes instead of its representatives.
+const INTERVALS_BEFORE_ANY_NODE: u32 = 5;
+
+/// Nodes elsewhere that can be approached.
+#[derive(Debug)]
+pub(super) struct Group {
+    zones: BTreeSet<ZoneName>,
+    representatives: Vec<SocketAddr>,
+    everybody: Vec<SocketAddr>,
+}
+
+impl Group {
+    /// The address of one of the nodes.
+    pub fn any_node(&self) -> Option<SocketAddr> {
+        self.everybody.choose(&mut rand::rng()).copied()
+    }
+}
+
+/// Which groups a node has to approach in turn.
+#[derive(Debug, Default)]
+pub(super) struct Duties {
+    /// The other zones of the region, if the node represents its zone.
+    pub zones: Vec<Group>,
+    /// The other regions, if the node represents its region.
+    pub regions: Vec<Group>,
+}
+
+/// Exchanges news until the membership is stopped.
+pub(super) async fn run(shared: Arc<Shared>) {
+    let mut view = shared.view.subscribe();
+    let mut ticks = tokio::time::interval(shared.timing.exchange_interval);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut duties = Duties::default();
+    let mut round = 0;
+    loop {
+        tokio::select! {
+            () = shared.stopped.cancelled() => return,
+            _ = ticks.tick() => {}
+        }
+        if view.has_changed().unwrap_or(false) {
+            let latest = view.borrow_and_update().clone();
+            duties = duties_of(&shared, &latest);
+        }
+        for groups in [&duties.zones, &duties.regions] {
+            if !groups.is_empty() {
+                approach(&shared, &groups[round % groups.len()]).await;
+            }
+        }
+        round += 1;
+    }
+}
+
+async fn approach(shared: &Shared, group: &Group) {
+    let silent = silent_for_long(shared, group);
+    let target = if silent {
+        group.any_node()
+    } else {
+        group.representatives.choose(&mut rand::rng()).copied()
+    };
+    if let Some(address) = target {
+        shared
+            .send(address, Purpose::Exchange, Audience::OtherZones, None)
+            .await;
+    }
+}
+
+fn silent_for_long(shared: &Shared, group: &Group) -> bool {
+    let now = Instant::now();
+    let limit = shared.timing.exchange_interval * INTERVALS_BEFORE_ANY_NODE;
+    let mut state = shared.state();
+    group
+        .zones
+        .iter()
+        .all(|zone| state.contacts.age(zone, now) > limit)
+}
+
+/// What the node has to do in `view`.
+pub(super) fn duties_of(shared: &Shared, view: &MembershipView) -> Duties {
+    let own = &shared.own;
+    let zone_representatives = view.ranked(&own.zone, RANKING);
+    if !is_among_first(&zone_representatives, &own.node) {
+        return Duties::default();
+    }
+    let zones = view
+        .zones()
+        .filter(|zone| **zone != own.zone && view.region_of(zone) == Some(&own.region))
+        .map(|zone| group(&view.zone_members(zone).collect::<Vec<_>>()))
+        .collect();
+    let regions = by_region(view);
+    let own_region = regions.get(&own.region).into_iter().flatten().copied();
+    let reachable = own_region.filter(|member| member.is_reachable());
+    let represents_region = is_among_first(&representatives(reachable), &own.node);
+    let regions = regions
+        .into_iter()
+        .filter(|(region, _)| represents_region && *region != own.region)
+        .map(|(_, members)| group(&members))
+        .collect();
+    Duties { zones, regions }
+}
+
+fn is_among_first(ranked: &[NodeId], node: &NodeId) -> bool {
+    ranked.iter().take(REPRESENTATIVES).any(|one| one == node)
+}
+
+fn by_region(view: &MembershipView) -> BTreeMap<RegionName, Vec<&Member>> {
+    let mut regions: BTreeMap<RegionName, Vec<&Member>> = BTreeMap::new();
+    for member in view.members() {
+        regions
+            .entry(member.record.region.clone())
+            .or_default()
+            .push(member);
+    }
+    regions
+}
+
+fn representatives<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<NodeId> {
+    let candidates = members.map(|member| Candidate {
+        node: &member.record.node,
+        zone: &member.record.zone,
+    });
+    place(RANKING, candidates, REPRESENTATIVES)
+}
+
+/// Unreachable nodes stay in the group: somebody has to try whether they are back.
+fn group(members: &[&Member]) -> Group {
+    let chosen = representatives(members.iter().copied());
+    let address = |member: &&Member| member.record.control_address;
+    Group {
+        zones: members
+            .iter()
+            .map(|member| member.record.zone.clone())
+            .collect(),
+        representatives: members
+            .iter()
+            .filter(|member| chosen.contains(&member.record.node))
+            .map(address)
+            .collect(),
+        everybody: members.iter().map(address).collect(),
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/shared.rs
@@ -0,0 +1,315 @@
+//! What the tasks of one node's membership share.
+
+use super::config::MembershipTiming;
+use super::contacts::ZoneContacts;
+use super::datagram::{DatagramWriter, Header, ProbeId, Purpose, VERSION};
+use super::news::NewsQueue;
+use super::record::{Delta, MemberRecord, MemberState, Status};
+use super::table::{Merged, Table};
+use super::view::MembershipView;
+use crate::identity::{Incarnation, NodeId};
+use crate::revision::Revision;
+use crate::traffic::Traffic;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Instant;
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, oneshot, watch};
+use tokio_util::sync::CancellationToken;
+
+/// How often a report is sent on, times the binary logarithm of the receivers.
+const RETRANSMISSION_FACTOR: u32 = 2;
+
+/// The part that is locked. Never held across an await.
+#[derive(Debug)]
+pub(super) struct State {
+    /// All reports.
+    pub table: Table,
+    /// Reports to spread in the own zone.
+    pub zone_news: NewsQueue,
+    /// Reports to carry to other zones, should this node represent its zone.
+    pub wide_news: NewsQueue,
+    /// Suspicions that this node times, and when they become final.
+    pub suspicions: HashMap<NodeId, Instant>,
+    /// When the zones were last heard of.
+    pub contacts: ZoneContacts,
+    /// What the nodes last heard of have applied.
+    pub revisions: HashMap<NodeId, Revision>,
+    /// The digest that the node last heard of in the own zone had.
+    pub heard_digest: u64,
+    /// When another node was last heard, and which.
+    pub last_heard: Option<(Instant, NodeId)>,
+}
+
+/// Everything the tasks share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    /// The node's record as it was started.
+    pub own: MemberRecord,
+    /// Intervals and limits.
+    pub timing: MembershipTiming,
+    /// Where the datagrams go out and come in.
+    pub socket: UdpSocket,
+    /// The locked part.
+    state: Mutex<State>,
+    /// Probes that wait for their acknowledgement.
+    waiting: Mutex<HashMap<ProbeId, oneshot::Sender<()>>>,
+    next_probe: AtomicU64,
+    /// The published view.
+    pub view: watch::Sender<Arc<MembershipView>>,
+    /// Whether the node has met the fleet.
+    pub joined: watch::Sender<bool>,
+    /// Told when the view must be published anew.
+    pub changed: Notify,
+    /// Told when there is news to spread.
+    pub news: Notify,
+    /// What this node has applied of the distributed changes.
+    pub revision: AtomicU64,
+    /// The highest revision that another node was heard to have applied.
+    pub highest_revision: watch::Sender<Revision>,
+    /// Counters.
+    pub traffic: Arc<Traffic>,
+    /// Ends all tasks.
+    pub stopped: CancellationToken,
+}
+
+impl Shared {
+    /// The state of a node that knows only itself.
+    pub fn new(own: MemberRecord, timing: MembershipTiming, socket: UdpSocket) -> Self {
+        let now = Instant::now();
+        let first = MemberState {
+            record: Arc::new(own.clone()),
+            renewal: 0,
+            status: Status::Alive,
+        };
+        let state = State {
+            table: Table::new(first, now),
+            zone_news: NewsQueue::default(),
+            wide_news: NewsQueue::default(),
+            suspicions: HashMap::new(),
+            contacts: ZoneContacts::default(),
+            revisions: HashMap::new(),
+            heard_digest: 0,
+            last_heard: None,
+        };
+        Self {
+            own,
+            timing,
+            socket,
+            state: Mutex::new(state),
+            waiting: Mutex::new(HashMap::new()),
+            next_probe: AtomicU64::new(rand::random()),
+            view: watch::channel(Arc::default()).0,
+            joined: watch::channel(false).0,
+            changed: Notify::new(),
+            news: Notify::new(),
+            revision: AtomicU64::new(0),
+            highest_revision: watch::channel(Revision::default()).0,
+            traffic: Arc::default(),
+            stopped: CancellationToken::new(),
+        }
+    }
+
+    /// Locks the state.
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Registers a probe; the receiver is told of its acknowledgement.
+    pub fn expect_acknowledgement(&self) -> (ProbeId, oneshot::Receiver<()>) {
+        let id = ProbeId(self.next_probe.fetch_add(1, Ordering::Relaxed));
+        let (sender, receiver) = oneshot::channel();
+        self.waiting().insert(id, sender);
+        (id, receiver)
+    }
+
+    /// An acknowledgement came.
+    pub fn acknowledged(&self, id: ProbeId) {
+        if let Some(sender) = self.waiting().remove(&id) {
+            // The probe may have been given up in the meantime.
+            let _ = sender.send(());
+        }
+    }
+
+    /// A probe is given up.
+    pub fn forget_probe(&self, id: ProbeId) {
+        self.waiting().remove(&id);
+    }
+
+    fn waiting(&self) -> MutexGuard<'_, HashMap<ProbeId, oneshot::Sender<()>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Merges reports that came from another node and passes on what is new.
+    pub fn merge(&self, deltas: impl IntoIterator<Item = Delta>, spread: Spread) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let mut any_new = false;
+        for delta in deltas {
+            any_new |= self.merge_one(&mut state, delta, spread, now);
+        }
+        drop(state);
+        if any_new {
+            self.changed.notify_one();
+            self.news.notify_one();
+        }
+    }
+
+    fn merge_one(&self, state: &mut State, delta: Delta, spread: Spread, now: Instant) -> bool {
+        let (node, incarnation, renewal, status) = match &delta {
+            Delta::Full(full) => (
+                full.record.node.clone(),
+                full.record.incarnation,
+                full.renewal,
+                full.status,
+            ),
+            Delta::Brief(brief) => (
+                brief.node.clone(),
+                brief.version.incarnation,
+                brief.version.renewal,
+                brief.status,
+            ),
+        };
+        match state.table.merge(delta, now) {
+            Merged::Stale | Merged::Unknown => false,
+            Merged::AboutSelf => {
+                self.refute(state, incarnation, renewal, now);
+                true
+            }
+            Merged::Applied => {
+                if spread == Spread::News {
+                    spread_report(state, &node, status, now);
+                }
+                if status == Status::Down {
+                    state.revisions.remove(&node);
+                }
+                self.watch_suspicion(state, &node, now);
+                true
+            }
+        }
+    }
+
+    /// Every node of the zone times a suspicion that it hears of, so that it becomes
+    /// final also when the node that raised it is lost.
+    fn watch_suspicion(&self, state: &mut State, node: &NodeId, now: Instant) {
+        let Some(entry) = state.table.get(node) else {
+            return;
+        };
+        if entry.state.status.is_suspected() && entry.state.record.zone == self.own.zone {
+            let end = now + self.timing.suspicion_timeout(self.zone_size());
+            state.suspicions.insert(node.clone(), end);
+        } else {
+            state.suspicions.remove(node);
+        }
+    }
+
+    /// Others say something of this node that it has outlived.
+    fn refute(&self, state: &mut State, incarnation: Incarnation, renewal: u32, now: Instant) {
+        let mut own = state.table.own_state().clone();
+        if incarnation > own.record.incarnation {
+            log::warn!(node:% = self.own.node; "a later life of this node was reported; taking a later one");
+            let mut record = (*own.record).clone();
+            record.incarnation = Incarnation(incarnation.0 + 1);
+            own.record = Arc::new(record);
+            own.renewal = 0;
+        } else {
+            own.renewal = renewal + 1;
+        }
+        self.publish_own(state, own, now);
+    }
+
+    /// Replaces the report of this node about itself and spreads it.
+    pub fn publish_own(&self, state: &mut State, own: MemberState, now: Instant) {
+        state.table.renew_own(own, now);
+        state.zone_news.add(&self.own.node, now);
+        state.wide_news.add(&self.own.node, now);
+        self.changed.notify_one();
+        self.news.notify_one();
+    }
+
+    /// Nodes in the own zone, as last published.
+    pub fn zone_size(&self) -> usize {
+        self.view.borrow().zone_size(&self.own.zone)
+    }
+
+    /// How often each report is sent in a group of `receivers`.
+    pub fn retransmissions(receivers: usize) -> u32 {
+        let logarithm = (receivers as u32 + 1).ilog2() + 1;
+        RETRANSMISSION_FACTOR * logarithm
+    }
+
+    /// Sends a datagram with news: that of the own zone, or that for other zones.
+    /// `first` is reported in any case.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        purpose: Purpose,
+        audience: Audience,
+        first: Option<&NodeId>,
+    ) {
+        let kind = purpose.kind();
+        let bytes = self.encode(purpose, audience, first);
+        // A datagram that can't be sent is one that is lost: the protocol bears that.
+        if self.socket.send_to(&bytes, address).await.is_ok() {
+            self.traffic.sent(kind, bytes.len());
+        }
+    }
+
+    fn encode(&self, purpose: Purpose, audience: Audience, first: Option<&NodeId>) -> Vec<u8> {
+        let now = Instant::now();
+        let receivers = self.zone_size();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        let header = Header {
+            version: VERSION,
+            sender: self.own.node.clone(),
+            revision: Revision(self.revision.load(Ordering::Relaxed)),
+            digest: state.table.digest(),
+            contacts: state.contacts.tell(self.timing.zone_timeout, now),
+            purpose,
+        };
+        let mut writer = DatagramWriter::new(&header);
+        let table = &state.table;
+        if let Some(entry) = first.and_then(|node| table.get(node)) {
+            writer.push(&Delta::from(&entry.state));
+        }
+        let queue = match audience {
+            Audience::Zone => &mut state.zone_news,
+            Audience::OtherZones => &mut state.wide_news,
+        };
+        queue.take_while(Self::retransmissions(receivers), |node| {
+            match table.get(node) {
+                Some(entry) => writer.push(&Delta::from(&entry.state)),
+                None => true,
+            }
+        });
+        writer.into_bytes()
+    }
+}
+
+fn spread_report(state: &mut State, node: &NodeId, status: Status, now: Instant) {
+    state.zone_news.add(node, now);
+    if !status.is_suspected() {
+        state.wide_news.add(node, now);
+    }
+}
+
+/// Whether reports that are new here are news to others as well.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Spread {
+    /// They are sent on.
+    News,
+    /// They are not: a node that joins learns what the others know already.
+    Nothing,
+}
+
+/// Which news a datagram carries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Audience {
+    /// Everything new.
+    Zone,
+    /// What other zones need: no suspicions, which the own zone settles.
+    OtherZones,
+}
