--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -1,1 +1,3 @@
 //! Adapters: the ports over real protocols.
+
+pub mod exchange;
--- a/crates/daemon/src/app/mod.rs
+++ b/crates/daemon/src/app/mod.rs
@@ -1,3 +1,4 @@
 //! The application: one task for each connection and each peer.
 
+pub mod home;
 pub mod homes;
