--- a/crates/standin/src/group/cluster.rs
+++ b/crates/standin/src/group/cluster.rs
@@ -3,11 +3,11 @@
 use super::member::{Member, lock};
 use super::settings::ElectionSettings;
 use super::state::Role;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::sync::{Arc, Mutex, MutexGuard};
 
 /// An election, with times in microseconds since the epoch.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Election {
     /// The term the members voted for.
--- a/crates/standin/src/group/handle.rs
+++ b/crates/standin/src/group/handle.rs
@@ -10,7 +10,7 @@
 use super::replication;
 use super::settings::{Delays, GroupSettings, Limits, MemberSettings, ReplicationLag};
 use super::state::Role;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -22,7 +22,7 @@
 const FIRST_TERM: u32 = 1;
 
 /// What a member reports of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct MemberReport {
     /// Its name.
--- a/crates/standin/src/group/member.rs
+++ b/crates/standin/src/group/member.rs
@@ -4,7 +4,7 @@
 use super::settings::{Delays, Limits, MemberSettings, ReplicationLag};
 use super::state::{MemberState, Role};
 use pgwire::api::{ConnectionManager, RandomPidSecretKeyGenerator};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// What the outside does to a member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Condition {
     /// Whether its process runs.
     pub running: bool,
@@ -33,7 +33,7 @@
 }
 
 /// What can be set while the member runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tunables {
     /// How far it lags when it is a replica.
     pub lag: ReplicationLag,
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -39,6 +39,7 @@
 mod settings;
 mod sql;
 mod state;
+mod steering;
 mod transaction;
 mod values;
 mod variables;
@@ -51,3 +52,4 @@
     Delays, ElectionSettings, GroupSettings, Limits, MemberSettings, ReplicationLag,
 };
 pub use state::Role;
+pub use steering::router;
--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -6,14 +6,14 @@
 use super::log::{Basis, Log, LogEntry};
 use super::sql::{Action, BoundStatement, Statement, parse};
 use super::transaction::Transaction;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use sqlparser::ast::Statement as SyntaxTree;
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// The part a member believes it plays.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Role {
     /// Accepts writes.
