--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,3 +1,6 @@
+//! Stand-ins for the outside systems.
+
+pub mod group;
 //! Stand-ins for the outside systems, for tests and measurements: the
 //! platform's services and a fault-injecting proxy.
 
