--- a/crates/bench/src/launch/daemon.rs
+++ b/crates/bench/src/launch/daemon.rs
@@ -94,7 +94,7 @@
 impl Daemon {
     /// Starts a daemon whose peers reach it over `links`.
     pub async fn start(settings: DaemonSettings, links: DaemonLinks) -> Result<Self, LaunchError> {
-        let (process, ready) = launch(&settings, &links).await?;
+        let (process, ready) = launch(&settings, &links, &[]).await?;
         links.lead_to(&ready).await?;
         Ok(Self {
             settings,
@@ -104,10 +104,10 @@
         })
     }
 
-    /// Starts it again, after it has ended or been killed.
+    /// Starts it again on the same addresses, after it has ended or been killed.
     pub async fn restart(&mut self) -> Result<(), LaunchError> {
-        let (process, ready) = launch(&self.settings, &self.links).await?;
-        self.links.lead_to(&ready).await?;
+        let listeners = listen_settings(&self.ready);
+        let (process, ready) = launch(&self.settings, &self.links, &listeners).await?;
         self.process = process;
         self.ready = ready;
         Ok(())
@@ -156,9 +156,19 @@
     }
 }
 
+fn listen_settings(ready: &DaemonReady) -> [String; 4] {
+    [
+        format!("listen.callers={}", ready.callers),
+        format!("listen.peer={}", ready.peer),
+        format!("listen.control={}", ready.control),
+        format!("listen.api={}", ready.api),
+    ]
+}
+
 async fn launch(
     settings: &DaemonSettings,
     links: &DaemonLinks,
+    listeners: &[String],
 ) -> Result<(Process, DaemonReady), LaunchError> {
     let mut arguments: Vec<OsString> = Vec::new();
     if let Some(file) = &settings.file {
@@ -172,7 +182,7 @@
         format!("advertise.control={}", links.control.address()),
         format!(r#"api.tokens=[{{ name = "bench", token = "{OPERATOR_TOKEN}", role = "write" }}]"#),
     ];
-    for setting in own.iter().chain(&settings.overrides) {
+    for setting in own.iter().chain(&settings.overrides).chain(listeners) {
         arguments.extend(["--set".into(), setting.into()]);
     }
     Process::start(Binary::Daemon, settings.node.as_str(), &arguments).await
--- a/crates/bench/src/launch/operator.rs
+++ b/crates/bench/src/launch/operator.rs
@@ -42,7 +42,7 @@
 struct Status {
     conditions: Vec<Condition>,
     #[serde(default)]
-    daemons_in_force: Option<u32>,
+    daemons_in_force: Option<usize>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -84,7 +84,7 @@
 
     /// Whether a resource is in force on at least `daemons` daemons, and on all
     /// that the fleet knows.
-    pub async fn is_in_force(&self, name: &str, spec: &ResourceSpec, daemons: u32) -> bool {
+    pub async fn is_in_force(&self, name: &str, spec: &ResourceSpec, daemons: usize) -> bool {
         let path = format!("/v1/{}/{name}", plural(spec));
         let Ok(shown) = self.http.get::<Shown>(&path).await else {
             return false;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,6 +1,7 @@
 //! Load, experiments and history checks.
 
 pub mod checker;
+
 pub mod history;
 pub mod launch;
 pub mod load;
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -11,8 +11,6 @@
 pub mod limit;
 pub mod membership;
 pub mod placement;
-pub mod placement;
-pub mod position;
 pub mod position;
 pub mod retry;
 pub mod revision;
