--- a/crates/daemon/src/app/home/acquire.rs
+++ b/crates/daemon/src/app/home/acquire.rs
@@ -5,7 +5,7 @@
 use super::routing::{Choice, Router};
 use super::state::{GroupState, wait_for_state};
 use crate::domain::exchange::Access;
-use crate::domain::names::MemberName;
+use crate::domain::names::{MemberName, ServiceName};
 use crate::domain::verdict::{FailureKind, RequestFailure};
 use std::collections::BTreeSet;
 use tokio::time::{Instant, sleep};
@@ -17,6 +17,7 @@
 /// is `NotRun`.
 pub async fn acquire_connection(
     router: &Router<'_>,
+    service: &ServiceName,
     access: Access,
     excluded: &mut BTreeSet<MemberName>,
 ) -> Result<(PooledConnection, Choice), RequestFailure> {
@@ -25,7 +26,7 @@
             Access::Write => router.choose_for_write().await?,
             Access::Read(freshness) => router.choose_for_read(freshness, excluded).await?,
         };
-        let failure = match connect_to(router, &choice).await {
+        let failure = match connect_to(router, service, &choice).await {
             Ok(connection) => return Ok((connection, choice)),
             Err(failure) => failure,
         };
@@ -46,6 +47,7 @@
 /// A connection to the chosen member, given up once the choice no longer holds.
 async fn connect_to(
     router: &Router<'_>,
+    service: &ServiceName,
     choice: &Choice,
 ) -> Result<PooledConnection, RequestFailure> {
     let Some(pool) = router.group.pool(&choice.member) else {
@@ -54,7 +56,7 @@
     let mut state = router.group.watch_state();
     tokio::select! {
         biased;
-        connection = pool.acquire(choice.term, router.deadline) => connection,
+        connection = pool.acquire(service, choice.term, router.deadline) => connection,
         failure = wait_for_state(&mut state, |state| outdated_in(state, choice)) => Err(failure),
     }
 }
--- a/crates/daemon/src/app/home/admission.rs
+++ b/crates/daemon/src/app/home/admission.rs
@@ -4,41 +4,28 @@
 use crate::domain::names::ServiceName;
 use crate::domain::verdict::{FailureKind, RequestFailure};
 use crate::ports::configuration::ConfigurationReceiver;
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, timeout_at};
+use std::sync::Arc;
+use stilequay_coordination::limit::{Limiter, LimiterSettings, Permit, Rejected, TenantLimits};
+use tokio::time::Instant;
 
-/// When a caller should come back after its service's queue was full.
-const QUEUE_FULL_RETRY_AFTER: Duration = Duration::from_millis(200);
-
-/// The gates of all services at a home.
+/// Admits the units of all services at a home.
 pub struct Admission {
     configuration: ConfigurationReceiver,
     settings: Arc<HomeSettings>,
-    gates: Mutex<HashMap<ServiceName, Arc<ServiceGate>>>,
-}
-
-struct ServiceGate {
-    limit: u32,
-    permits: Arc<Semaphore>,
-    waiting: AtomicUsize,
+    limiter: Limiter<ServiceName>,
 }
 
 /// Lets one unit be in flight for as long as it lives.
-pub struct Admitted {
-    _permit: OwnedSemaphorePermit,
-}
+pub type Admitted = Permit<ServiceName>;
 
 impl Admission {
     /// No unit is in flight yet.
     pub fn new(configuration: ConfigurationReceiver, settings: Arc<HomeSettings>) -> Self {
+        let limiter = Limiter::new(limiter_settings(&settings, settings.units_in_flight));
         Self {
             configuration,
             settings,
-            gates: Mutex::new(HashMap::new()),
+            limiter,
         }
     }
 
@@ -48,31 +35,19 @@
         service: &ServiceName,
         deadline: Instant,
     ) -> Result<Admitted, RequestFailure> {
-        let gate = self.gate(service)?;
-        let _waiting = gate.join_queue(self.settings.queued_units_per_service)?;
-        let permits = gate.permits.clone();
-        match timeout_at(deadline, permits.acquire_owned()).await {
-            Ok(Ok(permit)) => Ok(Admitted { _permit: permit }),
-            _ => Err(overloaded(
-                "the service's statements in flight are at their limit",
-            )),
-        }
-    }
-
-    /// The service's gate; a new one after its limit was changed.
-    fn gate(&self, service: &ServiceName) -> Result<Arc<ServiceGate>, RequestFailure> {
-        let limit = self.limit_of(service)?;
-        let mut gates = self.gates.lock().unwrap_or_else(PoisonError::into_inner);
-        let gate = gates
-            .entry(service.clone())
-            .or_insert_with(|| Arc::new(ServiceGate::new(limit)));
-        if gate.limit != limit {
-            *gate = Arc::new(ServiceGate::new(limit));
-        }
-        Ok(gate.clone())
+        let limits = TenantLimits {
+            in_flight: self.greatest_in_flight(service)?,
+            queue_length: self.settings.queued_units_per_service,
+        };
+        let admission = self
+            .limiter
+            .acquire_within(service.clone(), limits, deadline);
+        admission
+            .await
+            .map_err(|rejected| overloaded("the home admits no more of the service", rejected))
     }
 
-    fn limit_of(&self, service: &ServiceName) -> Result<u32, RequestFailure> {
+    fn greatest_in_flight(&self, service: &ServiceName) -> Result<usize, RequestFailure> {
         let configuration = self.configuration.borrow();
         let spec = configuration
             .as_ref()
@@ -81,40 +56,25 @@
             let message = format!("service {service} is not declared");
             return Err(RequestFailure::not_run(FailureKind::NotPermitted, message));
         };
-        Ok(spec.max_in_flight)
+        Ok(spec.max_in_flight as usize)
     }
 }
 
-impl ServiceGate {
-    fn new(limit: u32) -> Self {
-        Self {
-            limit,
-            permits: Arc::new(Semaphore::new(limit as usize)),
-            waiting: AtomicUsize::new(0),
-        }
-    }
-
-    fn join_queue(&self, capacity: usize) -> Result<Waiting<'_>, RequestFailure> {
-        let waiting = Waiting { gate: self };
-        if self.waiting.fetch_add(1, Ordering::SeqCst) >= capacity {
-            return Err(overloaded("the service's queue is full"));
-        }
-        Ok(waiting)
-    }
-}
-
-/// A unit that waits at a gate.
-struct Waiting<'a> {
-    gate: &'a ServiceGate,
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.gate.waiting.fetch_sub(1, Ordering::SeqCst);
+/// A limiter of `slots`, with the queues that the settings allow.
+pub fn limiter_settings(settings: &HomeSettings, slots: usize) -> LimiterSettings {
+    LimiterSettings {
+        slots,
+        queue_length: settings.queued_units,
+        queue_time: settings.queue_time(),
+        tenant: TenantLimits {
+            in_flight: slots,
+            queue_length: settings.queued_units_per_service,
+        },
     }
 }
 
-fn overloaded(message: &str) -> RequestFailure {
-    RequestFailure::not_run(FailureKind::Overloaded, message)
-        .with_retry_after(QUEUE_FULL_RETRY_AFTER)
+/// The failure of a unit that was not admitted: nothing of it has been sent.
+pub fn overloaded(what: &str, rejected: Rejected) -> RequestFailure {
+    let message = format!("{what}: {}", rejected.reason);
+    RequestFailure::not_run(FailureKind::Overloaded, message).with_retry_after(rejected.retry_after)
 }
--- a/crates/daemon/src/app/home/exchange.rs
+++ b/crates/daemon/src/app/home/exchange.rs
@@ -125,8 +125,8 @@
     unit: &RunUnit,
     held: Option<HeldConnection>,
 ) -> Result<Result<Option<HeldConnection>, RequestFailure>, LinkClosed> {
-    let mut runner = UnitRunner::new(home, group, link, unit);
-    let finished = match runner.run(&open.service, held).await? {
+    let mut runner = UnitRunner::new(home, group, link, &open.service, unit);
+    let finished = match runner.run(held).await? {
         Ok(finished) => finished,
         Err(failure) => return Ok(Err(failure)),
     };
--- a/crates/daemon/src/app/home/pool.rs
+++ b/crates/daemon/src/app/home/pool.rs
@@ -1,21 +1,24 @@
 //! Back-end connections to one member, shared by the callers of a home.
 
+use super::admission::{limiter_settings, overloaded};
 use super::backend::{BackEndConnection, BackEndError, BackEndTarget};
 use super::prepared::PreparedStatements;
 use super::settings::HomeSettings;
 use crate::app::homes::HOMES_PER_GROUP;
+use crate::domain::names::ServiceName;
 use crate::domain::verdict::{FailureKind, RequestFailure};
 use std::ops::{Deref, DerefMut};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use stilequay_coordination::limit::{Limiter, Permit};
 use stilequay_coordination::position::Term;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep_until};
 
 /// How soon a server that had no connection left is asked again.
 const REFUSED_RETRY: Duration = Duration::from_millis(30);
-/// When a caller should come back after all connections were in use.
-const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// When a caller should come back after the server had no connection left.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Idle time after which connections beyond this home's share are closed.
 const EXCESS_IDLE: Duration = Duration::from_millis(500);
 
@@ -23,9 +26,8 @@
 pub struct MemberPool {
     target: BackEndTarget,
     settings: Arc<HomeSettings>,
-    /// One permit for each connection in use.
-    permits: Arc<Semaphore>,
-    capacity: usize,
+    /// One slot for each connection in use, shared fairly between services.
+    slots: Limiter<ServiceName>,
     idle: Mutex<Vec<IdleConnection>>,
     returned: Notify,
 }
@@ -42,9 +44,8 @@
         let capacity = limit.saturating_sub(HOMES_PER_GROUP).max(1);
         Self {
             target,
+            slots: Limiter::new(limiter_settings(&settings, capacity)),
             settings,
-            permits: Arc::new(Semaphore::new(capacity)),
-            capacity,
             idle: Mutex::new(Vec::new()),
             returned: Notify::new(),
         }
@@ -57,7 +58,7 @@
 
     /// Connections in use.
     pub fn in_use(&self) -> usize {
-        self.capacity - self.permits.available_permits()
+        self.slots.load().in_use
     }
 
     /// A connection bound to `term`: an idle one, or a new one.
@@ -66,14 +67,15 @@
     /// refuses more. Every failure is `NotRun`.
     pub async fn acquire(
         self: &Arc<Self>,
+        service: &ServiceName,
         term: Term,
         deadline: Instant,
     ) -> Result<PooledConnection, RequestFailure> {
-        let permits = self.permits.clone();
-        let permit = match timeout_at(deadline, permits.acquire_owned()).await {
-            Ok(Ok(permit)) => permit,
-            _ => return Err(self.overloaded()),
-        };
+        let slot = self.slots.acquire(service.clone(), deadline).await;
+        let permit = slot.map_err(|rejected| {
+            let what = format!("the connections to {} are in use", self.target.member);
+            overloaded(&what, rejected)
+        })?;
         loop {
             if let Some(connection) = self.take_idle(term) {
                 return Ok(self.pooled(connection, permit));
@@ -89,7 +91,7 @@
     fn pooled(
         self: &Arc<Self>,
         connection: BackEndConnection,
-        permit: OwnedSemaphorePermit,
+        permit: Permit<ServiceName>,
     ) -> PooledConnection {
         PooledConnection {
             connection,
@@ -119,7 +121,7 @@
     async fn wait_for_return(&self, deadline: Instant) -> Result<(), RequestFailure> {
         let retry = Instant::now() + REFUSED_RETRY;
         if retry >= deadline {
-            return Err(self.overloaded());
+            return Err(self.refused());
         }
         tokio::select! {
             () = self.returned.notified() => {}
@@ -128,10 +130,10 @@
         Ok(())
     }
 
-    fn overloaded(&self) -> RequestFailure {
-        let message = format!("all connections to {} are in use", self.target.member);
+    fn refused(&self) -> RequestFailure {
+        let message = format!("{} has no connection left", self.target.member);
         RequestFailure::not_run(FailureKind::Overloaded, message)
-            .with_retry_after(OVERLOADED_RETRY_AFTER)
+            .with_retry_after(REFUSED_RETRY_AFTER)
     }
 
     fn unreachable(&self, error: &BackEndError) -> RequestFailure {
@@ -215,7 +217,7 @@
 pub struct PooledConnection {
     connection: BackEndConnection,
     pool: Arc<MemberPool>,
-    _permit: OwnedSemaphorePermit,
+    _permit: Permit<ServiceName>,
 }
 
 impl PooledConnection {
--- a/crates/daemon/src/app/home/runner.rs
+++ b/crates/daemon/src/app/home/runner.rs
@@ -65,6 +65,7 @@
     home: &'a HomeService,
     group: &'a Arc<Group>,
     link: &'a mut L,
+    service: &'a ServiceName,
     unit: &'a RunUnit,
     arrived: Instant,
     deadline: Instant,
@@ -76,6 +77,7 @@
         home: &'a HomeService,
         group: &'a Arc<Group>,
         link: &'a mut L,
+        service: &'a ServiceName,
         unit: &'a RunUnit,
     ) -> Self {
         let arrived = Instant::now();
@@ -83,6 +85,7 @@
             home,
             group,
             link,
+            service,
             unit,
             arrived,
             deadline: arrived + unit.time_left,
@@ -90,12 +93,8 @@
     }
 
     /// Runs the unit on the connection that the exchange holds, or on a shared one.
-    pub async fn run(
-        &mut self,
-        service: &ServiceName,
-        held: Option<HeldConnection>,
-    ) -> Outcome<FinishedUnit> {
-        let admission = self.home.admission().admit(service, self.deadline);
+    pub async fn run(&mut self, held: Option<HeldConnection>) -> Outcome<FinishedUnit> {
+        let admission = self.home.admission().admit(self.service, self.deadline);
         let admitted = unless_given_up(self.link, self.unit, admission).await;
         let result = match (admitted, held) {
             (Err(error), _) => Err(error),
@@ -155,7 +154,7 @@
             deadline: self.deadline,
             skip_barrier: self.home.settings().mutants.skip_barrier,
         };
-        let acquiring = acquire_connection(&router, self.unit.access, excluded);
+        let acquiring = acquire_connection(&router, self.service, self.unit.access, excluded);
         let (connection, choice) = unless_given_up(self.link, self.unit, acquiring).await?;
         Ok(HeldConnection {
             connection,
--- a/crates/daemon/src/app/home/settings.rs
+++ b/crates/daemon/src/app/home/settings.rs
@@ -28,8 +28,14 @@
     pub prepared_statements_per_connection: usize,
     /// Greatest number of bytes of an answer held back until its write is confirmed.
     pub held_back_bytes: usize,
-    /// Greatest number of units of one service that wait for admission.
+    /// Greatest number of units in flight at this home.
+    pub units_in_flight: usize,
+    /// Greatest number of units that wait for admission or for a member's connection.
+    pub queued_units: usize,
+    /// Greatest number of units of one service that wait.
     pub queued_units_per_service: usize,
+    /// Longest time that a unit waits for admission or for a connection, milliseconds.
+    pub queue_time_millis: u64,
     /// Greatest size of a frame between daemons, bytes.
     pub frame_bytes: usize,
     /// Time after which an idle transport connection to another daemon is closed, milliseconds.
@@ -51,7 +57,10 @@
             idle_group_millis: 60_000,
             prepared_statements_per_connection: 200,
             held_back_bytes: 4 << 20,
+            units_in_flight: 4_096,
+            queued_units: 8_192,
             queued_units_per_service: 256,
+            queue_time_millis: 2_000,
             frame_bytes: 64 << 20,
             idle_transport_millis: 10_000,
             mutants: HomeMutants::default(),
@@ -95,6 +104,11 @@
         Duration::from_millis(self.idle_group_millis)
     }
 
+    /// Longest time that a unit waits for admission or for a connection.
+    pub fn queue_time(&self) -> Duration {
+        Duration::from_millis(self.queue_time_millis)
+    }
+
     /// Time after which an idle transport connection is closed.
     pub fn idle_transport(&self) -> Duration {
         Duration::from_millis(self.idle_transport_millis)
