--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod clock;
 pub mod control;
 pub mod distribution;
+pub mod confirmation;
+pub mod floors;
 pub mod identity;
 pub mod limit;
 pub mod membership;
