--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,9 +5,9 @@
 //! individual modules), so that a program can embed one part without the rest.
 
 pub mod clock;
+pub mod confirmation;
 pub mod control;
 pub mod distribution;
-pub mod confirmation;
 pub mod floors;
 pub mod identity;
 pub mod limit;
