--- a/crates/coordination/src/control/connection.rs
+++ b/crates/coordination/src/control/connection.rs
@@ -1,6 +1,7 @@
 //! Connections between nodes: length-delimited frames of MessagePack over TCP.
 
-use crate::traffic::{MessageKind, Traffic};
+use super::links::Links;
+use crate::traffic::MessageKind;
 use bytes::Bytes;
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt, StreamExt};
@@ -8,7 +9,6 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
@@ -55,32 +55,39 @@
 pub(crate) async fn connect(
     address: SocketAddr,
     limit: Duration,
-    traffic: &Arc<Traffic>,
+    links: &Links,
 ) -> Result<(MessageSender, MessageReceiver), ConnectionError> {
+    if !links.policy.permits(address) {
+        tokio::time::sleep(limit).await;
+        return Err(ConnectionError::Silent);
+    }
     let stream = tokio::time::timeout(limit, TcpStream::connect(address))
         .await
         .map_err(|_| ConnectionError::Silent)??;
-    split(stream, traffic)
+    split(stream, Some(address), links)
 }
 
-/// The two directions of an open connection.
+/// The two directions of an open connection. The side that opened it knows the
+/// control address of its `peer` and applies the policy for both.
 pub(crate) fn split(
     stream: TcpStream,
-    traffic: &Arc<Traffic>,
+    peer: Option<SocketAddr>,
+    links: &Links,
 ) -> Result<(MessageSender, MessageReceiver), ConnectionError> {
     stream.set_nodelay(true)?;
     let codec = LengthDelimitedCodec::builder()
         .max_frame_length(FRAME_LIMIT)
         .new_codec();
     let (sink, stream) = Framed::with_capacity(stream, codec, INITIAL_BUFFER).split();
+    let link = Link {
+        peer,
+        links: links.clone(),
+    };
     let sender = MessageSender {
         sink,
-        traffic: traffic.clone(),
-    };
-    let receiver = MessageReceiver {
-        stream,
-        traffic: traffic.clone(),
+        link: link.clone(),
     };
+    let receiver = MessageReceiver { stream, link };
     Ok((sender, receiver))
 }
 
@@ -88,20 +95,36 @@
 /// keeps many.
 const INITIAL_BUFFER: usize = 1_024;
 
+/// The link that a connection runs over.
+#[derive(Debug, Clone)]
+struct Link {
+    peer: Option<SocketAddr>,
+    links: Links,
+}
+
+impl Link {
+    fn is_permitted(&self) -> bool {
+        self.peer.is_none_or(|peer| self.links.policy.permits(peer))
+    }
+}
+
 /// Sends messages over a connection.
 #[derive(Debug)]
 pub(crate) struct MessageSender {
     sink: SplitSink<Framed<TcpStream, LengthDelimitedCodec>, Bytes>,
-    traffic: Arc<Traffic>,
+    link: Link,
 }
 
 impl MessageSender {
     /// Sends `message` and waits until it is handed to the system.
     pub async fn send<M: ControlMessage>(&mut self, message: &M) -> Result<(), ConnectionError> {
+        if !self.link.is_permitted() {
+            return Ok(());
+        }
         let bytes = rmp_serde::to_vec(message).expect("writing to memory does not fail");
         let length = bytes.len();
         self.sink.send(bytes.into()).await?;
-        self.traffic.sent(message.kind(), length);
+        self.link.links.traffic.sent(message.kind(), length);
         Ok(())
     }
 }
@@ -110,16 +133,22 @@
 #[derive(Debug)]
 pub(crate) struct MessageReceiver {
     stream: SplitStream<Framed<TcpStream, LengthDelimitedCodec>>,
-    traffic: Arc<Traffic>,
+    link: Link,
 }
 
 impl MessageReceiver {
     /// The next message; cancel-safe.
     pub async fn receive<M: ControlMessage>(&mut self) -> Result<M, ConnectionError> {
-        let frame = self.stream.next().await.ok_or(ConnectionError::Closed)??;
-        let message: M = rmp_serde::from_slice(&frame)?;
-        self.traffic.received(message.kind(), frame.len());
-        Ok(message)
+        loop {
+            let frame = self.stream.next().await.ok_or(ConnectionError::Closed)??;
+            if !self.link.is_permitted() {
+                continue;
+            }
+            let message: M = rmp_serde::from_slice(&frame)?;
+            let traffic = &self.link.links.traffic;
+            traffic.received(message.kind(), frame.len());
+            return Ok(message);
+        }
     }
 
     /// The next message, which must come within `limit`; cancel-safe.
--- a/crates/coordination/src/control/mod.rs
+++ b/crates/coordination/src/control/mod.rs
@@ -1,12 +1,16 @@
 //! The node's one address for coordination: its sockets and the server on them.
 
 pub(crate) mod connection;
+mod links;
 
 use crate::distribution::message::SubscribeRequest;
 use crate::distribution::{Distribution, serve as distribution_serve};
 use crate::membership::Membership;
 use crate::membership::sync::{self, SyncRequest};
 use crate::traffic::MessageKind;
+pub(crate) use links::Links;
+pub use links::{LinkPolicy, PermitAll};
+
 use connection::{ConnectionError, ControlMessage, split};
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -166,7 +170,7 @@
     membership: Membership,
     distribution: Distribution,
 ) -> Result<(), ConnectionError> {
-    let (sender, mut receiver) = split(stream, membership.traffic())?;
+    let (sender, mut receiver) = split(stream, None, membership.links())?;
     let opening: Opening = receiver.receive_within(OPENING_LIMIT).await?;
     if opening.version() != PROTOCOL_VERSION {
         return Err(ConnectionError::Protocol("unknown version of the protocol"));
--- a/crates/coordination/src/distribution/catch_up.rs
+++ b/crates/coordination/src/distribution/catch_up.rs
@@ -120,8 +120,8 @@
 
 async fn ask_at(shared: &Shared, address: SocketAddr) -> Result<HeadAnswer, ConnectionError> {
     let limit = shared.config.connect_timeout;
-    let traffic = shared.membership.traffic();
-    let (mut sender, mut receiver) = connect(address, limit, traffic).await?;
+    let links = shared.membership.links();
+    let (mut sender, mut receiver) = connect(address, limit, links).await?;
     let opening = Opening::Head {
         version: PROTOCOL_VERSION,
     };
--- a/crates/coordination/src/distribution/subscription.rs
+++ b/crates/coordination/src/distribution/subscription.rs
@@ -152,8 +152,8 @@
     shared: &Shared,
     address: SocketAddr,
 ) -> Result<(MessageSender, MessageReceiver), SubscriptionError> {
-    let traffic = shared.membership.traffic();
-    let (mut sender, receiver) = connect(address, shared.config.connect_timeout, traffic).await?;
+    let links = shared.membership.links();
+    let (mut sender, receiver) = connect(address, shared.config.connect_timeout, links).await?;
     let request = SubscribeRequest {
         node: shared.own().node.clone(),
         from: shared.store.revision(),
--- a/crates/coordination/src/distribution/zones.rs
+++ b/crates/coordination/src/distribution/zones.rs
@@ -97,9 +97,9 @@
     zone: &ZoneName,
     address: SocketAddr,
 ) -> Result<(), ConnectionError> {
-    let traffic = shared.membership.traffic();
+    let links = shared.membership.links();
     let limit = shared.config.connect_timeout;
-    let (mut sender, mut receiver) = connect(address, limit, traffic).await?;
+    let (mut sender, mut receiver) = connect(address, limit, links).await?;
     let opening = Opening::ZoneInForce {
         version: PROTOCOL_VERSION,
     };
--- a/crates/coordination/src/membership/config.rs
+++ b/crates/coordination/src/membership/config.rs
@@ -1,8 +1,10 @@
 //! Settings of the membership protocol.
 
 use super::record::MemberRecord;
+use crate::control::{LinkPolicy, PermitAll};
 use crate::identity::{NodeId, RegionName, ZoneName};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Probe intervals that a suspicion stands at least.
@@ -15,6 +17,8 @@
     pub own: MemberRecord,
     /// Intervals and limits.
     pub timing: MembershipTiming,
+    /// Which links to other nodes there are.
+    pub links: Arc<dyn LinkPolicy>,
 }
 
 impl MembershipConfig {
@@ -23,6 +27,7 @@
         Self {
             own,
             timing: MembershipTiming::default(),
+            links: Arc::new(PermitAll),
         }
     }
 }
--- a/crates/coordination/src/membership/mod.rs
+++ b/crates/coordination/src/membership/mod.rs
@@ -40,6 +40,7 @@
 pub use record::MemberRecord;
 pub use view::{Liveness, Member, MembershipView};
 
+use crate::control::Links;
 use crate::identity::NodeId;
 use crate::revision::Revision;
 use crate::traffic::Traffic;
@@ -73,7 +74,7 @@
         socket: UdpSocket,
         seeds: watch::Receiver<Vec<Seed>>,
     ) -> Self {
-        let shared = Arc::new(Shared::new(config.own, config.timing, socket));
+        let shared = Arc::new(Shared::new(config, socket));
         publish::publish(&shared, &BTreeSet::new());
         {
             let mut state = shared.state();
@@ -159,7 +160,12 @@
 
     /// The node's counters, shared with the distribution.
     pub fn traffic(&self) -> &Arc<Traffic> {
-        &self.shared.traffic
+        &self.shared.links.traffic
+    }
+
+    /// What the node's links have in common, shared with the distribution.
+    pub(crate) fn links(&self) -> &Links {
+        &self.shared.links
     }
 
     fn renew(&self, status: Status) {
--- a/crates/coordination/src/membership/receive.rs
+++ b/crates/coordination/src/membership/receive.rs
@@ -34,6 +34,9 @@
 }
 
 async fn take(shared: &Arc<Shared>, bytes: &[u8], source: SocketAddr) {
+    if !shared.links.policy.permits(source) {
+        return;
+    }
     let Datagram { header, deltas } = match decode(bytes) {
         Ok(datagram) => datagram,
         Err(error) => {
@@ -44,7 +47,10 @@
     if header.sender == shared.own.node {
         return;
     }
-    shared.traffic.received(header.purpose.kind(), bytes.len());
+    shared
+        .links
+        .traffic
+        .received(header.purpose.kind(), bytes.len());
     shared.merge(deltas, Spread::News);
     note_sender(shared, &header);
     answer(shared, header, source).await;
--- a/crates/coordination/src/membership/shared.rs
+++ b/crates/coordination/src/membership/shared.rs
@@ -1,15 +1,15 @@
 //! What the tasks of one node's membership share.
 
-use super::config::MembershipTiming;
+use super::config::{MembershipConfig, MembershipTiming};
 use super::contacts::ZoneContacts;
 use super::datagram::{DatagramWriter, Header, ProbeId, Purpose, VERSION};
 use super::news::NewsQueue;
 use super::record::{Delta, MemberRecord, MemberState, Status};
 use super::table::{Merged, Table};
 use super::view::MembershipView;
+use crate::control::Links;
 use crate::identity::{Incarnation, NodeId};
 use crate::revision::Revision;
-use crate::traffic::Traffic;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -69,16 +69,17 @@
     pub revision: AtomicU64,
     /// The highest revision that another node was heard to have applied.
     pub highest_revision: watch::Sender<Revision>,
-    /// Counters.
-    pub traffic: Arc<Traffic>,
+    /// What the links to other nodes have in common.
+    pub links: Links,
     /// Ends all tasks.
     pub stopped: CancellationToken,
 }
 
 impl Shared {
     /// The state of a node that knows only itself.
-    pub fn new(own: MemberRecord, timing: MembershipTiming, socket: UdpSocket) -> Self {
+    pub fn new(config: MembershipConfig, socket: UdpSocket) -> Self {
         let now = Instant::now();
+        let MembershipConfig { own, timing, links } = config;
         let first = MemberState {
             record: Arc::new(own.clone()),
             renewal: 0,
@@ -107,7 +108,7 @@
             news: Notify::new(),
             revision: AtomicU64::new(0),
             highest_revision: watch::channel(Revision::default()).0,
-            traffic: Arc::default(),
+            links: Links::new(links),
             stopped: CancellationToken::new(),
         }
     }
@@ -251,9 +252,10 @@
     ) {
         let kind = purpose.kind();
         let bytes = self.encode(purpose, audience, first);
-        // A datagram that can't be sent is one that is lost: the protocol bears that.
-        if self.socket.send_to(&bytes, address).await.is_ok() {
-            self.traffic.sent(kind, bytes.len());
+        self.links.traffic.sent(kind, bytes.len());
+        if self.links.policy.permits(address) {
+            // A datagram that can't be sent is one that is lost: the protocol bears that.
+            let _ = self.socket.send_to(&bytes, address).await;
         }
     }
 
--- a/crates/coordination/src/membership/sync.rs
+++ b/crates/coordination/src/membership/sync.rs
@@ -182,7 +182,7 @@
     spread: Spread,
 ) -> Result<(), ConnectionError> {
     let limit = shared.timing.sync_timeout;
-    let (mut sender, mut receiver) = connect(address, limit, &shared.traffic).await?;
+    let (mut sender, mut receiver) = connect(address, limit, &shared.links).await?;
     let request = {
         let state = shared.state();
         SyncRequest {
