--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -23,6 +23,7 @@
 
 mod authentication;
 mod cluster;
+pub mod command;
 mod connection;
 mod election;
 mod engine;
--- a/crates/standin/src/group/settings.rs
+++ b/crates/standin/src/group/settings.rs
@@ -16,7 +16,7 @@
     /// The password of that user.
     pub password: String,
     /// Where the HTTP steering listens when the group runs as a process.
-    pub steering: SocketAddr,
+    pub control: SocketAddr,
     /// When and how a new primary is elected.
     pub election: ElectionSettings,
 }
@@ -31,7 +31,7 @@
                 .collect(),
             user: "stilequay".to_owned(),
             password: "stilequay".to_owned(),
-            steering: any_local_port(),
+            control: any_local_port(),
             election: ElectionSettings::default(),
         }
     }
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -4,7 +4,7 @@
 
 use std::process::ExitCode;
 use stilequay_standin::command_line::CommandError;
-use stilequay_standin::{faults, platform};
+use stilequay_standin::{faults, group, platform};
 
 const USAGE: &str = "\
 Usage: stilequay-standin SUBCOMMAND [options]
@@ -12,6 +12,7 @@
 Subcommands:
     platform    table service, object store and machine list
     faults      fault-injecting TCP proxy and UDP relay
+    group       replicated database group
 
 Each prints one line of JSON on standard output once it serves; logs go to
 standard error. SUBCOMMAND --help shows its options.
@@ -47,6 +48,7 @@
     match subcommand.as_str() {
         "platform" => platform::command::run(rest).await,
         "faults" => faults::command::run(rest).await,
+        "group" => group::command::run(rest).await,
         "-h" | "--help" => {
             print!("{USAGE}");
             Ok(())
--- a/crates/standin/tests/commands.rs
+++ b/crates/standin/tests/commands.rs
@@ -33,6 +33,7 @@
 #[rstest]
 #[case::platform("platform", "/services")]
 #[case::faults("faults", "/links")]
+#[case::group("group", "/members")]
 #[tokio::test]
 async fn a_subcommand_serves_until_told_to_stop(#[case] subcommand: &str, #[case] path: &str) {
     let mut child = command(&[subcommand]).spawn().expect("started");
@@ -57,6 +58,8 @@
 #[case::unknown_option(&["platform", "--tabel", "127.0.0.1:0"])]
 #[case::no_address(&["faults", "--control", "here"])]
 #[case::extra_argument(&["platform", "more"])]
+#[case::no_member_address(&["group", "--member", "one=here"])]
+#[case::no_settings_file(&["group", "--config", "/nowhere"])]
 #[tokio::test]
 async fn wrong_command_lines_are_refused(#[case] arguments: &[&str]) {
     let mut child = command(arguments).spawn().expect("started");
