Add the bench's commands: load, deployment, faults, data-path

load runs roaming sessions on daemons that run already; deployment starts an example and measures latency, the share of replica reads, what the daemon adds to a direct connection, and the failover gap; faults runs a schedule that is a function of its seed; data-path measures processor time and memory.

None of the commands has been run yet: the daemon's main is not there.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,9 @@
 //! Load, experiments and history checks.
 
 pub mod checker;
-
+pub mod cli;
+pub mod experiment;
 pub mod history;
 pub mod launch;
 pub mod load;
+pub mod results;
