Add leases with fencing numbers

A holder counts from before its request was sent, less a margin; another candidate counts from after it first read the present record, and may take the lease once the record has not changed for its whole duration. No wall clock is compared. Each write carries an id of its own: a lost answer that is resolved by reading back must not be taken for that of an earlier write, from which the holder would count too late.

--- /dev/null
+++ b/crates/coordination/src/lease/candidate.rs
@@ -0,0 +1,234 @@
+//! Acquires, renews and gives back one lease.
+
+use super::port::{LeaseRecord, LeaseStore, LeaseStoreError, PutOutcome};
+use super::{FencingNumber, Lease, LeaseError, LeaseName};
+use crate::clock::Clock;
+use crate::identity::{Incarnation, NodeId};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a lease lasts.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseSettings {
+    /// Time until another may take a lease that is not renewed.
+    pub duration: Duration,
+    /// How much earlier the holder itself counts it as ended. Must exceed what two
+    /// clocks can drift apart within the duration.
+    pub margin: Duration,
+}
+
+impl Default for LeaseSettings {
+    fn default() -> Self {
+        Self {
+            duration: Duration::from_secs(10),
+            margin: Duration::from_millis(500),
+        }
+    }
+}
+
+/// What came of an attempt to acquire.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Acquisition {
+    /// The lease is held.
+    Held(Lease),
+    /// Another holds it, as far as is known.
+    Taken {
+        /// When a further attempt may succeed, from now.
+        retry_after: Duration,
+    },
+}
+
+/// One node's pursuit of one lease.
+pub struct LeaseCandidate {
+    name: LeaseName,
+    holder: NodeId,
+    incarnation: Incarnation,
+    settings: LeaseSettings,
+    store: Arc<dyn LeaseStore>,
+    clock: Arc<dyn Clock>,
+    observed: Option<Observation>,
+}
+
+/// A record of another holding, and when it was first read.
+#[derive(Debug)]
+struct Observation {
+    record: LeaseRecord,
+    since: Duration,
+}
+
+impl LeaseCandidate {
+    /// A candidate that has observed nothing yet. `incarnation` must differ between
+    /// the lives of `holder`.
+    pub fn new(
+        name: LeaseName,
+        holder: NodeId,
+        incarnation: Incarnation,
+        settings: LeaseSettings,
+        store: Arc<dyn LeaseStore>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            name,
+            holder,
+            incarnation,
+            settings,
+            store,
+            clock,
+            observed: None,
+        }
+    }
+
+    /// Tries once. A lease that another holds can be taken by calling again, and only
+    /// by this candidate, once the time told has passed without a renewal.
+    ///
+    /// # Errors
+    ///
+    /// [`LeaseError::Lapsed`] where the store's answer came after the end of the lease
+    /// it granted; [`LeaseError::Store`] where there was none. If the answer to a
+    /// write was lost, a later attempt finds out whether it took effect.
+    pub async fn try_acquire(&mut self) -> Result<Acquisition, LeaseError> {
+        let current = self.store.get(&self.name).await?;
+        let fencing = match &current {
+            None => FencingNumber(1),
+            Some(record) => match self.time_until_free(record) {
+                Duration::ZERO => record.fencing.next(),
+                retry_after => return Ok(Acquisition::Taken { retry_after }),
+            },
+        };
+        let record = LeaseRecord {
+            holder: self.holder.clone(),
+            incarnation: self.incarnation,
+            fencing,
+            renewal: 0,
+            write_id: rand::random(),
+            duration: self.settings.duration,
+            released: false,
+        };
+        match self.write(current.as_ref(), record).await {
+            Ok(lease) => Ok(Acquisition::Held(lease)),
+            Err(LeaseError::Lost) => Ok(Acquisition::Taken {
+                retry_after: self.settings.duration,
+            }),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Renews a lease, also one that has lapsed but that nobody has taken.
+    ///
+    /// # Errors
+    ///
+    /// [`LeaseError::Lost`] where another has taken it; [`LeaseError::Lapsed`] and
+    /// [`LeaseError::Store`] as for [`LeaseCandidate::try_acquire`]: the lease given
+    /// is then good for no longer than before.
+    pub async fn renew(&self, lease: &Lease) -> Result<Lease, LeaseError> {
+        let mut expected = lease.record.clone();
+        // The answer to an earlier renewal may have been lost after its effect.
+        if let Some(current) = self.store.get(&self.name).await?
+            && self.is_own(&current)
+            && current.fencing == expected.fencing
+            && !current.released
+        {
+            expected = current;
+        }
+        let record = LeaseRecord {
+            renewal: expected.renewal + 1,
+            write_id: rand::random(),
+            duration: self.settings.duration,
+            ..expected.clone()
+        };
+        self.write(Some(&expected), record).await
+    }
+
+    /// Gives the lease back, so that another need not wait for its end.
+    ///
+    /// # Errors
+    ///
+    /// [`LeaseError::Lost`] where another has taken it already, or the record has
+    /// been renewed since; [`LeaseError::Store`] where the store gave no answer.
+    pub async fn release(&self, lease: Lease) -> Result<(), LeaseError> {
+        let record = LeaseRecord {
+            released: true,
+            write_id: rand::random(),
+            ..lease.record.clone()
+        };
+        let put = self.store.put_if(&self.name, Some(&lease.record), &record);
+        match put.await? {
+            PutOutcome::Stored => Ok(()),
+            PutOutcome::Conflict => Err(LeaseError::Lost),
+        }
+    }
+
+    /// Writes `record`. The lease counts from before the request is sent, and is
+    /// checked once more when the answer has come.
+    async fn write(
+        &self,
+        expected: Option<&LeaseRecord>,
+        record: LeaseRecord,
+    ) -> Result<Lease, LeaseError> {
+        let sent = self.clock.now();
+        let outcome = match self.store.put_if(&self.name, expected, &record).await {
+            Err(LeaseStoreError::Unknown(_)) => self.find_outcome(&record).await?,
+            outcome => outcome?,
+        };
+        if outcome == PutOutcome::Conflict {
+            return Err(LeaseError::Lost);
+        }
+        let held_for = record.duration.saturating_sub(self.settings.margin);
+        let lease = Lease {
+            name: self.name.clone(),
+            record,
+            ends: sent + held_for,
+        };
+        lease.check(self.clock.now())?;
+        Ok(lease)
+    }
+
+    /// Whether a write whose answer was lost took effect. A write that did not yet
+    /// do so counts as unknown: it may still arrive.
+    async fn find_outcome(&self, record: &LeaseRecord) -> Result<PutOutcome, LeaseStoreError> {
+        match self.store.get(&self.name).await? {
+            Some(current) if current == *record => Ok(PutOutcome::Stored),
+            Some(current) if current.fencing > record.fencing => Ok(PutOutcome::Conflict),
+            _ => Err(LeaseStoreError::Unknown(
+                "the write has not been seen to take effect".to_owned(),
+            )),
+        }
+    }
+
+    /// Zero once `record` may be replaced. Counts from the moment after the record
+    /// was first read: its holder counts from before it was written.
+    fn time_until_free(&mut self, record: &LeaseRecord) -> Duration {
+        if record.released {
+            return Duration::ZERO;
+        }
+        let now = self.clock.now();
+        match &self.observed {
+            Some(observed) if observed.record == *record => {
+                (observed.since + record.duration).saturating_sub(now)
+            }
+            _ => {
+                self.observed = Some(Observation {
+                    record: record.clone(),
+                    since: now,
+                });
+                record.duration
+            }
+        }
+    }
+
+    fn is_own(&self, record: &LeaseRecord) -> bool {
+        record.holder == self.holder && record.incarnation == self.incarnation
+    }
+}
+
+impl fmt::Debug for LeaseCandidate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("LeaseCandidate")
+            .field("name", &self.name)
+            .field("holder", &self.holder)
+            .field("observed", &self.observed)
+            .finish_non_exhaustive()
+    }
+}
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod distribution;
 pub mod floors;
 pub mod identity;
+pub mod lease;
 pub mod limit;
 pub mod membership;
 pub mod placement;
