--- a/crates/coordination/src/floors/mod.rs
+++ b/crates/coordination/src/floors/mod.rs
@@ -34,10 +34,85 @@
 //!   placement known to be sealed may be told with an empty `previous`.
 //! - [`BarrierSource::barrier`] covers everything acknowledged before it was called.
 //!
+//! # Example
+//!
+//! Three homes in one process; a program of several would carry the calls over its network.
+//!
+//! ```
+//! use async_trait::async_trait;
+//! use std::collections::BTreeMap;
+//! use std::sync::{Arc, OnceLock};
+//! use stilequay_coordination::floors::*;
+//! use stilequay_coordination::identity::NodeId;
+//! use stilequay_coordination::position::{Floor, LogPosition, Term};
+//! use tokio::sync::watch;
+//! use tokio_util::sync::CancellationToken;
+//!
+//! #[derive(Default)]
+//! struct Local(OnceLock<BTreeMap<NodeId, Arc<FloorHome>>>);
+//!
+//! #[async_trait]
+//! impl FloorTransport for Local {
+//!     async fn call(
+//!         &self,
+//!         home: &NodeId,
+//!         request: FloorRequest,
+//!     ) -> Result<FloorReply, FloorTransportError> {
+//!         let home = self.0.get().and_then(|homes| homes.get(home));
+//!         let unreachable = || FloorTransportError::Unreachable("not started".to_owned());
+//!         Ok(home.ok_or_else(unreachable)?.handle(request))
+//!     }
+//! }
+//!
+//! #[async_trait]
+//! impl BarrierSource for Local {
+//!     async fn barrier(&self) -> Result<Floor, BarrierError> {
+//!         Ok(Floor::new(Term(1), LogPosition(100)))
+//!     }
+//! }
+//!
+//! # #[tokio::main(flavor = "current_thread")]
+//! # async fn main() {
+//! let names = ["a", "b", "c"].map(NodeId::new);
+//! let placement = FloorPlacement {
+//!     epoch: Epoch(1),
+//!     homes: names.to_vec(),
+//!     previous: Vec::new(),
+//! };
+//! let (_publish, placements) = watch::channel(Some(placement.clone()));
+//! let network = Arc::new(Local::default());
+//! let homes: BTreeMap<_, _> = names
+//!     .map(|name| {
+//!         let settings = FloorRegisterSettings::default();
+//!         let home = FloorHome::new(name.clone(), settings, network.clone(), network.clone());
+//!         (name, Arc::new(home))
+//!     })
+//!     .into();
+//! for home in homes.values().cloned() {
+//!     let placements = placements.clone();
+//!     tokio::spawn(async move { home.follow(placements, CancellationToken::new()).await });
+//! }
+//! network.0.set(homes).unwrap();
+//!
+//! let client = FloorClient::new(network, FloorClientSettings::default());
+//! let session = SessionKey::of("till 7");
+//! let floor = Floor::new(Term(1), LogPosition(120));
+//! // Until two homes are ready, calls fail and the caller uses a barrier.
+//! while client.store(&placement, session, floor).await.is_err() {
+//!     tokio::task::yield_now().await;
+//! }
+//! while client.load(&placement, session).await.is_err() {
+//!     tokio::task::yield_now().await;
+//! }
+//! assert_eq!(client.load(&placement, session).await, Ok(floor));
+//! # }
+//! ```
+//!
 //! # Memory
 //!
 //! A session takes at most [`BYTES_PER_SESSION`] bytes at a home, whatever the length
-//! of its name, once the register has grown to its capacity.
+//! of its name; what the allocator keeps back from the register's growth comes on top.
+//! The example `floor_memory` measures it.
 
 mod client;
 mod home;
--- a/crates/coordination/src/limit/scheduler.rs
+++ b/crates/coordination/src/limit/scheduler.rs
@@ -10,6 +10,9 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(10);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// What a rejected request is told before any slot has been released.
+const INITIAL_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Weight of the newest observation in the mean time for which a slot is held.
 const HOLD_TIME_WEIGHT: f64 = 0.125;
 
@@ -197,7 +200,7 @@
     pub(super) fn reject(&self, reason: RejectReason) -> Rejected {
         let drained = self
             .time_for_grants(self.waiting + 1)
-            .unwrap_or(self.settings.queue_time);
+            .unwrap_or(INITIAL_RETRY_AFTER);
         Rejected {
             reason,
             retry_after: drained.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
