Run a daemon: settings, control, operators' API and command line

stilequayd reads flags and a TOML file, tells all faults of the settings at once, logs JSON lines, and wires the callers' side, the homes, membership and distribution. A daemon embedded in another program is started by run::start.

Changes of database groups, services and session policies are accepted by one transaction on the table service with a request token. A lost answer is resolved by the token that the log holds for the only revision the transaction can have made; where the log can't be read in time the operator is told that the outcome is unknown and where to ask. Relays read the log, the distribution brings it to all daemons, and a daemon serves once it has caught up.

A node that can meet nobody whom the list names now reads the source itself after 2 s: before, a single daemon beside a dead one on the list never started.

stilequayctl applies, shows, deletes, watches and compares resources.

--- a/crates/coordination/src/distribution/catch_up.rs
+++ b/crates/coordination/src/distribution/catch_up.rs
@@ -24,6 +24,9 @@
 /// How many of them must have caught up and answer, if there are so many.
 const PEERS_NEEDED: usize = 3;
 
+/// How long a node tries to meet another one before it reads the source itself.
+const JOIN_PATIENCE: Duration = Duration::from_secs(2);
+
 /// Pause between two attempts to learn the highest revision.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -39,9 +42,12 @@
 /// every change that an earlier life of the node can have served.
 pub(super) async fn run_start(shared: Arc<Shared>) {
     let mut joined = shared.membership.joined();
+    // Where nobody that the list names can be met, the source alone tells enough:
+    // to be met is only needed to learn from others instead of from the source.
+    let met = tokio::time::timeout(JOIN_PATIENCE, joined.wait_for(|joined| *joined));
     tokio::select! {
         () = shared.stopped.cancelled() => return,
-        _ = joined.wait_for(|joined| *joined) => {}
+        _ = met => {}
     }
     loop {
         tokio::select! {
--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -1,3 +1,5 @@
 //! Adapters: the ports over real protocols.
 
+pub mod api;
 pub mod exchange;
+pub mod platform;
--- a/crates/daemon/src/domain/configuration.rs
+++ b/crates/daemon/src/domain/configuration.rs
@@ -1,7 +1,8 @@
 //! The configuration in force at a daemon: an immutable picture of one revision.
 
+use super::document::{ResourceKey, ResourceKind};
 use super::names::{GroupName, PolicyName, Revision, ServiceName};
-use super::resource::{DatabaseGroupSpec, ServiceSpec, SessionPolicySpec};
+use super::resource::{DatabaseGroupSpec, ResourceSpec, ServiceSpec, SessionPolicySpec};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -27,4 +28,34 @@
             .and_then(|name| self.policies.get(name).cloned())
             .unwrap_or_default()
     }
+
+    /// Adds a resource, or replaces it.
+    pub fn insert(&mut self, name: &str, spec: &ResourceSpec) {
+        match spec {
+            ResourceSpec::DatabaseGroup(spec) => {
+                self.groups.insert(GroupName::new(name), spec.clone());
+            }
+            ResourceSpec::Service(spec) => {
+                self.services.insert(ServiceName::new(name), spec.clone());
+            }
+            ResourceSpec::SessionPolicy(spec) => {
+                self.policies.insert(PolicyName::new(name), spec.clone());
+            }
+        }
+    }
+
+    /// Removes a resource, if it is there.
+    pub fn remove(&mut self, key: &ResourceKey) {
+        match key.kind {
+            ResourceKind::DatabaseGroup => {
+                self.groups.remove(&GroupName::new(&key.name));
+            }
+            ResourceKind::Service => {
+                self.services.remove(&ServiceName::new(&key.name));
+            }
+            ResourceKind::SessionPolicy => {
+                self.policies.remove(&PolicyName::new(&key.name));
+            }
+        }
+    }
 }
--- a/crates/daemon/src/domain/membership.rs
+++ b/crates/daemon/src/domain/membership.rs
@@ -17,6 +17,7 @@
 
 /// A daemon of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
 pub struct FleetMember {
     /// The daemon.
     pub node: NodeId,
--- a/crates/daemon/src/domain/mod.rs
+++ b/crates/daemon/src/domain/mod.rs
@@ -2,8 +2,12 @@
 
 pub mod classify;
 pub mod configuration;
+pub mod document;
 pub mod exchange;
+pub mod fields;
+pub mod in_force;
 pub mod membership;
 pub mod names;
 pub mod resource;
+pub mod validation;
 pub mod verdict;
--- a/crates/daemon/src/domain/resource.rs
+++ b/crates/daemon/src/domain/resource.rs
@@ -1,16 +1,58 @@
 //! Resources that operators declare: database groups, services, session policies.
 
+use super::document::ResourceKind;
 use super::names::{GroupName, MemberName, PolicyName};
-use serde::{Deserialize, Serialize};
+use serde::de::{Error, Visitor};
+use serde::{Deserialize, Deserializer, Serialize};
 use std::fmt;
+use std::sync::Arc;
 use std::time::Duration;
 use stilequay_coordination::identity::ZoneName;
 
 /// A secret that never shows in logs.
-#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, PartialEq, Eq, Serialize)]
 #[serde(transparent)]
 pub struct Secret(String);
 
+impl<'de> Deserialize<'de> for Secret {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        // Any value: asked for text alone, some formats would make the error themselves.
+        deserializer.deserialize_any(SecretVisitor)
+    }
+}
+
+/// Takes text. The errors of other values, which may be secrets that lack their
+/// quotes, don't show them.
+struct SecretVisitor;
+
+impl Visitor<'_> for SecretVisitor {
+    type Value = Secret;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("text")
+    }
+
+    fn visit_str<E: Error>(self, text: &str) -> Result<Secret, E> {
+        Ok(Secret::new(text))
+    }
+
+    fn visit_i64<E: Error>(self, _: i64) -> Result<Secret, E> {
+        Err(E::custom("must be text"))
+    }
+
+    fn visit_u64<E: Error>(self, _: u64) -> Result<Secret, E> {
+        Err(E::custom("must be text"))
+    }
+
+    fn visit_f64<E: Error>(self, _: f64) -> Result<Secret, E> {
+        Err(E::custom("must be text"))
+    }
+
+    fn visit_bool<E: Error>(self, _: bool) -> Result<Secret, E> {
+        Err(E::custom("must be text"))
+    }
+}
+
 impl Secret {
     /// Wraps a secret.
     pub fn new(text: impl Into<String>) -> Self {
@@ -161,13 +203,26 @@
 }
 
 /// The specification of a resource of any kind.
+///
+/// Shared, since the catalogue and the configuration in force both hold it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "kind", content = "spec")]
 pub enum ResourceSpec {
     /// A database group.
-    DatabaseGroup(DatabaseGroupSpec),
+    DatabaseGroup(Arc<DatabaseGroupSpec>),
     /// A service.
-    Service(ServiceSpec),
+    Service(Arc<ServiceSpec>),
     /// A session policy.
-    SessionPolicy(SessionPolicySpec),
+    SessionPolicy(Arc<SessionPolicySpec>),
+}
+
+impl ResourceSpec {
+    /// The kind of the resource.
+    pub fn kind(&self) -> ResourceKind {
+        match self {
+            Self::DatabaseGroup(_) => ResourceKind::DatabaseGroup,
+            Self::Service(_) => ResourceKind::Service,
+            Self::SessionPolicy(_) => ResourceKind::SessionPolicy,
+        }
+    }
 }
--- a/crates/daemon/src/ports/platform.rs
+++ b/crates/daemon/src/ports/platform.rs
@@ -48,6 +48,15 @@
     pub body: Option<Vec<u8>>,
 }
 
+/// A change as the log holds it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoggedChange {
+    /// The change.
+    pub change: StoredResource,
+    /// Token of the call that made it.
+    pub request_token: String,
+}
+
 /// What a transaction of one change demands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Precondition {
@@ -85,6 +94,10 @@
 
     /// One resource, read consistently; `None` if absent.
     async fn get(&self, key: &str) -> Result<Option<StoredResource>, PlatformError>;
+
+    /// The change of one revision, read consistently; `None` if the log has not
+    /// reached it.
+    async fn change(&self, revision: Revision) -> Result<Option<LoggedChange>, PlatformError>;
 }
 
 /// The object store: snapshots of the configuration.
