--- a/crates/bench/src/launch/resources.rs
+++ b/crates/bench/src/launch/resources.rs
@@ -57,13 +57,13 @@
         max_connections: SERVICE_CONNECTIONS,
         max_in_flight: SERVICE_IN_FLIGHT,
     };
-    let policy = ResourceSpec::SessionPolicy(policy);
+    let policy = ResourceSpec::SessionPolicy(policy.into());
     let mut resources = vec![NamedResource::new(POLICY, policy)];
     for (name, spec) in groups {
-        let spec = ResourceSpec::DatabaseGroup(spec);
+        let spec = ResourceSpec::DatabaseGroup(spec.into());
         resources.push(NamedResource::new(name.as_str(), spec));
     }
-    let service = ResourceSpec::Service(service);
+    let service = ResourceSpec::Service(service.into());
     resources.push(NamedResource::new(SERVICE, service));
     resources
 }
