Free the names of closed statements, and test sequences of messages

A name could not be used again after Close: the test of that sequence failed (42P05) before the store of statements was asked instead of a list of names. Simple queries recall earlier analyses, replicas report in_hot_standby, and a winner that was away no longer begins in a term that has passed (seen by reading; no test brings it about).

--- a/crates/standin/src/group/authentication.rs
+++ b/crates/standin/src/group/authentication.rs
@@ -2,6 +2,7 @@
 
 use super::member::Member;
 use super::settings::GroupSettings;
+use super::state::Role;
 use async_trait::async_trait;
 use pgwire::api::auth::sasl::SASLAuthStartupHandler;
 use pgwire::api::auth::sasl::scram::{ScramAuth, gen_salted_password};
@@ -39,8 +40,9 @@
     pub(crate) fn startup(self: &Arc<Self>, member: &Member) -> ScramStartup {
         let mut scram = ScramAuth::new(self.clone());
         scram.set_iterations(ITERATIONS);
-        let parameters = Arc::new(DefaultServerParameterProvider::default());
-        SASLAuthStartupHandler::new(parameters)
+        let mut parameters = DefaultServerParameterProvider::default();
+        parameters.in_hot_standby = member.state().role == Role::Replica;
+        SASLAuthStartupHandler::new(Arc::new(parameters))
             .with_scram(scram)
             .with_pid_secret_key_generator(member.process_numbers.clone())
     }
--- a/crates/standin/src/group/election.rs
+++ b/crates/standin/src/group/election.rs
@@ -28,8 +28,9 @@
         lock(&member.watch).unreachable_since = None;
         return;
     }
-    promote_if_due(cluster, member);
+    // In this order, so that a winner that was away does not begin in a term that has passed.
     follow_higher_term(cluster, member);
+    promote_if_due(cluster, member);
     if misses_primary(cluster, member) {
         elect(cluster, member);
     }
@@ -74,6 +75,7 @@
     }
     if seen > own_term {
         step_down(member);
+        lock(&member.watch).promotion_at = None;
     }
     if let Some((term, primary)) = highest
         && term > own_term
--- a/crates/standin/src/group/extended.rs
+++ b/crates/standin/src/group/extended.rs
@@ -61,14 +61,18 @@
 pub(crate) struct ExtendedQueries(pub(crate) Arc<Connection>);
 
 impl ExtendedQueries {
-    /// Makes the name of a prepared statement known, unless it is taken.
-    async fn claim_name(&self, name: &str) -> PgWireResult<()> {
-        let mut session = self.0.session().await;
-        if session.statement_names.insert(name.to_owned()) {
-            return Ok(());
+    /// Notes the name of a prepared statement, unless `store` has one of that name.
+    async fn claim_name<S: PortalStore>(&self, store: &S, name: &str) -> PgWireResult<()> {
+        if store.get_statement(name).is_some() {
+            let message = format!("prepared statement \"{name}\" already exists");
+            return Err(SqlError::new(SqlState::DuplicatePreparedStatement, message).into());
         }
-        let message = format!("prepared statement \"{name}\" already exists");
-        Err(SqlError::new(SqlState::DuplicatePreparedStatement, message).into())
+        self.0
+            .session()
+            .await
+            .statement_names
+            .insert(name.to_owned());
+        Ok(())
     }
 }
 
@@ -88,13 +92,9 @@
         C::Error: Debug,
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
-        let parsed = StoredStatement::parse(client, &message, self.query_parser()).await;
-        if parsed.is_err() {
-            self.0.session().await.fail();
-        }
-        let parsed = parsed?;
+        let parsed = StoredStatement::parse(client, &message, self.query_parser()).await?;
         if let Some(name) = message.name.as_deref().filter(|name| !name.is_empty()) {
-            self.claim_name(name).await?;
+            self.claim_name(client.portal_store(), name).await?;
         }
         match parsed {
             Some(statement) => client.portal_store().put_statement(Arc::new(statement)),
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -76,14 +76,41 @@
     }
 
     /// Analyses the text of a prepared statement; none if it is empty.
-    pub(crate) fn prepare(&self, sql: &str) -> Result<Option<Arc<Statement>>, SqlError> {
-        let open = self.open.as_ref();
-        let transaction = open.map(|open| &open.transaction);
-        let statement = self.member.state().analyse_text(sql, transaction)?;
-        if let Some(statement) = &statement {
-            self.check_not_failed(&statement.action)?;
+    pub(crate) fn prepare(&mut self, sql: &str) -> Result<Option<Arc<Statement>>, SqlError> {
+        let statement = self.analyse_text(sql);
+        if statement.is_err() {
+            self.fail();
         }
-        Ok(statement)
+        statement
+    }
+
+    fn analyse_text(&self, sql: &str) -> Result<Option<Arc<Statement>>, SqlError> {
+        let statement = match self.recall(sql) {
+            Some(statement) => statement,
+            None => {
+                let mut trees = parse(sql)?;
+                if trees.len() > 1 {
+                    let message = "cannot insert multiple commands into a prepared statement";
+                    return Err(SqlError::new(SqlState::SyntaxError, message));
+                }
+                let Some(tree) = trees.pop() else {
+                    return Ok(None);
+                };
+                self.analyse(tree, Some(sql))?
+            }
+        };
+        self.check_not_failed(&statement.action)?;
+        Ok(Some(statement))
+    }
+
+    fn recall(&self, sql: &str) -> Option<Arc<Statement>> {
+        let transaction = self.open.as_ref().map(|open| &open.transaction);
+        self.member.state().recall(sql, transaction)
+    }
+
+    fn analyse(&self, tree: SyntaxTree, text: Option<&str>) -> Result<Arc<Statement>, SqlError> {
+        let transaction = self.open.as_ref().map(|open| &open.transaction);
+        self.member.state().analyse(tree, text, transaction)
     }
 
     /// Runs the statements of a simple query, until one fails.
@@ -92,7 +119,9 @@
         sql: &str,
         cancel: &mut CancelRequested,
     ) -> Vec<Result<(Arc<Statement>, Answer), SqlError>> {
-        let mut answers = Vec::new();
+        if let Some(statement) = self.recall(sql) {
+            return vec![self.run_without_parameters(statement, cancel).await];
+        }
         let trees = match parse(sql) {
             Ok(trees) => trees,
             Err(error) => {
@@ -100,15 +129,21 @@
                 return vec![Err(error)];
             }
         };
+        let mut answers = Vec::new();
         let script = trees.len() > 1;
         for tree in trees {
             if script && self.open.is_none() {
                 self.begin(TransactionModes::default(), false);
             }
-            let answer = self.run_tree(tree, cancel).await;
+            let text = (!script).then_some(sql);
+            let answer = match self.analyse(tree, text) {
+                Ok(statement) => self.run_without_parameters(statement, cancel).await,
+                Err(error) => Err(error),
+            };
             let failed = answer.is_err();
             answers.push(answer);
             if failed {
+                self.fail();
                 return answers;
             }
         }
@@ -118,22 +153,11 @@
         answers
     }
 
-    async fn run_tree(
+    async fn run_without_parameters(
         &mut self,
-        tree: SyntaxTree,
+        statement: Arc<Statement>,
         cancel: &mut CancelRequested,
     ) -> Result<(Arc<Statement>, Answer), SqlError> {
-        let analysed = {
-            let transaction = self.open.as_ref().map(|open| &open.transaction);
-            self.member.state().analyse(tree, transaction)
-        };
-        let statement = match analysed {
-            Ok(statement) => statement,
-            Err(error) => {
-                self.fail();
-                return Err(error);
-            }
-        };
         let bound = BoundStatement {
             statement: statement.clone(),
             parameters: Vec::new(),
--- a/crates/standin/src/group/state.rs
+++ b/crates/standin/src/group/state.rs
@@ -4,7 +4,7 @@
 use super::error::{GroupError, SqlError, SqlState};
 use super::functions::Facts;
 use super::log::{Basis, Log, LogEntry};
-use super::sql::{Action, BoundStatement, Statement, parse};
+use super::sql::{Action, BoundStatement, Statement};
 use super::transaction::Transaction;
 use serde::{Deserialize, Serialize};
 use sqlparser::ast::Statement as SyntaxTree;
@@ -62,49 +62,47 @@
         self.log.position_of(self.replayed)
     }
 
-    /// Analyses a statement, as seen from `transaction`.
+    /// The statement of this text, if it was analysed before and means the same now.
+    pub(crate) fn recall(
+        &self,
+        sql: &str,
+        transaction: Option<&Transaction>,
+    ) -> Option<Arc<Statement>> {
+        let defines = transaction.is_some_and(Transaction::defines);
+        self.analysed.get(sql).filter(|_| !defines).cloned()
+    }
+
+    /// Analyses a statement, as seen from `transaction`, and remembers it by `text` if given.
     pub(crate) fn analyse(
         &mut self,
         tree: SyntaxTree,
+        text: Option<&str>,
         transaction: Option<&Transaction>,
     ) -> Result<Arc<Statement>, SqlError> {
-        let Some(transaction) = transaction.filter(|transaction| transaction.defines()) else {
-            return self.engine.analyse(tree).map(Arc::new);
-        };
+        if let Some(transaction) = transaction.filter(|transaction| transaction.defines()) {
+            return self.analyse_after(transaction, tree);
+        }
+        let statement = Arc::new(self.engine.analyse(tree)?);
+        if let Some(text) = text {
+            self.remember(text, &statement);
+        }
+        Ok(statement)
+    }
+
+    /// Analyses a statement against the schema that `transaction` has defined.
+    fn analyse_after(
+        &mut self,
+        transaction: &Transaction,
+        tree: SyntaxTree,
+    ) -> Result<Arc<Statement>, SqlError> {
         self.set_facts(0, transaction.basis);
         self.engine.begin()?;
-        let statement = transaction
-            .repeat(&self.engine)
-            .and_then(|()| self.engine.analyse(tree));
+        let repeated = transaction.repeat(&self.engine);
+        let statement = repeated.and_then(|()| self.engine.analyse(tree));
         self.engine.rollback();
         statement.map(Arc::new)
     }
 
-    /// Analyses a text that holds a single statement; none if it is empty.
-    pub(crate) fn analyse_text(
-        &mut self,
-        sql: &str,
-        transaction: Option<&Transaction>,
-    ) -> Result<Option<Arc<Statement>>, SqlError> {
-        let defines = transaction.is_some_and(Transaction::defines);
-        if !defines && let Some(statement) = self.analysed.get(sql) {
-            return Ok(Some(statement.clone()));
-        }
-        let mut trees = parse(sql)?;
-        if trees.len() > 1 {
-            let message = "cannot insert multiple commands into a prepared statement";
-            return Err(SqlError::new(SqlState::SyntaxError, message));
-        }
-        let Some(tree) = trees.pop() else {
-            return Ok(None);
-        };
-        let statement = self.analyse(tree, transaction)?;
-        if !defines {
-            self.remember(sql, &statement);
-        }
-        Ok(Some(statement))
-    }
-
     fn remember(&mut self, sql: &str, statement: &Arc<Statement>) {
         if self.analysed.len() >= MAX_ANALYSED {
             self.analysed.clear();
