Let suspicions stand while a node hears nobody

A node that was cut off in the moment of a probe could still raise a suspicion and let it become final, and so gave up living neighbours.

--- a/crates/coordination/src/membership/probe.rs
+++ b/crates/coordination/src/membership/probe.rs
@@ -2,7 +2,7 @@
 
 use super::datagram::{ProbeId, Purpose};
 use super::record::{Delta, MemberState, Status};
-use super::shared::{Audience, Shared, Spread, State};
+use super::shared::{Audience, Shared, Spread};
 use super::table::Entry;
 use crate::identity::NodeId;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -20,9 +20,6 @@
 /// did not get to run.
 const LATENESS_TOLERATED: Duration = Duration::from_secs(1);
 
-/// A node accuses others only if it heard of somebody within so many intervals.
-const INTERVALS_OF_OWN_CONTACT: u32 = 3;
-
 /// Probes until the membership is stopped.
 pub(super) async fn run(shared: Arc<Shared>) {
     let mut ticks = tokio::time::interval(shared.timing.probe_interval);
@@ -156,7 +153,7 @@
 fn suspect(shared: &Shared, target: &MemberState) {
     let now = Instant::now();
     let state = shared.state();
-    if !hears_others(shared, &state, target, now) {
+    if !shared.hears_others(&state, &target.record.node, now) {
         return;
     }
     let Some(known) = state.table.get(&target.record.node) else {
@@ -174,17 +171,6 @@
     shared.merge([Delta::from(&suspicion)], Spread::News);
 }
 
-fn hears_others(shared: &Shared, state: &State, target: &MemberState, now: Instant) -> bool {
-    let window = shared.timing.probe_interval * INTERVALS_OF_OWN_CONTACT;
-    let others = shared.view.borrow().members().iter().any(|member| {
-        member.record.node != shared.own.node && member.record.node != target.record.node
-    });
-    let heard = state.last_heard.as_ref().is_some_and(|(when, node)| {
-        *node != target.record.node && now.saturating_duration_since(*when) <= window
-    });
-    heard || !others
-}
-
 /// Probes a random node of the zone that was given up. If it lives, it hears that
 /// it was given up and refutes it.
 async fn probe_one_down(shared: &Arc<Shared>) {
--- a/crates/coordination/src/membership/publish.rs
+++ b/crates/coordination/src/membership/publish.rs
@@ -61,25 +61,40 @@
 }
 
 fn settle_suspicions(shared: &Shared, now: Instant) {
-    let given_up: Vec<_> = {
-        let state = shared.state();
-        state
-            .suspicions
-            .iter()
-            .filter(|(_, end)| **end <= now)
-            .filter_map(|(node, _)| state.table.get(node))
-            .map(|entry| MemberState {
-                status: Status::Down,
-                ..entry.state.clone()
-            })
-            .collect()
-    };
+    let given_up = ended_suspicions(shared, now);
     for state in given_up {
         log::info!(node:% = state.record.node; "a node is given up");
         shared.merge([Delta::from(&state)], Spread::News);
     }
 }
 
+/// The reports that give up nodes whose suspicion has ended. A node that hears
+/// nobody lets all suspicions stand: once it hears of the others again, they must
+/// have time to refute.
+fn ended_suspicions(shared: &Shared, now: Instant) -> Vec<MemberState> {
+    let timeout = shared.timing.suspicion_timeout(shared.zone_size());
+    let mut guard = shared.state();
+    let state = &mut *guard;
+    let ended: Vec<_> = state
+        .suspicions
+        .iter()
+        .filter(|(_, end)| **end <= now)
+        .map(|(node, _)| node.clone())
+        .collect();
+    let mut given_up = Vec::new();
+    for node in ended {
+        if !shared.hears_others(state, &node, now) {
+            state.suspicions.insert(node, now + timeout);
+        } else if let Some(entry) = state.table.get(&node) {
+            given_up.push(MemberState {
+                status: Status::Down,
+                ..entry.state.clone()
+            });
+        }
+    }
+    given_up
+}
+
 fn forget_down(shared: &Shared, now: Instant) {
     let retention = shared.timing.down_retention;
     let outdated = |entry: &Entry| {
--- a/crates/coordination/src/membership/shared.rs
+++ b/crates/coordination/src/membership/shared.rs
@@ -22,6 +22,9 @@
 /// How often a report is sent on, times the binary logarithm of the receivers.
 const RETRANSMISSION_FACTOR: u32 = 2;
 
+/// A node accuses others only if it heard of somebody within so many probe intervals.
+const INTERVALS_OF_OWN_CONTACT: u32 = 3;
+
 /// The part that is locked. Never held across an await.
 #[derive(Debug)]
 pub(super) struct State {
@@ -221,6 +224,22 @@
         self.publish_own(state, own, now);
     }
 
+    /// Whether this node has lately heard another one than `target`, or knows no
+    /// other: a node that hears nobody may itself be the one that is cut off.
+    pub fn hears_others(&self, state: &State, target: &NodeId, now: Instant) -> bool {
+        let window = self.timing.probe_interval * INTERVALS_OF_OWN_CONTACT;
+        let heard = state.last_heard.as_ref().is_some_and(|(when, node)| {
+            node != target && now.saturating_duration_since(*when) <= window
+        });
+        heard || !self.knows_others(target)
+    }
+
+    fn knows_others(&self, target: &NodeId) -> bool {
+        let view = self.view.borrow();
+        let mut members = view.members().iter().map(|member| &member.record.node);
+        members.any(|node| *node != self.own.node && node != target)
+    }
+
     /// Replaces the report of this node about itself and spreads it.
     pub fn publish_own(&self, state: &mut State, own: MemberState, now: Instant) {
         state.table.renew_own(own, now);
