--- a/crates/daemon/src/app/mod.rs
+++ b/crates/daemon/src/app/mod.rs
@@ -1,3 +1,5 @@
 //! The application: one task for each connection and each peer.
 
+pub mod front;
+pub mod home;
 pub mod homes;
