Start membership from its default settings

The membership settings gained a field for link policies; the daemon takes the default, which permits all. Checked: clippy over all targets.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -277,10 +277,8 @@
         settings.control.list_interval(),
         background.leaving.clone(),
     ));
-    let config = MembershipConfig {
-        own,
-        timing: settings.control.membership_timing(),
-    };
+    let mut config = MembershipConfig::new(own);
+    config.timing = settings.control.membership_timing();
     Membership::start(config, datagrams, seeds_receiver)
 }
 
