--- a/crates/daemon/src/app/front/caller.rs
+++ b/crates/daemon/src/app/front/caller.rs
@@ -1,13 +1,14 @@
 //! One authenticated caller: reads its messages and runs its units, one at a time.
 
 use super::Shared;
+use super::builder::UnitBuilder;
 use super::cancel::CancelHandle;
 use super::limits::ServicePermit;
 use super::reply::{ErrorReply, ready_for_query};
 use super::session::Session;
 use super::socket::{CallerSocket, SocketError};
 use super::statements::StatementStore;
-use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION, UnitBuilder};
+use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION};
 use crate::domain::exchange::{Access, TransactionState};
 use crate::domain::names::{GroupName, ServiceName};
 use crate::domain::verdict::{FailureKind, RequestFailure};
--- a/crates/daemon/src/app/front/connection.rs
+++ b/crates/daemon/src/app/front/connection.rs
@@ -2,6 +2,7 @@
 
 use super::Shared;
 use super::authentication::{self, AuthenticationError};
+use super::builder::{UnitBuilder, UnitLimits};
 use super::caller::Caller;
 use super::limits::ServicePermit;
 use super::reply::{ErrorReply, encode, parameter_status};
@@ -11,7 +12,7 @@
 use super::startup::{self, Opening, StartupError, StartupRequest};
 use super::statements::StatementStore;
 use super::telemetry::{ConnectionGauge, count_refusal};
-use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION, UnitBuilder, UnitLimits};
+use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION};
 use bytes::BytesMut;
 use pgwire::messages::startup::{BackendKeyData, SecretKey};
 use std::sync::Arc;
--- a/crates/daemon/src/app/front/mod.rs
+++ b/crates/daemon/src/app/front/mod.rs
@@ -5,9 +5,11 @@
 
 mod attempt;
 mod authentication;
+mod builder;
 mod caller;
 mod cancel;
 mod connection;
+mod dispatch;
 mod limits;
 mod relay;
 mod reply;
@@ -33,6 +35,7 @@
 use limits::ConnectionLimits;
 use std::sync::Arc;
 use std::time::Duration;
+use stilequay_coordination::retry::RetryBudget;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -64,6 +67,7 @@
     limits: ConnectionLimits,
     cancels: Arc<CancelRegistry>,
     classifier: Arc<ClassificationCache>,
+    retry_budget: Arc<RetryBudget>,
     /// Cancelled when a planned stop begins.
     leaving: CancellationToken,
     /// Cancelled when a planned stop can't wait any longer.
@@ -80,6 +84,7 @@
             limits: ConnectionLimits::new(settings.max_connections),
             cancels: Arc::default(),
             classifier: Arc::new(ClassificationCache::new(settings.classification_cache)),
+            retry_budget: Arc::new(RetryBudget::new(settings.retry_budget())),
             settings,
             leaving,
             cut: CancellationToken::new(),
--- a/crates/daemon/src/app/front/requests.rs
+++ b/crates/daemon/src/app/front/requests.rs
@@ -1,56 +1,19 @@
-//! Running a caller's units: locally, on the held exchange, or on one of the homes.
+//! A caller's units from their beginning to their answer.
 
-use super::attempt::{self, CallerLink, Interruption};
 use super::caller::{Caller, ConnectionEnd, HeldExchange};
+use super::dispatch::{Completed, Request};
 use super::relay::Relay;
 use super::reply::{ErrorReply, Severity, parameter_status};
-use super::retry::{RetryState, is_repeatable, with_return_time};
+use super::retry::with_return_time;
 use super::rights;
 use super::session::FLOOR_PARAMETER;
 use super::telemetry::RequestTimer;
 use super::unit::{Unit, UnitEnd, undo_all};
 use crate::domain::classify::StatementAccess;
-use crate::domain::exchange::{Access, OpenExchange, RunUnit, TransactionState, UnitDone};
+use crate::domain::exchange::{Access, TransactionState};
 use crate::domain::names::RequestId;
 use crate::domain::resource::SessionPolicySpec;
-use crate::domain::verdict::{FailureKind, RequestFailure, Verdict};
-use crate::ports::exchange::HomeExchange;
-use std::time::Duration;
-use stilequay_coordination::identity::NodeId;
-use tokio::time::{Instant, sleep, timeout};
-
-/// A request on its way: what one unit needs at each attempt.
-struct Request {
-    id: RequestId,
-    unit: Unit,
-    access: Access,
-    /// How long a home may send nothing.
-    silence: Duration,
-}
-
-impl Request {
-    fn run_unit(&self, time_left: Duration) -> RunUnit {
-        RunUnit {
-            request: self.id,
-            access: self.access,
-            time_left,
-            makes_session_state: self.unit.makes_session_state,
-            statements: self.unit.statements.clone(),
-            payload: self.unit.payload.to_vec(),
-        }
-    }
-
-    fn relay(&self) -> Relay {
-        Relay::new(self.unit.end, self.unit.steps.clone())
-    }
-}
-
-/// A unit that ran, and the exchange it ran on.
-struct Completed {
-    done: UnitDone,
-    relay: Relay,
-    exchange: Box<dyn HomeExchange>,
-}
+use crate::domain::verdict::{RequestFailure, Verdict};
 
 impl Caller {
     /// Runs one unit and answers it.
@@ -103,156 +66,8 @@
         }
     }
 
-    /// Runs a unit on the exchange that its transaction or session state holds.
-    async fn run_held(
-        &mut self,
-        mut held: HeldExchange,
-        request: Request,
-        policy: &SessionPolicySpec,
-    ) -> Result<(), ConnectionEnd> {
-        let mut relay = request.relay();
-        let run = request.run_unit(policy.request_timeout());
-        let mut link = CallerLink {
-            socket: &mut self.socket,
-            cancel: &mut self.cancel,
-            cut: &self.shared.cut,
-        };
-        let attempt = attempt::run(
-            held.exchange.as_mut(),
-            run,
-            &mut relay,
-            &mut link,
-            request.silence,
-        );
-        match attempt.await {
-            Ok(done) => {
-                let completed = Completed {
-                    done,
-                    relay,
-                    exchange: held.exchange,
-                };
-                self.complete(request, completed, held.has_session_state)
-                    .await
-            }
-            Err(Interruption::CallerGone(error)) => Err(error.into()),
-            // The transaction or the session state is lost with its connection. To go
-            // on would run the rest of the transaction outside of it.
-            Err(Interruption::Failed(failure)) => {
-                self.log_failure(&request, &failure);
-                if !relay.is_between_messages() {
-                    return Err(ConnectionEnd::Gone);
-                }
-                relay.write(&mut self.socket).await?;
-                Err(ErrorReply::of_failure(Severity::Fatal, &failure).into())
-            }
-        }
-    }
-
-    /// Runs a unit on any home, trying again where that is harmless.
-    async fn run_shared(
-        &mut self,
-        request: Request,
-        policy: &SessionPolicySpec,
-    ) -> Result<(), ConnectionEnd> {
-        let settings = &self.shared.settings;
-        let mut retries = RetryState::new(
-            is_repeatable(&request.unit, self.session.repeat(), policy),
-            Instant::now() + policy.request_timeout(),
-            settings.max_attempts,
-            Duration::from_millis(settings.retry_pause_millis),
-        );
-        loop {
-            let homes = self.shared.homes.homes(&self.group, &request.access);
-            let mut last = RequestFailure::not_run(
-                FailureKind::HomeUnreachable,
-                "no home of the database is known",
-            );
-            for home in homes {
-                let mut relay = request.relay();
-                match self.attempt(&home, &request, &mut relay, &retries).await {
-                    Ok((done, exchange)) => {
-                        let completed = Completed {
-                            done,
-                            relay,
-                            exchange,
-                        };
-                        return self.complete(request, completed, false).await;
-                    }
-                    Err(Interruption::CallerGone(error)) => return Err(error.into()),
-                    Err(Interruption::Failed(failure)) => {
-                        if !retries.may_retry(&failure, relay.has_written()) {
-                            return self.fail(request, relay, failure).await;
-                        }
-                        self.log_retry(&request, &home, &failure);
-                        last = failure;
-                    }
-                }
-            }
-            let Some(pause) = retries.begin_round(&last) else {
-                let relay = request.relay();
-                return self.fail(request, relay, last).await;
-            };
-            if let Some(cancelled) = self.pause(pause).await {
-                let relay = request.relay();
-                return self.fail(request, relay, cancelled).await;
-            }
-        }
-    }
-
-    async fn attempt(
-        &mut self,
-        home: &NodeId,
-        request: &Request,
-        relay: &mut Relay,
-        retries: &RetryState,
-    ) -> Result<(UnitDone, Box<dyn HomeExchange>), Interruption> {
-        let mut exchange = self
-            .open(home, retries.time_left())
-            .await
-            .map_err(Interruption::Failed)?;
-        let time_left = retries.time_left();
-        let mut link = CallerLink {
-            socket: &mut self.socket,
-            cancel: &mut self.cancel,
-            cut: &self.shared.cut,
-        };
-        let run = request.run_unit(time_left);
-        let silence = request.silence;
-        let done = attempt::run(exchange.as_mut(), run, relay, &mut link, silence).await?;
-        Ok((done, exchange))
-    }
-
-    /// Opens an exchange; whatever goes wrong here, nothing has been run.
-    async fn open(
-        &mut self,
-        home: &NodeId,
-        time_left: Duration,
-    ) -> Result<Box<dyn HomeExchange>, RequestFailure> {
-        let open = OpenExchange {
-            group: self.group.clone(),
-            service: self.service.clone(),
-            session: self.session.name().cloned(),
-        };
-        let opening = timeout(time_left, self.shared.connector.open(home, open));
-        tokio::select! {
-            opened = opening => opened.unwrap_or_else(|_| Err(RequestFailure::not_run(
-                FailureKind::DeadlineExceeded,
-                "no home could be reached in time",
-            ))),
-            () = self.cancel.requested() => Err(cancelled()),
-        }
-    }
-
-    /// Waits before another round; a failure where the caller asked to cancel.
-    async fn pause(&mut self, pause: Duration) -> Option<RequestFailure> {
-        tokio::select! {
-            () = sleep(pause) => None,
-            () = self.cancel.requested() => Some(cancelled()),
-        }
-    }
-
     /// Ends a unit that ran: answers it, and shares or holds its connection.
-    async fn complete(
+    pub(super) async fn complete(
         &mut self,
         request: Request,
         completed: Completed,
@@ -296,7 +111,7 @@
 
     /// Tells the caller of a failed request; the connection goes on where the
     /// protocol allows it.
-    async fn fail(
+    pub(super) async fn fail(
         &mut self,
         request: Request,
         mut relay: Relay,
@@ -348,7 +163,7 @@
         Ok(relay.write(&mut self.socket).await?)
     }
 
-    fn log_failure(&self, request: &Request, failure: &RequestFailure) {
+    pub(super) fn log_failure(&self, request: &Request, failure: &RequestFailure) {
         log::warn!(
             request:% = request.id, service:% = self.service, group:% = self.group,
             key = request.unit.key.as_deref().unwrap_or_default(),
@@ -356,19 +171,4 @@
             "request failed: {failure}"
         );
     }
-
-    fn log_retry(&self, request: &Request, home: &NodeId, failure: &RequestFailure) {
-        metrics::counter!("stilequay_front_retries_total").increment(1);
-        log::info!(
-            request:% = request.id, group:% = self.group, home:% = home;
-            "trying another home: {failure}"
-        );
-    }
-}
-
-fn cancelled() -> RequestFailure {
-    RequestFailure::not_run(
-        FailureKind::Cancelled,
-        "canceling statement due to user request",
-    )
 }
--- a/crates/daemon/src/app/front/retry.rs
+++ b/crates/daemon/src/app/front/retry.rs
@@ -1,10 +1,13 @@
 //! Whether and when a failed request goes to another home.
 
+use super::settings::FrontSettings;
 use super::unit::Unit;
 use crate::domain::classify::{Repeat, StatementAccess};
 use crate::domain::resource::SessionPolicySpec;
 use crate::domain::verdict::{FailureKind, RequestFailure, Verdict};
+use std::sync::Arc;
 use std::time::Duration;
+use stilequay_coordination::retry::{Backoff, BackoffSettings, RetryBudget};
 use tokio::time::Instant;
 
 /// When a caller that was told NotRun should come back, where the home gave no time.
@@ -17,7 +20,9 @@
     repeatable: bool,
     deadline: Instant,
     attempts_left: u32,
-    pause: Duration,
+    /// Keeps the retries of all callers together a small share of their requests.
+    budget: Arc<RetryBudget>,
+    backoff: Backoff,
     /// Homes have been tried once each.
     is_second_round: bool,
 }
@@ -26,14 +31,19 @@
     pub(super) fn new(
         repeatable: bool,
         deadline: Instant,
-        max_attempts: u32,
-        first_pause: Duration,
+        settings: &FrontSettings,
+        budget: Arc<RetryBudget>,
     ) -> Self {
+        budget.record_request();
         Self {
             repeatable,
             deadline,
-            attempts_left: max_attempts,
-            pause: first_pause,
+            attempts_left: settings.max_attempts,
+            budget,
+            backoff: Backoff::new(BackoffSettings {
+                initial: settings.retry_pause(),
+                ..BackoffSettings::default()
+            }),
             is_second_round: false,
         }
     }
@@ -65,7 +75,8 @@
             | FailureKind::ProtocolViolation
             | FailureKind::Cancelled => false,
         };
-        harmless && useful && !has_answer && self.attempts_left > 0 && !self.time_left().is_zero()
+        let possible = self.attempts_left > 0 && !self.time_left().is_zero();
+        harmless && useful && !has_answer && possible && self.budget.try_retry()
     }
 
     /// Begins another round over the homes: how long to wait before, or `None` when
@@ -75,8 +86,8 @@
             return None;
         }
         self.is_second_round = true;
-        let pause = last.retry_after.map_or(self.pause, |it| it.max(self.pause));
-        self.pause *= 2;
+        // Added, so that callers that were told the same time do not come back together.
+        let pause = last.retry_after.unwrap_or_default() + self.backoff.next_delay();
         (pause < self.time_left()).then_some(pause)
     }
 }
--- a/crates/daemon/src/app/front/settings.rs
+++ b/crates/daemon/src/app/front/settings.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
+use stilequay_coordination::retry::RetryBudgetSettings;
 
 /// Settings of the section `[front]`.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -21,8 +22,13 @@
     pub max_prepared_statements: usize,
     /// Greatest number of times a request is sent to a home.
     pub max_attempts: u32,
-    /// Pause before a home is tried for the second time, milliseconds; doubled from round to round.
+    /// Greatest first pause before homes are tried once more, milliseconds; it grows from round
+    /// to round.
     pub retry_pause_millis: u64,
+    /// Retries of all callers together, as a share of their requests, percent.
+    pub retry_percent: u32,
+    /// Retries of all callers together beyond that share, in a burst.
+    pub retry_burst: u32,
     /// Time without any message from a home, beyond the time of the request, after
     /// which the home counts as lost, milliseconds.
     pub home_grace_millis: u64,
@@ -49,6 +55,8 @@
             max_prepared_statements: 1_000,
             max_attempts: 6,
             retry_pause_millis: 20,
+            retry_percent: 20,
+            retry_burst: 200,
             home_grace_millis: 2_000,
             write_stall_millis: 60_000,
             idle_in_transaction_millis: 60_000,
@@ -109,6 +117,8 @@
             ),
             ("max_attempts", u64::from(self.max_attempts), 1, 100),
             ("retry_pause_millis", self.retry_pause_millis, 1, 60_000),
+            ("retry_percent", u64::from(self.retry_percent), 0, 100),
+            ("retry_burst", u64::from(self.retry_burst), 1, 1_000_000),
             ("home_grace_millis", self.home_grace_millis, 1, day_millis),
             ("write_stall_millis", self.write_stall_millis, 1, day_millis),
             (
@@ -155,6 +165,18 @@
         Duration::from_millis(self.startup_timeout_millis)
     }
 
+    pub(super) fn retry_pause(&self) -> Duration {
+        Duration::from_millis(self.retry_pause_millis)
+    }
+
+    pub(super) fn retry_budget(&self) -> RetryBudgetSettings {
+        RetryBudgetSettings {
+            ratio: f64::from(self.retry_percent) / 100.0,
+            capacity: f64::from(self.retry_burst),
+            ..RetryBudgetSettings::default()
+        }
+    }
+
     pub(super) fn home_grace(&self) -> Duration {
         Duration::from_millis(self.home_grace_millis)
     }
--- a/crates/daemon/tests/front/faults.rs
+++ b/crates/daemon/tests/front/faults.rs
@@ -255,6 +255,23 @@
     assert_eq!(proxy.homes.record().runs.len(), attempts);
 }
 
+#[tokio::test]
+async fn retries_keep_within_the_budget_of_all_callers() {
+    let setup = Setup {
+        settings: FrontSettings {
+            retry_percent: 0,
+            retry_burst: 2,
+            ..FrontSettings::default()
+        },
+        ..Setup::with_faults((0..5).map(|_| Fails(not_run(BackEndUnreachable))))
+    };
+    let proxy = setup.start().await;
+    let client = proxy.connect().await;
+    let error = client.batch_execute(WRITE).await.unwrap_err();
+    assert_eq!(sqlstate(&error), "57P03");
+    assert_eq!(proxy.homes.record().runs.len(), 3);
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_takes_its_exchange_along() {
     let proxy = Setup::with_faults([Fault::Silent]).start().await;
