--- a/crates/daemon/src/app/home/routing.rs
+++ b/crates/daemon/src/app/home/routing.rs
@@ -226,7 +226,10 @@
 
     async fn choose_any(&self, excluded: &BTreeSet<MemberName>) -> Result<Choice, RequestFailure> {
         let choice = self
-            .wait_for_state(|state| self.any_member(state, excluded))
+            .wait_for_state(|state| {
+                self.best_replica(state, excluded, |_| true)
+                    .or_else(|| self.any_member(state, excluded))
+            })
             .await;
         choice.ok_or_else(|| no_fresh_member("no member answers"))
     }
--- a/crates/daemon/src/app/home/state.rs
+++ b/crates/daemon/src/app/home/state.rs
@@ -195,18 +195,21 @@
         terms.map(|report| report.term).max().unwrap_or_default()
     }
 
+    /// The members that answer and have reported `term` as their highest.
+    pub fn members_at(&self, term: Term) -> Vec<MemberName> {
+        let members = self.members.iter();
+        let at_term = members.filter(|(_, member)| is_at(member, term));
+        at_term.map(|(name, _)| name.clone()).collect()
+    }
+
     /// The member that claims to lead at the highest term, where a majority knows that term.
     ///
     /// This only says where to send work. That the primary has not been replaced
     /// since is proved by [`GroupState::check_term`] after the work.
     pub fn primary(&self) -> Option<Primary> {
         let term = self.highest_term();
-        let at_term = |member: &&MemberState| {
-            member
-                .live_report()
-                .is_some_and(|report| report.term == term)
-        };
-        if self.members.values().filter(at_term).count() < self.majority() {
+        let knowing = self.members.values().filter(|member| is_at(member, term));
+        if knowing.count() < self.majority() {
             return None;
         }
         let leads = |member: &MemberState| {
@@ -282,6 +285,11 @@
     }
 }
 
+fn is_at(member: &MemberState, term: Term) -> bool {
+    let report = member.live_report();
+    report.is_some_and(|report| report.term == term)
+}
+
 /// Waits until `choose` finds something in the state; for ever once the group is gone.
 pub async fn wait_for_state<T>(
     receiver: &mut watch::Receiver<GroupState>,
--- a/crates/daemon/src/app/home/supervisor.rs
+++ b/crates/daemon/src/app/home/supervisor.rs
@@ -76,9 +76,17 @@
     }
     if terms.of_primary > known.of_primary {
         log::info!(group:% = group.name(), term:% = terms.of_primary; "the group has a primary");
-        for pool in group.pools() {
-            tokio::spawn(async move { pool.warm(terms.of_primary).await });
-        }
+        warm_members_at(group, terms.of_primary);
+    }
+}
+
+/// Opens connections to the members that have reported `term`. A connection must never
+/// be bound to a term that its member does not know: that member may still follow, or
+/// be, a former primary.
+fn warm_members_at(group: &Arc<Group>, term: Term) {
+    let members = group.watch_state().borrow().members_at(term);
+    for pool in members.iter().filter_map(|name| group.pool(name)) {
+        tokio::spawn(async move { pool.warm(term).await });
     }
 }
 
