--- a/crates/coordination/src/membership/shared.rs
+++ b/crates/coordination/src/membership/shared.rs
@@ -1,15 +1,15 @@
 //! What the tasks of one node's membership share.
 
-use super::config::MembershipTiming;
+use super::config::{MembershipConfig, MembershipTiming};
 use super::contacts::ZoneContacts;
 use super::datagram::{DatagramWriter, Header, ProbeId, Purpose, VERSION};
 use super::news::NewsQueue;
 use super::record::{Delta, MemberRecord, MemberState, Status};
 use super::table::{Merged, Table};
 use super::view::MembershipView;
+use crate::control::Links;
 use crate::identity::{Incarnation, NodeId};
 use crate::revision::Revision;
-use crate::traffic::Traffic;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -22,6 +22,9 @@
 /// How often a report is sent on, times the binary logarithm of the receivers.
 const RETRANSMISSION_FACTOR: u32 = 2;
 
+/// A node accuses others only if it heard of somebody within so many probe intervals.
+const INTERVALS_OF_OWN_CONTACT: u32 = 3;
+
 /// The part that is locked. Never held across an await.
 #[derive(Debug)]
 pub(super) struct State {
@@ -69,16 +72,17 @@
     pub revision: AtomicU64,
     /// The highest revision that another node was heard to have applied.
     pub highest_revision: watch::Sender<Revision>,
-    /// Counters.
-    pub traffic: Arc<Traffic>,
+    /// What the links to other nodes have in common.
+    pub links: Links,
     /// Ends all tasks.
     pub stopped: CancellationToken,
 }
 
 impl Shared {
     /// The state of a node that knows only itself.
-    pub fn new(own: MemberRecord, timing: MembershipTiming, socket: UdpSocket) -> Self {
+    pub fn new(config: MembershipConfig, socket: UdpSocket) -> Self {
         let now = Instant::now();
+        let MembershipConfig { own, timing, links } = config;
         let first = MemberState {
             record: Arc::new(own.clone()),
             renewal: 0,
@@ -107,7 +111,7 @@
             news: Notify::new(),
             revision: AtomicU64::new(0),
             highest_revision: watch::channel(Revision::default()).0,
-            traffic: Arc::default(),
+            links: Links::new(links),
             stopped: CancellationToken::new(),
         }
     }
@@ -220,6 +224,22 @@
         self.publish_own(state, own, now);
     }
 
+    /// Whether this node has lately heard another one than `target`, or knows no
+    /// other: a node that hears nobody may itself be the one that is cut off.
+    pub fn hears_others(&self, state: &State, target: &NodeId, now: Instant) -> bool {
+        let window = self.timing.probe_interval * INTERVALS_OF_OWN_CONTACT;
+        let heard = state.last_heard.as_ref().is_some_and(|(when, node)| {
+            node != target && now.saturating_duration_since(*when) <= window
+        });
+        heard || !self.knows_others(target)
+    }
+
+    fn knows_others(&self, target: &NodeId) -> bool {
+        let view = self.view.borrow();
+        let mut members = view.members().iter().map(|member| &member.record.node);
+        members.any(|node| *node != self.own.node && node != target)
+    }
+
     /// Replaces the report of this node about itself and spreads it.
     pub fn publish_own(&self, state: &mut State, own: MemberState, now: Instant) {
         state.table.renew_own(own, now);
@@ -251,9 +271,10 @@
     ) {
         let kind = purpose.kind();
         let bytes = self.encode(purpose, audience, first);
-        // A datagram that can't be sent is one that is lost: the protocol bears that.
-        if self.socket.send_to(&bytes, address).await.is_ok() {
-            self.traffic.sent(kind, bytes.len());
+        self.links.traffic.sent(kind, bytes.len());
+        if self.links.policy.permits(address) {
+            // A datagram that can't be sent is one that is lost: the protocol bears that.
+            let _ = self.socket.send_to(&bytes, address).await;
         }
     }
 
