Decide placements of session-floor homes by conditional writes

PlacementKeeper gives each epoch one set of homes, whoever decides at the same time, replaces homes that are lost and keeps the others, decides on a next epoch only once the present one is noted as sealed, and notes that by publishing the placement without the set before. A register learns of the seal from such a placement as well: so homes that all lose their memory don't need a set that may be gone.

--- a/crates/coordination/src/floors/home.rs
+++ b/crates/coordination/src/floors/home.rs
@@ -63,6 +63,12 @@
         self.register().readiness()
     }
 
+    /// The highest epoch known to be sealed; to be noted by
+    /// [`super::PlacementKeeper::note_sealed`].
+    pub fn sealed(&self) -> Epoch {
+        self.register().sealed()
+    }
+
     /// Number of sessions kept.
     pub fn sessions(&self) -> usize {
         self.register().sessions()
@@ -118,7 +124,7 @@
     }
 
     fn is_sealed(&self, epoch: Epoch) -> bool {
-        self.register().sealed() >= epoch
+        self.sealed() >= epoch
     }
 
     async fn ask_for_acknowledgements(&self, epoch: Epoch, homes: &BTreeSet<NodeId>) {
--- a/crates/coordination/src/floors/mod.rs
+++ b/crates/coordination/src/floors/mod.rs
@@ -32,6 +32,7 @@
 //!   the epoch before. The next epoch should be decided only when the present one is
 //!   sealed; until then its homes serve nothing, and callers use a barrier. A
 //!   placement known to be sealed may be told with an empty `previous`.
+//!   [`PlacementKeeper`] does all this over a store with conditional writes.
 //! - [`BarrierSource::barrier`] covers everything acknowledged before it was called.
 //!
 //! # Example
@@ -116,12 +117,14 @@
 
 mod client;
 mod home;
+mod placements;
 mod port;
 mod register;
 mod sessions;
 
 pub use client::{FloorClient, FloorClientSettings, FloorError};
 pub use home::FloorHome;
+pub use placements::{HOMES, PlacementKeeper, PlacementStore, PlacementStoreError, PutOutcome};
 pub use port::{BarrierError, BarrierSource, FloorTransport, FloorTransportError};
 pub use register::{FloorRegister, FloorRegisterSettings, Readiness};
 pub use sessions::BYTES_PER_SESSION;
--- a/crates/coordination/src/floors/register.rs
+++ b/crates/coordination/src/floors/register.rs
@@ -67,8 +67,12 @@
         }
     }
 
-    /// Begins to take part in `placement`; does nothing where it is not later than the present one.
+    /// Begins to take part in `placement`, or learns that the present one is sealed;
+    /// does nothing where it is earlier than the present one.
     pub fn begin(&mut self, placement: FloorPlacement) {
+        if placement.previous.is_empty() {
+            self.sealed = self.sealed.max(placement.epoch);
+        }
         let present = self.epoch();
         if self.placement.is_some() && placement.epoch <= present {
             return;
@@ -85,9 +89,6 @@
         }
         self.acknowledged = self.acknowledged.max(placement.epoch);
         self.acknowledged_by.clear();
-        if placement.previous.is_empty() {
-            self.sealed = self.sealed.max(placement.epoch);
-        }
         self.placement = Some(placement);
     }
 
--- a/crates/coordination/tests/floors.rs
+++ b/crates/coordination/tests/floors.rs
@@ -177,6 +177,15 @@
     assert_eq!(load(&mut a, 2, "s"), FloorReply::Floor(floor(9)));
 }
 
+#[test]
+fn a_placement_published_again_as_sealed_needs_no_acknowledgements() {
+    let mut home = started("d");
+    home.begin(placement(3, "def", "abc"));
+    assert_eq!(home.readiness(), Readiness::Refusing);
+    home.begin(placement(3, "def", ""));
+    assert_eq!(home.readiness(), Readiness::Storing);
+}
+
 #[test]
 fn a_barrier_of_an_earlier_epoch_gives_no_default_floor() {
     let mut home = started("d");
