Fail a transaction block for errors of the protocol library too

A block in which Bind named no statement went on accepting statements: the new case of the message sequences failed before the error handler told the session.

--- a/crates/standin/src/group/connection.rs
+++ b/crates/standin/src/group/connection.rs
@@ -12,7 +12,7 @@
 use pgwire::api::cancel::{CancelHandler, DefaultCancelHandler};
 use pgwire::api::query::{ExtendedQueryHandler, SimpleQueryHandler};
 use pgwire::api::{
-    ClientInfo, ConnectionGuard, ConnectionHandle, METADATA_APPLICATION_NAME,
+    ClientInfo, ConnectionGuard, ConnectionHandle, ErrorHandler, METADATA_APPLICATION_NAME,
     PgWireConnectionState, PgWireServerHandlers,
 };
 use pgwire::error::{ErrorInfo, PgWireError, PgWireResult, SEVERITY_FATAL};
@@ -142,6 +142,16 @@
     }
 }
 
+impl ErrorHandler for Connection {
+    /// Fails the transaction block for errors that the protocol library finds itself, too.
+    fn on_error<C: ClientInfo>(&self, _client: &C, _error: &mut PgWireError) {
+        // Errors are handled once the handler that failed has given the session back.
+        if let Ok(mut session) = self.session.try_lock() {
+            session.fail();
+        }
+    }
+}
+
 /// The handlers of one connection, as the protocol library takes them.
 pub(crate) struct Handlers(pub(crate) Arc<Connection>);
 
@@ -158,6 +168,10 @@
         self.0.clone()
     }
 
+    fn error_handler(&self) -> Arc<impl ErrorHandler> {
+        self.0.clone()
+    }
+
     fn cancel_handler(&self) -> Arc<impl CancelHandler> {
         Arc::new(DefaultCancelHandler::new(self.0.member.cancels.clone()))
     }
--- a/crates/standin/src/group/extended.rs
+++ b/crates/standin/src/group/extended.rs
@@ -179,7 +179,7 @@
         let mut cancel = self.0.cancel_requested().await;
         let mut session = self.0.session().await;
         let statement = portal.statement.statement.clone();
-        let parameters = values::parameters(portal).inspect_err(|_| session.fail())?;
+        let parameters = values::parameters(portal)?;
         let bound = BoundStatement {
             statement: statement.clone(),
             parameters,
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -76,15 +76,7 @@
     }
 
     /// Analyses the text of a prepared statement; none if it is empty.
-    pub(crate) fn prepare(&mut self, sql: &str) -> Result<Option<Arc<Statement>>, SqlError> {
-        let statement = self.analyse_text(sql);
-        if statement.is_err() {
-            self.fail();
-        }
-        statement
-    }
-
-    fn analyse_text(&self, sql: &str) -> Result<Option<Arc<Statement>>, SqlError> {
+    pub(crate) fn prepare(&self, sql: &str) -> Result<Option<Arc<Statement>>, SqlError> {
         let statement = match self.recall(sql) {
             Some(statement) => statement,
             None => {
--- a/crates/standin/tests/group_messages.rs
+++ b/crates/standin/tests/group_messages.rs
@@ -144,6 +144,13 @@
     vec![parse("b", "BEGIN"), bind("b"), execute(0), sync(), parse("e", "SELEC"), sync(), query("ROLLBACK")],
     &["parsed", "bound", "BEGIN", "ready Transaction", "error 42601", "ready Error", "ROLLBACK", "ready Idle"]
 )]
+#[case::failed_by_the_protocol(
+    vec![query("BEGIN"), bind("missing"), sync(), query("SELECT 1"), query("ROLLBACK")],
+    &[
+        "BEGIN", "ready Transaction", "error 26000", "ready Error", "error 25P02", "ready Error",
+        "ROLLBACK", "ready Idle",
+    ]
+)]
 #[case::empty(vec![query(" ; "), query("-- nothing")], &["empty", "ready Idle", "empty", "ready Idle"])]
 #[case::script_in_a_block(
     vec![query("SELECT k FROM t; BEGIN; INSERT INTO t VALUES (3); COMMIT; DELETE FROM t")],
