Bring LIKE and quoted names nearer to PostgreSQL, and test transfers

LIKE heeds case, ILIKE does not, and a quoted name is never a string. Four clients move amounts between three accounts with SELECT ... FOR UPDATE and repeat on 40001; no unit is lost on any member.

--- a/crates/standin/src/group/engine.rs
+++ b/crates/standin/src/group/engine.rs
@@ -8,6 +8,7 @@
 use pgwire::api::Type;
 use rusqlite::Connection;
 use rusqlite::backup::Backup;
+use rusqlite::config::DbConfig;
 use rusqlite::types::Value;
 use sqlparser::ast::{ObjectName, Statement as SyntaxTree, visit_relations};
 use std::convert::Infallible;
@@ -33,6 +34,8 @@
 
 /// SQLite's cache of prepared statements.
 const STATEMENT_CACHE: usize = 512;
+/// What PostgreSQL does without being asked.
+const CONNECTION_PRAGMAS: &str = "PRAGMA foreign_keys = ON; PRAGMA case_sensitive_like = ON";
 /// Pages copied in one step of a backup.
 const BACKUP_PAGES: i32 = 1024;
 
@@ -49,7 +52,10 @@
     fn unprepared() -> rusqlite::Result<Self> {
         let connection = Connection::open_in_memory()?;
         connection.set_prepared_statement_cache_capacity(STATEMENT_CACHE);
-        connection.execute_batch("PRAGMA foreign_keys = ON")?;
+        connection.execute_batch(CONNECTION_PRAGMAS)?;
+        // Text in double quotes is a name, never a string.
+        connection.set_db_config(DbConfig::SQLITE_DBCONFIG_DQS_DML, false)?;
+        connection.set_db_config(DbConfig::SQLITE_DBCONFIG_DQS_DDL, false)?;
         let facts = SharedFacts::default();
         create_functions(&connection, &facts)?;
         Ok(Self { connection, facts })
--- a/crates/standin/src/group/sql/rewrite.rs
+++ b/crates/standin/src/group/sql/rewrite.rs
@@ -89,19 +89,15 @@
             }),
             Expr::ILike {
                 negated,
-                any,
                 expr,
                 pattern,
-                escape_char,
+                ..
             } => {
-                // LIKE of SQLite ignores the case of ASCII letters.
-                *expression = Expr::Like {
-                    negated: *negated,
-                    any: *any,
-                    expr: expr.clone(),
-                    pattern: pattern.clone(),
-                    escape_char: escape_char.clone(),
-                };
+                let operator = if *negated { "NOT LIKE" } else { "LIKE" };
+                let text = format!("lower({expr}) {operator} lower({pattern})");
+                if let Some(replacement) = parse_expression(&text) {
+                    *expression = replacement;
+                }
             }
             _ => {}
         }
--- a/crates/standin/tests/group_protocol.rs
+++ b/crates/standin/tests/group_protocol.rs
@@ -91,6 +91,7 @@
 #[case::syntax("SELEC 1", "42601")]
 #[case::undefined_table("SELECT * FROM nowhere", "42P01")]
 #[case::undefined_column("SELECT missing FROM items", "42703")]
+#[case::undefined_quoted_column("SELECT \"missing\" FROM items", "42703")]
 #[case::undefined_function("SELECT missing(1)", "42883")]
 #[case::undefined_variable("SHOW missing", "42704")]
 #[case::duplicate_table("CREATE TABLE items (key text)", "42P07")]
@@ -99,6 +100,10 @@
 #[case::check("INSERT INTO items (key, amount) VALUES ('a', 1000000)", "23514")]
 #[case::read_only("BEGIN READ ONLY; DELETE FROM items", "25006")]
 #[case::discard_in_block("BEGIN; DISCARD ALL", "25001")]
+#[case::foreign_key(
+    "CREATE TABLE a (k text REFERENCES items); INSERT INTO a VALUES ('none')",
+    "23503"
+)]
 #[case::unsupported("CREATE TEMP TABLE t (k int)", "0A000")]
 #[tokio::test]
 async fn failures_have_the_states_of_postgresql(#[case] sql: &str, #[case] state: &str) {
@@ -328,3 +333,18 @@
         [SimpleQueryMessage::CommandComplete(2)]
     ));
 }
+
+#[rstest]
+#[case("SELECT 'Lentils' LIKE 'len%'", "f")]
+#[case("SELECT 'Lentils' ILIKE 'len%'", "t")]
+#[case("SELECT 'Lentils' NOT ILIKE 'len%'", "f")]
+#[case("SELECT '7'::int + 1", "8")]
+#[case("SELECT pg_catalog.pg_is_in_recovery()", "f")]
+#[case("SELECT CASE WHEN 1 > 2 THEN 'a' ELSE 'b' END", "b")]
+#[case("SELECT current_timestamp = now()", "t")]
+#[tokio::test]
+async fn expressions_give_what_they_give_in_postgresql(#[case] sql: &str, #[case] expected: &str) {
+    let group = default_group().await;
+    let client = connect(&group, "one").await;
+    assert_eq!(value(&client, sql).await.as_deref(), Some(expected));
+}
--- a/crates/standin/tests/group_replication.rs
+++ b/crates/standin/tests/group_replication.rs
@@ -9,6 +9,7 @@
 use stilequay_standin::group::{
     ElectionSettings, GroupHandle, GroupSettings, MemberReport, ReplicationLag, Role, start,
 };
+use tokio_postgres::{Client, Error};
 
 const COUNT: &str = "SELECT count(*) FROM orders";
 
@@ -279,3 +280,53 @@
     .await;
     connect(&group, "one").await;
 }
+
+/// Moves one unit between two accounts, again and again until it commits.
+async fn transfer(client: &mut Client, from: i64, to: i64) {
+    loop {
+        match try_transfer(client, from, to).await {
+            Ok(()) => return,
+            Err(error) => assert_eq!(code(&error), "40001"),
+        }
+    }
+}
+
+async fn try_transfer(client: &mut Client, from: i64, to: i64) -> Result<(), Error> {
+    let transaction = client.transaction().await?;
+    let read = "SELECT amount FROM accounts WHERE id = $1 FOR UPDATE";
+    let write = "UPDATE accounts SET amount = $1 WHERE id = $2";
+    for (account, change) in [(from, -1), (to, 1)] {
+        let amount: i64 = transaction.query_one(read, &[&account]).await?.get(0);
+        transaction
+            .execute(write, &[&(amount + change), &account])
+            .await?;
+    }
+    transaction.commit().await
+}
+
+#[tokio::test]
+async fn concurrent_transfers_lose_nothing() {
+    let group = default_group().await;
+    let setup = connect(&group, "one").await;
+    let table = "CREATE TABLE accounts (id bigint PRIMARY KEY, amount bigint); \
+                 INSERT INTO accounts VALUES (0, 0), (1, 0), (2, 0)";
+    setup.batch_execute(table).await.expect("the table is made");
+    let callers = (0..4).map(|caller| {
+        let group = group.clone();
+        tokio::spawn(async move {
+            let mut client = connect(&group, "one").await;
+            for round in 0..25 {
+                transfer(&mut client, round % 2, caller % 2 + 1).await;
+            }
+        })
+    });
+    futures::future::try_join_all(callers)
+        .await
+        .expect("all callers end");
+    replicated(&group).await;
+    let sums = "SELECT sum(amount), max(CASE WHEN id = 0 THEN amount END) FROM accounts";
+    for member in group.names() {
+        let sums = rows(&connect(&group, &member).await, sums).await;
+        assert_eq!(sums, [[Some("0".to_owned()), Some("-52".to_owned())]]);
+    }
+}
