--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -5,8 +5,15 @@
 //! individual modules), so that a program can embed one part without the rest.
 
 pub mod clock;
+pub mod confirmation;
+pub mod control;
+pub mod distribution;
+pub mod floors;
 pub mod identity;
 pub mod limit;
+pub mod membership;
 pub mod placement;
 pub mod position;
 pub mod retry;
+pub mod revision;
+pub mod traffic;
--- a/crates/daemon/src/domain/mod.rs
+++ b/crates/daemon/src/domain/mod.rs
@@ -1,8 +1,13 @@
 //! Types without input or output: what the daemon reasons about.
 
+pub mod classify;
 pub mod configuration;
+pub mod document;
 pub mod exchange;
+pub mod fields;
+pub mod in_force;
 pub mod membership;
 pub mod names;
 pub mod resource;
+pub mod validation;
 pub mod verdict;
