--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,5 +1,4 @@
 //! Stand-ins for the outside systems, for tests and measurements: the
-//! platform's services, a database group and a fault-injecting proxy.
 //! platform's services, a replicated database group and a fault-injecting proxy.
 
 pub mod command_line;
