--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -79,6 +79,13 @@
         self.ask(Method::DELETE, &path(key), None).await
     }
 
+    /// Waits until the daemon shows `version`, so that the next command sees what
+    /// this one has done. Only a courtesy: the change is accepted in any case.
+    pub async fn wait_for(&self, kind: ResourceKind, version: &str) {
+        let path = format!("/v1/{}?limit=1&resourceVersion={version}", kind.plural());
+        let _ = self.ask::<DocumentList>(Method::GET, &path, None).await;
+    }
+
     /// The fleet.
     pub async fn status(&self) -> Result<FleetStatus, ControlError> {
         self.ask(Method::GET, "/v1/status", None).await
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -11,12 +11,15 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::path::PathBuf;
+use std::time::Duration;
 use stilequay_daemon::adapters::api::{Document, FailureCode, OutcomeName};
 use stilequay_daemon::domain::document::{ResourceKey, ResourceKind};
 
 /// Times that an applied document without a version is tried again after others
 /// changed the resource.
-const MAX_ATTEMPTS: usize = 8;
+const MAX_ATTEMPTS: u32 = 8;
+/// Pause after the first such attempt; grows with each.
+const RACE_PAUSE: Duration = Duration::from_millis(50);
 
 /// Carries out a command, writing its answer to `out`.
 pub async fn run(invocation: Invocation, out: &mut impl Write) -> Result<ExitStatus, ControlError> {
@@ -58,12 +61,14 @@
 ) -> Result<ExitStatus, ControlError> {
     for file in read_all(paths)? {
         let applied = apply_one(client, &file).await?;
+        let version = &applied.document.metadata.resource_version;
+        client.wait_for(file.draft.key.kind, version).await;
         writeln!(
             out,
             "{} {} at version {}",
             file.draft.key,
             applied.what.as_str(),
-            applied.document.metadata.resource_version
+            version
         )?;
     }
     Ok(ExitStatus::Done)
@@ -95,7 +100,7 @@
 /// Creates or replaces a resource. A document without a version is meant whatever
 /// the present one is, so it is tried again after a change by somebody else.
 async fn apply_one(client: &Client, file: &FileDocument) -> Result<Applied, ControlError> {
-    let mut attempts = 0;
+    let mut attempts: u32 = 0;
     loop {
         attempts += 1;
         let result = match client.get(&file.draft.key).await {
@@ -109,6 +114,7 @@
         if !race || file.draft.seen.is_some() || attempts == MAX_ATTEMPTS {
             return result;
         }
+        tokio::time::sleep(RACE_PAUSE * attempts).await;
     }
 }
 
@@ -163,6 +169,7 @@
 ) -> Result<ExitStatus, ControlError> {
     for key in keys {
         let deletion = client.delete(key).await?;
+        client.wait_for(key.kind, &deletion.resource_version).await;
         writeln!(
             out,
             "{key} deleted at version {}",
