Add the demonstration, and faults that lose answers or leave transactions open

Sessions also drop connections in mid-transaction; schedules also reset links to members and lose answers after their effect, and one replica lags from the start.

--- a/crates/bench/src/cli/faults.rs
+++ b/crates/bench/src/cli/faults.rs
@@ -4,6 +4,7 @@
 use super::progress;
 use crate::experiment::faults::{FaultFigures, FaultSettings, Mutant, run};
 use crate::launch::Deployment;
+use crate::launch::daemon::NetworkDelays;
 use crate::results;
 use getopts::{Matches, Options};
 use std::time::Duration;
@@ -12,6 +13,13 @@
 /// Daemons of a run.
 const DAEMONS: usize = 3;
 
+/// Delays of the network: long enough for requests to be under way when faults begin.
+const DELAYS: NetworkDelays = NetworkDelays {
+    caller_micros: 300,
+    peer_micros: 500,
+    member_micros: 1_000,
+};
+
 /// Runs the subcommand.
 pub async fn run_command(arguments: &[String]) -> Result<Verdict, CommandError> {
     let usage = "faults [options]";
@@ -70,6 +78,7 @@
 fn settings(matches: &Matches, seed: u64) -> Result<FaultSettings, CommandError> {
     let mutant = matches.opt_str("mutant").map(|name| name.parse::<Mutant>());
     let mut deployment = Deployment::small(DAEMONS);
+    deployment.delays = DELAYS;
     deployment.policy.consistency = consistency(matches, seed)?;
     Ok(FaultSettings {
         seed,
--- a/crates/bench/src/experiment/faults/injector.rs
+++ b/crates/bench/src/experiment/faults/injector.rs
@@ -47,6 +47,16 @@
             Fault::CutMember(group, member) => {
                 self.topology.groups[group].members[member].link.cut().await
             }
+            Fault::LoseAnswers(group, member) => {
+                let link = &self.topology.groups[group].members[member].link;
+                link.disturb(|faults| faults.to_source.cut = true).await
+            }
+            Fault::ResetMember(group, member) => {
+                self.topology.groups[group].members[member]
+                    .link
+                    .reset()
+                    .await
+            }
             Fault::Lag(group, member, millis) => {
                 let lag = Lag {
                     receive_ms: millis / 2,
@@ -74,11 +84,11 @@
                 daemons[daemon].links.peer.heal().await?;
                 daemons[daemon].links.control.heal().await
             }
-            Fault::ResetDaemon(_) => Ok(()),
+            Fault::ResetDaemon(_) | Fault::ResetMember(..) => Ok(()),
             Fault::CutPrimary(group) => self.cure_primary(group, MemberFault::Heal).await,
             Fault::FreezePrimary(group) => self.cure_primary(group, MemberFault::Thaw).await,
             Fault::KillPrimary(group) => self.cure_primary(group, MemberFault::Restart).await,
-            Fault::CutMember(group, member) => {
+            Fault::CutMember(group, member) | Fault::LoseAnswers(group, member) => {
                 self.topology.groups[group].members[member]
                     .link
                     .heal()
--- a/crates/bench/src/experiment/faults/run.rs
+++ b/crates/bench/src/experiment/faults/run.rs
@@ -7,6 +7,7 @@
 use crate::experiment::final_states::{self, ReplacedRows};
 use crate::experiment::mixed_load;
 use crate::history::History;
+use crate::launch::group::Lag;
 use crate::launch::{Deployment, LaunchError, Topology};
 use crate::load;
 use serde::Serialize;
@@ -17,6 +18,13 @@
 /// Violations that a result names; all are counted.
 const NAMED_VIOLATIONS: usize = 20;
 
+/// Replay lag of the last member of each group when the faults begin, so that
+/// stale reads are possible at any time.
+const BASE_LAG: Lag = Lag {
+    receive_ms: 0,
+    replay_ms: 150,
+};
+
 /// A run.
 #[derive(Debug, Clone)]
 pub struct FaultSettings {
@@ -57,6 +65,11 @@
         .extend(mutant_settings.unwrap_or_default());
     let mut topology = Topology::start(deployment).await?;
     mixed_load::prepare_all(&topology).await?;
+    for group in &topology.groups {
+        if let Some(member) = group.members.last() {
+            group.set_lag(&member.name, BASE_LAG).await?;
+        }
+    }
     let faults = schedule(settings.seed, settings.length, targets(&topology));
     let load_settings = mixed_load::settings(&topology, settings.seed);
     let stop = CancellationToken::new();
--- a/crates/bench/src/experiment/faults/schedule.rs
+++ b/crates/bench/src/experiment/faults/schedule.rs
@@ -45,6 +45,10 @@
     KillPrimary(usize),
     /// Daemons don't reach a member.
     CutMember(usize, usize),
+    /// Answers of a member are lost after their effect.
+    LoseAnswers(usize, usize),
+    /// All connections to a member are reset once.
+    ResetMember(usize, usize),
     /// A member lags by so many milliseconds.
     Lag(usize, usize, u64),
     /// The table service answers nothing.
@@ -80,7 +84,9 @@
             Self::CutPrimary(group)
             | Self::FreezePrimary(group)
             | Self::KillPrimary(group)
-            | Self::CutMember(group, _) => Affected::Group(group),
+            | Self::CutMember(group, _)
+            | Self::LoseAnswers(group, _)
+            | Self::ResetMember(group, _) => Affected::Group(group),
             Self::Lag(group, ..) => Affected::Replication(group),
             Self::HangTable | Self::RefuseTable | Self::RefusePlatform => Affected::Platform,
         }
@@ -149,6 +155,8 @@
         Fault::FreezePrimary(group),
         Fault::KillPrimary(group),
         Fault::CutMember(group, member),
+        Fault::LoseAnswers(group, member),
+        Fault::ResetMember(group, member),
         Fault::Lag(group, member, lag_millis),
         Fault::HangTable,
         Fault::RefuseTable,
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,6 +2,8 @@
 
 pub mod checker;
 pub mod cli;
+
+pub mod demonstration;
 pub mod experiment;
 pub mod history;
 pub mod launch;
--- a/crates/bench/src/load/mix.rs
+++ b/crates/bench/src/load/mix.rs
@@ -13,6 +13,8 @@
     pub transactions: f64,
     /// Share of transactions that the session rolls back.
     pub rollbacks: f64,
+    /// Share of transactions that the session leaves open as its connection ends.
+    pub abandons: f64,
     /// Share of writes and reads that go to an item all sessions share.
     pub shared: f64,
     /// Share of reads by a prepared statement.
@@ -27,6 +29,7 @@
             writes: 0.2,
             transactions: 0.3,
             rollbacks: 0.1,
+            abandons: 0.05,
             shared: 0.2,
             prepared: 0.5,
             roaming: 0.3,
@@ -41,8 +44,8 @@
     Write,
     /// Writes several rows in one transaction.
     Transaction {
-        /// Whether it is rolled back.
-        rolls_back: bool,
+        /// How it ends.
+        end: TransactionEnd,
     },
     /// Reads an item.
     Read {
@@ -51,6 +54,17 @@
     },
 }
 
+/// How a session ends a transaction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TransactionEnd {
+    /// COMMIT.
+    Commit,
+    /// ROLLBACK.
+    Rollback,
+    /// The connection is dropped.
+    Abandon,
+}
+
 impl Mix {
     /// Draws the next step.
     pub fn draw(&self, random: &mut impl Rng) -> Step {
@@ -61,7 +75,14 @@
         if !random.random_bool(self.transactions) {
             return Step::Write;
         }
-        let rolls_back = random.random_bool(self.rollbacks);
-        Step::Transaction { rolls_back }
+        let end = match (
+            random.random_bool(self.rollbacks),
+            random.random_bool(self.abandons),
+        ) {
+            (true, _) => TransactionEnd::Rollback,
+            (false, true) => TransactionEnd::Abandon,
+            (false, false) => TransactionEnd::Commit,
+        };
+        Step::Transaction { end }
     }
 }
--- a/crates/bench/src/load/session.rs
+++ b/crates/bench/src/load/session.rs
@@ -2,7 +2,7 @@
 
 use super::connection::{Access, Connection};
 use super::latency::LatenciesByKind;
-use super::mix::{Mix, Step};
+use super::mix::{Mix, Step, TransactionEnd};
 use super::numbers::{OwnItems, RunNumbers};
 use super::{outcome, statements};
 use crate::history::{
@@ -112,8 +112,8 @@
         let invoked = self.started.elapsed();
         let step = self.settings.mix.draw(&mut self.random);
         let action = match step {
-            Step::Write => self.write(1, false).await,
-            Step::Transaction { rolls_back } => self.write(ROWS_PER_TRANSACTION, rolls_back).await,
+            Step::Write => self.write(1, TransactionEnd::Commit).await,
+            Step::Transaction { end } => self.write(ROWS_PER_TRANSACTION, end).await,
             Step::Read { prepared } => self.read(prepared).await,
         };
         let completed = self.started.elapsed();
@@ -143,7 +143,8 @@
         if succeeded {
             of_kind.record(latency);
         }
-        succeeded || matches!(step, Step::Transaction { rolls_back: true })
+        let ended_on_purpose = |end| end != TransactionEnd::Commit;
+        succeeded || matches!(step, Step::Transaction { end } if ended_on_purpose(end))
     }
 
     fn item(&mut self) -> ItemId {
@@ -153,12 +154,12 @@
         }
     }
 
-    async fn write(&mut self, rows: usize, rolls_back: bool) -> Action {
+    async fn write(&mut self, rows: usize, end: TransactionEnd) -> Action {
         let id = self.numbers.write();
         let item = self.item();
         let rows: Vec<Row> = (0..rows).map(|_| self.numbers.row(item, id)).collect();
         self.own_items.add_rows(rows.len() as u64);
-        let outcome = self.attempt_write(&rows, rolls_back).await;
+        let outcome = self.attempt_write(&rows, end).await;
         Action::Write(WriteOperation {
             id,
             rows,
@@ -167,11 +168,11 @@
         })
     }
 
-    async fn attempt_write(&mut self, rows: &[Row], rolls_back: bool) -> WriteOutcome {
+    async fn attempt_write(&mut self, rows: &[Row], end: TransactionEnd) -> WriteOutcome {
         let Ok(connection) = self.connection().await else {
             return WriteOutcome::NotRun;
         };
-        let writing = write_rows(connection, rows, rolls_back);
+        let writing = write_rows(connection, rows, end);
         let (outcome, usable) = timeout(ANSWER_TIMEOUT, writing)
             .await
             .unwrap_or((WriteOutcome::MayHaveRun, false));
@@ -225,7 +226,7 @@
 async fn write_rows(
     connection: &Connection,
     rows: &[Row],
-    rolls_back: bool,
+    end: TransactionEnd,
 ) -> (WriteOutcome, bool) {
     if let [row] = rows {
         return match connection
@@ -240,8 +241,13 @@
     if let Err((outcome, usable)) = write_in_transaction(connection, rows).await {
         return (outcome, usable);
     }
-    let end = if rolls_back { "ROLLBACK" } else { "COMMIT" };
-    match connection.client.simple_query(end).await {
+    let text = match end {
+        TransactionEnd::Commit => "COMMIT",
+        TransactionEnd::Rollback => "ROLLBACK",
+        TransactionEnd::Abandon => return (WriteOutcome::RolledBack, false),
+    };
+    let rolls_back = end == TransactionEnd::Rollback;
+    match connection.client.simple_query(text).await {
         Ok(_) if rolls_back => (WriteOutcome::RolledBack, true),
         Ok(_) => (WriteOutcome::Acknowledged, true),
         Err(_) if rolls_back => (WriteOutcome::RolledBack, false),
