--- a/crates/daemon/src/adapters/api/monitoring.rs
+++ b/crates/daemon/src/adapters/api/monitoring.rs
@@ -1,6 +1,7 @@
 //! What monitoring asks for: liveness, readiness, metrics.
 
-use super::SharedApi;
+use super::{Api, SharedApi};
+use crate::domain::membership::Liveness;
 use axum::extract::State;
 use axum::http::{StatusCode, header};
 use axum::response::{IntoResponse, Response};
@@ -15,7 +16,7 @@
 
 /// `GET /readyz`: the daemon has caught up, and isn't leaving.
 pub async fn readyz(State(api): State<SharedApi>) -> Response {
-    if api.leaving.is_cancelled() {
+    if is_leaving(&api) {
         return (StatusCode::SERVICE_UNAVAILABLE, "leaving\n").into_response();
     }
     if !api.context.state.is_caught_up() {
@@ -25,6 +26,13 @@
     "ready\n".into_response()
 }
 
+/// Whether the daemon has announced a planned stop.
+fn is_leaving(api: &Api) -> bool {
+    let fleet = api.context.fleet.borrow();
+    let own = fleet.members.get(&api.context.node);
+    own.is_some_and(|own| own.liveness == Liveness::Leaving)
+}
+
 /// `GET /metrics`.
 pub async fn metrics(State(api): State<SharedApi>) -> Response {
     let text = api.context.metrics.render();
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -2,7 +2,8 @@
 
 use crate::settings::{LogLevel, LogSettings};
 use log::kv::{self, Key, VisitSource};
-use log::{LevelFilter, Record};
+use log::{Level, LevelFilter, Record};
+use serde::Serialize;
 use serde_json::{Map, Value};
 use std::time::SystemTime;
 
@@ -37,34 +38,57 @@
     }
 }
 
+/// A line, in the order in which its parts are written.
+#[derive(Serialize)]
+struct LogLine<'a> {
+    timestamp: String,
+    level: &'static str,
+    target: &'a str,
+    message: &'a str,
+    #[serde(flatten)]
+    fields: Map<String, Value>,
+}
+
+/// Keys that a record's own key-values can't have.
+const RESERVED_KEYS: [&str; 4] = ["timestamp", "level", "target", "message"];
+
 /// One record as a line of JSON: time, level, target, message, then the
 /// record's own key-values.
 pub fn format_line(time: SystemTime, message: &str, record: &Record) -> String {
-    let mut line = Map::new();
-    let timestamp = humantime::format_rfc3339_micros(time).to_string();
-    line.insert("timestamp".to_owned(), Value::String(timestamp));
-    let level = record.level().as_str().to_ascii_lowercase();
-    line.insert("level".to_owned(), Value::String(level));
-    line.insert(
-        "target".to_owned(),
-        Value::String(record.target().to_owned()),
-    );
-    line.insert("message".to_owned(), Value::String(message.to_owned()));
-    let mut fields = FieldWriter { line: &mut line };
-    // The writer below never fails.
+    let mut fields = FieldReader { fields: Map::new() };
+    // The reader never fails.
     let _ = record.key_values().visit(&mut fields);
-    Value::Object(line).to_string()
+    let line = LogLine {
+        timestamp: humantime::format_rfc3339_micros(time).to_string(),
+        level: level_name(record.level()),
+        target: record.target(),
+        message,
+        fields: fields.fields,
+    };
+    // Texts, numbers and flags only: encoding can't fail.
+    serde_json::to_string(&line).unwrap_or_default()
 }
 
-/// Writes key-values into a line; the line's own keys are stronger.
-struct FieldWriter<'a> {
-    line: &'a mut Map<String, Value>,
+fn level_name(level: Level) -> &'static str {
+    match level {
+        Level::Error => "error",
+        Level::Warn => "warn",
+        Level::Info => "info",
+        Level::Debug => "debug",
+        Level::Trace => "trace",
+    }
 }
 
-impl<'kvs> VisitSource<'kvs> for FieldWriter<'_> {
+/// Collects key-values.
+struct FieldReader {
+    fields: Map<String, Value>,
+}
+
+impl<'kvs> VisitSource<'kvs> for FieldReader {
     fn visit_pair(&mut self, key: Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
-        let value = to_json(&value);
-        self.line.entry(key.as_str()).or_insert(value);
+        if !RESERVED_KEYS.contains(&key.as_str()) {
+            self.fields.insert(key.as_str().to_owned(), to_json(&value));
+        }
         Ok(())
     }
 }
--- a/crates/daemon/src/run/mod.rs
+++ b/crates/daemon/src/run/mod.rs
@@ -51,6 +51,7 @@
     pub addresses: DaemonAddresses,
     control: Control,
     data_path: DataPath,
+    leave_notice: Duration,
     drain_timeout: Duration,
 }
 
@@ -82,6 +83,7 @@
         addresses,
         control,
         data_path,
+        leave_notice: settings.control.leave_notice(),
         drain_timeout: settings.control.drain_timeout(),
     })
 }
@@ -99,7 +101,8 @@
     pub async fn stop(self) -> StopOutcome {
         log::info!(node = self.node.as_str(); "planned stop begins");
         self.control.announce_leaving();
-        self.data_path.front.stop().await;
+        let noticed = tokio::time::sleep(self.leave_notice);
+        tokio::join!(noticed, self.data_path.front.stop());
         let drained = timeout(self.drain_timeout, self.data_path.exchanges.stop()).await;
         self.control.stop().await;
         let outcome = match drained {
--- a/crates/daemon/src/settings/control.rs
+++ b/crates/daemon/src/settings/control.rs
@@ -24,6 +24,9 @@
     pub probe_timeout_millis: u64,
     /// Interval between comparisons of the whole membership with another daemon, milliseconds.
     pub sync_interval_millis: u64,
+    /// Time from the announcement of a planned stop until exchanges of other daemons
+    /// are refused: long enough for the news to reach the other zones, milliseconds.
+    pub leave_notice_millis: u64,
     /// Time that exchanges of other daemons get at a planned stop, after this
     /// daemon's own callers are done, milliseconds.
     pub drain_timeout_millis: u64,
@@ -41,6 +44,7 @@
             probe_interval_millis: millis(membership.probe_interval),
             probe_timeout_millis: millis(membership.probe_timeout),
             sync_interval_millis: millis(membership.sync_interval),
+            leave_notice_millis: 3_000,
             drain_timeout_millis: 30_000,
         }
     }
@@ -57,6 +61,11 @@
         Duration::from_millis(self.list_interval_millis)
     }
 
+    /// Time from the announcement of a planned stop until exchanges are refused.
+    pub fn leave_notice(&self) -> Duration {
+        Duration::from_millis(self.leave_notice_millis)
+    }
+
     /// Time that exchanges of other daemons get at a planned stop.
     pub fn drain_timeout(&self) -> Duration {
         Duration::from_millis(self.drain_timeout_millis)
--- a/crates/daemon/tests/support/fleet.rs
+++ b/crates/daemon/tests/support/fleet.rs
@@ -45,7 +45,8 @@
         }
     }
 
-    async fn start_daemon(&mut self, extra_settings: &[&str]) {
+    /// Starts one daemon more; it may not serve yet.
+    pub async fn start_daemon(&mut self, extra_settings: &[&str]) {
         let settings = settings(&self.platform, self.daemons.len(), extra_settings);
         let daemon = run::start(settings).await.expect("the daemon starts");
         self.daemons.push(daemon);
@@ -107,6 +108,7 @@
         "control.poll_interval_millis=50".to_owned(),
         "control.standby_poll_interval_millis=100".to_owned(),
         "control.sync_interval_millis=500".to_owned(),
+        "control.leave_notice_millis=0".to_owned(),
         "api.bookmark_interval_millis=100".to_owned(),
     ];
     texts.extend(extra.iter().map(|text| (*text).to_owned()));
