Let the table service's stand-in carry out updates

UpdateItem alone and in transactions, with SET expressions read by the SQL parser. A transaction works out all its effects before it applies any, so that a wrong update leaves nothing behind.

--- a/crates/standin/src/platform/table/condition.rs
+++ b/crates/standin/src/platform/table/condition.rs
@@ -63,9 +63,10 @@
     Ok(parsed)
 }
 
-struct Evaluation<'a> {
-    expression: &'a Expression<'a>,
-    item: &'a Item,
+/// Gives names and operands of one expression their meaning for one item.
+pub(super) struct Evaluation<'a> {
+    pub(super) expression: &'a Expression<'a>,
+    pub(super) item: &'a Item,
 }
 
 impl Evaluation<'_> {
@@ -143,7 +144,7 @@
     }
 
     /// The value of an attribute or placeholder; `None` for an absent attribute.
-    fn operand(&self, parsed: &Expr) -> Result<Option<AttributeValue>, TableError> {
+    pub(super) fn operand(&self, parsed: &Expr) -> Result<Option<AttributeValue>, TableError> {
         if let Expr::Value(value) = parsed {
             return self.placeholder(&value.value).map(Some);
         }
@@ -166,7 +167,11 @@
         let Expr::Identifier(identifier) = parsed else {
             return Err(unsupported(parsed));
         };
-        let name = identifier.value.as_str();
+        self.resolve_name(&identifier.value)
+    }
+
+    /// The attribute that `name`, perhaps a placeholder, stands for.
+    pub(super) fn resolve_name<'b>(&'b self, name: &'b str) -> Result<&'b str, TableError> {
         if !name.starts_with('#') {
             return Ok(name);
         }
@@ -192,6 +197,6 @@
     invalid(&format!("Unsupported expression: {parsed}"))
 }
 
-fn invalid(reason: &str) -> TableError {
+pub(super) fn invalid(reason: &str) -> TableError {
     TableError::Validation(reason.to_owned())
 }
--- a/crates/standin/src/platform/table/mod.rs
+++ b/crates/standin/src/platform/table/mod.rs
@@ -7,6 +7,7 @@
 mod schema;
 mod store;
 mod tokens;
+mod update;
 mod value;
 
 pub use schema::{TableSchema, default_tables};
--- a/crates/standin/src/platform/table/operations.rs
+++ b/crates/standin/src/platform/table/operations.rs
@@ -6,6 +6,7 @@
 use super::request::{Action, Expression, GetItem, KeyAction, Put, Query, TransactWriteItems};
 use super::schema::{PrimaryKey, TableSchema};
 use super::store::{Table, Tables};
+use super::update::updated;
 use super::value::{Item, KeyValue};
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -18,12 +19,26 @@
 /// The most items that one query returns.
 const MAX_PAGE_ITEMS: usize = 1000;
 
+/// What a call does to one item.
+struct Effect {
+    table: String,
+    key: PrimaryKey,
+    change: Change,
+}
+
+enum Change {
+    Put(Item),
+    Delete,
+    None,
+}
+
 /// Runs the operation named `operation`.
 pub(super) fn run(state: &mut State, operation: &str, body: &[u8]) -> Result<Value, TableError> {
     match operation {
         "GetItem" => get_item(&state.tables, &decode(body)?),
         "Query" => query(&state.tables, &decode(body)?),
         "PutItem" => write_one(&mut state.tables, Action::Put(decode(body)?)),
+        "UpdateItem" => write_one(&mut state.tables, Action::Update(decode(body)?)),
         "DeleteItem" => write_one(&mut state.tables, Action::Delete(decode(body)?)),
         "TransactWriteItems" => transact(state, body),
         _ => Err(TableError::UnknownOperation),
@@ -126,7 +141,8 @@
     if !condition_holds(tables, &action, &key)? {
         return Err(TableError::ConditionalCheckFailed);
     }
-    apply(tables, action, key)?;
+    let effect = effect(tables, &action, key)?;
+    apply(tables, effect)?;
     Ok(json!({}))
 }
 
@@ -140,8 +156,12 @@
     }
     let keys = transaction_keys(&state.tables, &request.transact_items)?;
     check_all(&state.tables, &request.transact_items, &keys)?;
-    for (action, key) in request.transact_items.into_iter().zip(keys) {
-        apply(&mut state.tables, action, key)?;
+    let mut effects = Vec::new();
+    for (action, key) in request.transact_items.iter().zip(keys) {
+        effects.push(effect(&state.tables, action, key)?);
+    }
+    for effect in effects {
+        apply(&mut state.tables, effect)?;
     }
     if let Some(token) = request.client_request_token {
         state.tokens.remember(token, whole);
@@ -183,8 +203,8 @@
     let schema = &tables.get(action.table_name())?.schema;
     match action {
         Action::Put(Put { item, .. }) => schema.key_of(item),
-        Action::Delete(KeyAction { key, .. }) | Action::ConditionCheck(KeyAction { key, .. }) => {
-            schema.exact_key(key)
+        Action::Delete(action) | Action::Update(action) | Action::ConditionCheck(action) => {
+            schema.exact_key(&action.key)
         }
     }
 }
@@ -197,12 +217,37 @@
     }
 }
 
-fn apply(tables: &mut Tables, action: Action, key: PrimaryKey) -> Result<(), TableError> {
-    let table = tables.get_mut(action.table_name())?;
-    match action {
-        Action::Put(put) => table.put(key, put.item),
-        Action::Delete(_) => table.delete(&key),
-        Action::ConditionCheck(_) => {}
+/// What `action` makes of its item, where its condition holds.
+fn effect(tables: &Tables, action: &Action, key: PrimaryKey) -> Result<Effect, TableError> {
+    let change = match action {
+        Action::Put(put) => Change::Put(put.item.clone()),
+        Action::Update(update) => Change::Put(updated_item(tables, update, &key)?),
+        Action::Delete(_) => Change::Delete,
+        Action::ConditionCheck(_) => Change::None,
+    };
+    let table = action.table_name().to_owned();
+    Ok(Effect { table, key, change })
+}
+
+fn updated_item(tables: &Tables, update: &KeyAction, key: &PrimaryKey) -> Result<Item, TableError> {
+    let table = tables.get(&update.table_name)?;
+    let item = table.item(key);
+    let Some(expression) = update.update() else {
+        return Ok(item.unwrap_or(&update.key).clone());
+    };
+    let after = updated(&expression, &update.key, item)?;
+    if table.schema.key_of(&after)? != *key {
+        return Err(validation("An update cannot change the primary key"));
+    }
+    Ok(after)
+}
+
+fn apply(tables: &mut Tables, effect: Effect) -> Result<(), TableError> {
+    let table = tables.get_mut(&effect.table)?;
+    match effect.change {
+        Change::Put(item) => table.put(effect.key, item),
+        Change::Delete => table.delete(&effect.key),
+        Change::None => {}
     }
     Ok(())
 }
@@ -211,14 +256,18 @@
     fn table_name(&self) -> &str {
         match self {
             Self::Put(put) => &put.table_name,
-            Self::Delete(action) | Self::ConditionCheck(action) => &action.table_name,
+            Self::Delete(action) | Self::Update(action) | Self::ConditionCheck(action) => {
+                &action.table_name
+            }
         }
     }
 
     fn condition(&self) -> Option<Expression<'_>> {
         match self {
             Self::Put(put) => put.condition(),
-            Self::Delete(action) | Self::ConditionCheck(action) => action.condition(),
+            Self::Delete(action) | Self::Update(action) | Self::ConditionCheck(action) => {
+                action.condition()
+            }
         }
     }
 }
--- a/crates/standin/src/platform/table/request.rs
+++ b/crates/standin/src/platform/table/request.rs
@@ -68,7 +68,7 @@
     pub expression_attribute_values: Option<Item>,
 }
 
-/// `DeleteItem` or `ConditionCheck`, alone or in a transaction.
+/// `DeleteItem`, `UpdateItem` or `ConditionCheck`, alone or in a transaction.
 #[derive(Debug, Deserialize)]
 #[serde(rename_all = "PascalCase", deny_unknown_fields)]
 pub struct KeyAction {
@@ -76,6 +76,8 @@
     pub table_name: String,
     /// Key of the item.
     pub key: Item,
+    /// What to set, in an update.
+    pub update_expression: Option<String>,
     /// Condition on the item before.
     pub condition_expression: Option<String>,
     /// Attribute names by `#placeholder`.
@@ -91,6 +93,8 @@
     Put(Put),
     /// Removes an item.
     Delete(KeyAction),
+    /// Sets attributes of an item, which comes into being if it is absent.
+    Update(KeyAction),
     /// Only checks a condition.
     ConditionCheck(KeyAction),
 }
@@ -130,10 +134,19 @@
 impl KeyAction {
     /// The condition, if there is one.
     pub fn condition(&self) -> Option<Expression<'_>> {
-        Some(Expression {
-            text: self.condition_expression.as_deref()?,
+        Some(self.expression(self.condition_expression.as_deref()?))
+    }
+
+    /// What to set, if there is anything.
+    pub fn update(&self) -> Option<Expression<'_>> {
+        Some(self.expression(self.update_expression.as_deref()?))
+    }
+
+    fn expression<'a>(&'a self, text: &'a str) -> Expression<'a> {
+        Expression {
+            text,
             names: self.expression_attribute_names.as_ref(),
             values: self.expression_attribute_values.as_ref(),
-        })
+        }
     }
 }
--- a/crates/standin/tests/platform_table.rs
+++ b/crates/standin/tests/platform_table.rs
@@ -5,7 +5,7 @@
 use aws_sdk_dynamodb::Client;
 use aws_sdk_dynamodb::error::ProvideErrorMetadata;
 use aws_sdk_dynamodb::operation::transact_write_items::TransactWriteItemsError;
-use aws_sdk_dynamodb::types::TransactWriteItem;
+use aws_sdk_dynamodb::types::{TransactWriteItem, Update};
 use rstest::rstest;
 use std::num::NonZeroU32;
 use stilequay_standin::platform::{
@@ -278,3 +278,47 @@
     platform.clear_faults(ServiceName::Table).await;
     support::patiently(async { while head(&client).await.as_deref() != Some("2") {} }).await;
 }
+
+#[tokio::test]
+async fn an_update_sets_attributes_under_its_condition() {
+    let platform = platform().await;
+    let client = table_client(&platform);
+    let create = client
+        .update_item()
+        .table_name("stilequay-head")
+        .key("log", text("main"));
+    let create = create
+        .update_expression("SET #r = :next")
+        .condition_expression("attribute_not_exists(log)")
+        .expression_attribute_names("#r", "revision")
+        .expression_attribute_values(":next", number(1));
+    create.clone().send().await.expect("absent");
+    assert_eq!(head(&client).await.as_deref(), Some("1"));
+    let again = create.send().await.expect_err("there now");
+    assert_eq!(again.code(), Some("ConditionalCheckFailedException"));
+}
+
+#[rstest]
+#[case::key("SET log = :next")]
+#[case::syntax("SET revision")]
+#[case::unsupported("REMOVE revision")]
+#[tokio::test]
+async fn a_transaction_with_a_wrong_update_changes_nothing(#[case] expression: &str) {
+    let platform = platform().await;
+    let client = table_client(&platform);
+    put_head(&client, 1).await;
+    let update = Update::builder()
+        .table_name("stilequay-head")
+        .key("log", text("main"))
+        .update_expression(expression)
+        .expression_attribute_values(":next", number(2))
+        .build()
+        .expect("complete");
+    let update = TransactWriteItem::builder().update(update).build();
+    let refused = transact(&client, "t", vec![put_absent("a", 2), update]).await;
+    assert_eq!(
+        refused.expect_err("wrong").code(),
+        Some("ValidationException")
+    );
+    assert!(!exists(&client, "a").await);
+}
