Put a guard before every call of the platform

Each service of the platform gets a deadline for each call, a limit on the rate of calls, a circuit breaker, repetition of reads with jittered backoff, and metrics by call and outcome. A commit is sent once: whoever calls resolves a lost answer by the token. What the guard refuses was never sent, so it is 'unavailable' or 'throttled'; once the outcome of one attempt is unknown, a later refusal does not make it known. Errors of the object store are sorted by whether a call may have taken effect; so far a throttled or refused put counted as unknown.

The stand-in can throttle all calls.

--- a/crates/daemon/src/adapters/platform/mod.rs
+++ b/crates/daemon/src/adapters/platform/mod.rs
@@ -1,7 +1,10 @@
 //! The platform over its published protocols: the table service as DynamoDB,
-//! the object store as S3, the list of machines as JSON over HTTP.
+//! the object store as S3, the list of machines as JSON over HTTP, each behind
+//! a guard.
 
+pub mod guard;
 mod machines;
+mod snapshot_errors;
 mod snapshots;
 mod table;
 mod table_errors;
--- a/crates/daemon/src/adapters/platform/snapshots.rs
+++ b/crates/daemon/src/adapters/platform/snapshots.rs
@@ -4,6 +4,7 @@
 //! it is still the object that was read, so of two writers at once the one with
 //! the earlier revision can't win.
 
+use super::snapshot_errors::{read_error, write_error};
 use super::{REGION, STATIC_CREDENTIAL};
 use crate::domain::names::Revision;
 use crate::ports::platform::{PlatformError, Snapshot, SnapshotStore};
@@ -122,13 +123,9 @@
                 Ok(_) => return Ok(()),
                 Err(object_store::Error::Precondition { .. })
                 | Err(object_store::Error::AlreadyExists { .. }) => {}
-                Err(error) => return Err(PlatformError::OutcomeUnknown(error.to_string())),
+                Err(error) => return Err(write_error(error)),
             }
         }
         Err(PlatformError::ConditionFailed)
     }
 }
-
-fn read_error(error: object_store::Error) -> PlatformError {
-    PlatformError::Unavailable(error.to_string())
-}
--- a/crates/daemon/src/run/control.rs
+++ b/crates/daemon/src/run/control.rs
@@ -3,6 +3,9 @@
 use super::listeners::DaemonAddresses;
 use super::stage::Stage;
 use crate::adapters::api::{self, ApiContext};
+use crate::adapters::platform::guard::{
+    GuardedMachineList, GuardedResourceTable, GuardedSnapshotStore,
+};
 use crate::adapters::platform::{DynamoTable, HttpMachineList, S3SnapshotStore};
 use crate::app::control::acceptance::Acceptor;
 use crate::app::control::in_force::InForceHistory;
@@ -35,11 +38,15 @@
 /// Sets the clients up; they connect when they are used.
 pub(super) fn connect(settings: &Settings) -> Result<Platform, PlatformError> {
     let platform = &settings.platform;
+    let guard = &platform.guard;
     let timeout = platform.call_timeout();
+    let table = DynamoTable::new(&platform.table, timeout);
+    let snapshots = S3SnapshotStore::new(&platform.objects, timeout)?;
+    let machines = HttpMachineList::new(&platform.machines, timeout)?;
     Ok(Platform {
-        table: Arc::new(DynamoTable::new(&platform.table, timeout)),
-        snapshots: Arc::new(S3SnapshotStore::new(&platform.objects, timeout)?),
-        machines: Arc::new(HttpMachineList::new(&platform.machines, timeout)?),
+        table: Arc::new(GuardedResourceTable::new(table, timeout, guard.clone())),
+        snapshots: Arc::new(GuardedSnapshotStore::new(snapshots, timeout, guard.clone())),
+        machines: Arc::new(GuardedMachineList::new(machines, timeout, guard.clone())),
     })
 }
 
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -1,6 +1,7 @@
 //! Checks of values that the types of the settings don't make.
 
 use super::{ApiSettings, LogSettings, PlatformSettings, Settings};
+use crate::adapters::platform::guard::GuardSettings;
 use crate::domain::fields::FieldFault;
 use std::collections::BTreeSet;
 
@@ -58,6 +59,19 @@
         platform.call_timeout_millis,
         faults,
     );
+    check_guard(&platform.guard, faults);
+}
+
+fn check_guard(guard: &GuardSettings, faults: &mut Vec<FieldFault>) {
+    let durations = [
+        ("repeat_within_millis", guard.repeat_within_millis),
+        ("shortest_pause_millis", guard.shortest_pause_millis),
+        ("longest_pause_millis", guard.longest_pause_millis),
+        ("circuit_open_millis", guard.circuit_open_millis),
+    ];
+    for (name, value) in durations {
+        check_positive(&format!("platform.guard.{name}"), value, faults);
+    }
 }
 
 fn check_url(field: &str, text: &str, faults: &mut Vec<FieldFault>) {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -10,6 +10,7 @@
 pub use control::ControlSettings;
 pub use load::{Override, SettingsError, default_file, load};
 
+use crate::adapters::platform::guard::GuardSettings;
 use crate::app::front::FrontSettings;
 use crate::app::home::HomeSettings;
 use crate::domain::resource::Secret;
@@ -119,6 +120,8 @@
     pub machines: String,
     /// Time a call may take, milliseconds.
     pub call_timeout_millis: u64,
+    /// How hard each of its services may be asked.
+    pub guard: GuardSettings,
 }
 
 impl Default for PlatformSettings {
@@ -128,6 +131,7 @@
             objects: String::new(),
             machines: String::new(),
             call_timeout_millis: 1_000,
+            guard: GuardSettings::default(),
         }
     }
 }
--- a/crates/standin/src/platform/faults.rs
+++ b/crates/standin/src/platform/faults.rs
@@ -18,6 +18,8 @@
     Hang,
     /// Calls are answered with an internal server error and have no effect.
     Error,
+    /// All calls are throttled.
+    Throttle,
 }
 
 /// Which limit the table service names when it throttles.
--- a/crates/standin/src/platform/service.rs
+++ b/crates/standin/src/platform/service.rs
@@ -231,7 +231,7 @@
         shared.count(&operation, |counters| counters.failed += 1);
         return service.internal_error();
     }
-    if shared.draw().throttles() {
+    if faults.outage == Some(Outage::Throttle) || shared.draw().throttles() {
         shared.count(&operation, |counters| counters.throttled += 1);
         return service.throttled(faults.throttled_limit);
     }
--- a/crates/standin/tests/platform_table.rs
+++ b/crates/standin/tests/platform_table.rs
@@ -244,6 +244,7 @@
 #[rstest]
 #[case::refuse(Outage::Refuse)]
 #[case::error(Outage::Error)]
+#[case::throttle(Outage::Throttle)]
 #[tokio::test]
 async fn outages_end(#[case] outage: Outage) {
     let platform = platform().await;
