--- a/crates/bench/src/cli/load.rs
+++ b/crates/bench/src/cli/load.rs
@@ -119,6 +119,7 @@
         named: true,
         mix,
         think_time: Duration::ZERO,
+        operations: None,
         seed: flags::value(matches, "seed", 1)?,
     })
 }
--- a/crates/bench/src/demonstration.rs
+++ b/crates/bench/src/demonstration.rs
@@ -151,6 +151,7 @@
             named: true,
             mix: Mix::default(),
             think_time: Duration::ZERO,
+            operations: None,
             seed: 1,
         };
         let stop = CancellationToken::new();
--- a/crates/bench/src/experiment/mixed_load.rs
+++ b/crates/bench/src/experiment/mixed_load.rs
@@ -47,6 +47,7 @@
         named: true,
         mix: load.mix,
         think_time: load.think_time(),
+        operations: None,
         seed,
     }
 }
--- a/crates/bench/src/launch/deployment.rs
+++ b/crates/bench/src/launch/deployment.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use stilequay_coordination::identity::{RegionName, ZoneName};
 use stilequay_daemon::domain::names::GroupName;
-use stilequay_daemon::domain::resource::{Consistency, Durability, SessionPolicySpec};
+use stilequay_daemon::domain::resource::{Durability, SessionPolicySpec};
 
 /// The name of the description within a deployment's directory.
 pub const DEPLOYMENT_FILE: &str = "deployment.toml";
@@ -36,7 +36,7 @@
     pub groups: Vec<GroupDeployment>,
     /// The policy of all sessions.
     #[serde(default)]
-    pub policy: PolicyDeployment,
+    pub policy: SessionPolicySpec,
     /// The load.
     #[serde(default)]
     pub load: LoadDeployment,
@@ -65,24 +65,6 @@
     100
 }
 
-/// The session policy of a deployment.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct PolicyDeployment {
-    /// How fresh reads must be.
-    pub consistency: Consistency,
-}
-
-impl PolicyDeployment {
-    /// The policy as a resource.
-    pub fn spec(&self) -> SessionPolicySpec {
-        SessionPolicySpec {
-            consistency: self.consistency,
-            ..SessionPolicySpec::default()
-        }
-    }
-}
-
 /// The load of a deployment.
 #[derive(Debug, Clone, Copy, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -147,7 +129,7 @@
                 durability: Durability::Majority,
                 probe_interval_millis: default_probe_interval_millis(),
             }],
-            policy: PolicyDeployment::default(),
+            policy: SessionPolicySpec::default(),
             load: LoadDeployment::default(),
         }
     }
--- a/crates/bench/src/launch/group.rs
+++ b/crates/bench/src/launch/group.rs
@@ -217,7 +217,7 @@
 
     /// Sets how far a member lags when it is a replica.
     pub async fn set_lag(&self, member: &str, lag: Lag) -> Result<(), LaunchError> {
-        self.http.put(&format!("/members/{member}/lag"), &lag).await
+        self.http.set(&format!("/members/{member}/lag"), &lag).await
     }
 
     /// Ends all that is done to the members, and waits until all follow one primary.
--- a/crates/bench/src/launch/http.rs
+++ b/crates/bench/src/launch/http.rs
@@ -62,8 +62,18 @@
         self.send::<()>(Method::POST, path, None).await.map(drop)
     }
 
-    /// Puts `body`.
-    pub async fn put<B: Serialize>(&self, path: &str, body: &B) -> Result<(), LaunchError> {
+    /// Puts `body` and reads the answer.
+    pub async fn put<B: Serialize, T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: &B,
+    ) -> Result<T, LaunchError> {
+        let response = self.send(Method::PUT, path, Some(body)).await?;
+        self.decode(path, response).await
+    }
+
+    /// Puts `body` where there is no answer to read.
+    pub async fn set<B: Serialize>(&self, path: &str, body: &B) -> Result<(), LaunchError> {
         self.send(Method::PUT, path, Some(body)).await.map(drop)
     }
 
--- a/crates/bench/src/launch/links.rs
+++ b/crates/bench/src/launch/links.rs
@@ -115,7 +115,7 @@
     /// Sets where new connections go.
     pub async fn set_target(&self, target: SocketAddr) -> Result<(), LaunchError> {
         let path = format!("{}/target", self.path);
-        self.http.put(&path, &NewTarget { target }).await
+        self.http.set(&path, &NewTarget { target }).await
     }
 
     /// Sets faults on top of the link's delay.
@@ -126,7 +126,7 @@
         let mut disturbed = self.healthy;
         faults(&mut disturbed);
         let path = format!("{}/faults", self.path);
-        self.http.put(&path, &disturbed).await
+        self.http.set(&path, &disturbed).await
     }
 
     /// Drops all bytes both ways, without closing connections.
@@ -171,7 +171,7 @@
     pub async fn set_target(&self, target: SocketAddr) -> Result<(), LaunchError> {
         self.stream.set_target(target).await?;
         let path = format!("{}/target", self.path);
-        self.stream.http.put(&path, &NewTarget { target }).await
+        self.stream.http.set(&path, &NewTarget { target }).await
     }
 
     /// Drops everything both ways.
@@ -191,6 +191,6 @@
 
     async fn set_datagram_faults(&self, faults: &DatagramLinkFaults) -> Result<(), LaunchError> {
         let path = format!("{}/faults", self.path);
-        self.stream.http.put(&path, faults).await
+        self.stream.http.set(&path, faults).await
     }
 }
--- a/crates/bench/src/launch/operator.rs
+++ b/crates/bench/src/launch/operator.rs
@@ -78,13 +78,19 @@
         let path = format!("/v1/{}/{name}", plural(spec));
         let present: Shown = self.http.get(&path).await?;
         let seen = present.metadata.resource_version;
-        self.http.put(&path, &document(name, spec, seen)).await?;
-        version_of(&self.http.get(&path).await?)
+        let replaced: Shown = self.http.put(&path, &document(name, spec, seen)).await?;
+        version_of(&replaced)
     }
 
-    /// Whether a resource is in force on at least `daemons` daemons, and on all
-    /// that the fleet knows.
-    pub async fn is_in_force(&self, name: &str, spec: &ResourceSpec, daemons: usize) -> bool {
+    /// Whether `version` of a resource, or a later one, is in force on at least
+    /// `daemons` daemons, and on all that the fleet knows.
+    pub async fn is_in_force(
+        &self,
+        name: &str,
+        spec: &ResourceSpec,
+        version: u64,
+        daemons: usize,
+    ) -> bool {
         let path = format!("/v1/{}/{name}", plural(spec));
         let Ok(shown) = self.http.get::<Shown>(&path).await else {
             return false;
@@ -92,7 +98,8 @@
         let holds =
             |condition: &Condition| condition.condition == "InForce" && condition.status == "True";
         let enough = shown.status.daemons_in_force >= Some(daemons);
-        enough && shown.status.conditions.iter().any(holds)
+        let shows_version = version_of(&shown).is_ok_and(|shown| shown >= version);
+        enough && shows_version && shown.status.conditions.iter().any(holds)
     }
 
     /// The fleet as the daemon sees it.
--- a/crates/bench/src/launch/platform.rs
+++ b/crates/bench/src/launch/platform.rs
@@ -52,7 +52,7 @@
 
     /// Replaces the list of machines.
     pub async fn set_machines(&self, machines: &[Machine]) -> Result<(), LaunchError> {
-        self.machines.put("/machines", &machines).await
+        self.machines.set("/machines", &machines).await
     }
 
     /// Replaces the faults of a service.
@@ -61,7 +61,7 @@
         service: ServiceName,
         faults: &ServiceFaults,
     ) -> Result<(), LaunchError> {
-        self.steering.put(&faults_path(service), faults).await
+        self.steering.set(&faults_path(service), faults).await
     }
 
     /// Ends all faults of all services.
--- a/crates/bench/src/launch/resources.rs
+++ b/crates/bench/src/launch/resources.rs
@@ -92,25 +92,27 @@
     resources: &[NamedResource],
     daemons: usize,
 ) -> Result<(), LaunchError> {
+    let mut versions = Vec::new();
     for resource in resources {
-        operator.create(&resource.name, &resource.spec).await?;
+        versions.push(operator.create(&resource.name, &resource.spec).await?);
     }
-    for resource in resources {
-        in_force(operator, resource, daemons).await?;
+    for (resource, version) in resources.iter().zip(versions) {
+        in_force(operator, resource, version, daemons).await?;
     }
     Ok(())
 }
 
-/// Waits until a resource is in force on `daemons` daemons.
+/// Waits until `version` of a resource is in force on `daemons` daemons.
 pub async fn in_force(
     operator: &Operator,
     resource: &NamedResource,
+    version: u64,
     daemons: usize,
 ) -> Result<(), LaunchError> {
     let condition = format!("{} is in force on {daemons} daemons", resource.name);
     until(&condition, || async {
         let (name, spec) = (&resource.name, &resource.spec);
-        let in_force = operator.is_in_force(name, spec, daemons).await;
+        let in_force = operator.is_in_force(name, spec, version, daemons).await;
         in_force.then_some(())
     })
     .await
--- a/crates/bench/src/launch/topology.rs
+++ b/crates/bench/src/launch/topology.rs
@@ -75,7 +75,7 @@
     pub fn resources(&self) -> Vec<NamedResource> {
         let groups = self.groups.iter();
         let specs = groups.map(|group| (group.deployment.name.clone(), self.group_spec(group)));
-        resources::resources(self.deployment.policy.spec(), specs.collect())
+        resources::resources(self.deployment.policy.clone(), specs.collect())
     }
 
     /// A group as its resource declares it.
--- a/crates/bench/src/load/run.rs
+++ b/crates/bench/src/load/run.rs
@@ -29,6 +29,8 @@
     pub mix: Mix,
     /// Pause of a session between operations.
     pub think_time: Duration,
+    /// Operations after which a session ends by itself.
+    pub operations: Option<usize>,
     /// Seed of all that is drawn.
     pub seed: u64,
 }
@@ -44,7 +46,7 @@
     pub elapsed: Duration,
 }
 
-/// Runs the load until `stop` is cancelled; requests in progress are finished.
+/// Runs the load until `stop` is cancelled or all sessions have ended; requests in progress are finished.
 pub async fn run(settings: &LoadSettings, stop: CancellationToken) -> LoadResult {
     let numbers = Arc::new(RunNumbers::default());
     let started = Instant::now();
@@ -58,6 +60,7 @@
             named: settings.named,
             mix: settings.mix,
             think_time: settings.think_time,
+            operations: settings.operations,
         };
         let session = Session::new(session, Arc::clone(&numbers), started);
         running.spawn(session.run(stop.clone()));
--- a/crates/bench/src/load/session.rs
+++ b/crates/bench/src/load/session.rs
@@ -43,6 +43,8 @@
     pub mix: Mix,
     /// Pause between operations.
     pub think_time: Duration,
+    /// Operations after which it ends by itself.
+    pub operations: Option<usize>,
 }
 
 /// What a session did.
@@ -94,9 +96,9 @@
         }
     }
 
-    /// Does one thing after another until `stop` is cancelled.
+    /// Does one thing after another until `stop` is cancelled or it has done enough.
     pub async fn run(mut self, stop: CancellationToken) -> SessionResult {
-        while !stop.is_cancelled() {
+        while !stop.is_cancelled() && !self.has_done_enough() {
             self.step().await;
             if !self.settings.think_time.is_zero() {
                 sleep(self.settings.think_time).await;
@@ -105,6 +107,13 @@
         self.result
     }
 
+    fn has_done_enough(&self) -> bool {
+        let done = self.result.history.operations.len();
+        self.settings
+            .operations
+            .is_some_and(|enough| done >= enough)
+    }
+
     async fn step(&mut self) {
         if self.random.random_bool(self.settings.mix.roaming) {
             self.endpoint = self.random.random_range(0..self.connections.len());
--- a/crates/daemon/src/app/home/exchange.rs
+++ b/crates/daemon/src/app/home/exchange.rs
@@ -72,14 +72,17 @@
     let began = begin(home, &open, leaving);
     let mut held: Option<HeldConnection> = None;
     loop {
-        let unit = match link.receive().await? {
-            FrontMessage::Run(unit) => unit,
-            FrontMessage::Cancel { .. } => continue,
-            FrontMessage::Release => {
-                release(home, held);
+        let unit = match link.receive().await {
+            Ok(FrontMessage::Run(unit)) => unit,
+            Ok(FrontMessage::Cancel { .. }) => continue,
+            Ok(FrontMessage::Release) => {
+                end(home, held);
                 return Ok(());
             }
-            FrontMessage::Hello { .. } | FrontMessage::Open(_) => return Err(LinkClosed),
+            Ok(FrontMessage::Hello { .. } | FrontMessage::Open(_)) | Err(LinkClosed) => {
+                end(home, held);
+                return Err(LinkClosed);
+            }
         };
         let group = match &began {
             Ok(guard) => guard.group(),
@@ -106,9 +109,9 @@
     home.begin_exchange(&open.group)
 }
 
-/// Ends an exchange in good order. What is still held has a transaction or session
-/// state of the caller's, so it is closed and never shared.
-fn release(home: &HomeService, held: Option<HeldConnection>) {
+/// Ends an exchange, in good order or not. What is still held has a transaction or
+/// session state of the caller's, so it is closed and never shared.
+fn end(home: &HomeService, held: Option<HeldConnection>) {
     if let Some(held) = held
         && home.settings().mutants.return_dirty_connections
     {
--- a/crates/daemon/src/app/home/runner.rs
+++ b/crates/daemon/src/app/home/runner.rs
@@ -197,6 +197,7 @@
             floor = Some(self.confirm(&choice, answer.answered).await?);
         }
         self.send_rest(&mut answer.held_back).await?;
+        count_unit(self.writes(), choice.as_primary);
         Ok(FinishedUnit {
             done: UnitDone {
                 request: self.unit.request,
@@ -279,6 +280,14 @@
     }
 }
 
+/// Counts a unit by what it needed and by the role of the member that ran it.
+fn count_unit(writes: bool, as_primary: bool) {
+    let access = if writes { "write" } else { "read" };
+    let role = if as_primary { "primary" } else { "replica" };
+    metrics::counter!("stilequay_home_units_total", "access" => access, "role" => role)
+        .increment(1);
+}
+
 /// Returns a connection that others can use, and keeps one that has a transaction,
 /// an open pipeline or session state.
 fn keep_or_give_back(
