Add stilequay-bench fleet: hollow daemons over loopback sockets

Worker processes run the real membership and distribution of many daemons each; a coordinator serves a counted log of changes over HTTP and leads the fleet through quiet time, changes, restarts and losses.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod checker;
 pub mod cli;
 pub mod experiment;
+pub mod fleet;
 pub mod history;
 pub mod launch;
 pub mod load;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 use stilequay_bench::cli::flags::{CommandError, Verdict};
 use stilequay_bench::cli::{data_path, deployment, faults, load};
+use stilequay_bench::fleet;
 
 const USAGE: &str = "\
 Usage: stilequay-bench SUBCOMMAND [options]
@@ -12,6 +13,7 @@
     deployment    an example deployment as separate processes, with its load
     faults        random faults under load, judged by the history checker
     data-path     what the data path costs a daemon
+    fleet         hollow daemons: what membership and distribution cost and do
 
 SUBCOMMAND --help shows its options. Exit codes: 0 no violation, 1 a violation
 or a failure, 2 wrong flags.
@@ -48,6 +50,7 @@
         "deployment" => deployment::run_command(rest).await,
         "faults" => faults::run_command(rest).await,
         "data-path" => data_path::run_command(rest).await,
+        "fleet" => fleet::run_command(rest).await,
         "-h" | "--help" => {
             print!("{USAGE}");
             Ok(Verdict::Clean)
