--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod demonstration;
 pub mod experiment;
+pub mod fleet;
 pub mod history;
 pub mod launch;
 pub mod load;
