--- a/crates/bench/src/experiment/faults/injector.rs
+++ b/crates/bench/src/experiment/faults/injector.rs
@@ -47,10 +47,7 @@
             Fault::CutMember(group, member) => {
                 self.topology.groups[group].members[member].link.cut().await
             }
-            Fault::LoseAnswers(group, member) => {
-                let link = &self.topology.groups[group].members[member].link;
-                link.disturb(|faults| faults.to_source.cut = true).await
-            }
+            Fault::LoseAnswers(group) => self.lose_answers(group).await,
             Fault::ResetMember(group, member) => {
                 self.topology.groups[group].members[member]
                     .link
@@ -88,12 +85,13 @@
             Fault::CutPrimary(group) => self.cure_primary(group, MemberFault::Heal).await,
             Fault::FreezePrimary(group) => self.cure_primary(group, MemberFault::Thaw).await,
             Fault::KillPrimary(group) => self.cure_primary(group, MemberFault::Restart).await,
-            Fault::CutMember(group, member) | Fault::LoseAnswers(group, member) => {
+            Fault::CutMember(group, member) => {
                 self.topology.groups[group].members[member]
                     .link
                     .heal()
                     .await
             }
+            Fault::LoseAnswers(group) => self.return_answers(group).await,
             Fault::Lag(group, member, _) => self.set_lag(group, member, Lag::default()).await,
             Fault::HangTable | Fault::RefuseTable | Fault::RefusePlatform => {
                 self.topology.platform.heal().await
@@ -113,6 +111,28 @@
         Ok(())
     }
 
+    async fn lose_answers(&mut self, group: usize) -> Result<(), LaunchError> {
+        let hit = &self.topology.groups[group];
+        let primary = hit.primary().await?.name;
+        let link = &hit.member(&primary)?.link;
+        link.disturb(|faults| faults.to_source.cut = true).await?;
+        self.hit_members[group] = Some(primary);
+        Ok(())
+    }
+
+    async fn return_answers(&mut self, group: usize) -> Result<(), LaunchError> {
+        match self.hit_members[group].take() {
+            Some(member) => {
+                self.topology.groups[group]
+                    .member(&member)?
+                    .link
+                    .heal()
+                    .await
+            }
+            None => Ok(()),
+        }
+    }
+
     /// A primary that was cut off is read first: once it rejoins, it gives up
     /// what its successor lacks.
     async fn cure_primary(&mut self, group: usize, cure: MemberFault) -> Result<(), LaunchError> {
--- a/crates/bench/src/experiment/faults/schedule.rs
+++ b/crates/bench/src/experiment/faults/schedule.rs
@@ -45,8 +45,8 @@
     KillPrimary(usize),
     /// Daemons don't reach a member.
     CutMember(usize, usize),
-    /// Answers of a member are lost after their effect.
-    LoseAnswers(usize, usize),
+    /// Answers of the primary are lost after their effect.
+    LoseAnswers(usize),
     /// All connections to a member are reset once.
     ResetMember(usize, usize),
     /// A member lags by so many milliseconds.
@@ -85,7 +85,7 @@
             | Self::FreezePrimary(group)
             | Self::KillPrimary(group)
             | Self::CutMember(group, _)
-            | Self::LoseAnswers(group, _)
+            | Self::LoseAnswers(group)
             | Self::ResetMember(group, _) => Affected::Group(group),
             Self::Lag(group, ..) => Affected::Replication(group),
             Self::HangTable | Self::RefuseTable | Self::RefusePlatform => Affected::Platform,
@@ -155,7 +155,7 @@
         Fault::FreezePrimary(group),
         Fault::KillPrimary(group),
         Fault::CutMember(group, member),
-        Fault::LoseAnswers(group, member),
+        Fault::LoseAnswers(group),
         Fault::ResetMember(group, member),
         Fault::Lag(group, member, lag_millis),
         Fault::HangTable,
