--- a/crates/bench/src/launch/daemon.rs
+++ b/crates/bench/src/launch/daemon.rs
@@ -113,6 +113,11 @@
         Ok(())
     }
 
+    /// Its entry in the platform's list of machines.
+    pub fn machine(&self) -> Machine {
+        machine(&self.settings, &self.links)
+    }
+
     /// The process, for signals.
     pub fn process(&self) -> &Process {
         &self.process
--- a/crates/bench/src/launch/platform.rs
+++ b/crates/bench/src/launch/platform.rs
@@ -9,6 +9,7 @@
 use stilequay_daemon::ports::platform::Machine;
 use stilequay_standin::platform::faults::ServiceFaults;
 use stilequay_standin::platform::handle::ServiceName;
+use stilequay_standin::platform::steering::ServiceStatus;
 
 #[derive(Debug, Deserialize)]
 struct Ready {
@@ -64,6 +65,14 @@
         self.steering.set(&faults_path(service), faults).await
     }
 
+    /// How many calls of a service have lost their answers.
+    pub async fn answers_lost(&self, service: ServiceName) -> Result<u64, LaunchError> {
+        let shown: Vec<ServiceStatus> = self.steering.get("/services").await?;
+        let status = shown.iter().filter(|status| status.service == service);
+        let counters = status.flat_map(|status| status.counters.values());
+        Ok(counters.map(|operation| operation.answers_lost).sum())
+    }
+
     /// Ends all faults of all services.
     pub async fn heal(&self) -> Result<(), LaunchError> {
         for service in ServiceName::ALL {
