--- a/crates/daemon/src/adapters/api/editing.rs
+++ b/crates/daemon/src/adapters/api/editing.rs
@@ -2,7 +2,8 @@
 
 use super::failure::{ApiFailure, FailureCode};
 use super::merge::merge;
-use crate::app::control::acceptance::{ProposedChange, random_identifier};
+use crate::app::control::acceptance::ProposedChange;
+use crate::app::control::identifier::random_identifier;
 use crate::domain::document::{
     API_VERSION, Draft, Metadata, Resource, ResourceKey, ResourceKind, VersionedResource,
     read_draft,
--- a/crates/daemon/src/adapters/api/requests.rs
+++ b/crates/daemon/src/adapters/api/requests.rs
@@ -1,7 +1,7 @@
 //! What holds for every request: its id, its line in the log, its failure's body.
 
 use super::failure::{ApiFailure, FailureCode};
-use crate::app::control::acceptance::random_identifier;
+use crate::app::control::identifier::random_identifier;
 use axum::extract::Request;
 use axum::http::{HeaderName, HeaderValue};
 use axum::middleware::Next;
--- a/crates/daemon/src/app/control/acceptance.rs
+++ b/crates/daemon/src/app/control/acceptance.rs
@@ -6,20 +6,16 @@
 //! transaction that made it. Nothing is ever guessed.
 
 use super::catalogue::{read_body, write_body};
+use super::identifier::random_identifier;
+use super::pause::Pause;
 use crate::domain::document::{Resource, ResourceKey, VersionedResource};
 use crate::domain::names::Revision;
 use crate::ports::platform::{PlatformError, Precondition, ResourceTable, StoredResource};
 use quick_error::quick_error;
-use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// First pause before another attempt; doubles up to [`LONGEST_PAUSE`].
-const SHORTEST_PAUSE: Duration = Duration::from_millis(10);
-/// Longest pause before another attempt.
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-
 /// A change to be accepted.
 #[derive(Debug, Clone)]
 pub struct ProposedChange {
@@ -216,32 +212,14 @@
         let mut may_be_under_way = false;
         let mut pause = Pause::new();
         loop {
-            let result = self
-                .table
-                .commit(
-                    transaction.change.clone(),
-                    transaction.precondition,
-                    transaction.previous,
-                    &transaction.request_token,
-                )
-                .await;
-            let error = match result {
+            let error = match self.send(transaction).await {
                 Ok(()) => return Attempt::Committed,
-                Err(error) if !may_be_under_way && changed_nothing(&error) => {
-                    return match error {
-                        PlatformError::ConditionFailed => Attempt::ConditionFailed,
-                        other => Attempt::Refused(other),
-                    };
-                }
-                Err(error) => {
-                    log::warn!(
-                        key = transaction.change.key.as_str(), revision = transaction.change.revision.0;
-                        "the answer to a change was lost: {error}"
-                    );
-                    may_be_under_way = true;
-                    error
+                Err(error) if !may_be_under_way && is_refusal(&error) => {
+                    return Attempt::Refused(error);
                 }
+                Err(error) => error,
             };
+            may_be_under_way |= error != PlatformError::ConditionFailed;
             match self.outcome(&transaction.pending()).await {
                 Ok(PendingOutcome::Accepted) => return Attempt::Committed,
                 Ok(PendingOutcome::Refused) => return Attempt::ConditionFailed,
@@ -260,6 +238,25 @@
         }
     }
 
+    async fn send(&self, transaction: &Transaction) -> Result<(), PlatformError> {
+        let result = self
+            .table
+            .commit(
+                transaction.change.clone(),
+                transaction.precondition,
+                transaction.previous,
+                &transaction.request_token,
+            )
+            .await;
+        if let Err(PlatformError::OutcomeUnknown(reason)) = &result {
+            log::warn!(
+                key = transaction.change.key.as_str(), revision = transaction.change.revision.0;
+                "the answer to a change was lost: {reason}"
+            );
+        }
+        result
+    }
+
     /// What became of a transaction, as the log tells.
     pub async fn outcome(&self, pending: &PendingChange) -> Result<PendingOutcome, PlatformError> {
         match self.table.change(pending.revision).await? {
@@ -293,13 +290,14 @@
     }
 }
 
-fn changed_nothing(error: &PlatformError) -> bool {
-    match error {
-        PlatformError::ConditionFailed
-        | PlatformError::Throttled(_)
-        | PlatformError::Unavailable(_) => true,
-        PlatformError::OutcomeUnknown(_) | PlatformError::Malformed(_) => false,
-    }
+/// Whether the call was refused before it had any effect. A condition that did not
+/// hold is no refusal in this sense: where the platform has forgotten the token, an
+/// earlier attempt of the same call may be what broke the condition.
+fn is_refusal(error: &PlatformError) -> bool {
+    matches!(
+        error,
+        PlatformError::Throttled(_) | PlatformError::Unavailable(_)
+    )
 }
 
 /// The error of a change of which nothing is under way.
@@ -309,28 +307,3 @@
         other => AcceptanceError::Unavailable(other.to_string()),
     }
 }
-
-/// Pauses that grow, with jitter.
-struct Pause {
-    next: Duration,
-}
-
-impl Pause {
-    fn new() -> Self {
-        Self {
-            next: SHORTEST_PAUSE,
-        }
-    }
-
-    async fn wait(&mut self) {
-        let jitter = rand::rng().random_range(0.5..1.0);
-        tokio::time::sleep(self.next.mul_f64(jitter)).await;
-        self.next = (self.next * 2).min(LONGEST_PAUSE);
-    }
-}
-
-/// A random identifier of 32 hexadecimal digits.
-pub fn random_identifier() -> String {
-    let number: u128 = rand::rng().random();
-    format!("{number:032x}")
-}
--- a/crates/daemon/src/app/control/mod.rs
+++ b/crates/daemon/src/app/control/mod.rs
@@ -4,7 +4,9 @@
 pub mod acceptance;
 pub mod catalogue;
 pub mod fleet;
+pub mod identifier;
 pub mod in_force;
+mod pause;
 pub mod snapshot;
 pub mod source;
 pub mod state;
--- a/crates/daemon/src/app/control/source.rs
+++ b/crates/daemon/src/app/control/source.rs
@@ -71,6 +71,7 @@
 }
 
 fn unavailable(error: PlatformError) -> SourceError {
+    metrics::counter!("stilequay_control_source_errors_total").increment(1);
     SourceError::Unavailable(error.to_string())
 }
 
--- a/crates/daemon/src/app/control/state.rs
+++ b/crates/daemon/src/app/control/state.rs
@@ -115,6 +115,7 @@
     fn publish(&self, revision: Revision, configuration: Option<Configuration>) {
         if let Some(mut configuration) = configuration {
             configuration.revision = revision;
+            metrics::gauge!("stilequay_control_caught_up").set(1.0);
             self.published.send_replace(Some(Arc::new(configuration)));
         }
         metrics::gauge!("stilequay_control_revision").set(revision.0 as f64);
--- a/crates/daemon/src/run/control.rs
+++ b/crates/daemon/src/run/control.rs
@@ -79,6 +79,7 @@
         let own = own_record(settings, addresses);
         let membership = start_membership(settings, platform, own, sockets.datagrams, &stage);
         let distribution = start_distribution(settings, platform, &membership, &state);
+        stage.tasks.spawn(telemetry::keep(leaving.clone()));
         stage.tasks.spawn(control::serve(
             sockets.listener,
             membership.clone(),
