--- a/crates/coordination/src/membership/exchange.rs
+++ b/crates/coordination/src/membership/exchange.rs
@@ -5,8 +5,10 @@
 //! other regions. Every node works out from its own view who they are. Two nodes
 //! that disagree for a while cost some messages and nothing else.
 
+use super::audience::Audience;
 use super::datagram::Purpose;
-use super::shared::{Audience, Shared};
+use super::news::NewsQueue;
+use super::shared::Shared;
 use super::view::{Member, MembershipView};
 use crate::identity::{NodeId, RegionName, ZoneName};
 use crate::placement::{Candidate, place};
@@ -23,6 +25,9 @@
 /// The rendezvous key under which representatives are chosen.
 const RANKING: &str = "representative";
 
+/// The most datagrams that carry much news to one group in one interval.
+const DATAGRAMS_AT_ONCE: usize = 8;
+
 /// A group that was not heard of for so many intervals is approached through any
 /// of its nodes instead of its representatives.
 const INTERVALS_BEFORE_ANY_NODE: u32 = 5;
@@ -30,6 +35,7 @@
 /// Nodes elsewhere that can be approached.
 #[derive(Debug)]
 pub(super) struct Group {
+    audience: Audience,
     zones: BTreeSet<ZoneName>,
     representatives: Vec<SocketAddr>,
     everybody: Vec<SocketAddr>,
@@ -68,8 +74,11 @@
             duties = duties_of(&shared, &latest);
         }
         for groups in [&duties.zones, &duties.regions] {
-            if !groups.is_empty() {
-                approach(&shared, &groups[round % groups.len()]).await;
+            for (index, group) in groups.iter().enumerate() {
+                // One group in turn in any case, and all for which there is news.
+                if index == round % groups.len() || has_news(&shared, group) {
+                    approach(&shared, group).await;
+                }
             }
         }
         round += 1;
@@ -83,13 +92,32 @@
     } else {
         group.representatives.choose(&mut rand::rng()).copied()
     };
-    if let Some(address) = target {
+    let Some(address) = target else {
+        return;
+    };
+    for sent in 1.. {
         shared
-            .send(address, Purpose::Exchange, Audience::OtherZones, None)
+            .send(address, Purpose::Exchange, &group.audience, None)
             .await;
+        if sent == DATAGRAMS_AT_ONCE || !has_fresh_news(shared, group) {
+            return;
+        }
     }
 }
 
+fn has_news(shared: &Shared, group: &Group) -> bool {
+    let state = shared.state();
+    let queue = state.wide_news.get(&group.audience);
+    queue.is_some_and(|queue| !queue.is_empty())
+}
+
+/// Whether there is news that was not sent to the group at all.
+fn has_fresh_news(shared: &Shared, group: &Group) -> bool {
+    let state = shared.state();
+    let queue = state.wide_news.get(&group.audience);
+    queue.is_some_and(NewsQueue::has_unsent)
+}
+
 fn silent_for_long(shared: &Shared, group: &Group) -> bool {
     let now = Instant::now();
     let limit = shared.timing.exchange_interval * INTERVALS_BEFORE_ANY_NODE;
@@ -110,7 +138,10 @@
     let zones = view
         .zones()
         .filter(|zone| **zone != own.zone && view.region_of(zone) == Some(&own.region))
-        .map(|zone| group(&view.zone_members(zone).collect::<Vec<_>>()))
+        .map(|zone| {
+            let members: Vec<_> = view.zone_members(zone).collect();
+            group(Audience::Zone(zone.clone()), &members)
+        })
         .collect();
     let regions = by_region(view);
     let own_region = regions.get(&own.region).into_iter().flatten().copied();
@@ -119,7 +150,7 @@
     let regions = regions
         .into_iter()
         .filter(|(region, _)| represents_region && *region != own.region)
-        .map(|(_, members)| group(&members))
+        .map(|(region, members)| group(Audience::Region(region), &members))
         .collect();
     Duties { zones, regions }
 }
@@ -148,10 +179,11 @@
 }
 
 /// Unreachable nodes stay in the group: somebody has to try whether they are back.
-fn group(members: &[&Member]) -> Group {
+fn group(audience: Audience, members: &[&Member]) -> Group {
     let chosen = representatives(members.iter().copied());
     let address = |member: &&Member| member.record.control_address;
     Group {
+        audience,
         zones: members
             .iter()
             .map(|member| member.record.zone.clone())
--- a/crates/coordination/src/membership/gossip.rs
+++ b/crates/coordination/src/membership/gossip.rs
@@ -1,7 +1,8 @@
 //! The task that spreads news in the zone, faster than the probes would.
 
+use super::audience::Audience;
 use super::datagram::Purpose;
-use super::shared::{Audience, Shared};
+use super::shared::Shared;
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,7 +21,7 @@
         }
         for address in targets(&shared) {
             shared
-                .send(address, Purpose::Gossip, Audience::Zone, None)
+                .send(address, Purpose::Gossip, &Audience::OwnZone, None)
                 .await;
         }
         tokio::time::sleep(shared.timing.gossip_interval).await;
@@ -32,7 +33,9 @@
         let notified = shared.news.notified();
         {
             let mut state = shared.state();
-            state.wide_news.expire(WIDE_NEWS_AGE, Instant::now());
+            for queue in state.wide_news.values_mut() {
+                queue.expire(WIDE_NEWS_AGE, Instant::now());
+            }
             if !state.zone_news.is_empty() {
                 return;
             }
--- a/crates/coordination/src/membership/merge.rs
+++ b/crates/coordination/src/membership/merge.rs
@@ -118,6 +118,6 @@
 fn spread_report(state: &mut State, report: &Applied, now: Instant) {
     state.zone_news.add(&report.node, now);
     if !report.status.is_suspected() {
-        state.wide_news.add(&report.node, now);
+        state.add_wide_news(&report.node, now);
     }
 }
--- a/crates/coordination/src/membership/mod.rs
+++ b/crates/coordination/src/membership/mod.rs
@@ -21,6 +21,7 @@
 //! - Views are hints: two nodes may differ for some seconds. What needs agreement
 //!   must not rest on them alone.
 
+mod audience;
 mod config;
 mod contacts;
 mod datagram;
@@ -45,9 +46,10 @@
 use crate::identity::NodeId;
 use crate::revision::Revision;
 use crate::traffic::Traffic;
+use audience::Audience;
 use datagram::Purpose;
 use record::{MemberState, Status};
-use shared::{Audience, Shared};
+use shared::Shared;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -132,7 +134,7 @@
         for member in neighbours {
             let address = member.record.control_address;
             self.shared
-                .send(address, Purpose::Gossip, Audience::Zone, Some(own))
+                .send(address, Purpose::Gossip, &Audience::OwnZone, Some(own))
                 .await;
         }
         self.stop().await;
--- a/crates/coordination/src/membership/news.rs
+++ b/crates/coordination/src/membership/news.rs
@@ -40,6 +40,12 @@
         self.items.is_empty()
     }
 
+    /// Whether there are reports that were not sent at all.
+    pub fn has_unsent(&self) -> bool {
+        let first = self.order.first_key_value();
+        first.is_some_and(|(turn, _)| turn.times_sent == 0)
+    }
+
     /// The nodes whose reports come next, for as long as `take` accepts them.
     /// Those accepted count as sent once more, and leave after `limit` times.
     pub fn take_while(&mut self, limit: u32, mut take: impl FnMut(&NodeId) -> bool) {
--- a/crates/coordination/src/membership/probe.rs
+++ b/crates/coordination/src/membership/probe.rs
@@ -1,9 +1,10 @@
 //! The task that probes the nodes of the zone, one in each interval.
 
+use super::audience::Audience;
 use super::datagram::{ProbeId, Purpose};
 use super::merge::Spread;
 use super::record::{Delta, MemberState, Status};
-use super::shared::{Audience, Shared};
+use super::shared::Shared;
 use super::table::Entry;
 use crate::identity::NodeId;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -93,7 +94,7 @@
     // A suspected node hears of the suspicion with the probe.
     let doubted = target.status.is_doubted().then_some(node);
     shared
-        .send(address, Purpose::Probe(id), Audience::Zone, doubted)
+        .send(address, Purpose::Probe(id), &Audience::OwnZone, doubted)
         .await;
     let direct = within(shared.timing.probe_timeout, &mut acknowledgement).await;
     let answered = direct || {
@@ -127,7 +128,7 @@
     let chosen: Vec<_> = helpers.sample(&mut rand::rng(), count).copied().collect();
     for helper in chosen {
         let purpose = Purpose::ProbeFor(id, target.record.control_address);
-        shared.send(helper, purpose, Audience::Zone, None).await;
+        shared.send(helper, purpose, &Audience::OwnZone, None).await;
     }
 }
 
@@ -140,11 +141,11 @@
 ) {
     let (id, mut acknowledgement) = shared.expect_acknowledgement();
     shared
-        .send(target, Purpose::Probe(id), Audience::Zone, None)
+        .send(target, Purpose::Probe(id), &Audience::OwnZone, None)
         .await;
     if within(shared.timing.probe_interval, &mut acknowledgement).await {
         let answer = Purpose::Acknowledge(asked);
-        shared.send(asker, answer, Audience::Zone, None).await;
+        shared.send(asker, answer, &Audience::OwnZone, None).await;
     }
     shared.forget_probe(id);
 }
@@ -192,7 +193,7 @@
     let purpose = Purpose::Probe(id);
     let address = record.control_address;
     shared
-        .send(address, purpose, Audience::Zone, Some(&record.node))
+        .send(address, purpose, &Audience::OwnZone, Some(&record.node))
         .await;
     shared.forget_probe(id);
 }
--- a/crates/coordination/src/membership/publish.rs
+++ b/crates/coordination/src/membership/publish.rs
@@ -1,5 +1,6 @@
 //! The task that settles what time decides and publishes the view.
 
+use super::audience::Audience;
 use super::merge::Spread;
 use super::record::{Delta, MemberState, Status};
 use super::shared::{Shared, State};
@@ -119,9 +120,25 @@
 /// Publishes the table as a view.
 pub(super) fn publish(shared: &Shared, unreachable: &BTreeSet<ZoneName>) {
     let members = members(&shared.state(), unreachable);
-    shared
-        .view
-        .send_replace(Arc::new(MembershipView::new(members)));
+    let view = MembershipView::new(members);
+    keep_audiences(shared, &view);
+    shared.view.send_replace(Arc::new(view));
+}
+
+/// Keeps a queue of news for each other zone and region that there is.
+fn keep_audiences(shared: &Shared, view: &MembershipView) {
+    let audiences: BTreeSet<_> = view
+        .zones()
+        .filter_map(|zone| Some(Audience::of(&shared.own, zone, view.region_of(zone)?)))
+        .filter(|audience| *audience != Audience::OwnZone)
+        .collect();
+    let mut state = shared.state();
+    state
+        .wide_news
+        .retain(|audience, _| audiences.contains(audience));
+    for audience in audiences {
+        state.wide_news.entry(audience).or_default();
+    }
 }
 
 fn members(state: &State, unreachable: &BTreeSet<ZoneName>) -> Vec<Member> {
--- a/crates/coordination/src/membership/receive.rs
+++ b/crates/coordination/src/membership/receive.rs
@@ -1,9 +1,10 @@
 //! The task that reads datagrams.
 
+use super::audience::Audience;
 use super::datagram::{Datagram, Header, ProbeId, Purpose, decode};
 use super::merge::Spread;
 use super::probe::probe_for_another;
-use super::shared::{Audience, Shared};
+use super::shared::Shared;
 use crate::identity::NodeId;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -97,19 +98,31 @@
             tokio::spawn(probe_for_another(shared, id, source, target));
         }
         Purpose::Exchange => {
-            let reply = Purpose::ExchangeReply;
-            shared.send(source, reply, Audience::OtherZones, None).await;
+            reply_to_exchange(shared, &header.sender, source).await;
         }
         Purpose::Gossip | Purpose::ExchangeReply => {}
     }
 }
 
+async fn reply_to_exchange(shared: &Shared, sender: &NodeId, source: SocketAddr) {
+    let record = {
+        let state = shared.state();
+        let entry = state.table.get(sender);
+        entry.map(|entry| entry.state.record.clone())
+    };
+    if let Some(record) = record {
+        let audience = Audience::of(&shared.own, &record.zone, &record.region);
+        let reply = Purpose::ExchangeReply;
+        shared.send(source, reply, &audience, None).await;
+    }
+}
+
 async fn acknowledge(shared: &Shared, id: ProbeId, sender: &NodeId, source: SocketAddr) {
     // A node that was given up here learns of it, so that it can refute.
     let outdated = is_doubted(shared, sender).then_some(sender);
     let acknowledgement = Purpose::Acknowledge(id);
     shared
-        .send(source, acknowledgement, Audience::Zone, outdated)
+        .send(source, acknowledgement, &Audience::OwnZone, outdated)
         .await;
 }
 
--- a/crates/coordination/src/membership/shared.rs
+++ b/crates/coordination/src/membership/shared.rs
@@ -1,5 +1,6 @@
 //! What the tasks of one node's membership share.
 
+use super::audience::Audience;
 use super::config::{MembershipConfig, MembershipTiming};
 use super::contacts::ZoneContacts;
 use super::datagram::{DatagramWriter, Header, ProbeId, Purpose, VERSION};
@@ -10,7 +11,7 @@
 use crate::control::Links;
 use crate::identity::NodeId;
 use crate::revision::Revision;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,6 +23,10 @@
 /// How often a report is sent on, times the binary logarithm of the receivers.
 const RETRANSMISSION_FACTOR: u32 = 2;
 
+/// How often a report is sent to each other zone or region. The comparisons mend
+/// what is lost nevertheless.
+const WIDE_TRANSMISSIONS: u32 = 3;
+
 /// A node accuses others only if it heard of somebody within so many probe intervals.
 const INTERVALS_OF_OWN_CONTACT: u32 = 3;
 
@@ -32,8 +37,9 @@
     pub table: Table,
     /// Reports to spread in the own zone.
     pub zone_news: NewsQueue,
-    /// Reports to carry to other zones, should this node represent its zone.
-    pub wide_news: NewsQueue,
+    /// Reports to carry to each of the other zones and regions, should this node
+    /// represent its own.
+    pub wide_news: BTreeMap<Audience, NewsQueue>,
     /// Suspicions that this node times, and when they become final.
     pub suspicions: HashMap<NodeId, Instant>,
     /// When the zones were last heard of.
@@ -46,6 +52,15 @@
     pub last_heard: Option<(Instant, NodeId)>,
 }
 
+impl State {
+    /// Queues the report on `node` for all other zones and regions.
+    pub fn add_wide_news(&mut self, node: &NodeId, now: Instant) {
+        for queue in self.wide_news.values_mut() {
+            queue.add(node, now);
+        }
+    }
+}
+
 /// Everything the tasks share.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -91,7 +106,7 @@
         let state = State {
             table: Table::new(first, now),
             zone_news: NewsQueue::default(),
-            wide_news: NewsQueue::default(),
+            wide_news: BTreeMap::new(),
             suspicions: HashMap::new(),
             contacts: ZoneContacts::default(),
             revisions: HashMap::new(),
@@ -166,7 +181,7 @@
     pub fn publish_own(&self, state: &mut State, own: MemberState, now: Instant) {
         state.table.renew_own(own, now);
         state.zone_news.add(&self.own.node, now);
-        state.wide_news.add(&self.own.node, now);
+        state.add_wide_news(&self.own.node, now);
         self.changed.notify_one();
         self.news.notify_one();
     }
@@ -188,7 +203,7 @@
         &self,
         address: SocketAddr,
         purpose: Purpose,
-        audience: Audience,
+        audience: &Audience,
         first: Option<&NodeId>,
     ) {
         let kind = purpose.kind();
@@ -200,7 +215,7 @@
         }
     }
 
-    fn encode(&self, purpose: Purpose, audience: Audience, first: Option<&NodeId>) -> Vec<u8> {
+    fn encode(&self, purpose: Purpose, audience: &Audience, first: Option<&NodeId>) -> Vec<u8> {
         let now = Instant::now();
         let receivers = self.zone_size();
         let mut guard = self.state();
@@ -218,25 +233,18 @@
         if let Some(entry) = first.and_then(|node| table.get(node)) {
             writer.push(&Delta::from(&entry.state));
         }
-        let queue = match audience {
-            Audience::Zone => &mut state.zone_news,
-            Audience::OtherZones => &mut state.wide_news,
+        let (queue, limit) = if *audience == Audience::OwnZone {
+            let limit = Self::retransmissions(receivers);
+            (Some(&mut state.zone_news), limit)
+        } else {
+            (state.wide_news.get_mut(audience), WIDE_TRANSMISSIONS)
         };
-        queue.take_while(Self::retransmissions(receivers), |node| {
-            match table.get(node) {
+        if let Some(queue) = queue {
+            queue.take_while(limit, |node| match table.get(node) {
                 Some(entry) => writer.push(&Delta::from(&entry.state)),
                 None => true,
-            }
-        });
+            });
+        }
         writer.into_bytes()
     }
 }
-
-/// Which news a datagram carries.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Audience {
-    /// Everything new.
-    Zone,
-    /// What other zones need: no suspicions, which the own zone settles.
-    OtherZones,
-}
