--- a/crates/daemon/src/app/front/caller.rs
+++ b/crates/daemon/src/app/front/caller.rs
@@ -4,7 +4,7 @@
 use super::builder::UnitBuilder;
 use super::cancel::CancelHandle;
 use super::limits::ServicePermit;
-use super::reply::{ErrorReply, ready_for_query};
+use super::reply::ErrorReply;
 use super::session::Session;
 use super::socket::{CallerSocket, SocketError};
 use super::statements::StatementStore;
@@ -13,7 +13,6 @@
 use crate::domain::names::{GroupName, ServiceName};
 use crate::domain::verdict::{FailureKind, RequestFailure};
 use crate::ports::exchange::HomeExchange;
-use bytes::BytesMut;
 use pgwire::messages::PgWireFrontendMessage;
 use std::sync::Arc;
 use tokio::time::sleep;
@@ -83,10 +82,10 @@
 
 impl Caller {
     /// Serves the caller until its connection ends.
-    pub(super) async fn serve(mut self) {
+    pub(super) async fn serve(mut self: Box<Self>) {
         let end = self.run().await;
         match end {
-            ConnectionEnd::Terminated => self.terminate().await,
+            ConnectionEnd::Terminated => Box::pin(self.terminate()).await,
             ConnectionEnd::Gone => {}
             ConnectionEnd::Fatal(reply) => {
                 log::info!(
@@ -95,7 +94,8 @@
                 );
                 // The held exchange is dropped first, so that its work is undone at once.
                 drop(self.held.take());
-                self.socket.close_with(&reply.encode()).await;
+                let message = reply.encode();
+                Box::pin(self.socket.close_with(&message)).await;
             }
         }
     }
@@ -103,7 +103,8 @@
     async fn run(&mut self) -> ConnectionEnd {
         loop {
             let step = match self.next_event().await {
-                Event::Message(Ok(message)) => self.take(message).await,
+                // Boxed, so that the state of a running unit takes no memory while idle.
+                Event::Message(Ok(message)) => Box::pin(self.take(message)).await,
                 Event::Message(Err(error)) => Err(error.into()),
                 Event::Leaving => Err(leaving().into()),
                 Event::IdleInTransaction => Err(ErrorReply::fatal(
@@ -148,8 +149,7 @@
         }
         self.skips_to_sync = false;
         match self.builder.push(message, &mut self.statements)? {
-            // Boxed, so that the state of a running unit takes no memory while idle.
-            Some(unit) => Box::pin(self.run_unit(unit)).await,
+            Some(unit) => self.run_unit(unit).await,
             None => Ok(()),
         }
     }
@@ -161,12 +161,6 @@
             .map_or(TransactionState::Idle, |held| held.transaction)
     }
 
-    /// Sends the greeting, and that the caller may begin.
-    pub(super) async fn greet(&mut self, mut greeting: BytesMut) -> Result<(), SocketError> {
-        greeting.extend_from_slice(&ready_for_query(TransactionState::Idle));
-        self.socket.write(&greeting).await
-    }
-
     /// A connection that is between transactions goes back in good order; one
     /// within a transaction is dropped, which undoes the transaction.
     async fn terminate(&mut self) {
--- a/crates/daemon/src/app/front/connection.rs
+++ b/crates/daemon/src/app/front/connection.rs
@@ -4,8 +4,9 @@
 use super::authentication::{self, AuthenticationError};
 use super::builder::{UnitBuilder, UnitLimits};
 use super::caller::Caller;
+use super::cancel::CancelHandle;
 use super::limits::ServicePermit;
-use super::reply::{ErrorReply, encode, parameter_status};
+use super::reply::{ErrorReply, encode, parameter_status, ready_for_query};
 use super::rights;
 use super::session::FLOOR_PARAMETER;
 use super::socket::{CallerSocket, SocketError};
@@ -13,6 +14,7 @@
 use super::statements::StatementStore;
 use super::telemetry::{ConnectionGauge, count_refusal};
 use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION};
+use crate::domain::exchange::TransactionState;
 use bytes::BytesMut;
 use pgwire::messages::startup::{BackendKeyData, SecretKey};
 use std::sync::Arc;
@@ -48,10 +50,11 @@
         started = timeout(shared.settings.startup_timeout(), starting) => started,
         () = shared.leaving.cancelled() => return,
     };
+    // Each phase is boxed, so that an idle caller takes the memory of none but its own.
     match started {
-        Ok(Ok(Some(session))) => serve_caller(socket, shared, session).await,
+        Ok(Ok(Some(entered))) => caller(socket, shared, entered).serve().await,
         Ok(Ok(None)) => {}
-        Ok(Err(error)) => turn_away(socket, error).await,
+        Ok(Err(error)) => Box::pin(turn_away(socket, error)).await,
         Err(_) => count_refusal("startup timeout"),
     }
 }
@@ -60,37 +63,33 @@
 struct Entered {
     request: Box<StartupRequest>,
     permit: ServicePermit,
+    cancel: CancelHandle,
 }
 
-async fn serve_caller(socket: CallerSocket, shared: Arc<Shared>, entered: Entered) {
-    let Entered { request, permit } = entered;
-    let cancel = shared.cancels.register();
+fn caller(socket: CallerSocket, shared: Arc<Shared>, entered: Entered) -> Box<Caller> {
+    let Entered {
+        request,
+        permit,
+        cancel,
+    } = entered;
     let settings = &shared.settings;
     let limits = UnitLimits {
         max_unit_bytes: settings.max_unit_bytes,
         max_prepared_statements: settings.max_prepared_statements,
     };
-    let mut greeting = greeting(&request, &settings.server_version);
-    greeting.extend_from_slice(&encode(&BackendKeyData::new(
-        cancel.process_id,
-        SecretKey::I32(cancel.secret),
-    )));
-    let mut caller = Caller {
+    Box::new(Caller {
         socket,
         builder: UnitBuilder::new(limits, Arc::clone(&shared.classifier)),
+        cancel,
         shared,
         service: request.service,
         group: request.group,
         session: request.session,
         statements: StatementStore::default(),
-        cancel,
         held: None,
         skips_to_sync: false,
         _permit: permit,
-    };
-    if caller.greet(greeting).await.is_ok() {
-        caller.serve().await;
-    }
+    })
 }
 
 /// Reads the startup message and authenticates; `None` where the connection only
@@ -117,7 +116,13 @@
         socket.write(&negotiation).await?;
     }
     let permit = enter(socket, shared, &request).await?;
-    Ok(Some(Entered { request, permit }))
+    let cancel = shared.cancels.register();
+    socket.write(&greeting(&request, &cancel, shared)).await?;
+    Ok(Some(Entered {
+        request,
+        permit,
+        cancel,
+    }))
 }
 
 async fn enter(
@@ -170,11 +175,12 @@
     socket.close_with(&reply.encode()).await;
 }
 
-/// The parameters that PostgreSQL reports to every client.
-fn greeting(request: &StartupRequest, server_version: &str) -> BytesMut {
+/// The parameters that PostgreSQL reports to every client, the key for cancel
+/// requests, and that the caller may begin.
+fn greeting(request: &StartupRequest, cancel: &CancelHandle, shared: &Shared) -> BytesMut {
     let user = request.service.as_str();
     let parameters = [
-        ("server_version", server_version),
+        ("server_version", shared.settings.server_version.as_str()),
         ("server_encoding", "UTF8"),
         ("client_encoding", "UTF8"),
         ("application_name", request.application_name.as_str()),
@@ -195,5 +201,10 @@
     if let Some(floor) = request.session.reported_floor() {
         bytes.extend_from_slice(&parameter_status(FLOOR_PARAMETER, &floor.to_string()));
     }
+    bytes.extend_from_slice(&encode(&BackendKeyData::new(
+        cancel.process_id,
+        SecretKey::I32(cancel.secret),
+    )));
+    bytes.extend_from_slice(&ready_for_query(TransactionState::Idle));
     bytes
 }
