--- a/crates/daemon/src/app/home/group.rs
+++ b/crates/daemon/src/app/home/group.rs
@@ -10,7 +10,6 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use stilequay_coordination::position::Term;
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
@@ -120,13 +119,6 @@
         lock(&self.pools).values().map(|m| m.pool.clone()).collect()
     }
 
-    /// Closes the idle connections of terms before `term`.
-    pub fn close_before(&self, term: Term) {
-        for pool in self.pools() {
-            pool.close_before(term);
-        }
-    }
-
     /// Brings members, pools and probers to what `spec` says.
     pub fn apply(self: &Arc<Self>, spec: Arc<DatabaseGroupSpec>) {
         if !self.take_spec(&spec) {
--- a/crates/daemon/src/app/home/pool.rs
+++ b/crates/daemon/src/app/home/pool.rs
@@ -3,17 +3,20 @@
 use super::admission::{limiter_settings, overloaded};
 use super::backend::{BackEndConnection, BackEndError, BackEndTarget};
 use super::prepared::PreparedStatements;
+use super::probe::probe;
 use super::settings::HomeSettings;
 use crate::app::homes::HOMES_PER_GROUP;
 use crate::domain::names::ServiceName;
 use crate::domain::verdict::{FailureKind, RequestFailure};
+use futures::future::join_all;
 use std::ops::{Deref, DerefMut};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::limit::{Limiter, Permit};
 use stilequay_coordination::position::Term;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// How soon a server that had no connection left is asked again.
 const REFUSED_RETRY: Duration = Duration::from_millis(30);
@@ -30,6 +33,9 @@
     slots: Limiter<ServiceName>,
     idle: Mutex<Vec<IdleConnection>>,
     returned: Notify,
+    /// Connections that are being bound to a new term, which is sooner done than
+    /// opening others.
+    rebinding: AtomicUsize,
 }
 
 struct IdleConnection {
@@ -48,6 +54,7 @@
             settings,
             idle: Mutex::new(Vec::new()),
             returned: Notify::new(),
+            rebinding: AtomicUsize::new(0),
         }
     }
 
@@ -80,6 +87,10 @@
             if let Some(connection) = self.take_idle(term) {
                 return Ok(self.pooled(connection, permit));
             }
+            if self.rebinding.load(Ordering::SeqCst) > 0 {
+                self.wait_for_return(deadline).await?;
+                continue;
+            }
             match self.connect(term, deadline).await {
                 Ok(connection) => return Ok(self.pooled(connection, permit)),
                 Err(BackEndError::TooManyConnections) => self.wait_for_return(deadline).await?,
@@ -141,9 +152,36 @@
         RequestFailure::not_run(FailureKind::BackEndUnreachable, message)
     }
 
+    /// Makes connections ready for work in `term`, which the member has reported: idle
+    /// connections of earlier terms that still stand, and new ones up to the warm number.
+    pub async fn prepare_for(&self, term: Term) {
+        let earlier = self.take_idle_before(term);
+        let rebinding = earlier.into_iter().map(|connection| {
+            let counted = Rebinding::new(&self.rebinding);
+            self.rebind(connection, term, counted)
+        });
+        join_all(rebinding.collect::<Vec<_>>()).await;
+        self.warm(term).await;
+    }
+
+    /// Binds an idle connection to `term` if the member, asked over this very
+    /// connection, reports that term; closes it otherwise.
+    ///
+    /// What runs on the connection afterwards runs at that term or a later one, as on
+    /// a connection opened now, and a new connection would cost several round trips.
+    async fn rebind(&self, mut connection: BackEndConnection, term: Term, _counted: Rebinding<'_>) {
+        let asked = timeout(self.settings.late_probe(), probe(&mut connection.client)).await;
+        if let Ok(Ok(report)) = asked
+            && report.term == term
+        {
+            connection.term = term;
+            self.put_idle(connection);
+        }
+    }
+
     /// Opens connections so that work after a change of primary finds some.
-    pub async fn warm(&self, term: Term) {
-        while self.lock_idle().len() < self.settings.warm_connections {
+    async fn warm(&self, term: Term) {
+        while self.idle_count(term) < self.settings.warm_connections {
             let deadline = Instant::now() + self.settings.connect_timeout();
             match self.connect(term, deadline).await {
                 Ok(connection) => self.put_idle(connection),
@@ -155,9 +193,16 @@
         }
     }
 
+    fn idle_count(&self, term: Term) -> usize {
+        let idle = self.lock_idle();
+        idle.iter()
+            .filter(|idle| idle.connection.term == term)
+            .count()
+    }
+
     /// Closes idle connections of terms before `term`.
     pub fn close_before(&self, term: Term) {
-        self.lock_idle().retain(|idle| idle.connection.term >= term);
+        drop(self.take_idle_before(term));
     }
 
     /// Closes connections that have been idle for long, and sooner those beyond
@@ -189,14 +234,22 @@
         }
     }
 
+    /// The connection that was used last, because the others are nearer their expiry.
     fn take_idle(&self, term: Term) -> Option<BackEndConnection> {
         let mut idle = self.lock_idle();
-        while let Some(IdleConnection { mut connection, .. }) = idle.pop() {
-            if connection.term == term && connection.is_quiet() {
+        loop {
+            let position = idle.iter().rposition(|idle| idle.connection.term == term)?;
+            let IdleConnection { mut connection, .. } = idle.remove(position);
+            if connection.is_quiet() {
                 return Some(connection);
             }
         }
-        None
+    }
+
+    fn take_idle_before(&self, term: Term) -> Vec<BackEndConnection> {
+        let mut idle = self.lock_idle();
+        let earlier = idle.extract_if(.., |idle| idle.connection.term < term);
+        earlier.map(|idle| idle.connection).collect()
     }
 
     fn put_idle(&self, connection: BackEndConnection) {
@@ -212,6 +265,24 @@
     }
 }
 
+/// Counts a connection that is being bound to a new term.
+struct Rebinding<'a> {
+    count: &'a AtomicUsize,
+}
+
+impl<'a> Rebinding<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self { count }
+    }
+}
+
+impl Drop for Rebinding<'_> {
+    fn drop(&mut self) {
+        self.count.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 /// A connection in use. Dropping it closes it; only
 /// [`PooledConnection::give_back`] lets others use it.
 pub struct PooledConnection {
--- a/crates/daemon/src/app/home/runner.rs
+++ b/crates/daemon/src/app/home/runner.rs
@@ -94,12 +94,9 @@
 
     /// Runs the unit on the connection that the exchange holds, or on a shared one.
     pub async fn run(&mut self, held: Option<HeldConnection>) -> Outcome<FinishedUnit> {
-        let admission = self.home.admission().admit(self.service, self.deadline);
-        let admitted = unless_given_up(self.link, self.unit, admission).await;
-        let result = match (admitted, held) {
-            (Err(error), _) => Err(error),
-            (Ok(_admitted), Some(held)) => self.run_held(held).await,
-            (Ok(_admitted), None) => self.run_shared().await,
+        let result = match held {
+            Some(held) => self.run_held(held).await,
+            None => self.run_admitted().await,
         };
         match result {
             Ok(finished) => Ok(Ok(finished)),
@@ -112,6 +109,14 @@
         self.unit.access == Access::Write
     }
 
+    async fn run_admitted(&mut self) -> Result<FinishedUnit, RunError> {
+        let admission = self.home.admission().admit(self.service, self.deadline);
+        let _admitted = unless_given_up(self.link, self.unit, admission).await?;
+        self.run_shared().await
+    }
+
+    /// Runs the unit on the connection that the exchange holds. It needs no admission:
+    /// those who wait for admission may be waiting for this very connection.
     async fn run_held(&mut self, mut held: HeldConnection) -> Result<FinishedUnit, RunError> {
         if !held.connection.is_quiet() {
             let reason = "the connection that held the transaction was lost";
--- a/crates/daemon/src/app/home/state.rs
+++ b/crates/daemon/src/app/home/state.rs
@@ -195,11 +195,13 @@
         terms.map(|report| report.term).max().unwrap_or_default()
     }
 
-    /// The members that answer and have reported `term` as their highest.
-    pub fn members_at(&self, term: Term) -> Vec<MemberName> {
+    /// The highest term that each member has reported.
+    pub fn member_terms(&self) -> BTreeMap<MemberName, Term> {
         let members = self.members.iter();
-        let at_term = members.filter(|(_, member)| is_at(member, term));
-        at_term.map(|(name, _)| name.clone()).collect()
+        let reports = members.filter_map(|(name, member)| Some((name, member.report?)));
+        reports
+            .map(|(name, report)| (name.clone(), report.term))
+            .collect()
     }
 
     /// The member that claims to lead at the highest term, where a majority knows that term.
--- a/crates/daemon/src/app/home/supervisor.rs
+++ b/crates/daemon/src/app/home/supervisor.rs
@@ -2,18 +2,22 @@
 
 use super::group::Group;
 use super::state::{GroupState, wait_for_state};
-use crate::domain::names::GroupName;
+use crate::domain::names::{GroupName, MemberName};
 use crate::domain::resource::DatabaseGroupSpec;
 use crate::ports::configuration::ConfigurationReceiver;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_coordination::position::Term;
 use tokio::sync::watch;
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// How often expired connections and idle groups are looked for.
 const TIDY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long connections of an earlier term wait for their member to report the new one.
+const REBIND_TIME: Duration = Duration::from_millis(500);
+
 /// Runs until the group is no longer configured and used, or has been idle for long.
 ///
 /// `retire` takes the group out of service; it refuses while exchanges are open.
@@ -23,7 +27,8 @@
     retire: impl Fn(&Arc<Group>) -> bool,
 ) {
     let mut state = group.watch_state();
-    let mut known = KnownTerms::default();
+    let mut terms = MemberTerms::new();
+    let mut last_change = Instant::now();
     let mut tidy = interval(TIDY_INTERVAL);
     tidy.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -36,57 +41,54 @@
             return;
         }
         tokio::select! {
-            _ = tidy.tick() => group.pools().iter().for_each(|pool| pool.close_expired()),
+            _ = tidy.tick() => tidy_pools(&group, last_change),
             () = configuration_change(&mut configuration) => {}
-            terms = next_terms(&mut state, known) => {
-                follow_terms(&group, known, terms);
-                known = terms;
+            changed = next_terms(&mut state, &terms) => {
+                prepare_pools(&group, &terms, &changed);
+                terms = changed;
+                last_change = Instant::now();
             }
         }
     }
 }
 
-/// The terms that the supervisor has acted on.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-struct KnownTerms {
-    /// The highest term that a member has reported.
-    highest: Term,
-    /// The term of the latest primary.
-    of_primary: Term,
-}
+/// The highest term that each member has reported.
+type MemberTerms = BTreeMap<MemberName, Term>;
 
-/// Waits until the group knows later terms than `known`.
-async fn next_terms(state: &mut watch::Receiver<GroupState>, known: KnownTerms) -> KnownTerms {
-    let terms_of = |state: &GroupState| KnownTerms {
-        highest: state.highest_term().max(known.highest),
-        of_primary: state.primary().map_or(known.of_primary, |primary| {
-            primary.term.max(known.of_primary)
-        }),
-    };
+/// Waits until a member has reported another term than in `known`.
+async fn next_terms(state: &mut watch::Receiver<GroupState>, known: &MemberTerms) -> MemberTerms {
     wait_for_state(state, |state| {
-        Some(terms_of(state)).filter(|terms| *terms != known)
+        Some(state.member_terms()).filter(|terms| terms != known)
     })
     .await
 }
 
-/// Closes the connections of earlier terms, and opens some once there is a new primary.
-fn follow_terms(group: &Arc<Group>, known: KnownTerms, terms: KnownTerms) {
-    if terms.highest > known.highest {
-        group.close_before(terms.highest);
-    }
-    if terms.of_primary > known.of_primary {
-        log::info!(group:% = group.name(), term:% = terms.of_primary; "the group has a primary");
-        warm_members_at(group, terms.of_primary);
+/// Has the pools of members with a new term make connections ready.
+///
+/// Each is bound to a term that its own member has reported, never to one learnt from
+/// others: the member may still follow, or be, a former primary.
+fn prepare_pools(group: &Group, known: &MemberTerms, changed: &MemberTerms) {
+    for (name, term) in changed {
+        if known.get(name) == Some(term) {
+            continue;
+        }
+        log::info!(group:% = group.name(), member:% = name, term:% = term; "member reports a term");
+        if let Some(pool) = group.pool(name) {
+            let term = *term;
+            tokio::spawn(async move { pool.prepare_for(term).await });
+        }
     }
 }
 
-/// Opens connections to the members that have reported `term`. A connection must never
-/// be bound to a term that its member does not know: that member may still follow, or
-/// be, a former primary.
-fn warm_members_at(group: &Arc<Group>, term: Term) {
-    let members = group.watch_state().borrow().members_at(term);
-    for pool in members.iter().filter_map(|name| group.pool(name)) {
-        tokio::spawn(async move { pool.warm(term).await });
+/// Closes idle connections that have expired, and those of earlier terms. The latter
+/// run nothing any more, so that closing them can wait for members to catch up.
+fn tidy_pools(group: &Group, last_change: Instant) {
+    let highest = group.watch_state().borrow().highest_term();
+    for pool in group.pools() {
+        pool.close_expired();
+        if last_change.elapsed() > REBIND_TIME {
+            pool.close_before(highest);
+        }
     }
 }
 
--- a/crates/daemon/src/app/home/unit.rs
+++ b/crates/daemon/src/app/home/unit.rs
@@ -19,6 +19,8 @@
 
 /// Told to a back end that asks for copy data.
 const COPY_REFUSAL: &str = "COPY FROM STDIN is not supported through the proxy";
+/// A parameter that changes with the member's role and not by what a session does.
+const PARAMETER_IN_HOT_STANDBY: &str = "in_hot_standby";
 /// Field of an error response: the severity, never translated.
 const FIELD_SEVERITY: u8 = b'V';
 /// Field of an error response: the SQLSTATE.
@@ -218,7 +220,9 @@
                 end.transaction = Some(transaction_state(ready.status));
                 end.skipping = false;
             }
-            PgWireBackendMessage::ParameterStatus(_) => self.connection.has_session_state = true,
+            PgWireBackendMessage::ParameterStatus(status) => {
+                self.connection.has_session_state |= status.name != PARAMETER_IN_HOT_STANDBY;
+            }
             PgWireBackendMessage::CopyInResponse(_) => return self.refuse_copy(plan).await,
             PgWireBackendMessage::CopyBothResponse(_) => {
                 return Err(UnitFailureCause::BackEndLost(
