--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,7 +2,10 @@
 
 pub mod checker;
 pub mod cli;
+
+pub mod demonstration;
 pub mod experiment;
+pub mod fleet;
 pub mod history;
 pub mod launch;
 pub mod load;
