Keep a killed member's address for its restart

A restart at once after the kill failed with "Address already in use" (the new test failed so), and another socket could have taken the port meanwhile. Now the restart waits for the listener to close, and a socket that does not listen keeps the address.

--- a/crates/standin/src/group/handle.rs
+++ b/crates/standin/src/group/handle.rs
@@ -4,13 +4,12 @@
 use super::cluster::{Cluster, Election};
 use super::election;
 use super::error::GroupError;
-use super::listener;
-use super::log::position_text;
-use super::member::{Condition, Member, Tunables, lock};
+use super::listener::Life;
+use super::member::{Condition, Member, lock};
 use super::replication;
+use super::report::{MemberReport, report};
 use super::settings::{Delays, GroupSettings, Limits, MemberSettings, ReplicationLag};
 use super::state::Role;
-use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -21,39 +20,11 @@
 /// The term of the first primary.
 const FIRST_TERM: u32 = 1;
 
-/// What a member reports of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct MemberReport {
-    /// Its name.
-    pub name: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// The role it believes to have.
-    pub role: Role,
-    /// The highest term it has voted for or learnt.
-    pub term: u32,
-    /// The end of its log, as PostgreSQL prints positions.
-    pub received: String,
-    /// The position up to which its database is.
-    pub replayed: String,
-    /// The connections open now.
-    pub open_connections: usize,
-    /// The statements executed so far.
-    pub executed_statements: u64,
-    /// The write transactions it has committed as a primary.
-    pub committed_writes: u64,
-    /// What is done to it.
-    pub condition: Condition,
-    /// Its lag, delays and limits.
-    pub tunables: Tunables,
-}
-
 struct Group {
     cluster: Arc<Cluster>,
     authentication: Arc<Authentication>,
-    /// Stops a member's listener and connections, by the member's name.
-    lives: Mutex<HashMap<String, CancellationToken>>,
+    /// The present or last life of each member, by the member's name.
+    lives: Mutex<HashMap<String, Life>>,
     tasks: TaskTracker,
     leaving: CancellationToken,
 }
@@ -129,12 +100,16 @@
 
 impl GroupHandle {
     fn serve(&self, member: &Arc<Member>, listener: TcpListener) {
-        let life = self.group.leaving.child_token();
-        lock(&self.group.lives).insert(member.name.clone(), life.clone());
-        let authentication = self.group.authentication.clone();
-        let tasks = self.group.tasks.clone();
-        let serving = listener::serve(listener, member.clone(), authentication, life, tasks);
-        self.group.tasks.spawn(serving);
+        let group = &self.group;
+        let authentication = group.authentication.clone();
+        let life = Life::start(
+            listener,
+            member.clone(),
+            authentication,
+            &group.leaving,
+            &group.tasks,
+        );
+        lock(&group.lives).insert(member.name.clone(), life);
     }
 
     /// Starts the tasks by which a member takes part in the group.
@@ -226,8 +201,8 @@
     /// Closes a member's listener and connections. It loses nothing.
     pub fn kill(&self, name: &str) -> Result<(), GroupError> {
         self.set_condition(name, |condition| condition.running = false)?;
-        if let Some(life) = lock(&self.group.lives).remove(name) {
-            life.cancel();
+        if let Some(life) = lock(&self.group.lives).get(name) {
+            life.end();
         }
         Ok(())
     }
@@ -238,7 +213,9 @@
         if member.condition().running {
             return Err(GroupError::NotPossible("the member runs"));
         }
-        let listener = bind(member.address).await?;
+        let life = lock(&self.group.lives).remove(name);
+        let life = life.ok_or(GroupError::NotPossible("the member is being restarted"))?;
+        let listener = life.listen_again(member.address).await?;
         {
             let _coordination = self.group.cluster.coordinate();
             election::stop_leading(member);
@@ -292,22 +269,3 @@
         self.group.tasks.wait().await;
     }
 }
-
-fn report(member: &Member) -> MemberReport {
-    let condition = member.condition();
-    let tunables = member.tunables();
-    let state = member.state();
-    MemberReport {
-        name: member.name.clone(),
-        address: member.address,
-        role: state.role,
-        term: state.term,
-        received: position_text(state.log.end()),
-        replayed: position_text(state.replayed_position()),
-        open_connections: member.open_connections(),
-        executed_statements: member.executed_statements(),
-        committed_writes: state.committed_writes,
-        condition,
-        tunables,
-    }
-}
--- a/crates/standin/src/group/mod.rs
+++ b/crates/standin/src/group/mod.rs
@@ -36,6 +36,7 @@
 mod member;
 mod query;
 mod replication;
+mod report;
 mod session;
 mod settings;
 mod sql;
@@ -47,8 +48,9 @@
 
 pub use cluster::Election;
 pub use error::GroupError;
-pub use handle::{GroupHandle, MemberReport, start};
+pub use handle::{GroupHandle, start};
 pub use member::{Condition, Tunables};
+pub use report::MemberReport;
 pub use settings::{
     Delays, ElectionSettings, GroupSettings, Limits, MemberSettings, ReplicationLag,
 };
--- a/crates/standin/src/group/steering.rs
+++ b/crates/standin/src/group/steering.rs
@@ -8,7 +8,8 @@
 
 use super::cluster::Election;
 use super::error::GroupError;
-use super::handle::{GroupHandle, MemberReport};
+use super::handle::GroupHandle;
+use super::report::MemberReport;
 use super::settings::{Delays, Limits, ReplicationLag};
 use axum::extract::{Path, State};
 use axum::http::StatusCode;
--- a/crates/standin/tests/group_replication.rs
+++ b/crates/standin/tests/group_replication.rs
@@ -205,6 +205,18 @@
     assert_eq!(group.elections().len(), 0);
 }
 
+#[tokio::test]
+async fn a_member_can_be_restarted_at_once_where_it_was() {
+    let group = group_with_table().await;
+    let address = group.address("two").expect("exists");
+    for _ in 0..20 {
+        group.kill("two").expect("exists");
+        group.restart("two").await.expect("restarts");
+        connect(&group, "two").await;
+    }
+    assert_eq!(group.address("two").expect("exists"), address);
+}
+
 #[tokio::test]
 async fn a_vote_shows_in_the_probe_before_the_winner_accepts_writes() {
     let election = ElectionSettings {
