Put variables back to what the client connected with

RESET and DISCARD ALL forgot the application name of the startup message, and SET LOCAL outside of a transaction stayed: the new test failed on both.

--- a/crates/standin/src/group/connection.rs
+++ b/crates/standin/src/group/connection.rs
@@ -91,7 +91,7 @@
         let mut session = self.session().await;
         session.admission = Some(admission);
         if let Some(name) = startup.parameters.get(METADATA_APPLICATION_NAME) {
-            session.set_variable(METADATA_APPLICATION_NAME, name);
+            session.set_default(METADATA_APPLICATION_NAME, name);
         }
         drop(session);
         let cost = Duration::from_micros(self.member.tunables().delays.connection_us);
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -69,10 +69,9 @@
         self.backend = backend;
     }
 
-    /// Sets a variable from the startup message.
-    pub(crate) fn set_variable(&mut self, name: &str, value: &str) {
-        self.variables
-            .set(name.to_ascii_lowercase(), Some(value.to_owned()), false);
+    /// Sets a variable's default from the startup message.
+    pub(crate) fn set_default(&mut self, name: &str, value: &str) {
+        self.variables.set_default(name, value);
     }
 
     /// Analyses the text of a prepared statement; none if it is empty.
@@ -242,6 +241,8 @@
             }
             Action::Commit => self.end(true),
             Action::Rollback => self.end(false),
+            // Without a transaction, SET LOCAL has no effect.
+            Action::Set { local: true, .. } if self.open.is_none() => Ok(Answer::Tag("SET")),
             Action::Set {
                 variable,
                 value,
--- a/crates/standin/src/group/variables.rs
+++ b/crates/standin/src/group/variables.rs
@@ -20,6 +20,8 @@
 /// The variables that one connection has set.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Variables {
+    /// Given by the client at its start, as the session's defaults.
+    startup: HashMap<String, String>,
     session: HashMap<String, String>,
     /// Set with `SET LOCAL`, to the end of the transaction.
     local: HashMap<String, String>,
@@ -28,6 +30,11 @@
 }
 
 impl Variables {
+    /// Sets the session's default of `name`.
+    pub(crate) fn set_default(&mut self, name: &str, value: &str) {
+        self.startup.insert(name.to_owned(), value.to_owned());
+    }
+
     /// Sets `name`, or puts it back to its default.
     pub(crate) fn set(&mut self, name: String, value: Option<String>, local: bool) {
         let values = if local {
@@ -43,9 +50,9 @@
 
     /// The value of `name`.
     pub(crate) fn get(&self, name: &str) -> Result<String, SqlError> {
-        let set = self.local.get(name).or_else(|| self.session.get(name));
+        let maps = [&self.local, &self.session, &self.startup];
         let default = || DEFAULTS.iter().find(|(known, _)| *known == name);
-        if let Some(value) = set {
+        if let Some(value) = maps.iter().find_map(|map| map.get(name)) {
             return Ok(value.clone());
         }
         let (_, value) = default().ok_or_else(|| {
--- a/crates/standin/tests/group_protocol.rs
+++ b/crates/standin/tests/group_protocol.rs
@@ -258,6 +258,41 @@
     assert_eq!(sql_state(&client, "SHOW app.caller").await, "42704");
 }
 
+#[tokio::test]
+async fn variables_go_back_to_what_the_client_connected_with() {
+    let group = default_group().await;
+    let mut config = config(&group, "one");
+    let connected = config.application_name("till").connect(NoTls).await;
+    let (client, connection) = connected.expect("the member accepts the client");
+    tokio::spawn(connection);
+    let show = "SHOW application_name";
+    client
+        .batch_execute("SET LOCAL application_name TO other")
+        .await
+        .expect("does nothing");
+    assert_eq!(value(&client, show).await.as_deref(), Some("till"));
+    client
+        .batch_execute("SET application_name TO other")
+        .await
+        .expect("sets");
+    assert_eq!(value(&client, show).await.as_deref(), Some("other"));
+    client
+        .batch_execute("RESET application_name")
+        .await
+        .expect("resets");
+    assert_eq!(value(&client, show).await.as_deref(), Some("till"));
+    client
+        .batch_execute("SET application_name TO other; DISCARD ALL")
+        .await
+        .expect_err("in a block");
+    client
+        .batch_execute("SET application_name TO other")
+        .await
+        .expect("sets");
+    client.batch_execute("DISCARD ALL").await.expect("discards");
+    assert_eq!(value(&client, show).await.as_deref(), Some("till"));
+}
+
 #[tokio::test]
 async fn returning_and_conflicts_work_as_in_postgresql() {
     let (_group, client) = client_with_table().await;
