--- a/crates/bench/tests/support/mod.rs
+++ b/crates/bench/tests/support/mod.rs
@@ -7,7 +7,9 @@
 use stilequay_bench::experiment::faults::Mutant;
 use stilequay_bench::experiment::final_states::{self, ReplacedRows};
 use stilequay_bench::experiment::mixed_load;
-use stilequay_bench::history::{History, ItemId, Row, RowValue, WriteId, WriteOutcome};
+use stilequay_bench::history::{
+    History, ItemId, Row, RowValue, SessionHistory, WriteId, WriteOutcome,
+};
 use stilequay_bench::launch::{Deployment, Topology, resources};
 use stilequay_bench::load::connection::Connection;
 use stilequay_bench::load::run::describe;
@@ -108,9 +110,14 @@
 /// Runs a load to its end and judges it.
 pub async fn run_and_check(topology: &Topology, settings: &LoadSettings) -> Report {
     let result = run(settings, CancellationToken::new()).await;
+    judge(topology, result.sessions).await
+}
+
+/// Judges what sessions were told by what the groups hold.
+pub async fn judge(topology: &Topology, sessions: Vec<SessionHistory>) -> Report {
     let groups = final_states::collect(topology, ReplacedRows::new()).await;
     let history = History {
-        sessions: result.sessions,
+        sessions,
         groups: groups.expect("the final states"),
     };
     check(&history, mixed_load::promise(topology))
