--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -135,6 +135,10 @@
         "stilequay_front_retries_total",
         "Times that a request was sent to another home.",
     ),
+    counter(
+        "stilequay_home_units_total",
+        "Units that this home has run, by access and the member's role.",
+    ),
     histogram(
         "stilequay_home_confirmation_seconds",
         "Time from a commit's answer to its confirmation by a majority.",
