Pass over homes that failed lately

A home that had been killed stayed first in the order of homes until the view of the fleet followed. Every write tried it first, each of these retries took a token of the retry budget, and once that was used up all writes failed as NotRun although two homes were alive. Seen with three daemons and pgbench: a run of writes after a kill was aborted by 57P03, with 343 retries.

A home that could not be reached or is stopping is now tried after the others for a second (setting), a retry of what never reached a home takes no budget, and opening an exchange has a limit of its own, so that a frozen home does not use up the time of a request. A silent home counts as unreachable.

--- a/crates/daemon/src/app/front/attempt.rs
+++ b/crates/daemon/src/app/front/attempt.rs
@@ -154,7 +154,7 @@
 
 fn silent() -> Interruption {
     failed(
-        FailureKind::DeadlineExceeded,
+        FailureKind::HomeUnreachable,
         "the home did not answer in time",
     )
 }
--- a/crates/daemon/src/app/front/dispatch.rs
+++ b/crates/daemon/src/app/front/dispatch.rs
@@ -110,6 +110,7 @@
         );
         loop {
             let homes = self.shared.homes.homes(&self.group, &request.access);
+            let homes = self.shared.health.order(homes);
             let mut last = RequestFailure::not_run(
                 FailureKind::HomeUnreachable,
                 "no home of the database is known",
@@ -118,6 +119,7 @@
                 let mut relay = request.relay();
                 match self.attempt(&home, &request, &mut relay, &retries).await {
                     Ok((done, exchange)) => {
+                        self.shared.health.record_success(&home);
                         let completed = Completed {
                             done,
                             relay,
@@ -127,6 +129,7 @@
                     }
                     Err(Interruption::CallerGone(error)) => return Err(error.into()),
                     Err(Interruption::Failed(failure)) => {
+                        self.shared.health.record_failure(&home, &failure);
                         if !retries.may_retry(&failure, relay.has_written()) {
                             return self.fail(request, relay, failure).await;
                         }
@@ -180,11 +183,12 @@
             service: self.service.clone(),
             session: self.session.name().cloned(),
         };
-        let opening = timeout(time_left, self.shared.connector.open(home, open));
+        let limit = time_left.min(self.shared.settings.open_timeout());
+        let opening = timeout(limit, self.shared.connector.open(home, open));
         tokio::select! {
             opened = opening => opened.unwrap_or_else(|_| Err(RequestFailure::not_run(
-                FailureKind::DeadlineExceeded,
-                "no home could be reached in time",
+                FailureKind::HomeUnreachable,
+                "the home could not be reached in time",
             ))),
             () = self.cancel.requested() => Err(cancelled()),
         }
--- a/crates/daemon/src/app/front/mod.rs
+++ b/crates/daemon/src/app/front/mod.rs
@@ -10,6 +10,7 @@
 mod cancel;
 mod connection;
 mod dispatch;
+mod health;
 mod limits;
 mod relay;
 mod reply;
@@ -32,6 +33,7 @@
 use crate::ports::exchange::HomeConnector;
 use crate::ports::homes::HomeSelector;
 use cancel::CancelRegistry;
+use health::HomeHealth;
 use limits::ConnectionLimits;
 use std::sync::Arc;
 use std::time::Duration;
@@ -68,6 +70,7 @@
     cancels: Arc<CancelRegistry>,
     classifier: Arc<ClassificationCache>,
     retry_budget: Arc<RetryBudget>,
+    health: HomeHealth,
     /// Cancelled when a planned stop begins.
     leaving: CancellationToken,
     /// Cancelled when a planned stop can't wait any longer.
@@ -85,6 +88,7 @@
             cancels: Arc::default(),
             classifier: Arc::new(ClassificationCache::new(settings.classification_cache)),
             retry_budget: Arc::new(RetryBudget::new(settings.retry_budget())),
+            health: HomeHealth::new(settings.home_avoidance()),
             settings,
             leaving,
             cut: CancellationToken::new(),
--- a/crates/daemon/src/app/front/retry.rs
+++ b/crates/daemon/src/app/front/retry.rs
@@ -76,7 +76,14 @@
             | FailureKind::Cancelled => false,
         };
         let possible = self.attempts_left > 0 && !self.time_left().is_zero();
-        harmless && useful && !has_answer && possible && self.budget.try_retry()
+        harmless && useful && !has_answer && possible && self.has_budget(failure)
+    }
+
+    /// A home that could not be reached had no load from the attempt.
+    fn has_budget(&self, failure: &RequestFailure) -> bool {
+        let is_free =
+            failure.verdict == Verdict::NotRun && failure.kind == FailureKind::HomeUnreachable;
+        is_free || self.budget.try_retry()
     }
 
     /// Begins another round over the homes: how long to wait before, or `None` when
--- a/crates/daemon/src/app/front/settings.rs
+++ b/crates/daemon/src/app/front/settings.rs
@@ -29,6 +29,10 @@
     pub retry_percent: u32,
     /// Retries of all callers together beyond that share, in a burst.
     pub retry_burst: u32,
+    /// Time to begin with a home before the next one is tried, milliseconds.
+    pub open_timeout_millis: u64,
+    /// Time for which a home that failed is tried after the others, milliseconds.
+    pub home_avoidance_millis: u64,
     /// Time without any message from a home, beyond the time of the request, after
     /// which the home counts as lost, milliseconds.
     pub home_grace_millis: u64,
@@ -57,6 +61,8 @@
             retry_pause_millis: 20,
             retry_percent: 20,
             retry_burst: 200,
+            open_timeout_millis: 1_000,
+            home_avoidance_millis: 1_000,
             home_grace_millis: 2_000,
             write_stall_millis: 60_000,
             idle_in_transaction_millis: 60_000,
@@ -119,6 +125,18 @@
             ("retry_pause_millis", self.retry_pause_millis, 1, 60_000),
             ("retry_percent", u64::from(self.retry_percent), 0, 100),
             ("retry_burst", u64::from(self.retry_burst), 1, 1_000_000),
+            (
+                "open_timeout_millis",
+                self.open_timeout_millis,
+                1,
+                day_millis,
+            ),
+            (
+                "home_avoidance_millis",
+                self.home_avoidance_millis,
+                0,
+                day_millis,
+            ),
             ("home_grace_millis", self.home_grace_millis, 1, day_millis),
             ("write_stall_millis", self.write_stall_millis, 1, day_millis),
             (
@@ -177,6 +195,14 @@
         }
     }
 
+    pub(super) fn open_timeout(&self) -> Duration {
+        Duration::from_millis(self.open_timeout_millis)
+    }
+
+    pub(super) fn home_avoidance(&self) -> Duration {
+        Duration::from_millis(self.home_avoidance_millis)
+    }
+
     pub(super) fn home_grace(&self) -> Duration {
         Duration::from_millis(self.home_grace_millis)
     }
--- a/crates/daemon/tests/front/faults.rs
+++ b/crates/daemon/tests/front/faults.rs
@@ -1,6 +1,6 @@
 //! Faults of homes, by moment, and what the caller is told.
 
-use super::home::Fault;
+use super::home::{Fault, Record};
 use super::proxy::{PATIENCE, Setup, detail, sqlstate};
 use rstest::rstest;
 use stilequay_daemon::app::front::FrontSettings;
@@ -272,6 +272,46 @@
     assert_eq!(proxy.homes.record().runs.len(), 3);
 }
 
+#[tokio::test]
+async fn a_home_that_stays_down_is_passed_over_and_uses_up_no_budget() {
+    let settings = FrontSettings {
+        retry_percent: 0,
+        retry_burst: 1,
+        home_avoidance_millis: 24 * 60 * 60 * 1_000,
+        ..FrontSettings::default()
+    };
+    let proxy = Setup::with_settings(settings).start().await;
+    proxy.homes.take_down(Some("home-1"));
+    let client = proxy.connect().await;
+    for _ in 0..50 {
+        client.batch_execute(WRITE).await.unwrap();
+    }
+    let record = proxy.homes.record();
+    assert_eq!(record.runs.len(), 50);
+    assert_eq!(asked(&record, "home-1"), 1);
+}
+
+#[tokio::test]
+async fn a_home_that_is_up_again_is_asked_again() {
+    let settings = FrontSettings {
+        home_avoidance_millis: 1,
+        ..FrontSettings::default()
+    };
+    let proxy = Setup::with_settings(settings).start().await;
+    proxy.homes.take_down(Some("home-1"));
+    let client = proxy.connect().await;
+    client.batch_execute(WRITE).await.unwrap();
+    proxy.homes.take_down(None);
+    while asked(&proxy.homes.record(), "home-1") < 2 {
+        client.batch_execute(WRITE).await.unwrap();
+    }
+}
+
+fn asked(record: &Record, home: &str) -> usize {
+    let opens = record.opens.iter();
+    opens.filter(|(asked, _)| asked.as_str() == home).count()
+}
+
 #[tokio::test]
 async fn a_caller_that_leaves_takes_its_exchange_along() {
     let proxy = Setup::with_faults([Fault::Silent]).start().await;
--- a/crates/daemon/tests/front/home.rs
+++ b/crates/daemon/tests/front/home.rs
@@ -15,7 +15,7 @@
     Access, FrontMessage, HomeMessage, OpenExchange, RunUnit, ServedBy, TransactionState, UnitDone,
 };
 use stilequay_daemon::domain::names::{GroupName, RequestId};
-use stilequay_daemon::domain::verdict::RequestFailure;
+use stilequay_daemon::domain::verdict::{FailureKind, RequestFailure};
 use stilequay_daemon::ports::exchange::{ExchangeLost, HomeConnector, HomeExchange};
 use stilequay_daemon::ports::homes::HomeSelector;
 use tokio::sync::watch;
@@ -68,6 +68,8 @@
 pub struct Homes {
     /// One entry for each unit run, or for an exchange that is refused.
     faults: Mutex<VecDeque<Option<Fault>>>,
+    /// A home that no exchange can be opened with.
+    down: Mutex<Option<NodeId>>,
     record: watch::Sender<Record>,
     permission: watch::Sender<bool>,
 }
@@ -76,6 +78,7 @@
     pub fn new(faults: impl IntoIterator<Item = Option<Fault>>) -> Arc<Self> {
         Arc::new(Self {
             faults: Mutex::new(faults.into_iter().collect()),
+            down: Mutex::default(),
             record: watch::Sender::default(),
             permission: watch::Sender::default(),
         })
@@ -94,6 +97,11 @@
         record.expect("the homes are not asked").unwrap().clone()
     }
 
+    /// Takes a home down, or all up again.
+    pub fn take_down(&self, home: Option<&str>) {
+        *self.down.lock().unwrap() = home.map(NodeId::from);
+    }
+
     /// Lets [`Fault::UntilReleased`] go on.
     pub fn permit(&self) {
         self.permission.send_replace(true);
@@ -133,6 +141,10 @@
         open: OpenExchange,
     ) -> Result<Box<dyn HomeExchange>, RequestFailure> {
         self.0.note(|it| it.opens.push((home.clone(), open)));
+        if self.0.down.lock().unwrap().as_ref() == Some(home) {
+            let text = "the home is down";
+            return Err(RequestFailure::not_run(FailureKind::HomeUnreachable, text));
+        }
         if let Some(failure) = self.0.next_open_failure() {
             return Err(failure);
         }
