Let a leaving home go in spite of idle exchanges, and pass over saturated replicas

An exchange without a transaction no longer keeps a leaving home; one with a transaction still does. Reads prefer a member with a connection to spare, and go on to another when one is overloaded. A front that takes in nothing can't hold a unit's admission for ever.

--- a/crates/daemon/src/app/home/acquire.rs
+++ b/crates/daemon/src/app/home/acquire.rs
@@ -30,7 +30,13 @@
             Ok(connection) => return Ok((connection, choice)),
             Err(failure) => failure,
         };
-        if failure.kind != FailureKind::BackEndUnreachable || Instant::now() >= router.deadline {
+        let has_time = Instant::now() < router.deadline;
+        let other_may_serve = match failure.kind {
+            FailureKind::BackEndUnreachable => true,
+            FailureKind::Overloaded => access != Access::Write,
+            _ => false,
+        };
+        if !(has_time && other_may_serve) {
             return Err(failure);
         }
         router.group.hint();
--- a/crates/daemon/src/app/home/exchange.rs
+++ b/crates/daemon/src/app/home/exchange.rs
@@ -22,15 +22,7 @@
     leaving: CancellationToken,
 ) {
     loop {
-        let left = async {
-            leaving.cancelled().await;
-            sleep(LEAVING_LINGER).await;
-        };
-        let message = tokio::select! {
-            biased;
-            message = link.receive() => message,
-            () = left => return,
-        };
+        let message = receive_unless_left(&mut link, &leaving).await;
         let outcome = match message {
             Ok(FrontMessage::Open(open)) => serve_exchange(home, &mut link, open, &leaving).await,
             Ok(FrontMessage::Release | FrontMessage::Cancel { .. }) => Ok(()),
@@ -43,6 +35,22 @@
     }
 }
 
+/// The next message of a front for which the home holds nothing.
+async fn receive_unless_left(
+    link: &mut impl FrontLink,
+    leaving: &CancellationToken,
+) -> Result<FrontMessage, LinkClosed> {
+    let left = async {
+        leaving.cancelled().await;
+        sleep(LEAVING_LINGER).await;
+    };
+    tokio::select! {
+        biased;
+        message = link.receive() => message,
+        () = left => Err(LinkClosed),
+    }
+}
+
 async fn refuse_without_exchange(
     link: &mut impl FrontLink,
     unit: &RunUnit,
@@ -72,7 +80,11 @@
     let began = begin(home, &open, leaving);
     let mut held: Option<HeldConnection> = None;
     loop {
-        let unit = match link.receive().await {
+        let message = match held {
+            Some(_) => link.receive().await,
+            None => receive_unless_left(link, leaving).await,
+        };
+        let unit = match message {
             Ok(FrontMessage::Run(unit)) => unit,
             Ok(FrontMessage::Cancel { .. }) => continue,
             Ok(FrontMessage::Release) => {
--- a/crates/daemon/src/app/home/pool.rs
+++ b/crates/daemon/src/app/home/pool.rs
@@ -31,6 +31,7 @@
     settings: Arc<HomeSettings>,
     /// One slot for each connection in use, shared fairly between services.
     slots: Limiter<ServiceName>,
+    capacity: usize,
     idle: Mutex<Vec<IdleConnection>>,
     returned: Notify,
     /// Connections that are being bound to a new term, which is sooner done than
@@ -51,6 +52,7 @@
         Self {
             target,
             slots: Limiter::new(limiter_settings(&settings, capacity)),
+            capacity,
             settings,
             idle: Mutex::new(Vec::new()),
             returned: Notify::new(),
@@ -68,6 +70,11 @@
         self.slots.load().in_use
     }
 
+    /// Whether a further unit would have to wait.
+    pub fn is_saturated(&self) -> bool {
+        self.in_use() >= self.capacity
+    }
+
     /// A connection bound to `term`: an idle one, or a new one.
     ///
     /// Waits until `deadline` while all connections are in use or the server
--- a/crates/daemon/src/app/home/routing.rs
+++ b/crates/daemon/src/app/home/routing.rs
@@ -267,10 +267,13 @@
         })
     }
 
-    /// Members in the home's zone first, then those with fewer connections in use.
-    fn cost(&self, name: &MemberName, member: &MemberState) -> (bool, usize) {
-        let in_use = self.group.pool(name).map_or(0, |pool| pool.in_use());
-        (member.zone != *self.own_zone, in_use)
+    /// Members with a connection to spare first, then those in the home's zone, then
+    /// those with fewer connections in use.
+    fn cost(&self, name: &MemberName, member: &MemberState) -> (bool, bool, usize) {
+        let pool = self.group.pool(name);
+        let in_use = pool.as_ref().map_or(0, |pool| pool.in_use());
+        let is_saturated = pool.is_some_and(|pool| pool.is_saturated());
+        (is_saturated, member.zone != *self.own_zone, in_use)
     }
 
     async fn wait_for_state<T>(&self, choose: impl FnMut(&GroupState) -> Option<T>) -> Option<T> {
--- a/crates/daemon/src/app/home/runner.rs
+++ b/crates/daemon/src/app/home/runner.rs
@@ -16,12 +16,16 @@
 use bytes::BytesMut;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 use stilequay_coordination::position::Floor;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// Size of the chunks in which a held-back answer is sent.
 const HELD_BACK_CHUNK_BYTES: usize = 32 << 10;
 
+/// How long after a unit's deadline a front may still take in a confirmed answer.
+const SLOW_FRONT_TIME: Duration = Duration::from_secs(10);
+
 /// A connection that an exchange keeps between units.
 pub struct HeldConnection {
     /// The connection.
@@ -225,13 +229,15 @@
     }
 
     async fn send_rest(&mut self, rest: &mut BytesMut) -> Result<(), LinkClosed> {
+        let until = self.deadline + SLOW_FRONT_TIME;
         while !rest.is_empty() {
             let length = rest.len().min(HELD_BACK_CHUNK_BYTES);
             let chunk = HomeMessage::Chunk {
                 request: self.unit.request,
                 payload: rest.split_to(length).to_vec(),
             };
-            self.link.send(chunk).await?;
+            let sent = timeout_at(until, self.link.send(chunk)).await;
+            sent.unwrap_or(Err(LinkClosed))?;
         }
         Ok(())
     }
--- a/crates/daemon/tests/home_exchange.rs
+++ b/crates/daemon/tests/home_exchange.rs
@@ -2,7 +2,7 @@
 
 mod home_support;
 
-use home_support::{Harness, Path, Setup, insert, read, unit, write};
+use home_support::{Harness, PATIENCE, Path, Setup, insert, read, unit, write};
 use rstest::rstest;
 use std::time::Duration;
 use stilequay_coordination::position::Term;
@@ -165,6 +165,36 @@
     assert!(exchange.run(write("COMMIT")).await.done().floor.is_some());
 }
 
+/// A front that keeps an exchange open without a transaction does not keep the home.
+#[tokio::test]
+async fn a_leaving_home_does_not_wait_for_idle_exchanges() {
+    let harness = Harness::start().await;
+    let mut exchange = harness.open().await;
+    exchange.run(insert("first")).await.done();
+    harness.leaving.cancel();
+    let closed = tokio::time::timeout(PATIENCE, exchange.0.receive()).await;
+    assert!(closed.expect("the home closes it").is_err());
+}
+
+/// Reads go past the nearest replica while all connections to it are in use.
+#[tokio::test]
+async fn a_saturated_replica_is_passed_over() {
+    let mut setup = Setup::default();
+    // Three connections are kept free for the probes of the homes.
+    setup.spec.connections_per_member = 4;
+    let harness = Harness::start_with(setup).await;
+    let mut busy = harness.open().await;
+    let sql = "SELECT 'late' WHERE pg_sleep(1) IS NOT NULL";
+    busy.send(read(sql, Freshness::Barrier)).await;
+    loop {
+        let answer = harness.run(read("SELECT 1", Freshness::Barrier)).await;
+        if answer.done().served_by.member != "two".into() {
+            break;
+        }
+    }
+    assert_eq!(busy.answer().await.first_column(), ["late"]);
+}
+
 /// The home prefers the replica in its own zone until that replica leaves.
 #[tokio::test]
 async fn a_member_that_leaves_gets_no_new_work() {
--- a/crates/daemon/tests/home_support/mod.rs
+++ b/crates/daemon/tests/home_support/mod.rs
@@ -98,6 +98,8 @@
     pub group: GroupHandle,
     /// The configuration in force at the home.
     pub configuration: watch::Sender<Option<Arc<Configuration>>>,
+    /// Where the home accepts exchanges.
+    pub address: String,
     /// Cancelled to have the home leave.
     pub leaving: CancellationToken,
     connector: ExchangeConnector,
@@ -132,6 +134,7 @@
             connector: ExchangeConnector::new(own.into(), fleet.subscribe(), local),
             group,
             configuration,
+            address,
             leaving,
             home: HOME.into(),
             _fleet: fleet,
