--- a/crates/bench/src/experiment/data_path.rs
+++ b/crates/bench/src/experiment/data_path.rs
@@ -104,7 +104,11 @@
             costs.push(measurement.run().await?);
         }
     }
-    let memory = measure_memory(&topology.daemons[0], &access).await?;
+    let [idle, active, ..] = topology.daemons.as_slice() else {
+        let reason = "two daemons are needed to measure memory";
+        return Err(LaunchError::Settings(reason.to_owned()));
+    };
+    let memory = measure_memory(idle, active, &access).await?;
     Ok(DataPathFigures {
         daemons: topology.daemons.len(),
         idle_micros_per_second,
@@ -217,29 +221,34 @@
         .map_err(|error: tokio_postgres::Error| LaunchError::Database(describe(&error)))
 }
 
-async fn measure_memory(daemon: &Daemon, access: &Access) -> Result<Vec<MemoryPoint>, LaunchError> {
+/// Idle and active connections are measured at different daemons, since a process
+/// keeps some of the memory of connections that are gone.
+async fn measure_memory(
+    idle_daemon: &Daemon,
+    active_daemon: &Daemon,
+    access: &Access,
+) -> Result<Vec<MemoryPoint>, LaunchError> {
     let mut points = Vec::new();
     let mut idle = Vec::new();
     for connections in CONNECTION_STEPS {
         let missing = connections - idle.len();
-        idle.extend(open(daemon, access, missing).await?);
-        let idle_bytes = resident_bytes(daemon.process())?;
+        idle.extend(open(idle_daemon, access, missing).await?);
+        let idle_bytes = resident_bytes(idle_daemon.process())?;
         points.push(MemoryPoint {
             connections,
             idle_bytes,
             active_bytes: 0,
         });
     }
-    drop(idle);
     let mut active: Vec<Connection> = Vec::new();
     for point in &mut points {
         let missing = point.connections - active.len();
-        let mut added = open(daemon, access, missing).await?;
+        let mut added = open(active_daemon, access, missing).await?;
         for connection in &mut added {
             make_active(connection).await?;
         }
         active.extend(added);
-        point.active_bytes = resident_bytes(daemon.process())?;
+        point.active_bytes = resident_bytes(active_daemon.process())?;
     }
     Ok(points)
 }
