Take turns among the nodes that news of other zones is sent to

Three transmissions to representatives chosen at random could all go to one that was lost with the others. Now the transmissions go to each representative in turn and then to any node.

--- a/crates/coordination/src/membership/exchange.rs
+++ b/crates/coordination/src/membership/exchange.rs
@@ -38,10 +38,22 @@
     audience: Audience,
     zones: BTreeSet<ZoneName>,
     representatives: Vec<SocketAddr>,
+    contacts: usize,
     everybody: Vec<SocketAddr>,
 }
 
 impl Group {
+    /// The representatives in turn, then any node: news that is sent several times
+    /// arrives although representatives are lost and this is not known yet.
+    fn next_contact(&mut self) -> Option<SocketAddr> {
+        let turn = self.contacts % (self.representatives.len() + 1);
+        self.contacts += 1;
+        match self.representatives.get(turn) {
+            Some(address) => Some(*address),
+            None => self.any_node(),
+        }
+    }
+
     /// The address of one of the nodes.
     pub fn any_node(&self) -> Option<SocketAddr> {
         self.everybody.choose(&mut rand::rng()).copied()
@@ -73,10 +85,11 @@
             let latest = view.borrow_and_update().clone();
             duties = duties_of(&shared, &latest);
         }
-        for groups in [&duties.zones, &duties.regions] {
-            for (index, group) in groups.iter().enumerate() {
+        for groups in [&mut duties.zones, &mut duties.regions] {
+            let turn = round % groups.len().max(1);
+            for (index, group) in groups.iter_mut().enumerate() {
                 // One group in turn in any case, and all for which there is news.
-                if index == round % groups.len() || has_news(&shared, group) {
+                if index == turn || has_news(&shared, group) {
                     approach(&shared, group).await;
                 }
             }
@@ -85,12 +98,12 @@
     }
 }
 
-async fn approach(shared: &Shared, group: &Group) {
+async fn approach(shared: &Shared, group: &mut Group) {
     let silent = silent_for_long(shared, group);
     let target = if silent {
         group.any_node()
     } else {
-        group.representatives.choose(&mut rand::rng()).copied()
+        group.next_contact()
     };
     let Some(address) = target else {
         return;
@@ -184,6 +197,7 @@
     let address = |member: &&Member| member.record.control_address;
     Group {
         audience,
+        contacts: rand::random_range(0..=REPRESENTATIVES),
         zones: members
             .iter()
             .map(|member| member.record.zone.clone())
