--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Load, experiments and history checks.
 
+pub mod capacity;
 pub mod checker;
 pub mod cli;
 pub mod experiment;
