--- a/crates/daemon/src/app/home/pool.rs
+++ b/crates/daemon/src/app/home/pool.rs
@@ -20,7 +20,7 @@
 
 /// How soon a server that had no connection left is asked again.
 const REFUSED_RETRY: Duration = Duration::from_millis(30);
-/// When a caller should come back after the server had no connection left.
+/// When a caller should come back after the server gave no connection.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Idle time after which connections beyond this home's share are closed.
 const EXCESS_IDLE: Duration = Duration::from_millis(500);
@@ -157,6 +157,7 @@
     fn unreachable(&self, error: &BackEndError) -> RequestFailure {
         let message = format!("{} can't be connected to: {error}", self.target.member);
         RequestFailure::not_run(FailureKind::BackEndUnreachable, message)
+            .with_retry_after(REFUSED_RETRY_AFTER)
     }
 
     /// Makes connections ready for work in `term`, which the member has reported: idle
