--- a/crates/bench/src/capacity/tables.rs
+++ b/crates/bench/src/capacity/tables.rs
@@ -127,6 +127,10 @@
     value.map_or_else(|| "not measured".to_owned(), number)
 }
 
+fn or_dash(value: Option<f64>) -> String {
+    value.map_or_else(|| "-".to_owned(), number)
+}
+
 /// What was measured at each size.
 pub fn measured(figures: &Figures) -> String {
     let mut text = String::from(
@@ -294,12 +298,12 @@
                 "| {name} | {} | {} | {} | {} | {} | {} | {} | {} |",
                 run.result.daemons,
                 outage.lost,
-                or_not_measured(outage.half_detected),
-                or_not_measured(outage.all_detected),
-                or_not_measured(outage.in_force_again),
+                or_dash(outage.half_detected),
+                or_dash(outage.all_detected),
+                or_dash(outage.in_force_again),
                 outage.falsely_suspected,
                 outage.falsely_given_up,
-                or_not_measured(outage.healed),
+                or_dash(outage.healed),
             );
         }
     }
