--- a/crates/bench/src/launch/platform.rs
+++ b/crates/bench/src/launch/platform.rs
@@ -9,6 +9,7 @@
 use stilequay_daemon::ports::platform::Machine;
 use stilequay_standin::platform::faults::ServiceFaults;
 use stilequay_standin::platform::handle::ServiceName;
+use stilequay_standin::platform::steering::ServiceStatus;
 
 #[derive(Debug, Deserialize)]
 struct Ready {
@@ -52,7 +53,7 @@
 
     /// Replaces the list of machines.
     pub async fn set_machines(&self, machines: &[Machine]) -> Result<(), LaunchError> {
-        self.machines.put("/machines", &machines).await
+        self.machines.set("/machines", &machines).await
     }
 
     /// Replaces the faults of a service.
@@ -61,7 +62,15 @@
         service: ServiceName,
         faults: &ServiceFaults,
     ) -> Result<(), LaunchError> {
-        self.steering.put(&faults_path(service), faults).await
+        self.steering.set(&faults_path(service), faults).await
+    }
+
+    /// How many calls of a service have lost their answers.
+    pub async fn answers_lost(&self, service: ServiceName) -> Result<u64, LaunchError> {
+        let shown: Vec<ServiceStatus> = self.steering.get("/services").await?;
+        let status = shown.iter().filter(|status| status.service == service);
+        let counters = status.flat_map(|status| status.counters.values());
+        Ok(counters.map(|operation| operation.answers_lost).sum())
     }
 
     /// Ends all faults of all services.
--- a/crates/bench/src/launch/resources.rs
+++ b/crates/bench/src/launch/resources.rs
@@ -57,13 +57,13 @@
         max_connections: SERVICE_CONNECTIONS,
         max_in_flight: SERVICE_IN_FLIGHT,
     };
-    let policy = ResourceSpec::SessionPolicy(policy);
+    let policy = ResourceSpec::SessionPolicy(policy.into());
     let mut resources = vec![NamedResource::new(POLICY, policy)];
     for (name, spec) in groups {
-        let spec = ResourceSpec::DatabaseGroup(spec);
+        let spec = ResourceSpec::DatabaseGroup(spec.into());
         resources.push(NamedResource::new(name.as_str(), spec));
     }
-    let service = ResourceSpec::Service(service);
+    let service = ResourceSpec::Service(service.into());
     resources.push(NamedResource::new(SERVICE, service));
     resources
 }
@@ -92,25 +92,27 @@
     resources: &[NamedResource],
     daemons: usize,
 ) -> Result<(), LaunchError> {
+    let mut versions = Vec::new();
     for resource in resources {
-        operator.create(&resource.name, &resource.spec).await?;
+        versions.push(operator.create(&resource.name, &resource.spec).await?);
     }
-    for resource in resources {
-        in_force(operator, resource, daemons).await?;
+    for (resource, version) in resources.iter().zip(versions) {
+        in_force(operator, resource, version, daemons).await?;
     }
     Ok(())
 }
 
-/// Waits until a resource is in force on `daemons` daemons.
+/// Waits until `version` of a resource is in force on `daemons` daemons.
 pub async fn in_force(
     operator: &Operator,
     resource: &NamedResource,
+    version: u64,
     daemons: usize,
 ) -> Result<(), LaunchError> {
     let condition = format!("{} is in force on {daemons} daemons", resource.name);
     until(&condition, || async {
         let (name, spec) = (&resource.name, &resource.spec);
-        let in_force = operator.is_in_force(name, spec, daemons).await;
+        let in_force = operator.is_in_force(name, spec, version, daemons).await;
         in_force.then_some(())
     })
     .await
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -3,6 +3,8 @@
 pub mod capacity;
 pub mod checker;
 pub mod cli;
+
+pub mod demonstration;
 pub mod experiment;
 pub mod fleet;
 pub mod history;
--- a/crates/coordination/tests/floors.rs
+++ b/crates/coordination/tests/floors.rs
@@ -85,10 +85,13 @@
     home.begin(placement(1, "abc", ""));
     assert_eq!(home.readiness(), Readiness::Storing);
     assert_eq!(store(&mut home, 1, "s", 9), FloorReply::Stored);
+    assert_eq!(store(&mut home, 1, "late", 2), FloorReply::Stored);
     assert_eq!(load(&mut home, 1, "s"), NOT_READY);
     home.set_default_floor(Epoch(1), floor(5));
     assert_eq!(load(&mut home, 1, "s"), FloorReply::Floor(floor(9)));
     assert_eq!(load(&mut home, 1, "unknown"), FloorReply::Floor(floor(5)));
+    // An earlier life may have kept a higher floor of this session than the late one.
+    assert_eq!(load(&mut home, 1, "late"), FloorReply::Floor(floor(5)));
 }
 
 #[test]
@@ -174,6 +177,15 @@
     assert_eq!(load(&mut a, 2, "s"), FloorReply::Floor(floor(9)));
 }
 
+#[test]
+fn a_placement_published_again_as_sealed_needs_no_acknowledgements() {
+    let mut home = started("d");
+    home.begin(placement(3, "def", "abc"));
+    assert_eq!(home.readiness(), Readiness::Refusing);
+    home.begin(placement(3, "def", ""));
+    assert_eq!(home.readiness(), Readiness::Storing);
+}
+
 #[test]
 fn a_barrier_of_an_earlier_epoch_gives_no_default_floor() {
     let mut home = started("d");
--- a/crates/daemon/src/app/front/mod.rs
+++ b/crates/daemon/src/app/front/mod.rs
@@ -5,9 +5,12 @@
 
 mod attempt;
 mod authentication;
+mod builder;
 mod caller;
 mod cancel;
 mod connection;
+mod dispatch;
+mod health;
 mod limits;
 mod relay;
 mod reply;
@@ -30,9 +33,11 @@
 use crate::ports::exchange::HomeConnector;
 use crate::ports::homes::HomeSelector;
 use cancel::CancelRegistry;
+use health::HomeHealth;
 use limits::ConnectionLimits;
 use std::sync::Arc;
 use std::time::Duration;
+use stilequay_coordination::retry::RetryBudget;
 use tokio::net::TcpListener;
 use tokio::time::{sleep, timeout};
 use tokio_util::sync::CancellationToken;
@@ -64,6 +69,8 @@
     limits: ConnectionLimits,
     cancels: Arc<CancelRegistry>,
     classifier: Arc<ClassificationCache>,
+    retry_budget: Arc<RetryBudget>,
+    health: HomeHealth,
     /// Cancelled when a planned stop begins.
     leaving: CancellationToken,
     /// Cancelled when a planned stop can't wait any longer.
@@ -80,6 +87,8 @@
             limits: ConnectionLimits::new(settings.max_connections),
             cancels: Arc::default(),
             classifier: Arc::new(ClassificationCache::new(settings.classification_cache)),
+            retry_budget: Arc::new(RetryBudget::new(settings.retry_budget())),
+            health: HomeHealth::new(settings.home_avoidance()),
             settings,
             leaving,
             cut: CancellationToken::new(),
--- a/crates/daemon/src/app/home/exchange.rs
+++ b/crates/daemon/src/app/home/exchange.rs
@@ -22,15 +22,7 @@
     leaving: CancellationToken,
 ) {
     loop {
-        let left = async {
-            leaving.cancelled().await;
-            sleep(LEAVING_LINGER).await;
-        };
-        let message = tokio::select! {
-            biased;
-            message = link.receive() => message,
-            () = left => return,
-        };
+        let message = receive_unless_left(&mut link, &leaving).await;
         let outcome = match message {
             Ok(FrontMessage::Open(open)) => serve_exchange(home, &mut link, open, &leaving).await,
             Ok(FrontMessage::Release | FrontMessage::Cancel { .. }) => Ok(()),
@@ -43,6 +35,22 @@
     }
 }
 
+/// The next message of a front for which the home holds nothing.
+async fn receive_unless_left(
+    link: &mut impl FrontLink,
+    leaving: &CancellationToken,
+) -> Result<FrontMessage, LinkClosed> {
+    let left = async {
+        leaving.cancelled().await;
+        sleep(LEAVING_LINGER).await;
+    };
+    tokio::select! {
+        biased;
+        message = link.receive() => message,
+        () = left => Err(LinkClosed),
+    }
+}
+
 async fn refuse_without_exchange(
     link: &mut impl FrontLink,
     unit: &RunUnit,
@@ -72,14 +80,21 @@
     let began = begin(home, &open, leaving);
     let mut held: Option<HeldConnection> = None;
     loop {
-        let unit = match link.receive().await? {
-            FrontMessage::Run(unit) => unit,
-            FrontMessage::Cancel { .. } => continue,
-            FrontMessage::Release => {
-                release(home, held);
+        let message = match held {
+            Some(_) => link.receive().await,
+            None => receive_unless_left(link, leaving).await,
+        };
+        let unit = match message {
+            Ok(FrontMessage::Run(unit)) => unit,
+            Ok(FrontMessage::Cancel { .. }) => continue,
+            Ok(FrontMessage::Release) => {
+                end(home, held);
                 return Ok(());
             }
-            FrontMessage::Hello { .. } | FrontMessage::Open(_) => return Err(LinkClosed),
+            Ok(FrontMessage::Hello { .. } | FrontMessage::Open(_)) | Err(LinkClosed) => {
+                end(home, held);
+                return Err(LinkClosed);
+            }
         };
         let group = match &began {
             Ok(guard) => guard.group(),
@@ -106,9 +121,9 @@
     home.begin_exchange(&open.group)
 }
 
-/// Ends an exchange in good order. What is still held has a transaction or session
-/// state of the caller's, so it is closed and never shared.
-fn release(home: &HomeService, held: Option<HeldConnection>) {
+/// Ends an exchange, in good order or not. What is still held has a transaction or
+/// session state of the caller's, so it is closed and never shared.
+fn end(home: &HomeService, held: Option<HeldConnection>) {
     if let Some(held) = held
         && home.settings().mutants.return_dirty_connections
     {
--- a/crates/daemon/src/app/home/runner.rs
+++ b/crates/daemon/src/app/home/runner.rs
@@ -16,12 +16,16 @@
 use bytes::BytesMut;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 use stilequay_coordination::position::Floor;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 /// Size of the chunks in which a held-back answer is sent.
 const HELD_BACK_CHUNK_BYTES: usize = 32 << 10;
 
+/// How long after a unit's deadline a front may still take in a confirmed answer.
+const SLOW_FRONT_TIME: Duration = Duration::from_secs(10);
+
 /// A connection that an exchange keeps between units.
 pub struct HeldConnection {
     /// The connection.
@@ -94,12 +98,9 @@
 
     /// Runs the unit on the connection that the exchange holds, or on a shared one.
     pub async fn run(&mut self, held: Option<HeldConnection>) -> Outcome<FinishedUnit> {
-        let admission = self.home.admission().admit(self.service, self.deadline);
-        let admitted = unless_given_up(self.link, self.unit, admission).await;
-        let result = match (admitted, held) {
-            (Err(error), _) => Err(error),
-            (Ok(_admitted), Some(held)) => self.run_held(held).await,
-            (Ok(_admitted), None) => self.run_shared().await,
+        let result = match held {
+            Some(held) => self.run_held(held).await,
+            None => self.run_admitted().await,
         };
         match result {
             Ok(finished) => Ok(Ok(finished)),
@@ -112,6 +113,14 @@
         self.unit.access == Access::Write
     }
 
+    async fn run_admitted(&mut self) -> Result<FinishedUnit, RunError> {
+        let admission = self.home.admission().admit(self.service, self.deadline);
+        let _admitted = unless_given_up(self.link, self.unit, admission).await?;
+        self.run_shared().await
+    }
+
+    /// Runs the unit on the connection that the exchange holds. It needs no admission:
+    /// those who wait for admission may be waiting for this very connection.
     async fn run_held(&mut self, mut held: HeldConnection) -> Result<FinishedUnit, RunError> {
         if !held.connection.is_quiet() {
             let reason = "the connection that held the transaction was lost";
@@ -197,6 +206,7 @@
             floor = Some(self.confirm(&choice, answer.answered).await?);
         }
         self.send_rest(&mut answer.held_back).await?;
+        count_unit(self.writes(), choice.as_primary);
         Ok(FinishedUnit {
             done: UnitDone {
                 request: self.unit.request,
@@ -219,13 +229,15 @@
     }
 
     async fn send_rest(&mut self, rest: &mut BytesMut) -> Result<(), LinkClosed> {
+        let until = self.deadline + SLOW_FRONT_TIME;
         while !rest.is_empty() {
             let length = rest.len().min(HELD_BACK_CHUNK_BYTES);
             let chunk = HomeMessage::Chunk {
                 request: self.unit.request,
                 payload: rest.split_to(length).to_vec(),
             };
-            self.link.send(chunk).await?;
+            let sent = timeout_at(until, self.link.send(chunk)).await;
+            sent.unwrap_or(Err(LinkClosed))?;
         }
         Ok(())
     }
@@ -279,6 +291,14 @@
     }
 }
 
+/// Counts a unit by what it needed and by the role of the member that ran it.
+fn count_unit(writes: bool, as_primary: bool) {
+    let access = if writes { "write" } else { "read" };
+    let role = if as_primary { "primary" } else { "replica" };
+    metrics::counter!("stilequay_home_units_total", "access" => access, "role" => role)
+        .increment(1);
+}
+
 /// Returns a connection that others can use, and keeps one that has a transaction,
 /// an open pipeline or session state.
 fn keep_or_give_back(
--- a/crates/standin/src/group/session.rs
+++ b/crates/standin/src/group/session.rs
@@ -1,15 +1,16 @@
 //! The session of one connection: its transaction and its variables.
 
+mod script;
+
 use super::engine::Outcome;
 use super::error::{SqlError, SqlState};
 use super::member::{Admission, Member};
-use super::sql::{Action, BoundStatement, Statement, TransactionModes, parse};
+use super::sql::{Action, BoundStatement, TransactionModes};
 use super::transaction::Transaction;
 use super::variables::Variables;
 use futures::channel::oneshot;
 use pgwire::messages::response::TransactionStatus;
 use rusqlite::types::Value;
-use sqlparser::ast::Statement as SyntaxTree;
 use std::collections::HashSet;
 use std::future::Future;
 use std::sync::Arc;
@@ -69,84 +70,9 @@
         self.backend = backend;
     }
 
-    /// Sets a variable from the startup message.
-    pub(crate) fn set_variable(&mut self, name: &str, value: &str) {
-        self.variables
-            .set(name.to_ascii_lowercase(), Some(value.to_owned()), false);
-    }
-
-    /// Analyses the text of a prepared statement; none if it is empty.
-    pub(crate) fn prepare(&self, sql: &str) -> Result<Option<Arc<Statement>>, SqlError> {
-        let open = self.open.as_ref();
-        let transaction = open.map(|open| &open.transaction);
-        let statement = self.member.state().analyse_text(sql, transaction)?;
-        if let Some(statement) = &statement {
-            self.check_not_failed(&statement.action)?;
-        }
-        Ok(statement)
-    }
-
-    /// Runs the statements of a simple query, until one fails.
-    pub(crate) async fn run_script(
-        &mut self,
-        sql: &str,
-        cancel: &mut CancelRequested,
-    ) -> Vec<Result<(Arc<Statement>, Answer), SqlError>> {
-        let mut answers = Vec::new();
-        let trees = match parse(sql) {
-            Ok(trees) => trees,
-            Err(error) => {
-                self.fail();
-                return vec![Err(error)];
-            }
-        };
-        let script = trees.len() > 1;
-        for tree in trees {
-            if script && self.open.is_none() {
-                self.begin(TransactionModes::default(), false);
-            }
-            let answer = self.run_tree(tree, cancel).await;
-            let failed = answer.is_err();
-            answers.push(answer);
-            if failed {
-                return answers;
-            }
-        }
-        if let Err(error) = self.finish_script() {
-            answers.push(Err(error));
-        }
-        answers
-    }
-
-    async fn run_tree(
-        &mut self,
-        tree: SyntaxTree,
-        cancel: &mut CancelRequested,
-    ) -> Result<(Arc<Statement>, Answer), SqlError> {
-        let analysed = {
-            let transaction = self.open.as_ref().map(|open| &open.transaction);
-            self.member.state().analyse(tree, transaction)
-        };
-        let statement = match analysed {
-            Ok(statement) => statement,
-            Err(error) => {
-                self.fail();
-                return Err(error);
-            }
-        };
-        let bound = BoundStatement {
-            statement: statement.clone(),
-            parameters: Vec::new(),
-        };
-        let answer = self.run(bound, cancel).await?;
-        Ok((statement, answer))
-    }
-
-    fn finish_script(&mut self) -> Result<(), SqlError> {
-        match self.open.take_if(|open| !open.explicit) {
-            Some(open) => self.commit(open).map(drop),
-            None => Ok(()),
-        }
+    /// Sets a variable's default from the startup message.
+    pub(crate) fn set_default(&mut self, name: &str, value: &str) {
+        self.variables.set_default(name, value);
     }
 
     /// Runs one statement. Nothing is awaited after it took effect.
@@ -226,6 +152,8 @@
             }
             Action::Commit => self.end(true),
             Action::Rollback => self.end(false),
+            // Without a transaction, SET LOCAL has no effect.
+            Action::Set { local: true, .. } if self.open.is_none() => Ok(Answer::Tag("SET")),
             Action::Set {
                 variable,
                 value,
