--- a/crates/coordination/src/membership/news.rs
+++ b/crates/coordination/src/membership/news.rs
@@ -40,6 +40,12 @@
         self.items.is_empty()
     }
 
+    /// Whether there are reports that were not sent at all.
+    pub fn has_unsent(&self) -> bool {
+        let first = self.order.first_key_value();
+        first.is_some_and(|(turn, _)| turn.times_sent == 0)
+    }
+
     /// The nodes whose reports come next, for as long as `take` accepts them.
     /// Those accepted count as sent once more, and leave after `limit` times.
     pub fn take_while(&mut self, limit: u32, mut take: impl FnMut(&NodeId) -> bool) {
@@ -55,6 +61,14 @@
         }
     }
 
+    /// Another node sent the same report: it counts as sent once more, since others
+    /// spread it as well.
+    pub fn heard(&mut self, node: &NodeId, limit: u32) {
+        if let Some(item) = self.items.get(node) {
+            self.count_sent(item.turn, node.clone(), limit);
+        }
+    }
+
     /// Drops what has been in the queue for longer than `age`.
     pub fn expire(&mut self, age: Duration, now: Instant) {
         let expired: Vec<_> = self
--- a/crates/coordination/src/membership/shared.rs
+++ b/crates/coordination/src/membership/shared.rs
@@ -1,16 +1,17 @@
 //! What the tasks of one node's membership share.
 
+use super::audience::Audience;
 use super::config::{MembershipConfig, MembershipTiming};
 use super::contacts::ZoneContacts;
 use super::datagram::{DatagramWriter, Header, ProbeId, Purpose, VERSION};
 use super::news::NewsQueue;
 use super::record::{Delta, MemberRecord, MemberState, Status};
-use super::table::{Merged, Table};
+use super::table::Table;
 use super::view::MembershipView;
 use crate::control::Links;
-use crate::identity::{Incarnation, NodeId};
+use crate::identity::NodeId;
 use crate::revision::Revision;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,6 +23,10 @@
 /// How often a report is sent on, times the binary logarithm of the receivers.
 const RETRANSMISSION_FACTOR: u32 = 2;
 
+/// How often a report is sent to each other zone or region. The comparisons mend
+/// what is lost nevertheless.
+const WIDE_TRANSMISSIONS: u32 = 3;
+
 /// A node accuses others only if it heard of somebody within so many probe intervals.
 const INTERVALS_OF_OWN_CONTACT: u32 = 3;
 
@@ -32,8 +37,9 @@
     pub table: Table,
     /// Reports to spread in the own zone.
     pub zone_news: NewsQueue,
-    /// Reports to carry to other zones, should this node represent its zone.
-    pub wide_news: NewsQueue,
+    /// Reports to carry to each of the other zones and regions, should this node
+    /// represent its own.
+    pub wide_news: BTreeMap<Audience, NewsQueue>,
     /// Suspicions that this node times, and when they become final.
     pub suspicions: HashMap<NodeId, Instant>,
     /// When the zones were last heard of.
@@ -46,6 +52,15 @@
     pub last_heard: Option<(Instant, NodeId)>,
 }
 
+impl State {
+    /// Queues the report on `node` for all other zones and regions.
+    pub fn add_wide_news(&mut self, node: &NodeId, now: Instant) {
+        for queue in self.wide_news.values_mut() {
+            queue.add(node, now);
+        }
+    }
+}
+
 /// Everything the tasks share.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -91,7 +106,7 @@
         let state = State {
             table: Table::new(first, now),
             zone_news: NewsQueue::default(),
-            wide_news: NewsQueue::default(),
+            wide_news: BTreeMap::new(),
             suspicions: HashMap::new(),
             contacts: ZoneContacts::default(),
             revisions: HashMap::new(),
@@ -146,84 +161,6 @@
         self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Merges reports that came from another node and passes on what is new.
-    pub fn merge(&self, deltas: impl IntoIterator<Item = Delta>, spread: Spread) {
-        let now = Instant::now();
-        let mut state = self.state();
-        let mut any_new = false;
-        for delta in deltas {
-            any_new |= self.merge_one(&mut state, delta, spread, now);
-        }
-        drop(state);
-        if any_new {
-            self.changed.notify_one();
-            self.news.notify_one();
-        }
-    }
-
-    fn merge_one(&self, state: &mut State, delta: Delta, spread: Spread, now: Instant) -> bool {
-        let (node, incarnation, renewal, status) = match &delta {
-            Delta::Full(full) => (
-                full.record.node.clone(),
-                full.record.incarnation,
-                full.renewal,
-                full.status,
-            ),
-            Delta::Brief(brief) => (
-                brief.node.clone(),
-                brief.version.incarnation,
-                brief.version.renewal,
-                brief.status,
-            ),
-        };
-        match state.table.merge(delta, now) {
-            Merged::Stale | Merged::Unknown => false,
-            Merged::AboutSelf => {
-                self.refute(state, incarnation, renewal, now);
-                true
-            }
-            Merged::Applied => {
-                if spread == Spread::News {
-                    spread_report(state, &node, status, now);
-                }
-                if status == Status::Down {
-                    state.revisions.remove(&node);
-                }
-                self.watch_suspicion(state, &node, now);
-                true
-            }
-        }
-    }
-
-    /// Every node of the zone times a suspicion that it hears of, so that it becomes
-    /// final also when the node that raised it is lost.
-    fn watch_suspicion(&self, state: &mut State, node: &NodeId, now: Instant) {
-        let Some(entry) = state.table.get(node) else {
-            return;
-        };
-        if entry.state.status.is_suspected() && entry.state.record.zone == self.own.zone {
-            let end = now + self.timing.suspicion_timeout(self.zone_size());
-            state.suspicions.insert(node.clone(), end);
-        } else {
-            state.suspicions.remove(node);
-        }
-    }
-
-    /// Others say something of this node that it has outlived.
-    fn refute(&self, state: &mut State, incarnation: Incarnation, renewal: u32, now: Instant) {
-        let mut own = state.table.own_state().clone();
-        if incarnation > own.record.incarnation {
-            log::warn!(node:% = self.own.node; "a later life of this node was reported; taking a later one");
-            let mut record = (*own.record).clone();
-            record.incarnation = Incarnation(incarnation.0 + 1);
-            own.record = Arc::new(record);
-            own.renewal = 0;
-        } else {
-            own.renewal = renewal + 1;
-        }
-        self.publish_own(state, own, now);
-    }
-
     /// Whether this node has lately heard another one than `target`, or knows no
     /// other: a node that hears nobody may itself be the one that is cut off.
     pub fn hears_others(&self, state: &State, target: &NodeId, now: Instant) -> bool {
@@ -244,7 +181,7 @@
     pub fn publish_own(&self, state: &mut State, own: MemberState, now: Instant) {
         state.table.renew_own(own, now);
         state.zone_news.add(&self.own.node, now);
-        state.wide_news.add(&self.own.node, now);
+        state.add_wide_news(&self.own.node, now);
         self.changed.notify_one();
         self.news.notify_one();
     }
@@ -266,7 +203,7 @@
         &self,
         address: SocketAddr,
         purpose: Purpose,
-        audience: Audience,
+        audience: &Audience,
         first: Option<&NodeId>,
     ) {
         let kind = purpose.kind();
@@ -278,7 +215,7 @@
         }
     }
 
-    fn encode(&self, purpose: Purpose, audience: Audience, first: Option<&NodeId>) -> Vec<u8> {
+    fn encode(&self, purpose: Purpose, audience: &Audience, first: Option<&NodeId>) -> Vec<u8> {
         let now = Instant::now();
         let receivers = self.zone_size();
         let mut guard = self.state();
@@ -296,41 +233,18 @@
         if let Some(entry) = first.and_then(|node| table.get(node)) {
             writer.push(&Delta::from(&entry.state));
         }
-        let queue = match audience {
-            Audience::Zone => &mut state.zone_news,
-            Audience::OtherZones => &mut state.wide_news,
+        let (queue, limit) = if *audience == Audience::OwnZone {
+            let limit = Self::retransmissions(receivers);
+            (Some(&mut state.zone_news), limit)
+        } else {
+            (state.wide_news.get_mut(audience), WIDE_TRANSMISSIONS)
         };
-        queue.take_while(Self::retransmissions(receivers), |node| {
-            match table.get(node) {
+        if let Some(queue) = queue {
+            queue.take_while(limit, |node| match table.get(node) {
                 Some(entry) => writer.push(&Delta::from(&entry.state)),
                 None => true,
-            }
-        });
+            });
+        }
         writer.into_bytes()
     }
 }
-
-fn spread_report(state: &mut State, node: &NodeId, status: Status, now: Instant) {
-    state.zone_news.add(node, now);
-    if !status.is_suspected() {
-        state.wide_news.add(node, now);
-    }
-}
-
-/// Whether reports that are new here are news to others as well.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Spread {
-    /// They are sent on.
-    News,
-    /// They are not: a node that joins learns what the others know already.
-    Nothing,
-}
-
-/// Which news a datagram carries.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Audience {
-    /// Everything new.
-    Zone,
-    /// What other zones need: no suspicions, which the own zone settles.
-    OtherZones,
-}
