Wait for a primary in the random faults instead of giving up

Cause: the tool asked the group once for its primary; where two faults follow closely there is none for the time of an election.

--- a/crates/bench/src/launch/group.rs
+++ b/crates/bench/src/launch/group.rs
@@ -191,19 +191,22 @@
         self.http.get("/elections").await
     }
 
-    /// The primary of the highest term.
+    /// The primary of the highest term; waits while no member leads.
     pub async fn primary(&self) -> Result<MemberReport, LaunchError> {
-        let reports = self.reports().await?.into_iter();
+        until("a member leads", || self.primary_now()).await
+    }
+
+    /// The primary of the highest term, if a member leads at this moment.
+    async fn primary_now(&self) -> Option<MemberReport> {
+        let reports = self.reports().await.ok()?.into_iter();
         let primaries = reports.filter(|report| report.role == MemberRole::Primary);
-        primaries
-            .max_by_key(|report| report.term)
-            .ok_or_else(|| LaunchError::Database("there is no primary".to_owned()))
+        primaries.max_by_key(|report| report.term)
     }
 
     /// Waits for a primary of a higher term than `term` that the members can reach.
     pub async fn primary_after(&self, term: u32) -> Result<MemberReport, LaunchError> {
         until("a new primary leads", || async {
-            let primary = self.primary().await.ok()?;
+            let primary = self.primary_now().await?;
             (primary.term > term).then_some(primary)
         })
         .await
