--- /dev/null
+++ b/crates/engine/src/engine.rs
@@ -0,0 +1,249 @@
+//! The state that all sessions share.
+
+use crate::configuration::{Configuration, Route};
+use crate::directory::{Directory, Member};
+use crate::events::{Event, EventLog};
+use crate::group::Group;
+use crate::leadership::follower::TermFollower;
+use crate::names::{GroupName, MemberId, NodeName, ZoneName};
+use crate::pool::MemberPool;
+use crate::ports::{BackEnd, RecordStore};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use stilequay_coordination::retry::{RetryBudget, RetryBudgetSettings};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// Reads that may be sent to a second member because the first is silent.
+const HEDGE_BUDGET: RetryBudgetSettings = RetryBudgetSettings {
+    ratio: 0.15,
+    reserve_per_second: 2.0,
+    capacity: 20.0,
+};
+
+/// Who and where this process is, and the bounds it keeps.
+#[derive(Debug, Clone)]
+pub struct EngineSettings {
+    /// Its name.
+    pub node: NodeName,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// How long a member that leaves, or has left, may still be given work.
+    pub leaving_use: Duration,
+}
+
+/// How far the process has come towards its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum StopPhase {
+    /// It serves.
+    Serving,
+    /// It is told not ready, and serves on.
+    Leaving,
+    /// Idle sessions are closed.
+    ClosingIdle,
+    /// Open transactions are ended.
+    EndingTransactions,
+    /// Everything is closed.
+    Closing,
+}
+
+/// The shared state.
+#[derive(Debug)]
+pub struct Engine {
+    settings: EngineSettings,
+    back_end: Arc<dyn BackEnd>,
+    configuration: watch::Sender<Option<Arc<Configuration>>>,
+    directory: watch::Sender<Arc<Directory>>,
+    groups: Mutex<HashMap<GroupName, Arc<Group>>>,
+    pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
+    terms: TermFollower,
+    stop: watch::Sender<StopPhase>,
+    events: EventLog,
+    hedges: RetryBudget,
+}
+
+impl Engine {
+    /// An engine that knows nothing yet.
+    pub fn new(
+        settings: EngineSettings,
+        back_end: Arc<dyn BackEnd>,
+        records: Arc<dyn RecordStore>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            back_end,
+            configuration: watch::Sender::new(None),
+            directory: watch::Sender::new(Arc::default()),
+            groups: Mutex::default(),
+            pools: Mutex::default(),
+            terms: TermFollower::new(records),
+            stop: watch::Sender::new(StopPhase::Serving),
+            events: EventLog::default(),
+            hedges: RetryBudget::new(HEDGE_BUDGET),
+        })
+    }
+
+    /// Who this process is, and its bounds.
+    pub fn settings(&self) -> &EngineSettings {
+        &self.settings
+    }
+
+    /// The log of decisions.
+    pub fn events(&self) -> &EventLog {
+        &self.events
+    }
+
+    /// Bounds the reads that are sent to a second member.
+    pub fn hedges(&self) -> &RetryBudget {
+        &self.hedges
+    }
+
+    /// The records of leaderships.
+    pub fn terms(&self) -> &TermFollower {
+        &self.terms
+    }
+
+    /// The configuration in use.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// The route of `database` as of now.
+    pub fn route(&self, database: &str) -> Option<Arc<Route>> {
+        self.configuration()?.routes.get(database).cloned()
+    }
+
+    /// Takes a configuration into use, unless a later one is. Returns whether it was taken.
+    pub fn set_configuration(&self, configuration: Configuration) -> bool {
+        let version = configuration.version;
+        let routes = configuration.routes.len();
+        let taken = self.configuration.send_if_modified(|current| {
+            let later = current.as_ref().is_none_or(|known| known.version < version);
+            if later {
+                *current = Some(Arc::new(configuration));
+            }
+            later
+        });
+        if taken {
+            self.events
+                .write(&Event::ConfigurationTaken { version, routes });
+        }
+        taken
+    }
+
+    /// The directory of members.
+    pub fn directory(&self) -> Arc<Directory> {
+        self.directory.borrow().clone()
+    }
+
+    /// Tells of changes of the directory.
+    pub fn subscribe_directory(&self) -> watch::Receiver<Arc<Directory>> {
+        self.directory.subscribe()
+    }
+
+    /// Takes a directory into use.
+    pub fn set_directory(&self, directory: Directory) {
+        let before = self.directory();
+        for member in directory.members() {
+            let known = before.member(&member.id);
+            let same = known.is_some_and(|k| k.state == member.state && k.role == member.role);
+            if !same {
+                self.events.write(&Event::MemberChanged {
+                    member: member.id.clone(),
+                    group: member.group.clone(),
+                    state: member.state,
+                    role: member.role,
+                    directory: directory.version,
+                });
+            }
+        }
+        self.close_pools_except(&directory);
+        self.directory.send_replace(Arc::new(directory));
+    }
+
+    /// Whether a session can be served: the configuration and the members are known.
+    pub fn is_started(&self) -> bool {
+        self.configuration.borrow().is_some() && self.directory.borrow().members().next().is_some()
+    }
+
+    /// The group called `name`; made when first asked for.
+    pub fn group(&self, name: &GroupName) -> Arc<Group> {
+        let mut groups = lock(&self.groups);
+        if let Some(group) = groups.get(name) {
+            return Arc::clone(group);
+        }
+        let group = Arc::new(Group::new(name.clone()));
+        groups.insert(name.clone(), Arc::clone(&group));
+        group
+    }
+
+    /// Replicas that must have received a commit of `group` before its acknowledgement.
+    pub fn sync_replicas(&self, group: &str) -> usize {
+        let configuration = self.configuration.borrow();
+        let settings = configuration.as_ref().and_then(|c| c.groups.get(group));
+        settings.map_or(0, |settings| settings.sync_replicas)
+    }
+
+    /// The connections to `member`.
+    pub fn pool(&self, member: &Arc<Member>) -> Arc<MemberPool> {
+        let mut pools = lock(&self.pools);
+        if let Some(pool) = pools.get(&member.id) {
+            return Arc::clone(pool);
+        }
+        let pool = MemberPool::new(Arc::clone(member), Arc::clone(&self.back_end));
+        let pool = Arc::new(pool);
+        pools.insert(member.id.clone(), Arc::clone(&pool));
+        pool
+    }
+
+    /// The connections to the member called `id`, if it is known.
+    pub fn pool_of(&self, id: &str) -> Option<Arc<MemberPool>> {
+        let directory = self.directory();
+        directory.member(id).map(|member| self.pool(member))
+    }
+
+    /// How far the process is from its end.
+    pub fn stop_phase(&self) -> StopPhase {
+        *self.stop.borrow()
+    }
+
+    /// Tells of steps towards the end.
+    pub fn subscribe_stop(&self) -> watch::Receiver<StopPhase> {
+        self.stop.subscribe()
+    }
+
+    /// Goes on to `phase`, never back.
+    pub fn advance_stop(&self, phase: StopPhase) {
+        self.stop.send_if_modified(|current| {
+            let later = *current < phase;
+            if later {
+                *current = phase;
+            }
+            later
+        });
+    }
+
+    /// Closes connections that have not been used for long.
+    pub fn close_unused_connections(&self) {
+        let now = Instant::now();
+        for pool in lock(&self.pools).values() {
+            pool.close_unused(now);
+        }
+    }
+
+    fn close_pools_except(&self, directory: &Directory) {
+        let mut pools = lock(&self.pools);
+        pools.retain(|id, pool| {
+            let known = directory.member(id).is_some();
+            if !known {
+                pool.close();
+            }
+            known
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/engine/src/group/mod.rs
@@ -0,0 +1,302 @@
+//! What this process believes of one group: who leads it, for how long that may be
+//! relied on, and which log position covers which moment.
+//!
+//! Who may believe what, for how long, on which evidence:
+//!
+//! | belief | evidence | lasts |
+//! | --- | --- | --- |
+//! | the leader of the epoch has not been superseded | a read of the store, begun at `t`, that shows no later epoch | until `t` + [`TERM_LEASE`] |
+//! | the same | a commit sent to it at `t` and acknowledged after a replica had received it | until `t` + [`TERM_LEASE`] |
+//! | position `p` covers every commit acknowledged before `t` | the leader's log was at `p` in its answer to what was sent at `t`, while the first belief held | for ever |
+//! | the same | `p` is the highest position received by all members but one, each asked after `t` | for ever |
+//!
+//! The first two are safe because a promotion becomes usable only [`TERM_LEASE`] after
+//! every replica that could receive from the old leader was paused, and after the
+//! record of the new epoch was written: both pieces of evidence are older than that.
+//! All times are of the monotonic clock, taken before the call that brought the evidence.
+
+mod samples;
+
+pub use samples::{PositionSample, PositionSamples};
+
+use crate::leadership::record::{TermPhase, TermRecord};
+use crate::names::{GroupName, MemberId};
+use crate::position::LogPosition;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{Mutex as AsyncMutex, watch};
+use tokio::time::Instant;
+
+/// How long evidence for a leader's term lasts. A promotion waits at least as long
+/// after the fence before the new leader is used.
+pub const TERM_LEASE: Duration = Duration::from_millis(400);
+/// What the waiting side adds to [`TERM_LEASE`], for clocks that run at unequal rates.
+pub const TERM_LEASE_MARGIN: Duration = Duration::from_millis(25);
+
+/// Number of a leadership as the store's records count it. Zero before any promotion.
+pub type Epoch = u64;
+
+/// Where a group's leadership stands, as far as this process knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaderView {
+    /// The leadership's number.
+    pub epoch: Epoch,
+    /// The leader, or the member that is being promoted.
+    pub leader: Option<MemberId>,
+    /// From when on the leader may be given writes; `None` while the next leader is
+    /// not chosen.
+    pub writable_from: Option<Instant>,
+    /// Whether the leader is known to have taken the lead.
+    pub confirmed: bool,
+}
+
+/// A leader to be used now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UsableLeader {
+    /// The member.
+    pub member: MemberId,
+    /// Its epoch.
+    pub epoch: Epoch,
+}
+
+#[derive(Debug)]
+struct GroupState {
+    view: LeaderView,
+    evidence: Option<Instant>,
+    samples: PositionSamples,
+    last_commit: Option<Instant>,
+}
+
+/// The beliefs about one group, shared by all tasks.
+#[derive(Debug)]
+pub struct Group {
+    name: GroupName,
+    state: Mutex<GroupState>,
+    changes: watch::Sender<u64>,
+    questions: AsyncMutex<()>,
+}
+
+impl Group {
+    /// A group of which nothing is known.
+    pub fn new(name: GroupName) -> Self {
+        let view = LeaderView {
+            epoch: 0,
+            leader: None,
+            writable_from: None,
+            confirmed: false,
+        };
+        Self {
+            name,
+            state: Mutex::new(GroupState {
+                view,
+                evidence: None,
+                samples: PositionSamples::default(),
+                last_commit: None,
+            }),
+            changes: watch::Sender::new(0),
+            questions: AsyncMutex::new(()),
+        }
+    }
+
+    /// The group's name.
+    pub fn name(&self) -> &GroupName {
+        &self.name
+    }
+
+    /// Held by the task that asks members on behalf of all.
+    pub fn questions(&self) -> &AsyncMutex<()> {
+        &self.questions
+    }
+
+    /// Where its leadership stands.
+    pub fn view(&self) -> LeaderView {
+        self.lock().view.clone()
+    }
+
+    /// Tells of each change of the view.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    /// Takes a record of the store. `begun` is when a read that showed the newest record
+    /// was begun; it is `None` where another may have been newer. Returns whether the view
+    /// has changed.
+    pub fn apply_record(&self, record: &TermRecord, begun: Option<Instant>, now: Instant) -> bool {
+        let mut state = self.lock();
+        let known = state.view.epoch;
+        if record.epoch < known {
+            return false;
+        }
+        let before = state.view.clone();
+        if record.epoch > known {
+            state.evidence = state
+                .evidence
+                .filter(|_| record.phase == TermPhase::Fencing);
+        }
+        state.view = next_view(&before, record, now);
+        if record.phase != TermPhase::Fencing {
+            state.evidence = state.evidence.max(begun);
+        }
+        self.publish(before, &state)
+    }
+
+    /// Takes what a read of the store, begun at `begun`, has shown: nobody was ever
+    /// promoted, and `leader` says that it leads.
+    pub fn apply_first_leader(&self, leader: Option<MemberId>, begun: Instant) -> bool {
+        let mut state = self.lock();
+        if state.view.epoch > 0 {
+            return false;
+        }
+        let before = state.view.clone();
+        if leader.is_some() {
+            state.view.writable_from = state.view.writable_from.or(Some(begun));
+            state.view.confirmed = true;
+            state.view.leader = leader;
+        }
+        state.evidence = state.evidence.max(Some(begun));
+        self.publish(before, &state)
+    }
+
+    /// The member that may be given writes at `now`.
+    pub fn writable_leader(&self, now: Instant) -> Option<UsableLeader> {
+        let state = self.lock();
+        let from = state.view.writable_from?;
+        if now < from {
+            return None;
+        }
+        usable(&state.view)
+    }
+
+    /// The member that holds, at `now`, every commit acknowledged longer than
+    /// `staleness` ago, by the evidence for its term.
+    pub fn leased_leader(&self, now: Instant, staleness: Duration) -> Option<UsableLeader> {
+        let state = self.lock();
+        let lapses = state.evidence? + TERM_LEASE + staleness;
+        if now >= lapses || !state.view.confirmed {
+            return None;
+        }
+        usable(&state.view)
+    }
+
+    /// When the newest evidence for the leader's term was begun.
+    pub fn evidence(&self) -> Option<Instant> {
+        self.lock().evidence
+    }
+
+    /// When the last acknowledged commit was sent.
+    pub fn last_commit(&self) -> Option<Instant> {
+        self.lock().last_commit
+    }
+
+    /// Takes an acknowledged commit that the leader of `epoch` was sent at `sent`. It is
+    /// evidence for the term only where a replica had to receive it.
+    pub fn record_commit(
+        &self,
+        epoch: Epoch,
+        sent: Instant,
+        position: Option<LogPosition>,
+        replicated: bool,
+    ) {
+        let mut state = self.lock();
+        state.last_commit = state.last_commit.max(Some(sent));
+        if state.view.epoch != epoch {
+            return;
+        }
+        let before = state.view.clone();
+        state.view.confirmed = true;
+        if replicated {
+            state.evidence = state.evidence.max(Some(sent));
+        }
+        self.publish(before, &state);
+        drop(state);
+        if let Some(position) = position {
+            self.record_leader_position(epoch, sent, position);
+        }
+    }
+
+    /// Takes the leader's log position from its answer to what was sent at `sent`.
+    pub fn record_leader_position(&self, epoch: Epoch, sent: Instant, position: LogPosition) {
+        let mut state = self.lock();
+        let leased = state.evidence.is_some_and(|at| sent < at + TERM_LEASE);
+        if state.view.epoch == epoch && state.view.confirmed && leased {
+            state.samples.record(PositionSample {
+                position,
+                at: sent,
+                epoch,
+            });
+        }
+    }
+
+    /// Takes a position that is known to cover what was acknowledged before `at`.
+    pub fn record_covering_position(&self, at: Instant, position: LogPosition) {
+        let mut state = self.lock();
+        let epoch = state.view.epoch;
+        let sample = PositionSample {
+            position,
+            at,
+            epoch,
+        };
+        state.samples.record(sample);
+    }
+
+    /// Notes that the leader of `epoch` acts as one.
+    pub fn confirm_leader(&self, epoch: Epoch) {
+        let mut state = self.lock();
+        if state.view.epoch == epoch && !state.view.confirmed {
+            let before = state.view.clone();
+            state.view.confirmed = true;
+            self.publish(before, &state);
+        }
+    }
+
+    /// A position that covers every commit acknowledged before `moment`; the lowest
+    /// known, so that the most replicas have reached it.
+    pub fn covering_position(&self, moment: Instant) -> Option<LogPosition> {
+        self.lock().samples.covering(moment)
+    }
+
+    fn publish(&self, before: LeaderView, state: &GroupState) -> bool {
+        if before == state.view {
+            return false;
+        }
+        self.changes.send_modify(|count| *count += 1);
+        true
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GroupState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn usable(view: &LeaderView) -> Option<UsableLeader> {
+    Some(UsableLeader {
+        member: view.leader.clone()?,
+        epoch: view.epoch,
+    })
+}
+
+/// The view after `record`, seen at `now`.
+fn next_view(before: &LeaderView, record: &TermRecord, now: Instant) -> LeaderView {
+    let same_epoch = before.epoch == record.epoch;
+    let (leader, writable_from, confirmed) = match record.phase {
+        // The old leader goes on serving reads until the evidence for its term lapses.
+        TermPhase::Fencing => (before.leader.clone(), None, before.confirmed),
+        TermPhase::Promoting => {
+            let unchanged = same_epoch && before.leader == record.target;
+            let waited = before.writable_from.filter(|_| unchanged);
+            let from = waited.unwrap_or(now + TERM_LEASE + TERM_LEASE_MARGIN);
+            let confirmed = unchanged && before.writable_from.is_some() && before.confirmed;
+            (record.target.clone(), Some(from), confirmed)
+        }
+        TermPhase::Active => {
+            let from = before.writable_from.filter(|_| same_epoch).unwrap_or(now);
+            (record.target.clone(), Some(from.min(now)), true)
+        }
+    };
+    LeaderView {
+        epoch: record.epoch,
+        leader,
+        writable_from,
+        confirmed,
+    }
+}
--- /dev/null
+++ b/crates/engine/src/leadership/follower.rs
@@ -0,0 +1,198 @@
+//! Follows the records of leaderships, and reads them when evidence is needed.
+
+use super::record::TermRecord;
+use crate::directory::{Directory, MemberState, Role};
+use crate::engine::Engine;
+use crate::events::Event;
+use crate::names::{GroupName, MemberId};
+use crate::ports::{Record, RecordChanges, RecordStore, RecordStoreError};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::{Instant, sleep};
+
+/// Longest wait of one watch.
+const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Pause after a failed call of the store, and the random part added to it.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// A record of a leadership with its version in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VersionedTerm {
+    /// The record.
+    pub record: TermRecord,
+    /// Its version.
+    pub version: u64,
+}
+
+/// Reads and watches records.
+#[derive(Debug)]
+pub struct TermFollower {
+    records: Arc<dyn RecordStore>,
+    reading: AsyncMutex<()>,
+    known: Mutex<HashMap<GroupName, VersionedTerm>>,
+    others: tokio::sync::watch::Sender<HashMap<String, Record>>,
+}
+
+impl TermFollower {
+    /// Nothing is read yet.
+    pub fn new(records: Arc<dyn RecordStore>) -> Self {
+        Self {
+            records,
+            reading: AsyncMutex::new(()),
+            known: Mutex::default(),
+            others: tokio::sync::watch::Sender::new(HashMap::new()),
+        }
+    }
+
+    /// The store that the records lie in.
+    pub fn store(&self) -> &Arc<dyn RecordStore> {
+        &self.records
+    }
+
+    /// The record of `group` as it was last seen.
+    pub fn known(&self, group: &str) -> Option<VersionedTerm> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        known.get(group).cloned()
+    }
+
+    /// Records other than those of leaderships, by key.
+    pub fn subscribe_others(&self) -> tokio::sync::watch::Receiver<HashMap<String, Record>> {
+        self.others.subscribe()
+    }
+
+    /// Reads all records now, unless another task has done so since `since`.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordStoreError`] where the store gave no answer.
+    pub async fn refresh(&self, engine: &Engine, since: Instant) -> Result<(), RecordStoreError> {
+        let _one_at_a_time = self.reading.lock().await;
+        let recent = |group: &GroupName| engine.group(group).evidence() >= Some(since);
+        let groups = engine.directory().groups();
+        if !groups.is_empty() && groups.iter().all(recent) {
+            return Ok(());
+        }
+        let begun = Instant::now();
+        let changes = self.records.read_all().await?;
+        self.apply(engine, &changes, begun, true);
+        Ok(())
+    }
+
+    /// Follows the records until the process ends.
+    pub async fn follow(&self, engine: &Engine) {
+        let mut version = None;
+        let mut available = true;
+        loop {
+            let begun = Instant::now();
+            let result = match version {
+                None => self.records.read_all().await,
+                Some(after) => self.records.watch(after, WATCH_WAIT).await,
+            };
+            match result {
+                Ok(changes) => {
+                    self.note_available(engine, &mut available, true, String::new());
+                    self.apply(engine, &changes, begun, version.is_none());
+                    version = Some(changes.version);
+                }
+                Err(RecordStoreError::HistoryGone) => version = None,
+                Err(error) => {
+                    self.note_available(engine, &mut available, false, error.to_string());
+                    sleep(RETRY_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
+                }
+            }
+        }
+    }
+
+    /// Takes one record that this process has just written or read.
+    pub fn apply_one(&self, engine: &Engine, term: VersionedTerm, begun: Option<Instant>) {
+        if !self.keep(&term) {
+            return;
+        }
+        let group = engine.group(&term.record.group);
+        if group.apply_record(&term.record, begun, Instant::now()) {
+            let view = group.view();
+            engine.events().write(&Event::LeaderChanged {
+                group: group.name().clone(),
+                epoch: view.epoch,
+                leader: view.leader,
+                confirmed: view.confirmed,
+            });
+        }
+    }
+
+    fn note_available(&self, engine: &Engine, known: &mut bool, now: bool, reason: String) {
+        if *known != now {
+            *known = now;
+            engine.events().write(&Event::Dependency {
+                name: "term_records",
+                available: now,
+                reason,
+            });
+        }
+    }
+
+    /// Applies what a read begun at `begun` has shown; `whole` if it has shown everything.
+    /// A watch may hear of changes late, so what it tells is no evidence.
+    fn apply(&self, engine: &Engine, changes: &RecordChanges, begun: Instant, whole: bool) {
+        let evidence = whole.then_some(begun);
+        for record in &changes.written {
+            if record.key.starts_with(TermRecord::KEY_PREFIX) {
+                self.apply_stored(engine, record, evidence);
+            } else {
+                self.others.send_modify(|others| {
+                    others.insert(record.key.clone(), record.clone());
+                });
+            }
+        }
+        if whole {
+            self.apply_first_leaders(engine, begun);
+        }
+    }
+
+    fn apply_stored(&self, engine: &Engine, record: &Record, begun: Option<Instant>) {
+        match TermRecord::decode(&record.value) {
+            Ok(term) => {
+                let version = record.version;
+                let record = term;
+                self.apply_one(engine, VersionedTerm { record, version }, begun);
+            }
+            Err(error) => log::error!("record {}: {error}", record.key),
+        }
+    }
+
+    /// Groups without a record are led by whoever says so: nobody was ever promoted.
+    fn apply_first_leaders(&self, engine: &Engine, begun: Instant) {
+        let directory = engine.directory();
+        for name in directory.groups() {
+            if self.known(&name).is_none() {
+                let leader = first_leader(&directory, &name);
+                engine.group(&name).apply_first_leader(leader, begun);
+            }
+        }
+    }
+
+    /// Remembers `term` unless a later version is known; returns whether none is.
+    fn keep(&self, term: &VersionedTerm) -> bool {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let newer = known
+            .get(&term.record.group)
+            .is_none_or(|before| before.version <= term.version);
+        if newer {
+            known.insert(term.record.group.clone(), term.clone());
+        }
+        newer
+    }
+}
+
+/// The only member of `group` that says it leads.
+fn first_leader(directory: &Directory, group: &str) -> Option<MemberId> {
+    let members = directory.members_of(group);
+    let mut leaders = members
+        .iter()
+        .filter(|member| member.role == Role::Primary)
+        .filter(|member| !matches!(member.state, MemberState::Gone { .. }));
+    let leader = leaders.next()?;
+    leaders.next().is_none().then(|| leader.id.clone())
+}
--- /dev/null
+++ b/crates/engine/src/lib.rs
@@ -0,0 +1,25 @@
+//! The protocol-free engine of stilequay.
+//!
+//! An adapter of a caller's protocol opens a [`session::Session`] for each caller and
+//! hands it typed [`statement::Request`]s. The engine decides which member of a group
+//! runs each of them, when a replica is fresh enough, when a connection can be shared,
+//! what may be retried, and what a caller is told. It also decides who leads a group:
+//! see [`leadership`].
+//!
+//! Everything outside is reached through [`ports`]: back ends, a store with conditional
+//! writes, and the service that carries out promotions.
+
+pub mod configuration;
+pub mod directory;
+pub mod engine;
+pub mod events;
+pub mod group;
+pub mod leadership;
+pub mod names;
+pub mod pool;
+pub mod ports;
+pub mod position;
+pub mod routing;
+pub mod session;
+pub mod statement;
+pub mod verdict;
--- /dev/null
+++ b/crates/engine/src/pool/connection.rs
@@ -0,0 +1,285 @@
+//! A connection, what sessions have left on it, and putting it into a session's state.
+
+use super::member::MemberPool;
+use crate::names::RequestId;
+use crate::ports::{Answer, BackEndConnection, Command, LinkError, RefusalKind};
+use crate::position::LogPosition;
+use crate::statement::{PreparedStatement, TransactionState};
+use bytes::Bytes;
+use quick_error::quick_error;
+use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::{Instant, timeout};
+use xxhash_rust::xxh3::xxh3_128;
+
+/// Values that a session has set, by name.
+pub type SessionValues = Arc<BTreeMap<Bytes, Bytes>>;
+
+/// Prepared statements that a connection keeps before it is reset.
+const PREPARED_LIMIT: usize = 256;
+/// Longest time for a rollback on a connection that is given up.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A statement of a session, ready to run anywhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Work {
+    /// A text.
+    Text(Bytes),
+    /// A prepared statement with its arguments.
+    Prepared {
+        /// The statement.
+        prepared: PreparedStatement,
+        /// The arguments.
+        arguments: Bytes,
+    },
+}
+
+quick_error! {
+    /// Work got no answer.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum RunError {
+        /// The connection failed before the work was sent. Not run.
+        Before(error: LinkError) {
+            display("before the statement was sent: {error}")
+        }
+        /// The connection failed after the work was sent. It may have run.
+        After(error: LinkError) {
+            display("after the statement was sent: {error}")
+        }
+    }
+}
+
+/// An open connection and what is in place on it.
+#[derive(Debug)]
+pub(super) struct Established {
+    connection: Box<dyn BackEndConnection>,
+    values: SessionValues,
+    prepared: HashSet<Bytes>,
+}
+
+impl Established {
+    pub(super) fn new(connection: Box<dyn BackEndConnection>) -> Self {
+        Self {
+            connection,
+            values: SessionValues::default(),
+            prepared: HashSet::new(),
+        }
+    }
+
+    pub(super) fn has_values(&self, values: &SessionValues) -> bool {
+        Arc::ptr_eq(&self.values, values) || self.values == *values
+    }
+
+    pub(super) fn is_open(&mut self) -> bool {
+        self.connection.is_open()
+    }
+}
+
+/// A connection in use. Dropped, it goes back to its pool if nothing is unfinished on it,
+/// and is closed otherwise.
+#[derive(Debug)]
+pub struct PooledConnection {
+    pool: Arc<MemberPool>,
+    established: Option<Established>,
+    clean: bool,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl PooledConnection {
+    pub(super) fn new(
+        pool: Arc<MemberPool>,
+        established: Established,
+        permit: OwnedSemaphorePermit,
+    ) -> Self {
+        Self {
+            pool,
+            established: Some(established),
+            clean: true,
+            _permit: permit,
+        }
+    }
+
+    /// The pool that it belongs to.
+    pub fn pool(&self) -> &Arc<MemberPool> {
+        &self.pool
+    }
+
+    /// Puts exactly `values` in place.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where the member did not do so: nothing of a session may run here.
+    pub async fn put_values(&mut self, values: &SessionValues) -> Result<(), LinkError> {
+        let established = self.established()?;
+        if established.has_values(values) {
+            return Ok(());
+        }
+        let before = Arc::clone(&established.values);
+        let dropped = before.keys().any(|name| !values.contains_key(name));
+        if dropped {
+            self.complete(&Command::Reset).await?;
+            let established = self.established()?;
+            established.prepared.clear();
+            established.values = SessionValues::default();
+        }
+        for (name, value) in values.iter() {
+            let in_place = !dropped && before.get(name) == Some(value);
+            if !in_place {
+                let (name, value) = (name.clone(), value.clone());
+                self.complete(&Command::Set { name, value }).await?;
+            }
+        }
+        self.established()?.values = Arc::clone(values);
+        Ok(())
+    }
+
+    /// Runs one command and takes note of the member's health.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where the answer was not complete: the connection is not used again.
+    pub async fn run(&mut self, command: &Command) -> Result<Answer, LinkError> {
+        let sent = Instant::now();
+        self.clean = false;
+        let result = self.established()?.connection.run(command).await;
+        let now = Instant::now();
+        match &result {
+            Ok(answer) => {
+                self.clean = answer.state == TransactionState::Idle;
+                self.note_answer(answer, now.duration_since(sent), now);
+            }
+            Err(_) => self.pool.note(|health| health.unreachable(now)),
+        }
+        result
+    }
+
+    /// Runs a session's work, preparing its statement first where that is needed.
+    ///
+    /// # Errors
+    ///
+    /// [`RunError`] tells whether the work itself was sent.
+    pub async fn run_work(
+        &mut self,
+        id: &RequestId,
+        work: &Work,
+        after: Option<LogPosition>,
+    ) -> Result<Answer, RunError> {
+        let command = self.command(id, work, after).await?;
+        let answer = self.run(&command).await.map_err(RunError::After)?;
+        if !is_unknown_prepared(&answer) {
+            return Ok(answer);
+        }
+        self.established()
+            .map_err(RunError::Before)?
+            .prepared
+            .clear();
+        let command = self.command(id, work, after).await?;
+        self.run(&command).await.map_err(RunError::After)
+    }
+
+    /// Rolls an open transaction back in a task of its own, so that the connection can be
+    /// used again.
+    pub fn roll_back(mut self) {
+        tokio::spawn(async move {
+            let rolled_back = self.run(&Command::Rollback);
+            let _ = timeout(ROLLBACK_TIMEOUT, rolled_back).await;
+        });
+    }
+
+    async fn command(
+        &mut self,
+        id: &RequestId,
+        work: &Work,
+        after: Option<LogPosition>,
+    ) -> Result<Command, RunError> {
+        let id = id.clone();
+        match work {
+            Work::Text(text) => Ok(Command::Run {
+                id,
+                text: text.clone(),
+                after,
+            }),
+            Work::Prepared {
+                prepared,
+                arguments,
+            } => Ok(Command::Execute {
+                id,
+                name: self.prepare(prepared).await.map_err(RunError::Before)?,
+                arguments: arguments.clone(),
+                after,
+            }),
+        }
+    }
+
+    /// The name of `prepared` on this connection.
+    async fn prepare(&mut self, prepared: &PreparedStatement) -> Result<Bytes, LinkError> {
+        let name = connection_name(prepared);
+        let known = &mut self.established()?.prepared;
+        if known.contains(&name) {
+            return Ok(name);
+        }
+        let full = known.len() >= PREPARED_LIMIT;
+        let prepare = Command::Prepare {
+            name: name.clone(),
+            prepared: prepared.clone(),
+        };
+        self.complete(&prepare).await?;
+        if !full {
+            self.established()?.prepared.insert(name.clone());
+        }
+        Ok(name)
+    }
+
+    /// Runs a command of the engine's own that has to succeed.
+    async fn complete(&mut self, command: &Command) -> Result<(), LinkError> {
+        let answer = self.run(command).await?;
+        match answer.outcome {
+            Ok(_) => Ok(()),
+            Err(refusal) => {
+                self.clean = false;
+                let text = String::from_utf8_lossy(&refusal.code).into_owned();
+                Err(LinkError::Refused(text))
+            }
+        }
+    }
+
+    fn note_answer(&self, answer: &Answer, latency: Duration, now: Instant) {
+        self.pool.note(|health| {
+            health.answered(latency, now);
+            if let Some(position) = answer.position {
+                health.applied(position);
+            }
+            if matches!(&answer.outcome, Err(refusal) if refusal.kind == RefusalKind::Busy) {
+                health.busy(now);
+            }
+        });
+    }
+
+    fn established(&mut self) -> Result<&mut Established, LinkError> {
+        let given_back = || LinkError::Closed("given back".to_owned());
+        self.established.as_mut().ok_or_else(given_back)
+    }
+}
+
+impl Drop for PooledConnection {
+    fn drop(&mut self) {
+        if let (true, Some(established)) = (self.clean, self.established.take()) {
+            self.pool.give_back(established);
+        }
+    }
+}
+
+fn is_unknown_prepared(answer: &Answer) -> bool {
+    matches!(&answer.outcome, Err(refusal) if refusal.kind == RefusalKind::UnknownPrepared)
+}
+
+/// A name made of the statement itself: sessions that prepared the same share it, and no
+/// two statements share one.
+fn connection_name(prepared: &PreparedStatement) -> Bytes {
+    let mut content = Vec::with_capacity(prepared.shape.len() + 1);
+    content.push(prepared.access as u8);
+    content.extend_from_slice(&prepared.shape);
+    format!("p{:032x}", xxh3_128(&content)).into()
+}
--- /dev/null
+++ b/crates/engine/src/pool/health.rs
@@ -0,0 +1,140 @@
+//! What the traffic of this process has shown of a member.
+
+use crate::position::LogPosition;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Latency assumed of a member of which nothing is known, milliseconds.
+const ASSUMED_LATENCY_MS: f64 = 15.0;
+/// Weight of the newest latency in the average.
+const NEWEST_WEIGHT: f64 = 0.15;
+/// Time in which half of a latency's excess is forgotten.
+const FORGET_HALF: Duration = Duration::from_secs(2);
+/// First pause before a member that can't be reached is tried again.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(100);
+/// Longest such pause.
+const UNREACHABLE_PAUSE_MAX: Duration = Duration::from_millis(800);
+/// How long a member is passed over after its queue was full.
+const BUSY_PAUSE: Duration = Duration::from_millis(60);
+/// How long a member is passed over, for what it lacked, after it was found lagging.
+const LAGGING_PAUSE: Duration = Duration::from_millis(120);
+
+/// What is known of a member.
+#[derive(Debug, Clone)]
+pub struct MemberHealth {
+    latency_ms: f64,
+    measured: Instant,
+    unreachable: Option<Unreachable>,
+    busy_until: Option<Instant>,
+    lacks: Option<(LogPosition, Instant)>,
+    applied: Option<LogPosition>,
+    last_answer: Option<Instant>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Unreachable {
+    since: Instant,
+    until: Instant,
+    pause: Duration,
+}
+
+impl MemberHealth {
+    /// Nothing is known yet.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            latency_ms: ASSUMED_LATENCY_MS,
+            measured: now,
+            unreachable: None,
+            busy_until: None,
+            lacks: None,
+            applied: None,
+            last_answer: None,
+        }
+    }
+
+    /// An answer came after `latency`.
+    pub fn answered(&mut self, latency: Duration, now: Instant) {
+        let latency_ms = latency.as_secs_f64() * 1000.0;
+        let before = self.expected_latency_ms(now);
+        self.latency_ms = before + (latency_ms - before) * NEWEST_WEIGHT;
+        self.measured = now;
+        self.heard(now);
+    }
+
+    /// Something was heard of it.
+    pub fn heard(&mut self, now: Instant) {
+        self.unreachable = None;
+        self.last_answer = Some(now);
+    }
+
+    /// A statement got no answer within `waited`.
+    pub fn unanswered(&mut self, waited: Duration, now: Instant) {
+        let waited_ms = waited.as_secs_f64() * 1000.0;
+        self.latency_ms = self.expected_latency_ms(now).max(waited_ms * 0.5);
+        self.measured = now;
+    }
+
+    /// A connection could not be opened, or ended by itself.
+    pub fn unreachable(&mut self, now: Instant) {
+        let (since, pause) = match self.unreachable {
+            Some(known) => (known.since, (known.pause * 2).min(UNREACHABLE_PAUSE_MAX)),
+            None => (now, UNREACHABLE_PAUSE),
+        };
+        let until = now + pause;
+        self.unreachable = Some(Unreachable {
+            since,
+            until,
+            pause,
+        });
+    }
+
+    /// Its queue was full.
+    pub fn busy(&mut self, now: Instant) {
+        self.busy_until = Some(now + BUSY_PAUSE);
+    }
+
+    /// Its log lacked `position`.
+    pub fn lagging(&mut self, position: LogPosition, now: Instant) {
+        self.lacks = Some((position, now + LAGGING_PAUSE));
+    }
+
+    /// Its log had come as far as `position`.
+    pub fn applied(&mut self, position: LogPosition) {
+        self.applied = self.applied.max(Some(position));
+    }
+
+    /// Latency to expect of an unloaded statement, milliseconds.
+    pub fn expected_latency_ms(&self, now: Instant) -> f64 {
+        let halves = now.duration_since(self.measured).as_secs_f64() / FORGET_HALF.as_secs_f64();
+        ASSUMED_LATENCY_MS + (self.latency_ms - ASSUMED_LATENCY_MS) * 0.5_f64.powf(halves)
+    }
+
+    /// Whether it is not to be tried yet.
+    pub fn is_unreachable(&self, now: Instant) -> bool {
+        self.unreachable.is_some_and(|known| now < known.until)
+    }
+
+    /// Since when it could not be reached, if the last try failed.
+    pub fn unreachable_since(&self) -> Option<Instant> {
+        self.unreachable.map(|known| known.since)
+    }
+
+    /// Whether its queue was full a moment ago.
+    pub fn is_busy(&self, now: Instant) -> bool {
+        self.busy_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it lacked `position`, or an earlier one, a moment ago.
+    pub fn is_lagging(&self, position: LogPosition, now: Instant) -> bool {
+        if self.applied.is_some_and(|applied| applied >= position) {
+            return false;
+        }
+        self.lacks
+            .is_some_and(|(lacked, until)| lacked <= position && now < until)
+    }
+
+    /// When anything was last heard of it.
+    pub fn last_answer(&self) -> Option<Instant> {
+        self.last_answer
+    }
+}
--- /dev/null
+++ b/crates/engine/src/pool/mod.rs
@@ -0,0 +1,13 @@
+//! Connections to members, shared between sessions.
+//!
+//! A connection is in use from one acquisition until its [`PooledConnection`] is given
+//! back. Only a connection whose last answer was read to its end and that is outside any
+//! transaction goes back; every other one is closed.
+
+mod connection;
+mod health;
+mod member;
+
+pub use connection::{PooledConnection, RunError, SessionValues, Work};
+pub use health::MemberHealth;
+pub use member::{AcquireError, MemberPool};
--- /dev/null
+++ b/crates/engine/src/ports/mod.rs
@@ -0,0 +1,12 @@
+//! What the engine needs of the outside.
+
+mod back_end;
+mod promoter;
+mod record_store;
+
+pub use back_end::{
+    Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError, MemberReport,
+    Refusal, RefusalKind,
+};
+pub use promoter::{PromoteError, Promoter, PromotionOrder};
+pub use record_store::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
--- /dev/null
+++ b/crates/engine/src/ports/record_store.rs
@@ -0,0 +1,74 @@
+//! A linearizable store of small records.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use quick_error::quick_error;
+use std::fmt::Debug;
+use std::time::Duration;
+
+/// A record as the store has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// Its key.
+    pub key: String,
+    /// Its content.
+    pub value: Bytes,
+    /// Rises with each change of the record; never zero.
+    pub version: u64,
+}
+
+/// Changes since a version.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct RecordChanges {
+    /// Records that were written.
+    pub written: Vec<Record>,
+    /// The store's version as of which this holds; the next watch goes on from it.
+    pub version: u64,
+}
+
+/// What became of a conditional write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PutOutcome {
+    /// It took effect, and gave the record this version.
+    Stored(u64),
+    /// It did not: the record has another version.
+    Conflict,
+}
+
+quick_error! {
+    /// The store gave no regular answer.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum RecordStoreError {
+        /// Not reached, or refused: nothing was done.
+        Unavailable(reason: String) {
+            display("unavailable: {reason}")
+        }
+        /// No answer: a write may have been done, or may be done later if its condition
+        /// still holds.
+        Unknown(reason: String) {
+            display("no answer: {reason}")
+        }
+        /// Changes that far back are forgotten: read everything.
+        HistoryGone {
+            display("the history asked for is forgotten")
+        }
+    }
+}
+
+/// A store of records, shared by the fleet. Reads and writes are linearizable.
+#[async_trait]
+pub trait RecordStore: Debug + Send + Sync + 'static {
+    /// All records, and the version as of which they were read.
+    async fn read_all(&self) -> Result<RecordChanges, RecordStoreError>;
+
+    /// Waits up to `wait` for changes after `version`.
+    async fn watch(&self, version: u64, wait: Duration) -> Result<RecordChanges, RecordStoreError>;
+
+    /// Writes `value` if the record has `expected` as its version (zero: is not there).
+    async fn put_if(
+        &self,
+        key: &str,
+        expected: u64,
+        value: Bytes,
+    ) -> Result<PutOutcome, RecordStoreError>;
+}
--- /dev/null
+++ b/crates/engine/src/session/limits.rs
@@ -0,0 +1,34 @@
+//! How long the parts of a statement may take.
+
+use crate::configuration::Route;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Share of a route's time-out for which a request is held that no member was offered:
+/// a caller that is refused early can still be served elsewhere.
+const OFFER_SHARE: f64 = 0.42;
+/// Share of a route's time-out after which a member's answer is given up.
+const ANSWER_SHARE: f64 = 0.58;
+
+/// Moments that bound one statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StatementLimits {
+    /// Until when a member must have been found.
+    pub offer: Instant,
+    /// Until when a member's answer is waited for.
+    pub answer: Instant,
+}
+
+impl StatementLimits {
+    /// The limits of a statement of `route` that was read at `received`.
+    pub fn new(route: &Route, received: Instant) -> Self {
+        let at = |share: f64| received + route.timeout.mul_f64(share);
+        Self {
+            offer: at(OFFER_SHARE),
+            answer: at(ANSWER_SHARE),
+        }
+    }
+}
+
+/// Pause before a member is asked again that could not take a statement.
+pub const RETRY_PAUSE: Duration = Duration::from_millis(12);
--- /dev/null
+++ b/crates/engine/src/session/mod.rs
@@ -0,0 +1,221 @@
+//! A caller's session: its values, prepared statements, transaction and freshness floor.
+//!
+//! One session is one caller's connection. Its statements come one at a time; each is
+//! decided, sent and answered in [`Session::handle`], top to bottom in one task.
+
+mod floor;
+mod limits;
+mod read;
+mod trace;
+mod transaction;
+mod write;
+
+pub use limits::StatementLimits;
+
+use crate::configuration::Route;
+use crate::engine::Engine;
+use crate::events::Event;
+use crate::names::DatabaseName;
+use crate::pool::{SessionValues, Work};
+use crate::statement::{Access, PreparedStatement, Reply, Request, Statement, TransactionState};
+use crate::verdict::{Failure, FailureReason};
+use bytes::Bytes;
+use floor::SessionFloor;
+use std::collections::HashMap;
+use std::sync::Arc;
+use tokio::time::Instant;
+use trace::RequestTrace;
+use transaction::Transaction;
+
+/// Prepared statements and values that one session may keep.
+const SESSION_ITEMS_LIMIT: usize = 512;
+
+/// A caller's session.
+#[derive(Debug)]
+pub struct Session {
+    engine: Arc<Engine>,
+    database: DatabaseName,
+    values: SessionValues,
+    prepared: HashMap<Bytes, PreparedStatement>,
+    floor: SessionFloor,
+    transaction: Option<Transaction>,
+}
+
+/// What a completed statement left behind.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+struct Completion {
+    rows: Vec<Bytes>,
+    signature: Option<Bytes>,
+}
+
+impl Session {
+    /// Opens a session for `database`.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] where no route leads from it, or nothing is known yet.
+    pub fn open(engine: Arc<Engine>, database: DatabaseName) -> Result<Self, Failure> {
+        if let Some(failure) = refusal(&engine, &database) {
+            engine.events().write(&Event::SessionRefused {
+                database,
+                reason: failure.reason.clone(),
+                configuration: engine.configuration().map_or(0, |c| c.version),
+            });
+            return Err(failure);
+        }
+        Ok(Self {
+            engine,
+            database,
+            values: SessionValues::default(),
+            prepared: HashMap::new(),
+            floor: SessionFloor::default(),
+            transaction: None,
+        })
+    }
+
+    /// Where the session stands.
+    pub fn state(&self) -> TransactionState {
+        match &self.transaction {
+            None => TransactionState::Idle,
+            Some(transaction) => transaction.state(),
+        }
+    }
+
+    /// When an open transaction that rests is to be ended.
+    pub fn idle_deadline(&self) -> Option<Instant> {
+        let rests_since = self.transaction.as_ref()?.rests_since()?;
+        let limit = self.engine.configuration()?.transaction_idle?;
+        Some(rests_since + limit)
+    }
+
+    /// Ends an open transaction that has rested too long, or for which there is no time
+    /// left. The caller is told at its next statement.
+    pub fn end_transaction(&mut self, reason: FailureReason) {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.fail(Failure::not_run(reason));
+        }
+    }
+
+    /// Decides and runs one request.
+    pub async fn handle(&mut self, request: &Request) -> Reply {
+        let mut trace = RequestTrace::new(&self.engine, &self.database, request);
+        let outcome = self.dispatch(request, &mut trace).await;
+        trace.finish(&self.engine, &outcome);
+        let state = self.state();
+        match outcome {
+            Ok(completion) => Reply {
+                rows: completion.rows,
+                outcome: Ok(completion.signature),
+                state,
+            },
+            Err(failure) => Reply {
+                rows: Vec::new(),
+                outcome: Err(failure),
+                state,
+            },
+        }
+    }
+
+    async fn dispatch(
+        &mut self,
+        request: &Request,
+        trace: &mut RequestTrace,
+    ) -> Result<Completion, Failure> {
+        match &request.statement {
+            Statement::Set { name, value } => self.set(name, value).await,
+            Statement::Prepare { name, prepared } => self.prepare(name, prepared),
+            Statement::Deallocate { name } => self.deallocate(name),
+            Statement::Begin { read_only } => self.begin(*read_only, request.received),
+            Statement::Commit => self.end(request, true, trace).await,
+            Statement::Rollback => self.end(request, false, trace).await,
+            Statement::Read { text } => {
+                let work = Work::Text(text.clone());
+                self.run(request, Access::Read, work, trace).await
+            }
+            Statement::Write { text } => {
+                let work = Work::Text(text.clone());
+                self.run(request, Access::Write, work, trace).await
+            }
+            Statement::Execute { name, arguments } => {
+                let prepared = self.prepared.get(name).cloned();
+                let unknown = || Failure::rejected(FailureReason::UnknownPrepared);
+                let prepared = prepared.ok_or_else(unknown)?;
+                let access = prepared.access;
+                let arguments = arguments.clone();
+                let work = Work::Prepared {
+                    prepared,
+                    arguments,
+                };
+                self.run(request, access, work, trace).await
+            }
+        }
+    }
+
+    async fn run(
+        &mut self,
+        request: &Request,
+        access: Access,
+        work: Work,
+        trace: &mut RequestTrace,
+    ) -> Result<Completion, Failure> {
+        if self.transaction.is_some() {
+            return self.run_in_transaction(request, access, work, trace).await;
+        }
+        let route = self.route()?;
+        trace.routed(&self.engine, &route);
+        match access {
+            Access::Read => self.run_read(request, &route, work, trace).await,
+            Access::Write => self.run_write(request, &route, work, trace).await,
+        }
+    }
+
+    async fn set(&mut self, name: &Bytes, value: &Bytes) -> Result<Completion, Failure> {
+        let mut values = self.values.as_ref().clone();
+        values.insert(name.clone(), value.clone());
+        if values.len() > SESSION_ITEMS_LIMIT {
+            return Err(Failure::rejected(FailureReason::Overloaded));
+        }
+        let values = Arc::new(values);
+        if let Some(transaction) = &mut self.transaction {
+            transaction.put_values(&values).await?;
+        }
+        self.values = values;
+        Ok(Completion::default())
+    }
+
+    fn prepare(
+        &mut self,
+        name: &Bytes,
+        prepared: &PreparedStatement,
+    ) -> Result<Completion, Failure> {
+        let known = self.prepared.contains_key(name);
+        if !known && self.prepared.len() >= SESSION_ITEMS_LIMIT {
+            return Err(Failure::rejected(FailureReason::Overloaded));
+        }
+        self.prepared.insert(name.clone(), prepared.clone());
+        Ok(Completion::default())
+    }
+
+    fn deallocate(&mut self, name: &Bytes) -> Result<Completion, Failure> {
+        match self.prepared.remove(name) {
+            Some(_) => Ok(Completion::default()),
+            None => Err(Failure::rejected(FailureReason::UnknownPrepared)),
+        }
+    }
+
+    /// The route in force, bound anew for each statement outside a transaction.
+    fn route(&self) -> Result<Arc<Route>, Failure> {
+        let unknown = || Failure::rejected(FailureReason::UnknownDatabase);
+        self.engine.route(&self.database).ok_or_else(unknown)
+    }
+}
+
+fn refusal(engine: &Engine, database: &DatabaseName) -> Option<Failure> {
+    if !engine.is_started() {
+        return Some(Failure::not_run(FailureReason::NotStarted));
+    }
+    if engine.route(database).is_none() {
+        return Some(Failure::rejected(FailureReason::UnknownDatabase));
+    }
+    None
+}
--- /dev/null
+++ b/crates/engine/src/session/trace.rs
@@ -0,0 +1,137 @@
+//! What is remembered of one request for its event and for the metrics.
+
+use crate::configuration::Route;
+use crate::engine::Engine;
+use crate::events::{AttemptEvent, Event, EventClass, OutcomeEvent, RequestEvent, millis};
+use crate::group::Epoch;
+use crate::names::{DatabaseName, GroupName, MemberId, RequestId};
+use crate::position::LogPosition;
+use crate::session::Completion;
+use crate::statement::{Request, Statement};
+use crate::verdict::{Failure, Verdict};
+use tokio::time::Instant;
+
+/// Attempts that one event tells, at the most.
+const ATTEMPTS_TOLD: usize = 12;
+
+/// Gathers what decides a request.
+#[derive(Debug)]
+pub struct RequestTrace {
+    id: RequestId,
+    database: DatabaseName,
+    statement: &'static str,
+    received: Instant,
+    configuration: u64,
+    group: Option<GroupName>,
+    epoch: Option<Epoch>,
+    evidence_age_ms: Option<u64>,
+    after: Option<LogPosition>,
+    attempts: Vec<AttemptEvent>,
+}
+
+impl RequestTrace {
+    /// Nothing is decided yet.
+    pub fn new(engine: &Engine, database: &DatabaseName, request: &Request) -> Self {
+        Self {
+            id: request.id.clone(),
+            database: database.clone(),
+            statement: statement_name(&request.statement),
+            received: request.received,
+            configuration: engine.configuration().map_or(0, |c| c.version),
+            group: None,
+            epoch: None,
+            evidence_age_ms: None,
+            after: None,
+            attempts: Vec::new(),
+        }
+    }
+
+    /// The route was chosen.
+    pub fn routed(&mut self, engine: &Engine, route: &Route) {
+        let group = engine.group(&route.group);
+        self.epoch = Some(group.view().epoch);
+        let now = Instant::now();
+        self.evidence_age_ms = group.evidence().map(|at| millis(now.duration_since(at)));
+        self.group = Some(route.group.clone());
+    }
+
+    /// The position was chosen that a member's log must hold.
+    pub fn requires(&mut self, after: Option<LogPosition>) {
+        self.after = after;
+    }
+
+    /// A member was tried.
+    pub fn attempted(&mut self, member: &MemberId, result: impl Into<String>) {
+        if self.attempts.len() < ATTEMPTS_TOLD {
+            self.attempts.push(AttemptEvent {
+                member: member.clone(),
+                result: result.into(),
+                ended_ms: millis(self.received.elapsed()),
+            });
+        }
+    }
+
+    /// Writes the event and counts the request.
+    pub fn finish(self, engine: &Engine, outcome: &Result<Completion, Failure>) {
+        self.count(outcome);
+        let class = match outcome {
+            Ok(_) => EventClass::Success,
+            Err(_) => EventClass::Failure,
+        };
+        if !engine.events().has_budget(class) {
+            return;
+        }
+        engine.events().write(&Event::Request(RequestEvent {
+            elapsed_ms: millis(self.received.elapsed()),
+            id: self.id,
+            database: self.database,
+            group: self.group,
+            statement: self.statement,
+            configuration: self.configuration,
+            epoch: self.epoch,
+            evidence_age_ms: self.evidence_age_ms,
+            after: self.after,
+            attempts: self.attempts,
+            outcome: outcome_event(outcome),
+        }));
+    }
+
+    fn count(&self, outcome: &Result<Completion, Failure>) {
+        let result = match outcome {
+            Ok(_) => "completed",
+            Err(failure) if failure.verdict == Verdict::NotRun => "not_run",
+            Err(_) => "may_have_run",
+        };
+        metrics::counter!(
+            "stilequay_requests_total", "statement" => self.statement, "outcome" => result
+        )
+        .increment(1);
+        metrics::histogram!("stilequay_request_seconds", "statement" => self.statement)
+            .record(self.received.elapsed());
+    }
+}
+
+fn outcome_event(outcome: &Result<Completion, Failure>) -> OutcomeEvent {
+    match outcome {
+        Ok(_) => OutcomeEvent::Completed,
+        Err(failure) => OutcomeEvent::Failed {
+            verdict: failure.verdict,
+            reason: failure.reason.clone(),
+            retry_after_ms: failure.retry_after.map(millis),
+        },
+    }
+}
+
+fn statement_name(statement: &Statement) -> &'static str {
+    match statement {
+        Statement::Begin { .. } => "begin",
+        Statement::Commit => "commit",
+        Statement::Rollback => "rollback",
+        Statement::Read { .. } => "read",
+        Statement::Write { .. } => "write",
+        Statement::Set { .. } => "set",
+        Statement::Prepare { .. } => "prepare",
+        Statement::Execute { .. } => "execute",
+        Statement::Deallocate { .. } => "deallocate",
+    }
+}
--- /dev/null
+++ b/crates/engine/src/session/transaction.rs
@@ -0,0 +1,513 @@
+//! Transactions: opened at a member with their first statement, held there to the end.
+
+use super::limits::{RETRY_PAUSE, StatementLimits};
+use super::read::{ReadTarget, leading_epoch, note_position, note_refusal};
+use super::trace::RequestTrace;
+use super::write::{
+    Attempt, Awaited, acquire_failure, await_answer, judge_refusal, leader_pool, member_failure,
+    note_unanswered, pause_or_refuse, refusal_text,
+};
+use super::{Completion, Session};
+use crate::configuration::Route;
+use crate::group::{Group, UsableLeader};
+use crate::leadership::access;
+use crate::names::RequestId;
+use crate::pool::{PooledConnection, RunError, SessionValues, Work};
+use crate::ports::{Answer, Command, Refusal, RefusalKind};
+use crate::statement::{Access, Request, TransactionState};
+use crate::verdict::{Failure, FailureReason};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Longest wait for a connection while there are other members.
+const ACQUIRE_WAIT: Duration = Duration::from_millis(60);
+
+/// A caller's transaction.
+#[derive(Debug)]
+pub(super) struct Transaction {
+    route: Arc<Route>,
+    group: Arc<Group>,
+    read_only: bool,
+    began: Instant,
+    rests_since: Instant,
+    stage: Stage,
+}
+
+/// How far a transaction has come.
+#[derive(Debug)]
+enum Stage {
+    /// No member was chosen yet.
+    Pending,
+    /// It is open at a member.
+    Open(OpenTransaction),
+    /// It was ended, and the caller has not been told yet.
+    Ended(Failure),
+    /// It has failed, and the caller knows.
+    Failed,
+}
+
+/// A transaction at its member.
+#[derive(Debug)]
+struct OpenTransaction {
+    connection: PooledConnection,
+    leader: Option<UsableLeader>,
+    wrote: bool,
+}
+
+/// A member chosen for a transaction.
+struct Place {
+    target: ReadTarget,
+    leader: Option<UsableLeader>,
+}
+
+impl Transaction {
+    /// What the caller is told of its state.
+    pub(super) fn state(&self) -> TransactionState {
+        match self.stage {
+            Stage::Failed => TransactionState::Failed,
+            _ => TransactionState::Open,
+        }
+    }
+
+    /// Since when it has been resting, unless it has ended.
+    pub(super) fn rests_since(&self) -> Option<Instant> {
+        match self.stage {
+            Stage::Pending | Stage::Open(_) => Some(self.rests_since),
+            Stage::Ended(_) | Stage::Failed => None,
+        }
+    }
+
+    /// Ends it; the caller is told `failure` at its next statement.
+    pub(super) fn fail(&mut self, failure: Failure) {
+        if let Stage::Open(open) = std::mem::replace(&mut self.stage, Stage::Ended(failure)) {
+            open.connection.roll_back();
+        }
+    }
+
+    /// Puts changed session values in place where it is open.
+    pub(super) async fn put_values(&mut self, values: &SessionValues) -> Result<(), Failure> {
+        let Stage::Open(open) = &mut self.stage else {
+            return Ok(());
+        };
+        let until = Instant::now() + self.route.timeout;
+        match timeout_at(until, open.connection.put_values(values)).await {
+            Ok(Ok(())) => Ok(()),
+            _ => {
+                self.stage = Stage::Failed;
+                Err(Failure::not_run(FailureReason::TransactionLost))
+            }
+        }
+    }
+}
+
+impl Session {
+    /// Begins a transaction. No member is needed before its first statement.
+    pub(super) fn begin(
+        &mut self,
+        read_only: bool,
+        received: Instant,
+    ) -> Result<Completion, Failure> {
+        if self.transaction.is_some() {
+            return Err(Failure::rejected(FailureReason::OutOfPlace));
+        }
+        let route = self.route()?;
+        let group = self.engine.group(&route.group);
+        self.transaction = Some(Transaction {
+            route,
+            group,
+            read_only,
+            began: received,
+            rests_since: Instant::now(),
+            stage: Stage::Pending,
+        });
+        Ok(Completion::default())
+    }
+
+    /// Runs a statement in the open transaction.
+    pub(super) async fn run_in_transaction(
+        &mut self,
+        request: &Request,
+        access: Access,
+        work: Work,
+        trace: &mut RequestTrace,
+    ) -> Result<Completion, Failure> {
+        let Some(mut transaction) = self.transaction.take() else {
+            return Err(Failure::rejected(FailureReason::OutOfPlace));
+        };
+        trace.routed(&self.engine, &transaction.route);
+        let stage = std::mem::replace(&mut transaction.stage, Stage::Failed);
+        let outcome = match stage {
+            Stage::Failed => Err(Failure::rejected(FailureReason::OutOfPlace)),
+            Stage::Ended(failure) => Err(failure),
+            Stage::Pending => {
+                self.open_with(&mut transaction, request, access, Some(work), trace)
+                    .await
+            }
+            Stage::Open(open) => {
+                run_at_place(&mut transaction, open, request, access, &work, trace).await
+            }
+        };
+        transaction.rests_since = Instant::now();
+        self.transaction = Some(transaction);
+        outcome
+    }
+
+    /// Commits or rolls back.
+    pub(super) async fn end(
+        &mut self,
+        request: &Request,
+        commit: bool,
+        trace: &mut RequestTrace,
+    ) -> Result<Completion, Failure> {
+        let Some(mut transaction) = self.transaction.take() else {
+            return Err(Failure::rejected(FailureReason::OutOfPlace));
+        };
+        trace.routed(&self.engine, &transaction.route);
+        let mut stage = std::mem::replace(&mut transaction.stage, Stage::Failed);
+        if commit && matches!(stage, Stage::Pending) {
+            self.open_with(&mut transaction, request, Access::Read, None, trace)
+                .await?;
+            stage = std::mem::replace(&mut transaction.stage, Stage::Failed);
+        }
+        match (stage, commit) {
+            (Stage::Open(open), true) => self.commit(request, &transaction, open, trace).await,
+            (Stage::Open(open), false) => {
+                open.connection.roll_back();
+                Ok(Completion::default())
+            }
+            (Stage::Ended(failure), true) => Err(failure),
+            (_, true) => Err(Failure::not_run(FailureReason::TransactionLost)),
+            (_, false) => Ok(Completion::default()),
+        }
+    }
+
+    /// Opens the transaction at a member and runs its first statement there. Until that
+    /// has completed nothing can be kept, so another member may be tried.
+    async fn open_with(
+        &self,
+        transaction: &mut Transaction,
+        request: &Request,
+        access: Access,
+        work: Option<Work>,
+        trace: &mut RequestTrace,
+    ) -> Result<Completion, Failure> {
+        let limits = StatementLimits::new(&transaction.route, request.received);
+        loop {
+            let places = self.places(transaction, limits, trace).await;
+            let mut reason = FailureReason::NoLeader;
+            for place in places {
+                let opened = self
+                    .open_at(
+                        transaction,
+                        place,
+                        request,
+                        access,
+                        work.as_ref(),
+                        limits,
+                        trace,
+                    )
+                    .await;
+                match opened {
+                    Attempt::Decided(outcome) => return outcome,
+                    Attempt::NotRun(latest) => reason = latest,
+                }
+                if Instant::now() >= limits.offer {
+                    break;
+                }
+            }
+            pause_or_refuse(limits, reason).await?;
+        }
+    }
+
+    /// Members where the transaction may be opened, the best first.
+    async fn places(
+        &self,
+        transaction: &Transaction,
+        limits: StatementLimits,
+        trace: &mut RequestTrace,
+    ) -> Vec<Place> {
+        let (route, group) = (&transaction.route, &transaction.group);
+        if transaction.read_only {
+            let targets = self
+                .read_targets(group, route, transaction.began, limits.offer, trace)
+                .await;
+            let places = targets.into_iter();
+            return places
+                .map(|target| Place {
+                    target,
+                    leader: None,
+                })
+                .collect();
+        }
+        let until = limits.offer;
+        let Some(writable) = access::writable_leader(group, until).await else {
+            return Vec::new();
+        };
+        let leased = access::leased_leader(&self.engine, group, route.max_staleness, until).await;
+        let place = leased
+            .filter(|leader| *leader == writable)
+            .and_then(|leader| {
+                let pool = leader_pool(&self.engine, &leader)?;
+                let target = ReadTarget { pool, after: None };
+                let leader = Some(leader);
+                Some(Place { target, leader })
+            });
+        place.into_iter().collect()
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn open_at(
+        &self,
+        transaction: &mut Transaction,
+        place: Place,
+        request: &Request,
+        access: Access,
+        work: Option<&Work>,
+        limits: StatementLimits,
+        trace: &mut RequestTrace,
+    ) -> Attempt<Completion> {
+        let pool = Arc::clone(&place.target.pool);
+        let member = pool.member().id.clone();
+        let wait = limits.offer.min(Instant::now() + ACQUIRE_WAIT);
+        let mut connection = match pool.acquire(&self.values, wait).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                trace.attempted(&member, error.to_string());
+                return Attempt::NotRun(acquire_failure(&error));
+            }
+        };
+        let begin = Command::Begin {
+            read_only: transaction.read_only,
+            after: place.target.after,
+        };
+        let epoch = leading_epoch(&transaction.group, &member);
+        let sent = Instant::now();
+        let opening = async {
+            connection.put_values(&self.values).await?;
+            connection.run(&begin).await
+        };
+        let answer = match timeout_at(limits.offer, opening).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                trace.attempted(&member, error.to_string());
+                return Attempt::NotRun(FailureReason::ConnectionLost);
+            }
+            Err(_) => {
+                trace.attempted(&member, "no answer in time");
+                note_unanswered(&pool, sent);
+                return Attempt::NotRun(FailureReason::AnswerTimedOut);
+            }
+        };
+        note_position(&transaction.group, epoch, sent, &answer);
+        if let Err(refusal) = answer.outcome {
+            trace.attempted(&member, refusal_text(&refusal));
+            note_refusal(&pool, &refusal, place.target.after);
+            super::write::release(connection, answer.state);
+            return judge_refusal(refusal);
+        }
+        if let Some(leader) = &place.leader {
+            transaction.group.confirm_leader(leader.epoch);
+        }
+        let open = OpenTransaction {
+            connection,
+            leader: place.leader,
+            wrote: false,
+        };
+        let Some(work) = work else {
+            transaction.stage = Stage::Open(open);
+            return Attempt::Decided(Ok(Completion::default()));
+        };
+        first_statement(transaction, open, request, access, work, limits, trace).await
+    }
+
+    async fn commit(
+        &mut self,
+        request: &Request,
+        transaction: &Transaction,
+        mut open: OpenTransaction,
+        trace: &mut RequestTrace,
+    ) -> Result<Completion, Failure> {
+        let limits = StatementLimits::new(&transaction.route, request.received);
+        let member = open.connection.pool().member().id.clone();
+        let sent = Instant::now();
+        let awaited = run_commit(transaction, &mut open, &request.id, limits).await;
+        let lost = |reason: FailureReason| match open.wrote {
+            true => Failure::may_have_run(reason),
+            false => Failure::not_run(FailureReason::TransactionLost),
+        };
+        let answer = match awaited {
+            Awaited::Answered(Ok(answer)) => answer,
+            Awaited::Answered(Err(error)) => {
+                trace.attempted(&member, error.to_string());
+                return Err(lost(FailureReason::ConnectionLost));
+            }
+            Awaited::TimedOut => {
+                trace.attempted(&member, "no answer in time");
+                note_unanswered(open.connection.pool(), sent);
+                return Err(lost(FailureReason::AnswerTimedOut));
+            }
+            Awaited::Superseded => {
+                trace.attempted(&member, "superseded before its answer");
+                return Err(lost(FailureReason::NoLeader));
+            }
+        };
+        let signature = match answer.outcome {
+            Ok(signature) => signature,
+            Err(refusal) => {
+                trace.attempted(&member, refusal_text(&refusal));
+                let failure = commit_refused(refusal, open.wrote);
+                super::write::release(open.connection, answer.state);
+                return Err(failure);
+            }
+        };
+        trace.attempted(&member, "committed");
+        if let (true, Some(leader)) = (open.wrote, &open.leader) {
+            self.note_commit(&transaction.group, leader, sent, &answer.position);
+        }
+        Ok(Completion {
+            rows: answer.rows,
+            signature: Some(signature),
+        })
+    }
+}
+
+/// Runs the first statement of a transaction that has just been opened.
+async fn first_statement(
+    transaction: &mut Transaction,
+    mut open: OpenTransaction,
+    request: &Request,
+    access: Access,
+    work: &Work,
+    limits: StatementLimits,
+    trace: &mut RequestTrace,
+) -> Attempt<Completion> {
+    let member = open.connection.pool().member().id.clone();
+    let sent = Instant::now();
+    let running = open.connection.run_work(&request.id, work, None);
+    let answer = match timeout_at(limits.answer, running).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(error)) => {
+            trace.attempted(&member, error.to_string());
+            return Attempt::NotRun(FailureReason::ConnectionLost);
+        }
+        Err(_) => {
+            trace.attempted(&member, "no answer in time");
+            note_unanswered(open.connection.pool(), sent);
+            return Attempt::Decided(Err(Failure::not_run(FailureReason::TransactionLost)));
+        }
+    };
+    match answer.outcome {
+        Ok(signature) => {
+            trace.attempted(&member, "completed");
+            open.wrote = access == Access::Write;
+            transaction.stage = Stage::Open(open);
+            Attempt::Decided(Ok(Completion {
+                rows: answer.rows,
+                signature: Some(signature),
+            }))
+        }
+        Err(refusal) => {
+            trace.attempted(&member, refusal_text(&refusal));
+            open.connection.roll_back();
+            judge_refusal(refusal)
+        }
+    }
+}
+
+/// Runs a later statement of an open transaction.
+async fn run_at_place(
+    transaction: &mut Transaction,
+    mut open: OpenTransaction,
+    request: &Request,
+    access: Access,
+    work: &Work,
+    trace: &mut RequestTrace,
+) -> Result<Completion, Failure> {
+    let limits = StatementLimits::new(&transaction.route, request.received);
+    let member = open.connection.pool().member().id.clone();
+    let lost = || Failure::not_run(FailureReason::TransactionLost);
+    loop {
+        let sent = Instant::now();
+        let running = open.connection.run_work(&request.id, work, None);
+        let answer = match timeout_at(limits.answer, running).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                trace.attempted(&member, error.to_string());
+                return Err(lost());
+            }
+            Err(_) => {
+                trace.attempted(&member, "no answer in time");
+                note_unanswered(open.connection.pool(), sent);
+                return Err(lost());
+            }
+        };
+        match answer.outcome {
+            Ok(signature) => {
+                trace.attempted(&member, "completed");
+                open.wrote |= access == Access::Write;
+                transaction.stage = Stage::Open(open);
+                return Ok(Completion {
+                    rows: answer.rows,
+                    signature: Some(signature),
+                });
+            }
+            Err(refusal) => {
+                trace.attempted(&member, refusal_text(&refusal));
+                let still_open = answer.state == TransactionState::Open;
+                let time_left = Instant::now() + RETRY_PAUSE < limits.offer;
+                if !(still_open && time_left && refusal.kind == RefusalKind::Busy) {
+                    open.connection.roll_back();
+                    return Err(statement_refused(refusal));
+                }
+            }
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
+/// Sends the commit; again while the member is too busy to begin it.
+async fn run_commit(
+    transaction: &Transaction,
+    open: &mut OpenTransaction,
+    id: &RequestId,
+    limits: StatementLimits,
+) -> Awaited<Result<Answer, RunError>> {
+    let commit = Command::Commit { id: id.clone() };
+    let leader = open.leader.clone().filter(|_| open.wrote);
+    let connection = &mut open.connection;
+    let running = async {
+        loop {
+            let answer = connection.run(&commit).await.map_err(RunError::After)?;
+            let busy = matches!(&answer.outcome, Err(r) if r.kind == RefusalKind::Busy);
+            let time_left = Instant::now() + RETRY_PAUSE < limits.offer;
+            if !(busy && time_left && answer.state == TransactionState::Open) {
+                return Ok(answer);
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    };
+    match leader {
+        Some(leader) => await_answer(running, &transaction.group, &leader, limits.answer).await,
+        None => match timeout_at(limits.answer, running).await {
+            Ok(answer) => Awaited::Answered(answer),
+            Err(_) => Awaited::TimedOut,
+        },
+    }
+}
+
+/// What a caller is told when its transaction's statement was refused. Nothing is kept:
+/// the transaction is rolled back.
+fn statement_refused(refusal: Refusal) -> Failure {
+    match refusal.kind {
+        RefusalKind::Failed => member_failure(refusal),
+        _ => Failure::not_run(FailureReason::TransactionLost),
+    }
+}
+
+fn commit_refused(refusal: Refusal, wrote: bool) -> Failure {
+    match (refusal.kind, wrote) {
+        (RefusalKind::Failed, true) => member_failure(refusal),
+        _ => Failure::not_run(FailureReason::TransactionLost),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/session/write.rs
@@ -0,0 +1,224 @@
+//! Single writes: at the leader, at most once.
+
+use super::limits::{RETRY_PAUSE, StatementLimits};
+use super::trace::RequestTrace;
+use super::{Completion, Session};
+use crate::configuration::Route;
+use crate::engine::Engine;
+use crate::group::{Group, UsableLeader};
+use crate::leadership::access;
+use crate::pool::{AcquireError, MemberPool, PooledConnection, RunError, Work};
+use crate::ports::{Answer, Refusal, RefusalKind};
+use crate::routing::is_past_use;
+use crate::statement::{Request, TransactionState};
+use crate::verdict::{Failure, FailureReason, MemberFailure};
+use std::sync::Arc;
+use tokio::time::{Instant, sleep};
+
+/// What came of giving a statement to a member once.
+pub(super) enum Attempt<T> {
+    /// It is decided.
+    Decided(Result<T, Failure>),
+    /// Nothing has run; it may be tried again.
+    NotRun(FailureReason),
+}
+
+/// An answer, or the reason why there is none.
+pub(super) enum Awaited<T> {
+    /// It came.
+    Answered(T),
+    /// It did not come in time.
+    TimedOut,
+    /// Another leader was chosen meanwhile.
+    Superseded,
+}
+
+impl Session {
+    /// Runs a write outside any transaction.
+    pub(super) async fn run_write(
+        &mut self,
+        request: &Request,
+        route: &Arc<Route>,
+        work: Work,
+        trace: &mut RequestTrace,
+    ) -> Result<Completion, Failure> {
+        let limits = StatementLimits::new(route, request.received);
+        let group = self.engine.group(&route.group);
+        loop {
+            let Some(leader) = access::writable_leader(&group, limits.offer).await else {
+                return Err(Failure::not_run(FailureReason::NoLeader));
+            };
+            let attempt = self
+                .write_once(request, &group, &leader, &work, limits, trace)
+                .await;
+            match attempt {
+                Attempt::Decided(outcome) => return outcome,
+                Attempt::NotRun(reason) => pause_or_refuse(limits, reason).await?,
+            }
+        }
+    }
+
+    async fn write_once(
+        &mut self,
+        request: &Request,
+        group: &Group,
+        leader: &UsableLeader,
+        work: &Work,
+        limits: StatementLimits,
+        trace: &mut RequestTrace,
+    ) -> Attempt<Completion> {
+        let Some(pool) = leader_pool(&self.engine, leader) else {
+            return Attempt::NotRun(FailureReason::NoLeader);
+        };
+        let mut connection = match pool.acquire(&self.values, limits.offer).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                trace.attempted(&leader.member, error.to_string());
+                return Attempt::NotRun(acquire_failure(&error));
+            }
+        };
+        if let Err(error) = connection.put_values(&self.values).await {
+            trace.attempted(&leader.member, error.to_string());
+            return Attempt::NotRun(FailureReason::ConnectionLost);
+        }
+        let sent = Instant::now();
+        let running = connection.run_work(&request.id, work, None);
+        let awaited = await_answer(running, group, leader, limits.answer).await;
+        self.judge_write(awaited, connection, group, leader, sent, trace)
+    }
+
+    fn judge_write(
+        &mut self,
+        awaited: Awaited<Result<Answer, RunError>>,
+        connection: PooledConnection,
+        group: &Group,
+        leader: &UsableLeader,
+        sent: Instant,
+        trace: &mut RequestTrace,
+    ) -> Attempt<Completion> {
+        let answer = match awaited {
+            Awaited::Answered(Ok(answer)) => answer,
+            Awaited::Answered(Err(RunError::Before(error))) => {
+                trace.attempted(&leader.member, error.to_string());
+                return Attempt::NotRun(FailureReason::ConnectionLost);
+            }
+            Awaited::Answered(Err(RunError::After(error))) => {
+                trace.attempted(&leader.member, error.to_string());
+                return Attempt::Decided(Err(Failure::may_have_run(FailureReason::ConnectionLost)));
+            }
+            Awaited::TimedOut => {
+                trace.attempted(&leader.member, "no answer in time");
+                note_unanswered(connection.pool(), sent);
+                return Attempt::Decided(Err(Failure::may_have_run(FailureReason::AnswerTimedOut)));
+            }
+            Awaited::Superseded => {
+                trace.attempted(&leader.member, "superseded before its answer");
+                return Attempt::Decided(Err(Failure::may_have_run(FailureReason::NoLeader)));
+            }
+        };
+        release(connection, answer.state);
+        match answer.outcome {
+            Ok(signature) => {
+                trace.attempted(&leader.member, "completed");
+                self.note_commit(group, leader, sent, &answer.position);
+                Attempt::Decided(Ok(Completion {
+                    rows: answer.rows,
+                    signature: Some(signature),
+                }))
+            }
+            Err(refusal) => {
+                trace.attempted(&leader.member, refusal_text(&refusal));
+                judge_refusal(refusal)
+            }
+        }
+    }
+
+    /// Takes an acknowledged commit into the session's floor and the group's beliefs.
+    pub(super) fn note_commit(
+        &mut self,
+        group: &Group,
+        leader: &UsableLeader,
+        sent: Instant,
+        position: &Option<crate::position::LogPosition>,
+    ) {
+        let replicated = self.engine.sync_replicas(group.name()) > 0;
+        group.record_commit(leader.epoch, sent, *position, replicated);
+        self.floor.committed(group.name(), leader.epoch, *position);
+    }
+}
+
+/// The connections to the leader, unless it must not be used any more.
+pub(super) fn leader_pool(engine: &Engine, leader: &UsableLeader) -> Option<Arc<MemberPool>> {
+    let directory = engine.directory();
+    let member = directory.member(&leader.member)?;
+    let past_use = is_past_use(engine, member.state, Instant::now());
+    (!past_use).then(|| engine.pool(member))
+}
+
+/// Waits for an answer until `until`, or until another leader is chosen.
+pub(super) async fn await_answer<T>(
+    running: impl Future<Output = T>,
+    group: &Group,
+    leader: &UsableLeader,
+    until: Instant,
+) -> Awaited<T> {
+    tokio::select! {
+        biased;
+        answer = running => Awaited::Answered(answer),
+        () = tokio::time::sleep_until(until) => Awaited::TimedOut,
+        () = access::superseded(group, leader.epoch) => Awaited::Superseded,
+    }
+}
+
+/// Waits before another try, or refuses where there is no time for one.
+pub(super) async fn pause_or_refuse(
+    limits: StatementLimits,
+    reason: FailureReason,
+) -> Result<(), Failure> {
+    if Instant::now() + RETRY_PAUSE >= limits.offer {
+        return Err(Failure::not_run(reason));
+    }
+    sleep(RETRY_PAUSE).await;
+    Ok(())
+}
+
+/// Gives a connection back; what a failed statement has left open is rolled back first.
+pub(super) fn release(connection: PooledConnection, state: TransactionState) {
+    if state != TransactionState::Idle {
+        connection.roll_back();
+    }
+}
+
+/// Notes that a member did not answer what was sent at `sent`.
+pub(super) fn note_unanswered(pool: &MemberPool, sent: Instant) {
+    let now = Instant::now();
+    pool.note(|health| health.unanswered(now.duration_since(sent), now));
+}
+
+pub(super) fn acquire_failure(error: &AcquireError) -> FailureReason {
+    match error {
+        AcquireError::Exhausted => FailureReason::Overloaded,
+        AcquireError::Unreachable(_) | AcquireError::WrongMember => FailureReason::NoLeader,
+    }
+}
+
+pub(super) fn judge_refusal<T>(refusal: Refusal) -> Attempt<T> {
+    match refusal.kind {
+        RefusalKind::Busy => Attempt::NotRun(FailureReason::Overloaded),
+        RefusalKind::NotLeader => Attempt::NotRun(FailureReason::NoLeader),
+        RefusalKind::Lagging => Attempt::NotRun(FailureReason::NoFreshMember),
+        RefusalKind::UnknownPrepared => Attempt::NotRun(FailureReason::ConnectionLost),
+        RefusalKind::Failed => Attempt::Decided(Err(member_failure(refusal))),
+    }
+}
+
+pub(super) fn member_failure(refusal: Refusal) -> Failure {
+    Failure::may_have_run(FailureReason::Member(MemberFailure {
+        code: refusal.code,
+        text: refusal.text,
+    }))
+}
+
+pub(super) fn refusal_text(refusal: &Refusal) -> String {
+    String::from_utf8_lossy(&refusal.code).into_owned()
+}
--- /dev/null
+++ b/crates/engine/src/verdict.rs
@@ -0,0 +1,122 @@
+//! What a caller is told of a request that has not succeeded.
+
+use bytes::Bytes;
+use serde::Serialize;
+use std::fmt;
+use std::time::Duration;
+
+/// Whether a request that got no regular answer has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// Nothing of it is kept, and nothing will be. This is a promise.
+    NotRun,
+    /// It may have run, or may still run.
+    MayHaveRun,
+}
+
+/// Why a request has not succeeded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FailureReason {
+    /// No route leads from the database that was asked for.
+    UnknownDatabase,
+    /// No configuration has been read yet.
+    NotStarted,
+    /// No leader is known or usable now.
+    NoLeader,
+    /// No member that is fresh enough can be reached.
+    NoFreshMember,
+    /// Members or the queue before them are full.
+    Overloaded,
+    /// The transaction could not go on and was rolled back.
+    TransactionLost,
+    /// A transaction rested for longer than allowed and was rolled back.
+    IdleTransaction,
+    /// This process is stopping.
+    ShuttingDown,
+    /// The member's answer did not come in time.
+    AnswerTimedOut,
+    /// The connection ended before the member's answer.
+    ConnectionLost,
+    /// The name was never prepared in this session.
+    UnknownPrepared,
+    /// The statement makes no sense in the session's state.
+    OutOfPlace,
+    /// The member itself failed the statement after beginning to run it.
+    #[serde(serialize_with = "serialize_member_failure")]
+    Member(MemberFailure),
+}
+
+/// A member's own failure of a statement, to be passed on as it came.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MemberFailure {
+    /// The member's code.
+    pub code: Bytes,
+    /// The member's text.
+    pub text: Bytes,
+}
+
+fn serialize_member_failure<S: serde::Serializer>(
+    failure: &MemberFailure,
+    serializer: S,
+) -> Result<S::Ok, S::Error> {
+    serializer.serialize_str(&String::from_utf8_lossy(&failure.code))
+}
+
+/// A request's failure.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Failure {
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// Why.
+    pub reason: FailureReason,
+    /// When to come back, for a request that has not run.
+    pub retry_after: Option<Duration>,
+}
+
+/// Told to callers whose request met a condition that passes soon.
+pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+impl Failure {
+    /// A failure of a request of which nothing is kept, with a time to come back.
+    pub fn not_run(reason: FailureReason) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            reason,
+            retry_after: Some(DEFAULT_RETRY_AFTER),
+        }
+    }
+
+    /// A failure of a request that was wrong: to repeat it makes no sense.
+    pub fn rejected(reason: FailureReason) -> Self {
+        Self {
+            verdict: Verdict::NotRun,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// A failure of a request whose outcome is not known.
+    pub fn may_have_run(reason: FailureReason) -> Self {
+        Self {
+            verdict: Verdict::MayHaveRun,
+            reason,
+            retry_after: None,
+        }
+    }
+
+    /// Sets when to come back.
+    pub fn with_retry_after(mut self, delay: Duration) -> Self {
+        self.retry_after = Some(delay);
+        self
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: {:?}", self.verdict, self.reason)
+    }
+}
+
+impl std::error::Error for Failure {}
