Promote leaders: lease, fence, choice by received position, term records

Cause: nobody replaced a lost primary, so its group stayed without writes. Ruled out: a round with the members on each read (a slot and a priced probe each); trusting a member's own word that it leads (a cut-off one says so too). Change: leadership in the engine: a duty lease on the store, suspicions from traffic first, a fence of every receiving replica, choice by received position.

--- a/crates/coordination/src/lease/mod.rs
+++ b/crates/coordination/src/lease/mod.rs
@@ -86,6 +86,12 @@
         Ok(self.record.fencing)
     }
 
+    /// The number of the holding, held still or not. What is done under the lease takes
+    /// the number from [`Lease::check`] instead.
+    pub fn fencing(&self) -> FencingNumber {
+        self.record.fencing
+    }
+
     /// What the lease is for.
     pub fn name(&self) -> &LeaseName {
         &self.name
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -65,6 +65,7 @@
     evidence: Option<Instant>,
     samples: PositionSamples,
     last_commit: Option<Instant>,
+    commit_waiting_since: Option<Instant>,
 }
 
 /// The beliefs about one group, shared by all tasks.
@@ -92,6 +93,7 @@
                 evidence: None,
                 samples: PositionSamples::default(),
                 last_commit: None,
+                commit_waiting_since: None,
             }),
             changes: watch::Sender::new(0),
             questions: AsyncMutex::new(()),
@@ -129,6 +131,7 @@
         }
         let before = state.view.clone();
         if record.epoch > known {
+            state.commit_waiting_since = None;
             state.evidence = state
                 .evidence
                 .filter(|_| record.phase == TermPhase::Fencing);
@@ -188,6 +191,21 @@
         self.lock().last_commit
     }
 
+    /// Notes that a commit was sent to the leader at `sent`.
+    pub fn record_commit_sent(&self, sent: Instant) {
+        self.lock().commit_waiting_since.get_or_insert(sent);
+    }
+
+    /// Forgets commits that were sent and not acknowledged.
+    pub fn forget_waiting_commits(&self) {
+        self.lock().commit_waiting_since = None;
+    }
+
+    /// Since when commits were sent and none was acknowledged.
+    pub fn commit_waiting_since(&self) -> Option<Instant> {
+        self.lock().commit_waiting_since
+    }
+
     /// Takes an acknowledged commit that the leader of `epoch` was sent at `sent`. It is
     /// evidence for the term only where a replica had to receive it.
     pub fn record_commit(
@@ -199,6 +217,7 @@
     ) {
         let mut state = self.lock();
         state.last_commit = state.last_commit.max(Some(sent));
+        state.commit_waiting_since = None;
         if state.view.epoch != epoch {
             return;
         }
--- /dev/null
+++ b/crates/engine/src/leadership/choice.rs
@@ -0,0 +1,148 @@
+//! Which member is to lead next, and whether the fence before it is complete.
+//!
+//! With synchronous replication, an acknowledged commit lies in the leader's log and in at
+//! least one replica's. So once no replica receives from the old leader any more, the
+//! replica that has received most holds every acknowledged commit, provided that all of
+//! them were read; and a replica that has received as much as the old leader does so in
+//! any case.
+
+use super::survey::{Response, Surveyed};
+use crate::directory::{MemberState, Role};
+use crate::names::{MemberId, ZoneName};
+use crate::position::{LogPosition, Term};
+use tokio::time::Instant;
+
+/// Why no member can be promoted yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Obstacle {
+    /// The old leader may still have commits acknowledged through this replica.
+    NotFenced(MemberId),
+    /// This member may hold acknowledged commits that no other has.
+    MayHoldMore(MemberId),
+    /// No member that could lead has answered.
+    NoCandidate,
+}
+
+/// What the members told after they were paused and the old leader demoted.
+#[derive(Debug)]
+pub struct FenceSurvey<'a> {
+    /// All members.
+    pub members: &'a [Surveyed],
+    /// The old leader.
+    pub previous: Option<&'a MemberId>,
+    /// The term in whose name the others were paused.
+    pub term: Term,
+    /// Replicas that must receive a commit before its acknowledgement.
+    pub sync_replicas: usize,
+    /// Zone of the member preferred among equals.
+    pub preferred_zone: Option<&'a ZoneName>,
+}
+
+impl FenceSurvey<'_> {
+    /// The member to promote.
+    ///
+    /// # Errors
+    ///
+    /// The [`Obstacle`] that keeps acknowledged commits from being safe.
+    pub fn choose(&self, now: Instant) -> Result<MemberId, Obstacle> {
+        let old_log = self.demoted_log();
+        if old_log.is_none() && self.sync_replicas > 0 {
+            self.check_fence(now)?;
+        }
+        match self.choose_other(old_log, now) {
+            // The old leader itself holds everything, and leads nobody any more.
+            Err(obstacle) if old_log.is_some() => self.staying_previous().ok_or(obstacle),
+            chosen => chosen,
+        }
+    }
+
+    fn choose_other(
+        &self,
+        old_log: Option<LogPosition>,
+        now: Instant,
+    ) -> Result<MemberId, Obstacle> {
+        let (member, received) = self.best_other().ok_or(Obstacle::NoCandidate)?;
+        if self.sync_replicas > 0 {
+            self.check_complete(received, old_log, now)?;
+        }
+        Ok(member)
+    }
+
+    fn staying_previous(&self) -> Option<MemberId> {
+        let old = self.members.iter().find(|m| self.is_previous(m))?;
+        let stays = old.member.state == MemberState::Ready;
+        stays.then(|| old.member.id.clone())
+    }
+
+    /// The old leader's log, if it has given up the lead: nothing more is acknowledged.
+    fn demoted_log(&self) -> Option<LogPosition> {
+        let old = self.members.iter().find(|m| self.is_previous(m))?;
+        let report = old.response.report()?;
+        (report.role == Role::Replica).then_some(report.received)
+    }
+
+    /// Every other member is paused, does not run, or has left.
+    fn check_fence(&self, now: Instant) -> Result<(), Obstacle> {
+        let unfenced = self.others(now).find(|member| match &member.response {
+            Response::Report(report) => report.paused_for < self.term,
+            Response::Down(_) => false,
+            Response::Silent(_) => true,
+        });
+        match unfenced {
+            Some(member) => Err(Obstacle::NotFenced(member.member.id.clone())),
+            None => Ok(()),
+        }
+    }
+
+    /// No acknowledged commit can lie above `received`, the log of the best candidate.
+    fn check_complete(
+        &self,
+        received: LogPosition,
+        old_log: Option<LogPosition>,
+        now: Instant,
+    ) -> Result<(), Obstacle> {
+        if old_log.is_some_and(|old| received >= old) {
+            return Ok(());
+        }
+        let unread = self
+            .others(now)
+            .find(|member| member.response.report().is_none());
+        match unread {
+            Some(member) => Err(Obstacle::MayHoldMore(member.member.id.clone())),
+            None => Ok(()),
+        }
+    }
+
+    /// The replica that has received most; among equals one that stays, in the preferred
+    /// zone.
+    fn best_other(&self) -> Option<(MemberId, LogPosition)> {
+        let candidates = self.members.iter().filter_map(|member| {
+            let report = member.response.report()?;
+            let stays = member.member.state == MemberState::Ready;
+            let near = Some(&member.member.zone) == self.preferred_zone;
+            let eligible = report.role == Role::Replica && !self.is_previous(member);
+            let rank = (report.received, stays, near);
+            eligible.then(|| (rank, member.member.id.clone()))
+        });
+        let (rank, id) = candidates.max()?;
+        Some((id, rank.0))
+    }
+
+    /// Members other than the old leader that have not left.
+    fn others(&self, now: Instant) -> impl Iterator<Item = &Surveyed> {
+        let members = self.members.iter();
+        members.filter(move |member| !self.is_previous(member) && !member.has_left(now))
+    }
+
+    fn is_previous(&self, member: &Surveyed) -> bool {
+        self.previous == Some(&member.member.id)
+    }
+}
+
+/// A term above every one that any member has told of: orders in its name are heeded.
+/// A fence that was begun before is completed in the same name.
+pub fn fencing_term(members: &[Surveyed]) -> Term {
+    let reports = members.iter().filter_map(|member| member.response.report());
+    let terms = reports.map(|report| (report.term + 1).max(report.paused_for));
+    terms.max().unwrap_or(1)
+}
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -1,13 +1,26 @@
 //! Who leads a group: following the records of it, suspecting a leader, and promoting
 //! another.
+//!
+//! Every process follows the records ([`follower`]) and watches the leaders that it uses
+//! ([`suspicion`]). One of them holds the lease for promotions ([`duty`]); it acts on its
+//! own suspicions and on those that the others have recorded, and changes a leader by the
+//! steps of [`promotion`].
 
 pub mod access;
+pub mod choice;
+pub mod duty;
 pub mod follower;
 pub mod freshness;
+pub mod promotion;
 pub mod record;
+mod report;
+pub mod survey;
+pub mod suspicion;
+mod watcher;
 
 use crate::engine::Engine;
 use crate::ports::Promoter;
+use duty::Duty;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -15,9 +28,15 @@
 /// Pause before the store is asked again who leads a group that was never promoted.
 const FIRST_LEADER_PAUSE: Duration = Duration::from_millis(100);
 
-/// Follows the records of leaderships until the process ends.
-pub async fn run(engine: Arc<Engine>, _promoter: Arc<dyn Promoter>) {
-    tokio::join!(engine.terms().follow(&engine), learn_first_leaders(&engine),);
+/// Follows, watches and changes leaderships until the process ends.
+pub async fn run(engine: Arc<Engine>, promoter: Arc<dyn Promoter>) {
+    let duty = Arc::new(Duty::default());
+    tokio::join!(
+        engine.terms().follow(&engine),
+        learn_first_leaders(&engine),
+        duty.pursue(&engine),
+        watcher::watch(&engine, &promoter, &duty),
+    );
 }
 
 /// Reads the records anew while the directory knows a group whose leader is not known.
--- /dev/null
+++ b/crates/engine/src/leadership/promotion.rs
@@ -0,0 +1,357 @@
+//! One change of a group's leader, from the fence to the new leader's first write.
+//!
+//! Each phase is recorded in the store before the next begins, so that another holder of
+//! the lease can finish what one has begun:
+//!
+//! 1. *Fencing* is recorded: every process gives the old leader no more writes.
+//! 2. All replicas are paused, and the old leader is demoted if it can be reached. With a
+//!    synchronous replica required, the old leader can't have a commit acknowledged then.
+//! 3. The replica that holds every acknowledged commit is chosen: see [`super::choice`].
+//! 4. *Promoting* is recorded, with the target, and the order is given.
+//! 5. Once the target leads and the evidence for the old term has lapsed everywhere,
+//!    *active* is recorded: the target gets writes.
+//!
+//! A promotion that was begun is never taken back, but completed: a replica that was
+//! paused in vain would have to be resumed, and a late order to resume breaks a fence.
+
+use super::choice::{FenceSurvey, Obstacle, fencing_term};
+use super::duty::Duty;
+use super::follower::VersionedTerm;
+use super::record::{TermPhase, TermRecord};
+use super::survey::{self, Response, Surveyed};
+use crate::directory::Role;
+use crate::engine::Engine;
+use crate::events::Event;
+use crate::group::{TERM_LEASE, TERM_LEASE_MARGIN};
+use crate::names::{GroupName, MemberId};
+use crate::ports::{Control, PromoteError, Promoter, PromotionOrder, PutOutcome, RecordStoreError};
+use quick_error::quick_error;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time for which a leader that is to hand over finishes what it was sent.
+const FINISHING_TIME: Duration = Duration::from_millis(60);
+/// Pause before the members are asked again while the fence is not complete.
+const FENCE_PAUSE: Duration = Duration::from_millis(80);
+/// Pause between two questions whether the target leads already.
+const TARGET_PAUSE: Duration = Duration::from_millis(30);
+/// Time after which an order whose effect is not seen is given again.
+const ORDER_AGAIN: Duration = Duration::from_millis(900);
+/// Time after which a target that does not take the lead is given up.
+const TARGET_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Pause after the store gave no answer.
+const STORE_PAUSE: Duration = Duration::from_millis(80);
+
+quick_error! {
+    /// A promotion was not completed by this process.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum PromotionError {
+        /// The lease is not held any more.
+        LeaseLost {
+            display("the lease is not held any more")
+        }
+        /// Another process has changed the record.
+        Superseded {
+            display("another process has changed the record")
+        }
+        /// The target does not take the lead: another has to be chosen.
+        TargetLost {
+            display("the target does not take the lead")
+        }
+    }
+}
+
+/// What a promotion needs.
+#[derive(Debug, Clone)]
+pub struct Promotion {
+    /// The shared state.
+    pub engine: Arc<Engine>,
+    /// Carries the order out.
+    pub promoter: Arc<dyn Promoter>,
+    /// The lease under which orders are given.
+    pub duty: Arc<Duty>,
+    /// The group.
+    pub group: GroupName,
+}
+
+impl Promotion {
+    /// Changes the leader, or completes a change that was begun.
+    ///
+    /// # Errors
+    ///
+    /// [`PromotionError`] where another process has to go on, or this one anew.
+    pub async fn run(&self) -> Result<(), PromotionError> {
+        let known = self.engine.terms().known(&self.group);
+        let term = match known {
+            Some(term) if term.record.phase == TermPhase::Promoting => term,
+            Some(term) if term.record.phase == TermPhase::Fencing => self.fence(term).await?,
+            known => self.begin(known).await?,
+        };
+        let fenced_at = Instant::now();
+        self.promote(&term.record).await?;
+        sleep_until(fenced_at + TERM_LEASE + TERM_LEASE_MARGIN).await;
+        self.advance(&term, TermPhase::Active, term.record.target.clone())
+            .await?;
+        Ok(())
+    }
+
+    /// Gives up the target of a promotion that was begun, and chooses again.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Promotion::run`].
+    pub async fn choose_again(&self) -> Result<(), PromotionError> {
+        let known = self.engine.terms().known(&self.group);
+        let term = self.begin(known).await?;
+        drop(term);
+        self.run().await
+    }
+
+    async fn begin(&self, known: Option<VersionedTerm>) -> Result<VersionedTerm, PromotionError> {
+        let view = self.engine.group(&self.group).view();
+        let epoch = known.as_ref().map_or(0, |term| term.record.epoch) + 1;
+        let record = TermRecord {
+            group: self.group.clone(),
+            epoch,
+            phase: TermPhase::Fencing,
+            target: None,
+            previous: view.leader,
+            holder: self.engine.settings().node.clone(),
+        };
+        let version = known.map_or(0, |term| term.version);
+        let term = self.store(record, version).await?;
+        sleep(FINISHING_TIME).await;
+        self.fence(term).await
+    }
+
+    /// Completes the fence and records the target.
+    async fn fence(&self, term: VersionedTerm) -> Result<VersionedTerm, PromotionError> {
+        let previous = term.record.previous.clone();
+        let sync_replicas = self.engine.sync_replicas(&self.group);
+        loop {
+            self.check_duty()?;
+            let asked = survey::survey(&self.engine, &self.group, |_| Control::Status).await;
+            let fencing = fencing_term(&asked);
+            self.check_duty()?;
+            let fenced = survey::survey(&self.engine, &self.group, |member| {
+                match previous.as_ref() == Some(member) {
+                    true => Control::Demote(fencing),
+                    false => Control::Pause(fencing),
+                }
+            })
+            .await;
+            self.tell_fence(&term.record, &fenced);
+            let survey = FenceSurvey {
+                members: &fenced,
+                previous: previous.as_ref(),
+                term: fencing,
+                sync_replicas,
+                preferred_zone: None,
+            };
+            match survey.choose(Instant::now()) {
+                Ok(target) => {
+                    return self
+                        .advance(&term, TermPhase::Promoting, Some(target))
+                        .await;
+                }
+                Err(obstacle) => self.tell_obstacle(&term.record, &obstacle),
+            }
+            sleep(FENCE_PAUSE).await;
+        }
+    }
+
+    /// Orders the promotion until the target leads.
+    async fn promote(&self, record: &TermRecord) -> Result<(), PromotionError> {
+        let Some(target) = record.target.clone() else {
+            return Err(PromotionError::TargetLost);
+        };
+        let began = Instant::now();
+        let mut ordered: Option<Instant> = None;
+        while began.elapsed() < TARGET_TIMEOUT {
+            if ordered.is_none_or(|at| at.elapsed() > ORDER_AGAIN) {
+                match self.order(record, &target).await? {
+                    Ok(()) | Err(PromoteError::Unknown(_)) => ordered = Some(Instant::now()),
+                    Err(PromoteError::TargetDown) => return Err(PromotionError::TargetLost),
+                    Err(_) => {}
+                }
+            }
+            sleep(TARGET_PAUSE).await;
+            if self.leads(&target).await {
+                self.resume_others(record, &target).await;
+                return Ok(());
+            }
+        }
+        Err(PromotionError::TargetLost)
+    }
+
+    /// Gives the order once, with the lease checked directly before.
+    async fn order(
+        &self,
+        record: &TermRecord,
+        target: &MemberId,
+    ) -> Result<Result<(), PromoteError>, PromotionError> {
+        let fencing = self.duty.check().ok_or(PromotionError::LeaseLost)?;
+        let order = PromotionOrder {
+            group: self.group.clone(),
+            target: target.clone(),
+            holder: self.engine.settings().node.clone(),
+            fencing,
+        };
+        let result = self.promoter.promote(&order).await;
+        let text = match &result {
+            Ok(()) => "accepted".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        self.tell(record, "order", Some(target.clone()), None, text);
+        Ok(result)
+    }
+
+    async fn leads(&self, target: &MemberId) -> bool {
+        let directory = self.engine.directory();
+        let Some(member) = directory.member(target) else {
+            return false;
+        };
+        let response = survey::order(&self.engine, member, Control::Status).await;
+        let report = response.report();
+        report.is_some_and(|report| report.role == Role::Primary)
+    }
+
+    /// Lets replicas receive again that are still paused.
+    async fn resume_others(&self, record: &TermRecord, target: &MemberId) {
+        for member in self.engine.directory().members_of(&self.group) {
+            if member.id == *target || self.duty.check().is_none() {
+                continue;
+            }
+            let engine = Arc::clone(&self.engine);
+            let this = self.clone();
+            let record = record.clone();
+            tokio::spawn(async move {
+                let asked = survey::order(&engine, &member, Control::Status).await;
+                let paused = asked.report().is_some_and(|report| report.paused_for > 0);
+                if paused && this.duty.check().is_some() {
+                    let resumed = survey::order(&engine, &member, Control::Resume).await;
+                    this.tell_response(&record, "resume", &member.id, &resumed);
+                }
+            });
+        }
+    }
+
+    async fn advance(
+        &self,
+        term: &VersionedTerm,
+        phase: TermPhase,
+        target: Option<MemberId>,
+    ) -> Result<VersionedTerm, PromotionError> {
+        let record = TermRecord {
+            phase,
+            target,
+            holder: self.engine.settings().node.clone(),
+            ..term.record.clone()
+        };
+        self.store(record, term.version).await
+    }
+
+    /// Writes the record, whatever the store makes of single calls, while the lease lasts.
+    async fn store(
+        &self,
+        record: TermRecord,
+        expected: u64,
+    ) -> Result<VersionedTerm, PromotionError> {
+        let key = TermRecord::key(&self.group);
+        let value = record.encode();
+        loop {
+            self.check_duty()?;
+            let begun = Instant::now();
+            let put = self
+                .engine
+                .terms()
+                .store()
+                .put_if(&key, expected, value.clone());
+            let stored = match put.await {
+                Ok(PutOutcome::Stored(version)) => Some(version),
+                Ok(PutOutcome::Conflict) => Some(self.find_own(&record).await?),
+                Err(RecordStoreError::Unknown(_)) => self.find_own(&record).await.ok(),
+                Err(_) => None,
+            };
+            if let Some(version) = stored {
+                self.tell(
+                    &record,
+                    "recorded",
+                    record.target.clone(),
+                    None,
+                    String::new(),
+                );
+                let term = VersionedTerm { record, version };
+                self.engine
+                    .terms()
+                    .apply_one(&self.engine, term.clone(), Some(begun));
+                return Ok(term);
+            }
+            sleep(STORE_PAUSE).await;
+        }
+    }
+
+    /// The version of `record`, if that is what the store has: an earlier write whose
+    /// answer was lost may have been done.
+    async fn find_own(&self, record: &TermRecord) -> Result<u64, PromotionError> {
+        let changes = self.engine.terms().store().read_all().await;
+        let changes = changes.map_err(|_| PromotionError::Superseded)?;
+        let key = TermRecord::key(&self.group);
+        let current = changes.written.iter().find(|found| found.key == key);
+        let own = current.filter(|found| found.value == record.encode());
+        own.map(|found| found.version)
+            .ok_or(PromotionError::Superseded)
+    }
+
+    fn check_duty(&self) -> Result<(), PromotionError> {
+        let held = self.duty.check();
+        held.map(|_| ()).ok_or(PromotionError::LeaseLost)
+    }
+
+    fn tell_fence(&self, record: &TermRecord, members: &[Surveyed]) {
+        for surveyed in members {
+            let id = &surveyed.member.id;
+            self.tell_response(record, "fence", id, &surveyed.response);
+        }
+    }
+
+    fn tell_obstacle(&self, record: &TermRecord, obstacle: &Obstacle) {
+        self.tell(record, "choose", None, None, format!("{obstacle:?}"));
+    }
+
+    fn tell_response(
+        &self,
+        record: &TermRecord,
+        step: &'static str,
+        member: &MemberId,
+        response: &Response,
+    ) {
+        let text = match response {
+            Response::Report(_) => String::new(),
+            Response::Down(reason) => format!("down: {reason}"),
+            Response::Silent(reason) => format!("silent: {reason}"),
+        };
+        let report = response.report().copied();
+        self.tell(record, step, Some(member.clone()), report, text);
+    }
+
+    fn tell(
+        &self,
+        record: &TermRecord,
+        step: &'static str,
+        member: Option<MemberId>,
+        report: Option<crate::ports::MemberReport>,
+        result: String,
+    ) {
+        self.engine.events().write(&Event::PromotionStep {
+            group: self.group.clone(),
+            epoch: record.epoch,
+            phase: record.phase,
+            step,
+            member,
+            report,
+            result,
+        });
+    }
+}
--- /dev/null
+++ b/crates/engine/src/leadership/report.rs
@@ -0,0 +1,53 @@
+//! Suspicions that processes record for the holder of the lease.
+
+use super::suspicion::Suspicion;
+use crate::engine::Engine;
+use crate::group::Epoch;
+use crate::names::{GroupName, NodeName};
+use crate::ports::Record;
+use serde::{Deserialize, Serialize};
+
+/// Prefix of the keys of these records.
+const KEY_PREFIX: &str = "suspicion/";
+
+/// One process's suspicion of a leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspicionReport {
+    /// The group.
+    pub group: GroupName,
+    /// The epoch of the leader.
+    pub epoch: Epoch,
+    /// Who suspects it.
+    pub reporter: NodeName,
+    /// On which evidence.
+    pub evidence: String,
+    /// Differs between two reports of the same.
+    pub nonce: u64,
+}
+
+/// Records a suspicion. What fails is tried again with the next suspicion.
+pub async fn record(engine: &Engine, group: &GroupName, epoch: Epoch, suspicion: Suspicion) {
+    let reporter = engine.settings().node.clone();
+    let key = format!("{KEY_PREFIX}{group}/{reporter}");
+    let report = SuspicionReport {
+        group: group.clone(),
+        epoch,
+        reporter,
+        evidence: suspicion.name().to_owned(),
+        nonce: rand::random(),
+    };
+    let others = engine.terms().subscribe_others();
+    let version = others.borrow().get(&key).map_or(0, |known| known.version);
+    let value = rmp_serde::to_vec_named(&report).unwrap_or_default();
+    let _ = engine
+        .terms()
+        .store()
+        .put_if(&key, version, value.into())
+        .await;
+}
+
+/// Reads a record, if it is a suspicion.
+pub fn decode(record: &Record) -> Option<SuspicionReport> {
+    let is_report = record.key.starts_with(KEY_PREFIX);
+    is_report.then(|| rmp_serde::from_slice(&record.value).ok())?
+}
--- /dev/null
+++ b/crates/engine/src/leadership/survey.rs
@@ -0,0 +1,106 @@
+//! Asking the members of a group about themselves, and giving them orders.
+
+use crate::directory::{Member, MemberState, Role};
+use crate::engine::Engine;
+use crate::names::{GroupName, MemberId};
+use crate::ports::{ConnectError, Control, MemberReport};
+use futures::future::join_all;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Longest time for one order, its connection included.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
+/// How long a member whose entry has gone is still asked for. One that refuses
+/// connections for all that time has left.
+const GONE_WAIT: Duration = Duration::from_secs(10);
+
+/// What came of asking a member.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Response {
+    /// It answered.
+    Report(MemberReport),
+    /// Nobody listens at its address, or another does: it does not run now.
+    Down(String),
+    /// Nothing is known.
+    Silent(String),
+}
+
+impl Response {
+    /// Its report, if it answered.
+    pub fn report(&self) -> Option<&MemberReport> {
+        match self {
+            Response::Report(report) => Some(report),
+            _ => None,
+        }
+    }
+}
+
+/// A member and what came of asking it.
+#[derive(Debug, Clone)]
+pub struct Surveyed {
+    /// The member.
+    pub member: Arc<Member>,
+    /// What came of it.
+    pub response: Response,
+}
+
+impl Surveyed {
+    /// Whether it has left for good, as far as can be known.
+    pub fn has_left(&self, now: Instant) -> bool {
+        let MemberState::Gone { since } = self.member.state else {
+            return false;
+        };
+        matches!(self.response, Response::Down(_)) && now.duration_since(since) > GONE_WAIT
+    }
+
+    /// Whether it answered as a replica.
+    pub fn is_replica(&self) -> bool {
+        let report = self.response.report();
+        report.is_some_and(|report| report.role == Role::Replica)
+    }
+}
+
+/// Gives `control` to one member.
+pub async fn order(engine: &Engine, member: &Arc<Member>, control: Control) -> Response {
+    let pool = engine.pool(member);
+    let ordered = async {
+        let mut connection = pool.open_separately().await.map_err(connect_failure)?;
+        let report = connection.control(control).await;
+        report.map_err(|error| Response::Silent(error.to_string()))
+    };
+    match timeout(ORDER_TIMEOUT, ordered).await {
+        Ok(Ok(report)) => {
+            pool.note(|health| health.heard(Instant::now()));
+            Response::Report(report)
+        }
+        Ok(Err(response)) => response,
+        Err(_) => Response::Silent("no answer in time".to_owned()),
+    }
+}
+
+/// Gives each member of `group` the order that `control_for` names for it, all at once.
+pub async fn survey(
+    engine: &Engine,
+    group: &GroupName,
+    control_for: impl Fn(&MemberId) -> Control,
+) -> Vec<Surveyed> {
+    let members = engine.directory().members_of(group);
+    let orders = members.into_iter().map(|member| {
+        let control = control_for(&member.id);
+        async move {
+            let response = order(engine, &member, control).await;
+            Surveyed { member, response }
+        }
+    });
+    join_all(orders).await
+}
+
+fn connect_failure(error: ConnectError) -> Response {
+    match error {
+        ConnectError::Refused(_) | ConnectError::WrongMember => Response::Down(error.to_string()),
+        ConnectError::TimedOut | ConnectError::TooManyConnections => {
+            Response::Silent(error.to_string())
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -0,0 +1,149 @@
+//! Suspecting a leader, on evidence that costs nothing first.
+//!
+//! The traffic of this process tells whether the leader answers, and whether commits are
+//! acknowledged. Only where it has been silent is the leader asked, over a connection of
+//! its own.
+
+use super::survey::{self, Response};
+use crate::directory::{Member, MemberState, Role};
+use crate::engine::Engine;
+use crate::group::{Group, LeaderView};
+use crate::ports::{Control, MemberReport};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Silence after which a leader is asked.
+const SILENCE: Duration = Duration::from_millis(220);
+/// Time after which a leader is asked to which no connection can be opened.
+const UNREACHABLE: Duration = Duration::from_millis(20);
+/// Time without an acknowledged commit after which replication is looked at.
+const COMMIT_STALL: Duration = Duration::from_millis(450);
+/// How long an entry may be away before its member is replaced as leader.
+const GONE_GRACE: Duration = Duration::from_millis(2_600);
+/// Longest wait for the answer to one question.
+const QUESTION_TIMEOUT: Duration = Duration::from_millis(220);
+/// Pause between two questions.
+const QUESTION_PAUSE: Duration = Duration::from_millis(50);
+/// Questions without an answer after which a leader counts as lost.
+const QUESTIONS: usize = 2;
+
+/// Why a leader is suspected.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Suspicion {
+    /// It has said that it is going to leave.
+    Leaving,
+    /// Its entry has been away for long.
+    EntryGone,
+    /// It does not answer.
+    Unreachable,
+    /// It answers, but its commits are not acknowledged.
+    CommitsStalled,
+    /// It answers that it does not lead.
+    NotLeading,
+}
+
+impl Suspicion {
+    /// Its name in events.
+    pub fn name(self) -> &'static str {
+        match self {
+            Suspicion::Leaving => "leaving",
+            Suspicion::EntryGone => "entry_gone",
+            Suspicion::Unreachable => "unreachable",
+            Suspicion::CommitsStalled => "commits_stalled",
+            Suspicion::NotLeading => "not_leading",
+        }
+    }
+}
+
+/// What the traffic hints at, without a question asked.
+fn hint(engine: &Engine, group: &Group, leader: &Arc<Member>, now: Instant) -> Option<Suspicion> {
+    match leader.state {
+        MemberState::Leaving { .. } => return Some(Suspicion::Leaving),
+        MemberState::Gone { since } if now.duration_since(since) > GONE_GRACE => {
+            return Some(Suspicion::EntryGone);
+        }
+        _ => {}
+    }
+    let health = engine.pool(leader).health();
+    let lasts = |since: Option<Instant>, limit| since.is_some_and(|at| now >= at + limit);
+    if lasts(health.unreachable_since(), UNREACHABLE) || lasts(health.silent_since(), SILENCE) {
+        return Some(Suspicion::Unreachable);
+    }
+    if lasts(group.commit_waiting_since(), COMMIT_STALL) {
+        return Some(Suspicion::CommitsStalled);
+    }
+    None
+}
+
+/// Looks at the leader of `group`; a suspicion that is returned was verified as far as
+/// this process can.
+pub async fn verified_suspicion(
+    engine: &Engine,
+    group: &Group,
+    view: &LeaderView,
+    asked_to: bool,
+) -> Option<Suspicion> {
+    let leader = view.leader.as_ref()?;
+    let directory = engine.directory();
+    let Some(member) = directory.member(leader) else {
+        return Some(Suspicion::EntryGone);
+    };
+    let hinted = hint(engine, group, member, Instant::now());
+    let hint = hinted.or(asked_to.then_some(Suspicion::Unreachable))?;
+    match hint {
+        Suspicion::Leaving | Suspicion::EntryGone | Suspicion::NotLeading => Some(hint),
+        Suspicion::Unreachable => verify_reachable(engine, group, member, asked_to).await,
+        Suspicion::CommitsStalled => verify_replication(engine, group, member).await,
+    }
+}
+
+async fn verify_reachable(
+    engine: &Engine,
+    group: &Group,
+    leader: &Arc<Member>,
+    asked_to: bool,
+) -> Option<Suspicion> {
+    for _ in 0..QUESTIONS {
+        match ask(engine, leader).await {
+            Some(report) if report.role == Role::Replica => return Some(Suspicion::NotLeading),
+            Some(_) if asked_to => return verify_replication(engine, group, leader).await,
+            Some(_) => return None,
+            None => sleep(QUESTION_PAUSE).await,
+        }
+    }
+    Some(Suspicion::Unreachable)
+}
+
+/// Whether any replica receives what the leader has in its log.
+async fn verify_replication(
+    engine: &Engine,
+    group: &Group,
+    leader: &Arc<Member>,
+) -> Option<Suspicion> {
+    let Some(report) = ask(engine, leader).await else {
+        return Some(Suspicion::Unreachable);
+    };
+    for _ in 0..QUESTIONS {
+        sleep(QUESTION_PAUSE).await;
+        let members = survey::survey(engine, group.name(), |_| Control::Status).await;
+        let received = members
+            .iter()
+            .filter(|surveyed| surveyed.member.id != leader.id)
+            .filter_map(|surveyed| surveyed.response.report())
+            .any(|replica| replica.received >= report.received);
+        if received {
+            group.forget_waiting_commits();
+            return None;
+        }
+    }
+    Some(Suspicion::CommitsStalled)
+}
+
+async fn ask(engine: &Engine, leader: &Arc<Member>) -> Option<MemberReport> {
+    let asked = survey::order(engine, leader, Control::Status);
+    match timeout(QUESTION_TIMEOUT, asked).await {
+        Ok(Response::Report(report)) => Some(report),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/engine/src/leadership/watcher.rs
@@ -0,0 +1,206 @@
+//! Watches the leaders of all groups; the holder of the lease acts, the others report.
+
+use super::duty::Duty;
+use super::promotion::{Promotion, PromotionError};
+use super::record::TermPhase;
+use super::report;
+use super::suspicion::{self, Suspicion};
+use crate::engine::Engine;
+use crate::events::{Event, millis};
+use crate::group::{Epoch, Group};
+use crate::names::{GroupName, NodeName};
+use crate::ports::Promoter;
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Interval between two looks at the leaders.
+const LOOK_INTERVAL: Duration = Duration::from_millis(40);
+/// Least time between two reports of one suspicion.
+const REPORT_INTERVAL: Duration = Duration::from_millis(700);
+/// How long a report counts.
+const REPORT_LIFE: Duration = Duration::from_millis(2_500);
+/// Processes that must suspect a leader which the holder itself finds well.
+const REPORTERS_NEEDED: usize = 3;
+/// Pause after a leader that others suspect was found well.
+const ASKED_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a promotion that this process could not complete.
+const FAILED_PAUSE: Duration = Duration::from_millis(120);
+
+/// What the watcher remembers between two looks.
+#[derive(Debug, Default)]
+struct Memory {
+    /// Groups that a task is looking after.
+    busy: HashSet<GroupName>,
+    /// When a suspicion was last reported.
+    reported: HashMap<GroupName, Instant>,
+    /// Others' suspicions, by group: who, of which epoch, and when this was learned.
+    reports: HashMap<GroupName, HashMap<NodeName, (Epoch, Instant)>>,
+}
+
+/// Shared by the tasks of the groups.
+#[derive(Debug, Clone)]
+struct Watcher {
+    engine: Arc<Engine>,
+    promoter: Arc<dyn Promoter>,
+    duty: Arc<Duty>,
+    memory: Arc<Mutex<Memory>>,
+}
+
+/// Watches until the process ends.
+pub async fn watch(engine: &Arc<Engine>, promoter: &Arc<dyn Promoter>, duty: &Arc<Duty>) {
+    let watcher = Watcher {
+        engine: Arc::clone(engine),
+        promoter: Arc::clone(promoter),
+        duty: Arc::clone(duty),
+        memory: Arc::default(),
+    };
+    let reports = watcher.clone();
+    tokio::spawn(async move { reports.take_reports().await });
+    loop {
+        for name in engine.directory().groups() {
+            watcher.look_at(name);
+        }
+        sleep(LOOK_INTERVAL).await;
+    }
+}
+
+impl Watcher {
+    /// Looks at one group in a task of its own, unless one does so already.
+    fn look_at(&self, name: GroupName) {
+        if !self.memory().busy.insert(name.clone()) {
+            return;
+        }
+        let watcher = self.clone();
+        tokio::spawn(async move {
+            let group = watcher.engine.group(&name);
+            watcher.look(&group).await;
+            watcher.memory().busy.remove(&name);
+        });
+    }
+
+    async fn look(&self, group: &Group) {
+        let holds_duty = self.duty.check().is_some();
+        if holds_duty && self.is_unfinished(group.name()) {
+            self.promote(group.name()).await;
+            return;
+        }
+        let view = group.view();
+        if !view.confirmed || view.writable_from.is_none() {
+            return;
+        }
+        let began = Instant::now();
+        let reporters = self.reporters(group.name(), view.epoch);
+        let asked_to = holds_duty && reporters > 0;
+        let verified = suspicion::verified_suspicion(&self.engine, group, &view, asked_to).await;
+        let outvoted = reporters >= REPORTERS_NEEDED;
+        let suspicion = verified.or(outvoted.then_some(Suspicion::Unreachable));
+        let (Some(suspicion), Some(leader)) = (suspicion, view.leader) else {
+            if asked_to {
+                sleep(ASKED_PAUSE).await;
+            }
+            return;
+        };
+        if group.view().epoch != view.epoch {
+            return;
+        }
+        self.engine.events().write(&Event::LeaderSuspected {
+            group: group.name().clone(),
+            epoch: view.epoch,
+            leader,
+            evidence: suspicion.name(),
+            since_ms: millis(began.elapsed()),
+        });
+        if self.duty.check().is_some() {
+            self.promote(group.name()).await;
+        } else {
+            self.report(group.name(), view.epoch, suspicion).await;
+        }
+    }
+
+    /// Whether a promotion was begun and not completed.
+    fn is_unfinished(&self, group: &GroupName) -> bool {
+        let known = self.engine.terms().known(group);
+        known.is_some_and(|term| term.record.phase != TermPhase::Active)
+    }
+
+    async fn promote(&self, group: &GroupName) {
+        let promotion = Promotion {
+            engine: Arc::clone(&self.engine),
+            promoter: Arc::clone(&self.promoter),
+            duty: Arc::clone(&self.duty),
+            group: group.clone(),
+        };
+        // The record may have changed unseen.
+        let _ = self
+            .engine
+            .terms()
+            .refresh(&self.engine, Instant::now())
+            .await;
+        let mut result = promotion.run().await;
+        while result == Err(PromotionError::TargetLost) {
+            result = promotion.choose_again().await;
+        }
+        self.memory().reports.remove(group);
+        if let Err(error) = result {
+            log::warn!("promotion in {group}: {error}");
+            sleep(FAILED_PAUSE).await;
+        }
+    }
+
+    async fn report(&self, group: &GroupName, epoch: Epoch, suspicion: Suspicion) {
+        let now = Instant::now();
+        let due = {
+            let mut memory = self.memory();
+            let last = memory.reported.get(group);
+            let due = last.is_none_or(|at| now.duration_since(*at) > REPORT_INTERVAL);
+            if due {
+                memory.reported.insert(group.clone(), now);
+            }
+            due
+        };
+        if due {
+            report::record(&self.engine, group, epoch, suspicion).await;
+        }
+    }
+
+    /// Learns of suspicions that others record.
+    async fn take_reports(&self) {
+        let mut others = self.engine.terms().subscribe_others();
+        let mut versions: HashMap<String, u64> = HashMap::new();
+        loop {
+            let records = others.borrow_and_update().clone();
+            for record in records.values() {
+                let seen = versions.insert(record.key.clone(), record.version);
+                let Some(report) = report::decode(record).filter(|_| seen != Some(record.version))
+                else {
+                    continue;
+                };
+                let mut memory = self.memory();
+                let of_group = memory.reports.entry(report.group).or_default();
+                of_group.insert(report.reporter, (report.epoch, Instant::now()));
+            }
+            if others.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// How many processes suspect the leader of `epoch` now.
+    fn reporters(&self, group: &GroupName, epoch: Epoch) -> usize {
+        let now = Instant::now();
+        let memory = self.memory();
+        let of_group = memory.reports.get(group);
+        of_group.map_or(0, |reports| {
+            let current = reports.values().filter(|(reported, at)| {
+                *reported == epoch && now.duration_since(*at) < REPORT_LIFE
+            });
+            current.count()
+        })
+    }
+
+    fn memory(&self) -> std::sync::MutexGuard<'_, Memory> {
+        self.memory.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -143,6 +143,7 @@
     pub async fn run(&mut self, command: &Command) -> Result<Answer, LinkError> {
         let sent = Instant::now();
         self.clean = false;
+        self.pool.note(|health| health.sent(sent));
         let result = self.established()?.connection.run(command).await;
         let now = Instant::now();
         match &result {
--- a/crates/engine/src/pool/health.rs
+++ b/crates/engine/src/pool/health.rs
@@ -29,6 +29,7 @@
     lacks: Option<(LogPosition, Instant)>,
     applied: Option<LogPosition>,
     last_answer: Option<Instant>,
+    waiting_since: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -49,6 +50,7 @@
             lacks: None,
             applied: None,
             last_answer: None,
+            waiting_since: None,
         }
     }
 
@@ -65,6 +67,17 @@
     pub fn heard(&mut self, now: Instant) {
         self.unreachable = None;
         self.last_answer = Some(now);
+        self.waiting_since = None;
+    }
+
+    /// Something was sent to it.
+    pub fn sent(&mut self, now: Instant) {
+        self.waiting_since.get_or_insert(now);
+    }
+
+    /// Since when it has said nothing although something was sent to it.
+    pub fn silent_since(&self) -> Option<Instant> {
+        self.waiting_since
     }
 
     /// A statement got no answer within `waited`.
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -331,6 +331,9 @@
         let limits = StatementLimits::new(&transaction.route, request.received);
         let member = open.connection.pool().member().id.clone();
         let sent = Instant::now();
+        if open.wrote {
+            transaction.group.record_commit_sent(sent);
+        }
         let awaited = run_commit(transaction, &mut open, &request.id, limits).await;
         let lost = |reason: FailureReason| match open.wrote {
             true => Failure::may_have_run(reason),
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -82,6 +82,7 @@
             return Attempt::NotRun(FailureReason::ConnectionLost);
         }
         let sent = Instant::now();
+        group.record_commit_sent(sent);
         let running = connection.run_work(&request.id, work, None);
         let awaited = await_answer(running, group, leader, limits.answer).await;
         self.judge_write(awaited, connection, group, leader, sent, trace)
