Divide a member's connections by the fleet's size; let orders use pooled ones

The crashed primary also came back under another id at its address, which nobody took for it. Ruled out: the store's outage (it ended at 18.5 s, the failure lasted on). Change: the share of connections follows from the fleet's records; orders go over pooled connections; a leader that comes back renamed is followed.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -56,6 +56,13 @@
     pub state: MemberState,
 }
 
+impl Member {
+    /// Whether its entry has gone.
+    pub fn is_gone(&self) -> bool {
+        matches!(self.state, MemberState::Gone { .. })
+    }
+}
+
 /// All members, as of one reading of their entries.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
@@ -79,6 +86,26 @@
         self.members.get(id)
     }
 
+    /// The member that acts for `id`: itself while its entry is there, else a leader that
+    /// has come back in its place, at `address` or where `id` was.
+    pub fn acting_member(
+        &self,
+        group: &str,
+        id: &str,
+        address: Option<SocketAddr>,
+    ) -> Option<&Arc<Member>> {
+        let known = self.members.get(id);
+        if known.is_some_and(|member| !member.is_gone()) {
+            return known;
+        }
+        let address = known.map(|member| member.address).or(address);
+        let successor = self.members.values().find(|member| {
+            let in_place = Some(member.address) == address && &*member.group == group;
+            in_place && member.role == Role::Primary && !member.is_gone()
+        });
+        successor.or(known)
+    }
+
     /// All members.
     pub fn members(&self) -> impl Iterator<Item = &Arc<Member>> {
         self.members.values()
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,17 +4,24 @@
 use crate::directory::{Directory, Member};
 use crate::events::{Event, EventLog};
 use crate::group::Group;
+use crate::leadership::fleet::connection_share;
 use crate::leadership::follower::TermFollower;
 use crate::names::{GroupName, MemberId, NodeName, ZoneName};
 use crate::pool::MemberPool;
 use crate::ports::{BackEnd, RecordStore};
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::retry::{RetryBudget, RetryBudgetSettings};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Processes assumed before the fleet is known.
+const FIRST_PROCESSES: usize = 9;
+/// Connections that a member is assumed to accept before the configuration is known.
+const FIRST_MEMBER_CONNECTIONS: usize = 30;
+
 /// Reads that may be sent to a second member because the first is silent.
 const HEDGE_BUDGET: RetryBudgetSettings = RetryBudgetSettings {
     ratio: 0.15,
@@ -61,6 +68,7 @@
     stop: watch::Sender<StopPhase>,
     events: EventLog,
     hedges: RetryBudget,
+    processes: AtomicUsize,
 }
 
 impl Engine {
@@ -81,6 +89,7 @@
             stop: watch::Sender::new(StopPhase::Serving),
             events: EventLog::default(),
             hedges: RetryBudget::new(HEDGE_BUDGET),
+            processes: AtomicUsize::new(FIRST_PROCESSES),
         })
     }
 
@@ -126,6 +135,7 @@
             later
         });
         if taken {
+            self.divide_connections();
             self.events
                 .write(&Event::ConfigurationTaken { version, routes });
         }
@@ -185,6 +195,25 @@
         settings.map_or(0, |settings| settings.sync_replicas)
     }
 
+    /// Takes the number of processes in the fleet, and divides the members' connections.
+    pub fn set_processes(&self, processes: usize) {
+        self.processes.store(processes, Ordering::Relaxed);
+        self.divide_connections();
+    }
+
+    fn divide_connections(&self) {
+        for pool in lock(&self.pools).values() {
+            pool.set_limit(self.connection_share(&pool.member().group));
+        }
+    }
+
+    fn connection_share(&self, group: &str) -> usize {
+        let configuration = self.configuration.borrow();
+        let settings = configuration.as_ref().and_then(|c| c.groups.get(group));
+        let accepted = settings.map_or(FIRST_MEMBER_CONNECTIONS, |s| s.member_connections);
+        connection_share(accepted, self.processes.load(Ordering::Relaxed))
+    }
+
     /// The connections to `member`.
     pub fn pool(&self, member: &Arc<Member>) -> Arc<MemberPool> {
         let mut pools = lock(&self.pools);
@@ -193,6 +222,7 @@
         }
         let pool = MemberPool::new(Arc::clone(member), Arc::clone(&self.back_end));
         let pool = Arc::new(pool);
+        pool.set_limit(self.connection_share(&member.group));
         pools.insert(member.id.clone(), Arc::clone(&pool));
         pool
     }
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -143,20 +143,20 @@
         self.publish(before, &state)
     }
 
-    /// Takes what a read of the store, begun at `begun`, has shown: nobody was ever
-    /// promoted, and `leader` says that it leads.
-    pub fn apply_first_leader(&self, leader: Option<MemberId>, begun: Instant) -> bool {
+    /// Takes that nobody was ever promoted, and that `leader` says it leads. `begun` is
+    /// when a read of the store was begun that showed the first.
+    pub fn apply_first_leader(&self, leader: Option<MemberId>, begun: Option<Instant>) -> bool {
         let mut state = self.lock();
         if state.view.epoch > 0 {
             return false;
         }
         let before = state.view.clone();
         if leader.is_some() {
-            state.view.writable_from = state.view.writable_from.or(Some(begun));
+            state.view.writable_from = state.view.writable_from.or(Some(Instant::now()));
             state.view.confirmed = true;
             state.view.leader = leader;
         }
-        state.evidence = state.evidence.max(Some(begun));
+        state.evidence = state.evidence.max(begun);
         self.publish(before, &state)
     }
 
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -7,9 +7,10 @@
 //! any case.
 
 use super::survey::{Response, Surveyed};
-use crate::directory::{MemberState, Role};
+use crate::directory::{Member, MemberState, Role};
 use crate::names::{MemberId, ZoneName};
 use crate::position::{LogPosition, Term};
+use std::net::SocketAddr;
 use tokio::time::Instant;
 
 /// Why no member can be promoted yet.
@@ -23,13 +24,29 @@
     NoCandidate,
 }
 
+/// The leader that is to be replaced.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PreviousLeader {
+    /// The member, if there was one.
+    pub id: Option<MemberId>,
+    /// Where it listens: a server that comes back there has its log.
+    pub address: Option<SocketAddr>,
+}
+
+impl PreviousLeader {
+    /// Whether `member` is the old leader, or has come back in its place.
+    pub fn is(&self, member: &Member) -> bool {
+        self.id.as_ref() == Some(&member.id) || self.address == Some(member.address)
+    }
+}
+
 /// What the members told after they were paused and the old leader demoted.
 #[derive(Debug)]
 pub struct FenceSurvey<'a> {
     /// All members.
     pub members: &'a [Surveyed],
     /// The old leader.
-    pub previous: Option<&'a MemberId>,
+    pub previous: &'a PreviousLeader,
     /// The term in whose name the others were paused.
     pub term: Term,
     /// Replicas that must receive a commit before its acknowledgement.
@@ -69,15 +86,16 @@
     }
 
     fn staying_previous(&self) -> Option<MemberId> {
-        let old = self.members.iter().find(|m| self.is_previous(m))?;
-        let stays = old.member.state == MemberState::Ready;
-        stays.then(|| old.member.id.clone())
+        let mut old = self.members.iter().filter(|m| self.is_previous(m));
+        let staying = old.find(|m| m.member.state == MemberState::Ready)?;
+        Some(staying.member.id.clone())
     }
 
     /// The old leader's log, if it has given up the lead: nothing more is acknowledged.
     fn demoted_log(&self) -> Option<LogPosition> {
-        let old = self.members.iter().find(|m| self.is_previous(m))?;
-        let report = old.response.report()?;
+        let old = self.members.iter().filter(|m| self.is_previous(m));
+        let mut reports = old.filter_map(|member| member.response.report());
+        let report = reports.next()?;
         (report.role == Role::Replica).then_some(report.received)
     }
 
@@ -135,7 +153,7 @@
     }
 
     fn is_previous(&self, member: &Surveyed) -> bool {
-        self.previous == Some(&member.member.id)
+        self.previous.is(&member.member)
     }
 }
 
--- /dev/null
+++ b/crates/engine/src/leadership/fleet.rs
@@ -0,0 +1,76 @@
+//! How many processes the fleet has, from the records that they keep of themselves.
+//!
+//! A member accepts a bounded number of connections from all processes together; the
+//! share of each follows from their number.
+
+use crate::engine::Engine;
+use crate::ports::Record;
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Prefix of the keys of these records.
+const KEY_PREFIX: &str = "node/";
+/// Interval in which a process renews its record.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(120);
+/// Time after which a process whose record was not renewed no longer counts.
+const RECORD_LIFE: Duration = Duration::from_secs(400);
+/// Pause after a failed write.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+/// Connections of a member that are left to orders and to processes not counted yet.
+const RESERVED: usize = 6;
+/// Least number of connections of one process to a member.
+const LEAST_SHARE: usize = 2;
+/// Greatest number: more than one process needs would only wait in the member's queue.
+const GREATEST_SHARE: usize = 6;
+
+/// Connections that one of `processes` may use of a member that accepts `accepted`.
+pub fn connection_share(accepted: usize, processes: usize) -> usize {
+    let share = accepted.saturating_sub(RESERVED) / processes.max(1);
+    share.clamp(LEAST_SHARE, GREATEST_SHARE)
+}
+
+/// Keeps this process's record.
+pub async fn register(engine: &Engine) {
+    let key = format!("{KEY_PREFIX}{}", engine.settings().node);
+    loop {
+        let others = engine.terms().subscribe_others();
+        let version = others.borrow().get(&key).map_or(0, |known| known.version);
+        let value = rmp_serde::to_vec(&rand::random::<u64>()).unwrap_or_default();
+        let put = engine.terms().store().put_if(&key, version, value.into());
+        match put.await {
+            Ok(crate::ports::PutOutcome::Stored(_)) => sleep(RENEWAL_INTERVAL).await,
+            _ => sleep(RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await,
+        }
+    }
+}
+
+/// Divides the members' connections anew whenever the fleet changes.
+pub async fn follow(engine: &Engine) {
+    let mut records = engine.terms().subscribe_others();
+    let mut seen = HashMap::new();
+    loop {
+        let processes = count(&records.borrow_and_update(), &mut seen, Instant::now());
+        engine.set_processes(processes);
+        if records.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Counts the processes whose record has changed lately; `seen` remembers when.
+fn count(
+    records: &HashMap<String, Record>,
+    seen: &mut HashMap<String, (u64, Instant)>,
+    now: Instant,
+) -> usize {
+    let processes = records.values().filter(|r| r.key.starts_with(KEY_PREFIX));
+    for record in processes {
+        let known = seen.get(&record.key).map(|(version, _)| *version);
+        if known != Some(record.version) {
+            seen.insert(record.key.clone(), (record.version, now));
+        }
+    }
+    seen.retain(|_, (_, at)| now.duration_since(*at) < RECORD_LIFE);
+    seen.len().max(1)
+}
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -1,9 +1,10 @@
 //! Follows the records of leaderships, and reads them when evidence is needed.
 
-use super::record::TermRecord;
+use super::record::{TermPhase, TermRecord};
 use crate::directory::{Directory, MemberState, Role};
 use crate::engine::Engine;
 use crate::events::Event;
+use crate::group::Group;
 use crate::names::{GroupName, MemberId};
 use crate::ports::{Record, RecordChanges, RecordStore, RecordStoreError};
 use std::collections::HashMap;
@@ -111,14 +112,27 @@
             return;
         }
         let group = engine.group(&term.record.group);
-        if group.apply_record(&term.record, begun, Instant::now()) {
-            let view = group.view();
-            engine.events().write(&Event::LeaderChanged {
-                group: group.name().clone(),
-                epoch: view.epoch,
-                leader: view.leader,
-                confirmed: view.confirmed,
-            });
+        let record = acting_record(&engine.directory(), term.record);
+        if group.apply_record(&record, begun, Instant::now()) {
+            tell_leader(engine, &group);
+        }
+    }
+
+    /// Takes a changed directory: a leader may have come back under another name.
+    pub fn directory_changed(&self, engine: &Engine) {
+        let directory = engine.directory();
+        for name in directory.groups() {
+            let group = engine.group(&name);
+            let changed = match self.known(&name) {
+                Some(term) => {
+                    let record = acting_record(&directory, term.record);
+                    group.apply_record(&record, None, Instant::now())
+                }
+                None => group.apply_first_leader(first_leader(&directory, &name), None),
+            };
+            if changed {
+                tell_leader(engine, &group);
+            }
         }
     }
 
@@ -168,7 +182,7 @@
         for name in directory.groups() {
             if self.known(&name).is_none() {
                 let leader = first_leader(&directory, &name);
-                engine.group(&name).apply_first_leader(leader, begun);
+                engine.group(&name).apply_first_leader(leader, Some(begun));
             }
         }
     }
@@ -186,6 +200,30 @@
     }
 }
 
+/// The record with the names of those that act for its target and the leader before.
+fn acting_record(directory: &Directory, record: TermRecord) -> TermRecord {
+    let acting = |id: &MemberId| {
+        let address = record.target_address;
+        let member = directory.acting_member(&record.group, id, address);
+        member.map_or_else(|| id.clone(), |member| member.id.clone())
+    };
+    let target = match record.phase {
+        TermPhase::Active => record.target.as_ref().map(acting),
+        _ => record.target.clone(),
+    };
+    TermRecord { target, ..record }
+}
+
+fn tell_leader(engine: &Engine, group: &Group) {
+    let view = group.view();
+    engine.events().write(&Event::LeaderChanged {
+        group: group.name().clone(),
+        epoch: view.epoch,
+        leader: view.leader,
+        confirmed: view.confirmed,
+    });
+}
+
 /// The only member of `group` that says it leads.
 fn first_leader(directory: &Directory, group: &str) -> Option<MemberId> {
     let members = directory.members_of(group);
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -9,6 +9,7 @@
 pub mod access;
 pub mod choice;
 pub mod duty;
+pub mod fleet;
 pub mod follower;
 pub mod freshness;
 pub mod promotion;
@@ -36,9 +37,20 @@
         learn_first_leaders(&engine),
         duty.pursue(&engine),
         watcher::watch(&engine, &promoter, &duty),
+        fleet::register(&engine),
+        fleet::follow(&engine),
+        follow_directory(&engine),
     );
 }
 
+/// A leader may come back under another name.
+async fn follow_directory(engine: &Engine) {
+    let mut directory = engine.subscribe_directory();
+    while directory.changed().await.is_ok() {
+        engine.terms().directory_changed(engine);
+    }
+}
+
 /// Reads the records anew while the directory knows a group whose leader is not known.
 async fn learn_first_leaders(engine: &Engine) {
     let mut directory = engine.subscribe_directory();
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -14,7 +14,7 @@
 //! A promotion that was begun is never taken back, but completed: a replica that was
 //! paused in vain would have to be resumed, and a late order to resume breaks a fence.
 
-use super::choice::{FenceSurvey, Obstacle, fencing_term};
+use super::choice::{FenceSurvey, Obstacle, PreviousLeader, fencing_term};
 use super::duty::Duty;
 use super::follower::VersionedTerm;
 use super::record::{TermPhase, TermRecord};
@@ -26,6 +26,7 @@
 use crate::names::{GroupName, MemberId};
 use crate::ports::{Control, PromoteError, Promoter, PromotionOrder, PutOutcome, RecordStoreError};
 use quick_error::quick_error;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -116,6 +117,8 @@
             epoch,
             phase: TermPhase::Fencing,
             target: None,
+            target_address: None,
+            previous_address: self.address_of(view.leader.as_ref()),
             previous: view.leader,
             holder: self.engine.settings().node.clone(),
         };
@@ -127,7 +130,10 @@
 
     /// Completes the fence and records the target.
     async fn fence(&self, term: VersionedTerm) -> Result<VersionedTerm, PromotionError> {
-        let previous = term.record.previous.clone();
+        let previous = PreviousLeader {
+            id: term.record.previous.clone(),
+            address: term.record.previous_address,
+        };
         let sync_replicas = self.engine.sync_replicas(&self.group);
         loop {
             self.check_duty()?;
@@ -135,7 +141,7 @@
             let fencing = fencing_term(&asked);
             self.check_duty()?;
             let fenced = survey::survey(&self.engine, &self.group, |member| {
-                match previous.as_ref() == Some(member) {
+                match previous.is(member) {
                     true => Control::Demote(fencing),
                     false => Control::Pause(fencing),
                 }
@@ -144,7 +150,7 @@
             self.tell_fence(&term.record, &fenced);
             let survey = FenceSurvey {
                 members: &fenced,
-                previous: previous.as_ref(),
+                previous: &previous,
                 term: fencing,
                 sync_replicas,
                 preferred_zone: None,
@@ -245,6 +251,7 @@
     ) -> Result<VersionedTerm, PromotionError> {
         let record = TermRecord {
             phase,
+            target_address: self.address_of(target.as_ref()),
             target,
             holder: self.engine.settings().node.clone(),
             ..term.record.clone()
@@ -252,6 +259,13 @@
         self.store(record, term.version).await
     }
 
+    fn address_of(&self, member: Option<&MemberId>) -> Option<SocketAddr> {
+        let directory = self.engine.directory();
+        member
+            .and_then(|id| directory.member(id))
+            .map(|known| known.address)
+    }
+
     /// Writes the record, whatever the store makes of single calls, while the lease lasts.
     async fn store(
         &self,
--- a/crates/engine/src/leadership/record.rs
+++ b/crates/engine/src/leadership/record.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// How far a change of leader has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -29,8 +30,12 @@
     pub phase: TermPhase,
     /// The leader, once chosen.
     pub target: Option<MemberId>,
+    /// Where it listens: a server that comes back there has its log, and another name.
+    pub target_address: Option<SocketAddr>,
     /// The leader before.
     pub previous: Option<MemberId>,
+    /// Where it listens.
+    pub previous_address: Option<SocketAddr>,
     /// Who wrote the record last.
     pub holder: NodeName,
 }
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -2,7 +2,8 @@
 
 use crate::directory::{Member, MemberState, Role};
 use crate::engine::Engine;
-use crate::names::{GroupName, MemberId};
+use crate::names::GroupName;
+use crate::pool::OrderError;
 use crate::ports::{ConnectError, Control, MemberReport};
 use futures::future::join_all;
 use std::sync::Arc;
@@ -64,17 +65,12 @@
 /// Gives `control` to one member.
 pub async fn order(engine: &Engine, member: &Arc<Member>, control: Control) -> Response {
     let pool = engine.pool(member);
-    let ordered = async {
-        let mut connection = pool.open_separately().await.map_err(connect_failure)?;
-        let report = connection.control(control).await;
-        report.map_err(|error| Response::Silent(error.to_string()))
-    };
-    match timeout(ORDER_TIMEOUT, ordered).await {
+    match timeout(ORDER_TIMEOUT, pool.order(control)).await {
         Ok(Ok(report)) => {
             pool.note(|health| health.heard(Instant::now()));
             Response::Report(report)
         }
-        Ok(Err(response)) => response,
+        Ok(Err(error)) => failure(&error),
         Err(_) => Response::Silent("no answer in time".to_owned()),
     }
 }
@@ -83,11 +79,11 @@
 pub async fn survey(
     engine: &Engine,
     group: &GroupName,
-    control_for: impl Fn(&MemberId) -> Control,
+    control_for: impl Fn(&Member) -> Control,
 ) -> Vec<Surveyed> {
     let members = engine.directory().members_of(group);
     let orders = members.into_iter().map(|member| {
-        let control = control_for(&member.id);
+        let control = control_for(&member);
         async move {
             let response = order(engine, &member, control).await;
             Surveyed { member, response }
@@ -96,11 +92,12 @@
     join_all(orders).await
 }
 
-fn connect_failure(error: ConnectError) -> Response {
+fn failure(error: &OrderError) -> Response {
+    let reason = error.to_string();
     match error {
-        ConnectError::Refused(_) | ConnectError::WrongMember => Response::Down(error.to_string()),
-        ConnectError::TimedOut | ConnectError::TooManyConnections => {
-            Response::Silent(error.to_string())
+        OrderError::Connect(ConnectError::Refused(_) | ConnectError::WrongMember) => {
+            Response::Down(reason)
         }
+        _ => Response::Silent(reason),
     }
 }
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -2,7 +2,9 @@
 
 use super::member::MemberPool;
 use crate::names::RequestId;
-use crate::ports::{Answer, BackEndConnection, Command, LinkError, RefusalKind};
+use crate::ports::{
+    Answer, BackEndConnection, Command, Control, LinkError, MemberReport, RefusalKind,
+};
 use crate::position::LogPosition;
 use crate::statement::{PreparedStatement, TransactionState};
 use bytes::Bytes;
@@ -156,6 +158,18 @@
         result
     }
 
+    /// Carries out an order about replication.
+    ///
+    /// # Errors
+    ///
+    /// [`LinkError`] where there was no report: the connection is not used again.
+    pub async fn control(&mut self, control: Control) -> Result<MemberReport, LinkError> {
+        self.clean = false;
+        let report = self.established()?.connection.control(control).await?;
+        self.clean = true;
+        Ok(report)
+    }
+
     /// Runs a session's work, preparing its statement first where that is needed.
     ///
     /// # Errors
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -3,15 +3,17 @@
 use super::connection::{Established, PooledConnection, SessionValues};
 use super::health::MemberHealth;
 use crate::directory::Member;
-use crate::ports::{BackEnd, BackEndConnection, ConnectError};
+use crate::ports::{BackEnd, BackEndConnection, ConnectError, Control, LinkError, MemberReport};
 use quick_error::quick_error;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// Connections to one member that are in use at a time, at the most.
-const CONNECTION_LIMIT: usize = 5;
+/// Connections to one member that are in use at a time, before the fleet is known.
+const FIRST_LIMIT: usize = 3;
+/// Wait for a connection in use where a member accepts no other one.
+const ORDER_WAIT: Duration = Duration::from_millis(200);
 /// Longest time in which a connection opens.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Pause before another connection is opened after the member had too many.
@@ -38,6 +40,27 @@
     }
 }
 
+quick_error! {
+    /// An order was not carried out, as far as is known.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum OrderError {
+        /// No connection could be opened.
+        Connect(error: ConnectError) {
+            display("{error}")
+        }
+        /// All connections stayed in use.
+        Acquire(error: AcquireError) {
+            display("{error}")
+            from()
+        }
+        /// There was no answer, or a refusal.
+        Link(error: LinkError) {
+            display("{error}")
+            from()
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
     established: Established,
@@ -46,6 +69,7 @@
 
 #[derive(Debug)]
 struct PoolState {
+    limit: usize,
     idle: Vec<Idle>,
     closed: bool,
     no_opening_until: Option<Instant>,
@@ -67,8 +91,9 @@
         Self {
             member,
             back_end,
-            permits: Arc::new(Semaphore::new(CONNECTION_LIMIT)),
+            permits: Arc::new(Semaphore::new(FIRST_LIMIT)),
             state: Mutex::new(PoolState {
+                limit: FIRST_LIMIT,
                 idle: Vec::new(),
                 closed: false,
                 no_opening_until: None,
@@ -84,7 +109,20 @@
 
     /// Connections in use.
     pub fn in_use(&self) -> usize {
-        CONNECTION_LIMIT - self.permits.available_permits()
+        let limit = self.lock().limit;
+        limit.saturating_sub(self.permits.available_permits())
+    }
+
+    /// Bounds the connections in use. Fewer are reached as those in use come back.
+    pub fn set_limit(&self, limit: usize) {
+        let mut state = self.lock();
+        if limit > state.limit {
+            self.permits.add_permits(limit - state.limit);
+            state.limit = limit;
+        } else {
+            let forgotten = self.permits.forget_permits(state.limit - limit);
+            state.limit -= forgotten;
+        }
     }
 
     /// What is known of the member.
@@ -123,13 +161,43 @@
     /// # Errors
     ///
     /// [`ConnectError`] where it can't be opened in time.
-    pub async fn open_separately(&self) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+    async fn open_separately(&self) -> Result<Box<dyn BackEndConnection>, ConnectError> {
         let connected = timeout(CONNECT_TIMEOUT, self.back_end.connect(&self.member)).await;
         let result = connected.unwrap_or(Err(ConnectError::TimedOut));
         self.note_connect(&result.as_ref().err().cloned());
         result
     }
 
+    /// Gives an order, over a connection that is not in use if there is one. Where the
+    /// member accepts no more connections, one in use is waited for.
+    ///
+    /// # Errors
+    ///
+    /// [`OrderError`] tells whether the member runs.
+    pub async fn order(self: &Arc<Self>, control: Control) -> Result<MemberReport, OrderError> {
+        if let Some(mut idle) = self.try_idle()
+            && let Ok(report) = idle.control(control).await
+        {
+            return Ok(report);
+        }
+        match self.open_separately().await {
+            Ok(mut connection) => Ok(connection.control(control).await?),
+            Err(ConnectError::TooManyConnections) => {
+                let until = Instant::now() + ORDER_WAIT;
+                let values = SessionValues::default();
+                let mut connection = self.acquire(&values, until).await?;
+                Ok(connection.control(control).await?)
+            }
+            Err(error) => Err(OrderError::Connect(error)),
+        }
+    }
+
+    fn try_idle(self: &Arc<Self>) -> Option<PooledConnection> {
+        let permit = Arc::clone(&self.permits).try_acquire_owned().ok()?;
+        let established = self.take_idle(&SessionValues::default())?;
+        Some(self.in_use_connection(established, permit))
+    }
+
     /// Closes unused connections, and those in use as they come back.
     pub fn close(&self) {
         let mut state = self.lock();
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -10,4 +10,4 @@
 
 pub use connection::{PooledConnection, RunError, SessionValues, Work};
 pub use health::MemberHealth;
-pub use member::{AcquireError, MemberPool};
+pub use member::{AcquireError, MemberPool, OrderError};
