Suspect no leader that is merely full, or that no other member could replace

Change: a full member counts as running; no promotion where no replica answers; idle connections are closed after 2 s, so that a restart finds room.

--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -3,7 +3,7 @@
 use crate::directory::{Member, MemberState, Role};
 use crate::engine::Engine;
 use crate::names::GroupName;
-use crate::pool::OrderError;
+use crate::pool::{AcquireError, OrderError};
 use crate::ports::{ConnectError, Control, MemberReport};
 use futures::future::join_all;
 use std::sync::Arc;
@@ -23,6 +23,8 @@
     Report(MemberReport),
     /// Nobody listens at its address, or another does: it does not run now.
     Down(String),
+    /// It runs, and accepts no more connections.
+    Full,
     /// Nothing is known.
     Silent(String),
 }
@@ -98,6 +100,8 @@
         OrderError::Connect(ConnectError::Refused(_) | ConnectError::WrongMember) => {
             Response::Down(reason)
         }
+        OrderError::Connect(ConnectError::TooManyConnections)
+        | OrderError::Acquire(AcquireError::Exhausted) => Response::Full,
         _ => Response::Silent(reason),
     }
 }
--- a/crates/engine/src/leadership/suspicion.rs
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -106,44 +106,61 @@
 ) -> Option<Suspicion> {
     for _ in 0..QUESTIONS {
         match ask(engine, leader).await {
-            Some(report) if report.role == Role::Replica => return Some(Suspicion::NotLeading),
-            Some(_) if asked_to => return verify_replication(engine, group, leader).await,
-            Some(_) => return None,
-            None => sleep(QUESTION_PAUSE).await,
+            Response::Report(report) if report.role == Role::Replica => {
+                return Some(Suspicion::NotLeading);
+            }
+            Response::Report(_) if asked_to => {
+                return verify_replication(engine, group, leader).await;
+            }
+            Response::Report(_) | Response::Full => return None,
+            Response::Down(_) | Response::Silent(_) => sleep(QUESTION_PAUSE).await,
         }
     }
     Some(Suspicion::Unreachable)
 }
 
-/// Whether any replica receives what the leader has in its log.
+/// Whether any replica receives what the leader has in its log. Where no replica answers,
+/// no other leader would fare better.
 async fn verify_replication(
     engine: &Engine,
     group: &Group,
     leader: &Arc<Member>,
 ) -> Option<Suspicion> {
-    let Some(report) = ask(engine, leader).await else {
-        return Some(Suspicion::Unreachable);
+    let report = match ask(engine, leader).await {
+        Response::Report(report) => report,
+        Response::Full => return None,
+        Response::Down(_) | Response::Silent(_) => return Some(Suspicion::Unreachable),
     };
+    let mut suspicion = None;
     for _ in 0..QUESTIONS {
         sleep(QUESTION_PAUSE).await;
-        let members = survey::survey(engine, group.name(), |_| Control::Status).await;
-        let received = members
-            .iter()
-            .filter(|surveyed| surveyed.member.id != leader.id)
-            .filter_map(|surveyed| surveyed.response.report())
-            .any(|replica| replica.received >= report.received);
+        let replicas = replica_reports(engine, group, leader).await;
+        let received = replicas.iter().any(|r| r.received >= report.received);
         if received {
             group.forget_waiting_commits();
             return None;
         }
+        suspicion = (!replicas.is_empty()).then_some(Suspicion::CommitsStalled);
     }
-    Some(Suspicion::CommitsStalled)
+    suspicion
 }
 
-async fn ask(engine: &Engine, leader: &Arc<Member>) -> Option<MemberReport> {
+async fn replica_reports(
+    engine: &Engine,
+    group: &Group,
+    leader: &Arc<Member>,
+) -> Vec<MemberReport> {
+    let members = survey::survey(engine, group.name(), |_| Control::Status).await;
+    let others = members.iter().filter(|m| m.member.id != leader.id);
+    others
+        .filter_map(|surveyed| surveyed.response.report().copied())
+        .collect()
+}
+
+async fn ask(engine: &Engine, leader: &Arc<Member>) -> Response {
     let asked = survey::order(engine, leader, Control::Status);
-    match timeout(QUESTION_TIMEOUT, asked).await {
-        Ok(Response::Report(report)) => Some(report),
-        _ => None,
-    }
+    let silent = || Response::Silent("no answer in time".to_owned());
+    timeout(QUESTION_TIMEOUT, asked)
+        .await
+        .unwrap_or_else(|_| silent())
 }
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -23,8 +23,10 @@
 const REPORT_LIFE: Duration = Duration::from_millis(2_500);
 /// Processes that must suspect a leader which the holder itself finds well.
 const REPORTERS_NEEDED: usize = 3;
-/// Pause after a leader that others suspect was found well.
-const ASKED_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a leader was asked and found well.
+const VERIFIED_PAUSE: Duration = Duration::from_millis(250);
+/// Pause after a suspicion that another process has to act on.
+const REPORTED_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a promotion that this process could not complete.
 const FAILED_PAUSE: Duration = Duration::from_millis(120);
 
@@ -97,8 +99,8 @@
         let outvoted = reporters >= REPORTERS_NEEDED;
         let suspicion = verified.or(outvoted.then_some(Suspicion::Unreachable));
         let (Some(suspicion), Some(leader)) = (suspicion, view.leader) else {
-            if asked_to {
-                sleep(ASKED_PAUSE).await;
+            if began.elapsed() > LOOK_INTERVAL {
+                sleep(VERIFIED_PAUSE).await;
             }
             return;
         };
@@ -116,6 +118,7 @@
             self.promote(group.name()).await;
         } else {
             self.report(group.name(), view.epoch, suspicion).await;
+            sleep(REPORTED_PAUSE).await;
         }
     }
 
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -19,7 +19,7 @@
 /// Pause before another connection is opened after the member had too many.
 const TOO_MANY_PAUSE: Duration = Duration::from_millis(250);
 /// How long an unused connection is kept.
-const IDLE_LIMIT: Duration = Duration::from_secs(8);
+const IDLE_LIMIT: Duration = Duration::from_millis(2_000);
 
 quick_error! {
     /// No connection could be had. Nothing has been sent.
