Take leases over sooner; open connections in the background; fence without the lost

Change: renewals are learned from the feed, an earlier life's lease is taken at once; opening goes on in a task of its own; surveys wait for one lost member 50 ms longer than for the rest; positions come from all members but one.

--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -48,6 +48,7 @@
     store: Arc<dyn LeaseStore>,
     clock: Arc<dyn Clock>,
     observed: Option<Observation>,
+    reclaims: bool,
 }
 
 /// A record of another holding, and when it was first read.
@@ -76,9 +77,25 @@
             store,
             clock,
             observed: None,
+            reclaims: false,
         }
     }
 
+    /// Lets the candidate take what an earlier life of its own node holds without waiting.
+    /// Only for nodes of which never two lives run at a time: the earlier one can't act
+    /// any more.
+    pub fn reclaiming_earlier_lives(mut self) -> Self {
+        self.reclaims = true;
+        self
+    }
+
+    /// Takes note of the present record, learned in another way than by a call of the
+    /// store, and returns how long from now it stays taken unless it is renewed. A later
+    /// attempt counts the time without a renewal from the first note of a record.
+    pub fn observe(&mut self, record: &LeaseRecord) -> Duration {
+        self.time_until_free(record)
+    }
+
     /// Tries once. A lease that another holds can be taken by calling again, and only
     /// by this candidate, once the time told has passed without a renewal.
     ///
@@ -122,22 +139,27 @@
     /// [`LeaseError::Store`] as for [`LeaseCandidate::try_acquire`]: the lease given
     /// is then good for no longer than before.
     pub async fn renew(&self, lease: &Lease) -> Result<Lease, LeaseError> {
-        let mut expected = lease.record.clone();
-        // The answer to an earlier renewal may have been lost after its effect.
-        if let Some(current) = self.store.get(&self.name).await?
-            && self.is_own(&current)
-            && current.fencing == expected.fencing
-            && !current.released
-        {
-            expected = current;
+        match self.renew_from(&lease.record).await {
+            Err(LeaseError::Lost) => {}
+            result => return result,
         }
+        // The answer to an earlier renewal may have been lost after its effect.
+        let current = self.store.get(&self.name).await?;
+        let own = current.filter(|current| {
+            let same_holding = current.fencing == lease.record.fencing && !current.released;
+            self.is_own(current) && same_holding
+        });
+        self.renew_from(&own.ok_or(LeaseError::Lost)?).await
+    }
+
+    async fn renew_from(&self, expected: &LeaseRecord) -> Result<Lease, LeaseError> {
         let record = LeaseRecord {
             renewal: expected.renewal + 1,
             write_id: rand::random(),
             duration: self.settings.duration,
             ..expected.clone()
         };
-        self.write(Some(&expected), record).await
+        self.write(Some(expected), record).await
     }
 
     /// Gives the lease back, so that another need not wait for its end.
@@ -199,7 +221,8 @@
     /// Zero once `record` may be replaced. Counts from the moment after the record
     /// was first read: its holder counts from before it was written.
     fn time_until_free(&mut self, record: &LeaseRecord) -> Duration {
-        if record.released {
+        let earlier_life = record.holder == self.holder && !self.is_own(record);
+        if record.released || (self.reclaims && earlier_life) {
             return Duration::ZERO;
         }
         let now = self.clock.now();
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -201,6 +201,11 @@
         self.divide_connections();
     }
 
+    /// Processes in the fleet, as far as is known.
+    pub fn processes(&self) -> usize {
+        self.processes.load(Ordering::Relaxed)
+    }
+
     fn divide_connections(&self) {
         for pool in lock(&self.pools).values() {
             pool.set_limit(self.connection_share(&pool.member().group));
--- a/crates/engine/src/leadership/duty.rs
+++ b/crates/engine/src/leadership/duty.rs
@@ -4,7 +4,8 @@
 use crate::events::Event;
 use crate::ports::{PutOutcome, Record, RecordStore, RecordStoreError};
 use async_trait::async_trait;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::clock::{Clock, MonotonicClock};
 use stilequay_coordination::identity::{Incarnation, NodeId};
@@ -12,7 +13,8 @@
     Acquisition, FencingNumber, Lease, LeaseCandidate, LeaseError, LeaseName, LeaseRecord,
     LeaseSettings, LeaseStore, LeaseStoreError, PutOutcome as LeasePutOutcome,
 };
-use tokio::time::sleep;
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
 
 /// What the lease is for.
 const LEASE_NAME: &str = "promotion";
@@ -21,11 +23,11 @@
 /// How long the lease lasts, and how much earlier its holder stops relying on it: as long
 /// as an order may take.
 const LEASE_SETTINGS: LeaseSettings = LeaseSettings {
-    duration: Duration::from_millis(1_800),
-    margin: Duration::from_millis(600),
+    duration: Duration::from_millis(1_300),
+    margin: Duration::from_millis(450),
 };
 /// Interval of renewals.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(450);
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(330);
 /// Pause after a failure, and the random part added to waits.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -33,9 +35,33 @@
 #[derive(Debug)]
 struct RecordLeases {
     records: Arc<dyn RecordStore>,
+    /// The record as it was last read or written: a renewal needs no reading before it.
+    last: Mutex<Option<(LeaseRecord, u64)>>,
 }
 
 impl RecordLeases {
+    /// The version of `expected`, where it is what was last read or written; else it is
+    /// read. `None` where the store has another record.
+    async fn version_of(
+        &self,
+        key: &str,
+        expected: Option<&LeaseRecord>,
+    ) -> Result<Option<u64>, RecordStoreError> {
+        let last = self.last().clone();
+        if let (Some((record, version)), Some(expected)) = (last, expected)
+            && record == *expected
+        {
+            return Ok(Some(version));
+        }
+        let current = self.find(key).await?;
+        let same = current.as_ref().and_then(decode).as_ref() == expected;
+        Ok(same.then(|| current.map_or(0, |current| current.version)))
+    }
+
+    fn last(&self) -> MutexGuard<'_, Option<(LeaseRecord, u64)>> {
+        self.last.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn find(&self, key: &str) -> Result<Option<Record>, RecordStoreError> {
         let records = self.records.read_all().await?;
         Ok(records.written.into_iter().find(|record| record.key == key))
@@ -56,16 +82,21 @@
         record: &LeaseRecord,
     ) -> Result<LeasePutOutcome, LeaseStoreError> {
         let key = key(name);
-        let current = self.find(&key).await.map_err(translate)?;
-        if current.as_ref().and_then(decode).as_ref() != expected {
+        let version = self.version_of(&key, expected).await.map_err(translate)?;
+        let Some(version) = version else {
             return Ok(LeasePutOutcome::Conflict);
-        }
-        let version = current.map_or(0, |current| current.version);
+        };
         let value = rmp_serde::to_vec_named(record).unwrap_or_default();
         let put = self.records.put_if(&key, version, value.into()).await;
         match put.map_err(translate)? {
-            PutOutcome::Stored(_) => Ok(LeasePutOutcome::Stored),
-            PutOutcome::Conflict => Ok(LeasePutOutcome::Conflict),
+            PutOutcome::Stored(version) => {
+                *self.last() = Some((record.clone(), version));
+                Ok(LeasePutOutcome::Stored)
+            }
+            PutOutcome::Conflict => {
+                *self.last() = None;
+                Ok(LeasePutOutcome::Conflict)
+            }
         }
     }
 }
@@ -131,14 +162,19 @@
             NodeId::new(&*engine.settings().node),
             Incarnation(rand::random()),
             LEASE_SETTINGS,
-            Arc::new(RecordLeases { records }),
+            Arc::new(RecordLeases {
+                records,
+                last: Mutex::new(None),
+            }),
             Arc::new(self.clock.clone()),
-        );
+        )
+        .reclaiming_earlier_lives();
+        let mut records = engine.terms().subscribe_others();
         let mut stop = engine.subscribe_stop();
         loop {
             let pause = self.pursue_once(engine, &mut candidate).await;
             tokio::select! {
-                () = sleep(pause) => {}
+                () = self.observe_for(pause, &mut records, &mut candidate) => {}
                 _ = stop.wait_for(|phase| *phase > StopPhase::Serving) => break,
             }
         }
@@ -150,6 +186,25 @@
         }
     }
 
+    /// Waits for `pause`. Where another holds the lease, its renewals are learned from the
+    /// records that are followed anyway, and put the end of the wait off.
+    async fn observe_for(
+        &self,
+        pause: Duration,
+        records: &mut watch::Receiver<HashMap<String, Record>>,
+        candidate: &mut LeaseCandidate,
+    ) {
+        let mut until = Instant::now() + pause;
+        while timeout_at(until, records.changed()).await.is_ok() {
+            let key = key(&LeaseName::new(LEASE_NAME));
+            let record = records.borrow_and_update().get(&key).and_then(decode);
+            let Some(record) = record.filter(|_| self.held().is_none()) else {
+                continue;
+            };
+            until = Instant::now() + candidate.observe(&record) + jitter();
+        }
+    }
+
     fn held(&self) -> Option<Lease> {
         let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
         lease.clone()
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -1,9 +1,10 @@
 //! Learning a position that covers a moment, where the traffic has not brought one.
 
+use super::survey::{self, Patience, Surveyed};
 use crate::engine::Engine;
 use crate::group::Group;
 use crate::pool::SessionValues;
-use crate::ports::Command;
+use crate::ports::{Command, Control};
 use crate::position::LogPosition;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -27,11 +28,42 @@
     if let Some(position) = group.covering_position(moment) {
         return Some(position);
     }
-    let until = until.min(Instant::now() + QUESTION_TIMEOUT);
-    let _ = timeout_at(until, ask_leader(engine, group)).await;
+    let leader_until = until.min(Instant::now() + QUESTION_TIMEOUT);
+    let _ = timeout_at(leader_until, ask_leader(engine, group)).await;
+    if let Some(position) = group.covering_position(moment) {
+        return Some(position);
+    }
+    let _ = timeout_at(until, ask_members(engine, group)).await;
     group.covering_position(moment)
 }
 
+/// Asks all members how far they have received the log. An acknowledged commit lies on
+/// the leader and on as many replicas as had to receive it: where no more members than
+/// that are silent, the highest position told covers every one of them.
+async fn ask_members(engine: &Engine, group: &Group) {
+    let sent = Instant::now();
+    let patience = Patience::ONE_LIKELY_LOST;
+    let members = survey::survey(engine, group.name(), |_| Control::Status, patience).await;
+    let reports = members.iter().filter_map(|m| m.response.report());
+    let silent = members.iter().filter(|member| {
+        let answered = member.response.report().is_some();
+        !answered && !member.has_left(sent) && !is_succeeded(member, &members)
+    });
+    if silent.count() <= engine.sync_replicas(group.name())
+        && let Some(position) = reports.map(|report| report.received).max()
+    {
+        group.record_covering_position(sent, position);
+    }
+}
+
+/// Whether another server has come back in the member's place, with its log.
+fn is_succeeded(member: &Surveyed, members: &[Surveyed]) -> bool {
+    let in_place = |other: &Surveyed| {
+        other.member.id != member.member.id && other.member.address == member.member.address
+    };
+    member.member.is_gone() && members.iter().any(in_place)
+}
+
 /// Opens a transaction at the leader and ends it at once: its answer tells the position
 /// of the log and takes none of the member's slots. A member that does not lead refuses.
 async fn ask_leader(engine: &Engine, group: &Group) -> Option<()> {
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -18,8 +18,8 @@
 use super::duty::Duty;
 use super::follower::VersionedTerm;
 use super::record::{TermPhase, TermRecord};
-use super::survey::{self, Response, Surveyed};
-use crate::directory::Role;
+use super::survey::{self, Patience, Response, Surveyed};
+use crate::directory::{Member, Role};
 use crate::engine::Engine;
 use crate::events::Event;
 use crate::group::{TERM_LEASE, TERM_LEASE_MARGIN};
@@ -137,16 +137,21 @@
         let sync_replicas = self.engine.sync_replicas(&self.group);
         loop {
             self.check_duty()?;
-            let asked = survey::survey(&self.engine, &self.group, |_| Control::Status).await;
+            let asked = survey::survey(
+                &self.engine,
+                &self.group,
+                |_| Control::Status,
+                Patience::ONE_LIKELY_LOST,
+            )
+            .await;
             let fencing = fencing_term(&asked);
             self.check_duty()?;
-            let fenced = survey::survey(&self.engine, &self.group, |member| {
-                match previous.is(member) {
-                    true => Control::Demote(fencing),
-                    false => Control::Pause(fencing),
-                }
-            })
-            .await;
+            let order_for = |member: &Member| match previous.is(member) {
+                true => Control::Demote(fencing),
+                false => Control::Pause(fencing),
+            };
+            let patience = Patience::ONE_LIKELY_LOST;
+            let fenced = survey::survey(&self.engine, &self.group, order_for, patience).await;
             self.tell_fence(&term.record, &fenced);
             let survey = FenceSurvey {
                 members: &fenced,
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -5,10 +5,11 @@
 use crate::names::GroupName;
 use crate::pool::{AcquireError, OrderError};
 use crate::ports::{ConnectError, Control, MemberReport};
-use futures::future::join_all;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// Longest time for one order, its connection included.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(450);
@@ -77,21 +78,66 @@
     }
 }
 
+/// How long a survey waits for the last members.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Patience {
+    /// Members that may be left out.
+    may_miss: usize,
+    /// Wait for them after all others have answered.
+    wait: Duration,
+}
+
+impl Patience {
+    /// Every member is waited for.
+    pub const WHOLE: Self = Self {
+        may_miss: 0,
+        wait: Duration::ZERO,
+    };
+    /// One member, which is likely lost, is waited for only a moment longer than the rest.
+    pub const ONE_LIKELY_LOST: Self = Self {
+        may_miss: 1,
+        wait: Duration::from_millis(50),
+    };
+}
+
 /// Gives each member of `group` the order that `control_for` names for it, all at once.
 pub async fn survey(
     engine: &Engine,
     group: &GroupName,
     control_for: impl Fn(&Member) -> Control,
+    patience: Patience,
 ) -> Vec<Surveyed> {
     let members = engine.directory().members_of(group);
-    let orders = members.into_iter().map(|member| {
-        let control = control_for(&member);
+    let orders = members.iter().map(|member| {
+        let control = control_for(member);
         async move {
-            let response = order(engine, &member, control).await;
+            let response = order(engine, member, control).await;
+            let member = Arc::clone(member);
             Surveyed { member, response }
         }
     });
-    join_all(orders).await
+    let mut running: FuturesUnordered<_> = orders.collect();
+    let mut surveyed: Vec<Surveyed> = Vec::new();
+    let mut until = Instant::now() + ORDER_TIMEOUT + ORDER_TIMEOUT;
+    while let Ok(Some(next)) = timeout_at(until, running.next()).await {
+        surveyed.push(next);
+        if running.len() <= patience.may_miss {
+            until = until.min(Instant::now() + patience.wait);
+        }
+    }
+    drop(running);
+    let silent = members.into_iter().filter(|member| {
+        let heard = surveyed.iter().any(|known| known.member.id == member.id);
+        !heard
+    });
+    let silent: Vec<Surveyed> = silent
+        .map(|member| Surveyed {
+            member,
+            response: Response::Silent("not waited for".to_owned()),
+        })
+        .collect();
+    surveyed.extend(silent);
+    surveyed
 }
 
 fn failure(error: &OrderError) -> Response {
--- a/crates/engine/src/leadership/suspicion.rs
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -4,7 +4,7 @@
 //! acknowledged. Only where it has been silent is the leader asked, over a connection of
 //! its own.
 
-use super::survey::{self, Response};
+use super::survey::{self, Patience, Response};
 use crate::directory::{Member, MemberState, Role};
 use crate::engine::Engine;
 use crate::group::{Group, LeaderView};
@@ -150,7 +150,7 @@
     group: &Group,
     leader: &Arc<Member>,
 ) -> Vec<MemberReport> {
-    let members = survey::survey(engine, group.name(), |_| Control::Status).await;
+    let members = survey::survey(engine, group.name(), |_| Control::Status, Patience::WHOLE).await;
     let others = members.iter().filter(|m| m.member.id != leader.id);
     others
         .filter_map(|surveyed| surveyed.response.report().copied())
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -21,8 +21,9 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(700);
 /// How long a report counts.
 const REPORT_LIFE: Duration = Duration::from_millis(2_500);
-/// Processes that must suspect a leader which the holder itself finds well.
-const REPORTERS_NEEDED: usize = 3;
+/// Least number of processes that must suspect a leader which the holder itself finds
+/// well; a third of the fleet where that is more.
+const REPORTERS_NEEDED: usize = 2;
 /// Pause after a leader was asked and found well.
 const VERIFIED_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after a suspicion that another process has to act on.
@@ -96,7 +97,8 @@
         let reporters = self.reporters(group.name(), view.epoch);
         let asked_to = holds_duty && reporters > 0;
         let verified = suspicion::verified_suspicion(&self.engine, group, &view, asked_to).await;
-        let outvoted = reporters >= REPORTERS_NEEDED;
+        let needed = REPORTERS_NEEDED.max(self.engine.processes().div_ceil(3));
+        let outvoted = reporters >= needed;
         let suspicion = verified.or(outvoted.then_some(Suspicion::Unreachable));
         let (Some(suspicion), Some(leader)) = (suspicion, view.leader) else {
             if began.elapsed() > LOOK_INTERVAL {
@@ -107,6 +109,11 @@
         if group.view().epoch != view.epoch {
             return;
         }
+        if suspicion == Suspicion::Unreachable
+            && let Some(pool) = self.engine.pool_of(&leader)
+        {
+            pool.lose_idle();
+        }
         self.engine.events().write(&Event::LeaderSuspected {
             group: group.name().clone(),
             epoch: view.epoch,
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// Connections to one member that are in use at a time, before the fleet is known.
@@ -145,6 +146,7 @@
         values: &SessionValues,
         deadline: Instant,
     ) -> Result<PooledConnection, AcquireError> {
+        self.check_reachable(Instant::now())?;
         let permit = timeout_at(deadline, Arc::clone(&self.permits).acquire_owned())
             .await
             .map_err(|_| AcquireError::Exhausted)?
@@ -152,8 +154,26 @@
         if let Some(established) = self.take_idle(values) {
             return Ok(self.in_use_connection(established, permit));
         }
-        let established = self.open(deadline).await?;
-        Ok(self.in_use_connection(established, permit))
+        self.check_opening(Instant::now())?;
+        let mut opening = self.spawn_open(permit);
+        match timeout_at(deadline, &mut opening).await {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(error)) => Err(AcquireError::Unreachable(error.to_string())),
+            Err(_) => Err(AcquireError::Exhausted),
+        }
+    }
+
+    /// Opens a connection in a task of its own: where the one who asked for it gives up,
+    /// the member's work for it is not lost, and the connection goes to the pool.
+    fn spawn_open(
+        self: &Arc<Self>,
+        permit: OwnedSemaphorePermit,
+    ) -> JoinHandle<Result<PooledConnection, AcquireError>> {
+        let pool = Arc::clone(self);
+        tokio::spawn(async move {
+            let established = pool.open().await?;
+            Ok(pool.in_use_connection(established, permit))
+        })
     }
 
     /// Opens a connection that is not counted against the pool, for orders and reports.
@@ -205,6 +225,13 @@
         state.idle.clear();
     }
 
+    /// Closes the connections that are not in use: the member does not answer on them.
+    pub fn lose_idle(&self) {
+        let mut state = self.lock();
+        state.idle.clear();
+        state.health.unreachable(Instant::now());
+    }
+
     /// Closes connections that were not used for long.
     pub fn close_unused(&self, now: Instant) {
         let mut state = self.lock();
@@ -245,11 +272,8 @@
         }
     }
 
-    async fn open(&self, deadline: Instant) -> Result<Established, AcquireError> {
-        let now = Instant::now();
-        self.check_opening(now)?;
-        let until = deadline.min(now + CONNECT_TIMEOUT);
-        let connected = timeout_at(until, self.back_end.connect(&self.member)).await;
+    async fn open(&self) -> Result<Established, AcquireError> {
+        let connected = timeout(CONNECT_TIMEOUT, self.back_end.connect(&self.member)).await;
         let result = connected.unwrap_or(Err(ConnectError::TimedOut));
         self.note_connect(&result.as_ref().err().cloned());
         metrics::counter!("stilequay_pool_connections_opened_total").increment(1);
@@ -261,11 +285,15 @@
         }
     }
 
-    fn check_opening(&self, now: Instant) -> Result<(), AcquireError> {
-        let state = self.lock();
-        if state.health.is_unreachable(now) {
+    fn check_reachable(&self, now: Instant) -> Result<(), AcquireError> {
+        if self.lock().health.is_unreachable(now) {
             return Err(AcquireError::Unreachable("failed a moment ago".to_owned()));
         }
+        Ok(())
+    }
+
+    fn check_opening(&self, now: Instant) -> Result<(), AcquireError> {
+        let state = self.lock();
         if state.no_opening_until.is_some_and(|until| now < until) {
             return Err(AcquireError::Exhausted);
         }
