--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -74,6 +74,7 @@
     name: GroupName,
     state: Mutex<GroupState>,
     changes: watch::Sender<u64>,
+    evidence_changes: watch::Sender<u64>,
     questions: AsyncMutex<()>,
 }
 
@@ -96,6 +97,7 @@
                 commit_waiting_since: None,
             }),
             changes: watch::Sender::new(0),
+            evidence_changes: watch::Sender::new(0),
             questions: AsyncMutex::new(()),
         }
     }
@@ -120,6 +122,11 @@
         self.changes.subscribe()
     }
 
+    /// Tells of new evidence that commits have brought.
+    pub fn subscribe_evidence(&self) -> watch::Receiver<u64> {
+        self.evidence_changes.subscribe()
+    }
+
     /// Takes a record of the store. `begun` is when a read that showed the newest record
     /// was begun; it is `None` where another may have been newer. Returns whether the view
     /// has changed.
@@ -225,6 +232,7 @@
         state.view.confirmed = true;
         if replicated {
             state.evidence = state.evidence.max(Some(sent));
+            self.evidence_changes.send_modify(|count| *count += 1);
         }
         self.publish(before, &state);
         drop(state);
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -1,15 +1,12 @@
 //! Waiting for a leader that may be used.
 
 use crate::engine::Engine;
-use crate::group::{Group, TERM_LEASE, UsableLeader};
+use crate::group::{Epoch, Group, UsableLeader};
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 /// Pause before the store is asked again for evidence.
 const EVIDENCE_PAUSE: Duration = Duration::from_millis(40);
-/// Evidence with less time left than this is renewed ahead of need.
-const RENEW_AHEAD: Duration = Duration::from_millis(150);
-
 /// The leader that may be given writes, if there is one by `until`.
 pub async fn writable_leader(group: &Group, until: Instant) -> Option<UsableLeader> {
     let mut changes = group.subscribe();
@@ -36,7 +33,9 @@
     staleness: Duration,
     until: Instant,
 ) -> Option<UsableLeader> {
+    let mut commits = group.subscribe_evidence();
     loop {
+        commits.mark_unchanged();
         let now = Instant::now();
         if let Some(leader) = group.leased_leader(now, staleness) {
             return Some(leader);
@@ -44,27 +43,26 @@
         if now >= until {
             return None;
         }
-        let refreshed = timeout_at(until, engine.terms().refresh(engine, now)).await;
-        let leased = group.leased_leader(Instant::now(), staleness);
-        if leased.is_some() {
-            return leased;
-        }
-        if refreshed.is_ok() {
-            let pause = Instant::now() + EVIDENCE_PAUSE;
-            sleep(pause.min(until).duration_since(Instant::now())).await;
+        // Whichever brings evidence first: the store, or a commit of another session.
+        tokio::select! {
+            _ = commits.changed() => {}
+            () = refresh(engine, group, staleness) => {}
+            () = sleep_until(until) => {}
         }
     }
 }
 
-/// Whether the evidence for the leader's term is to be renewed before it lapses.
-pub fn renewal_is_due(group: &Group, now: Instant) -> bool {
-    group
-        .evidence()
-        .is_some_and(|at| now + RENEW_AHEAD > at + TERM_LEASE)
+/// Asks the store for evidence; where that has brought none, waits a moment.
+async fn refresh(engine: &Engine, group: &Group, staleness: Duration) {
+    // A failure is told by the task that follows the records.
+    let _ = engine.terms().refresh(engine, Instant::now()).await;
+    if group.leased_leader(Instant::now(), staleness).is_none() {
+        sleep(EVIDENCE_PAUSE).await;
+    }
 }
 
 /// Resolves once the leadership of `epoch` is over: another leader is chosen.
-pub async fn superseded(group: &Group, epoch: crate::group::Epoch) {
+pub async fn superseded(group: &Group, epoch: Epoch) {
     let mut changes = group.subscribe();
     loop {
         changes.mark_unchanged();
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -21,13 +21,22 @@
 /// A member that did not answer.
 const UNREACHABLE_MS: f64 = 100_000.0;
 
+/// A member that may run a read.
+#[derive(Debug, Clone)]
+pub struct ReadCandidate {
+    /// Its connections.
+    pub pool: Arc<MemberPool>,
+    /// Whether nothing speaks against its running the read at once.
+    pub is_likely: bool,
+}
+
 /// The members that may run a read that needs `after`, the best first.
 pub fn read_candidates(
     engine: &Engine,
     group: &Group,
     after: Option<LogPosition>,
     now: Instant,
-) -> Vec<Arc<MemberPool>> {
+) -> Vec<ReadCandidate> {
     let leader = group.view().leader;
     let members = engine.directory().members_of(group.name());
     let mut ranked: Vec<(f64, Arc<MemberPool>)> = members
@@ -41,7 +50,13 @@
         })
         .collect();
     ranked.sort_by(|(left, _), (right, _)| left.total_cmp(right));
-    ranked.into_iter().map(|(_, pool)| pool).collect()
+    let ranked = ranked.into_iter();
+    ranked
+        .map(|(cost, pool)| ReadCandidate {
+            pool,
+            is_likely: cost < DOUBTFUL_MS,
+        })
+        .collect()
 }
 
 /// Whether a member in `state` must not be used any more.
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -39,6 +39,8 @@
     pub pool: Arc<MemberPool>,
     /// The position asked for; `None` at a leader whose term is leased.
     pub after: Option<LogPosition>,
+    /// Whether no other member is likely to run it: its connections are worth a wait.
+    pub is_only: bool,
 }
 
 /// One read's needs, the same for every member that it is sent to.
@@ -48,7 +50,7 @@
     work: Work,
     values: SessionValues,
     group: Arc<Group>,
-    until: Instant,
+    limits: StatementLimits,
 }
 
 /// What came of one member.
@@ -82,7 +84,7 @@
             work,
             values: Arc::clone(&self.values),
             group: Arc::clone(&group),
-            until: limits.answer,
+            limits,
         };
         self.engine.hedges().record_request();
         loop {
@@ -124,8 +126,15 @@
         };
         let after = Some(after);
         let candidates = read_candidates(&self.engine, group, after, Instant::now());
+        let likely = candidates.iter().filter(|c| c.is_likely).count();
         let targets = candidates.into_iter();
-        targets.map(|pool| ReadTarget { pool, after }).collect()
+        targets
+            .map(|candidate| ReadTarget {
+                is_only: likely == 1 && candidate.is_likely,
+                pool: candidate.pool,
+                after,
+            })
+            .collect()
     }
 
     /// The leader, twice: where an answer is lost it is asked again.
@@ -137,7 +146,11 @@
     ) -> Vec<ReadTarget> {
         let leader = access::leased_leader(&self.engine, group, staleness, until).await;
         let pool = leader.and_then(|leader| leader_pool(&self.engine, &leader));
-        let target = pool.map(|pool| ReadTarget { pool, after: None });
+        let target = pool.map(|pool| ReadTarget {
+            pool,
+            after: None,
+            is_only: true,
+        });
         target.iter().chain(target.iter()).cloned().collect()
     }
 
@@ -186,7 +199,7 @@
                         Ok(completion) => return Ok(completion),
                         Err(failure) => failure,
                     };
-                    if Instant::now() >= job.until {
+                    if Instant::now() >= job.limits.answer {
                         return Err(failure);
                     }
                     match remaining.next() {
@@ -199,7 +212,7 @@
                     }
                 }
                 () = sleep_until(hedge_at), if running.len() < UNANSWERED_LIMIT => {
-                    hedge_at = job.until;
+                    hedge_at = job.limits.answer;
                     if self.engine.hedges().try_retry()
                         && let Some(target) = remaining.next()
                     {
@@ -207,7 +220,7 @@
                         running.push(spawn_read(job, target));
                     }
                 }
-                () = sleep_until(job.until) => {
+                () = sleep_until(job.limits.answer) => {
                     return Err(Failure::not_run(FailureReason::AnswerTimedOut));
                 }
             }
@@ -222,6 +235,14 @@
     now + expected.mul_f64(HEDGE_LATENCIES).max(HEDGE_MIN)
 }
 
+/// Until when a connection to `target` is waited for.
+pub(super) fn acquire_until(limits: &StatementLimits, target: &ReadTarget) -> Instant {
+    match target.is_only {
+        true => limits.offer,
+        false => limits.offer.min(Instant::now() + ACQUIRE_WAIT),
+    }
+}
+
 /// Runs a read at one member in a task of its own: when another member has answered
 /// first, the connection is still read to the end of the answer and used again.
 fn spawn_read(job: &ReadJob, target: ReadTarget) -> JoinHandle<ReadResult> {
@@ -235,7 +256,7 @@
 
 async fn read_once(job: &ReadJob, target: &ReadTarget) -> ReadOutcome {
     let pool = &target.pool;
-    let wait = job.until.min(Instant::now() + ACQUIRE_WAIT);
+    let wait = acquire_until(&job.limits, target);
     let mut connection = match pool.acquire(&job.values, wait).await {
         Ok(connection) => connection,
         Err(error) => return ReadOutcome::NotTaken(error),
@@ -247,7 +268,7 @@
         put.map_err(RunError::Before)?;
         connection.run_work(&job.id, &job.work, target.after).await
     };
-    let answer = match timeout_at(job.until, running).await {
+    let answer = match timeout_at(job.limits.answer, running).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => return ReadOutcome::Lost(error.to_string()),
         Err(_) => {
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -1,7 +1,7 @@
 //! Transactions: opened at a member with their first statement, held there to the end.
 
 use super::limits::{RETRY_PAUSE, StatementLimits};
-use super::read::{ReadTarget, leading_epoch, note_position, note_refusal};
+use super::read::{ReadTarget, acquire_until, leading_epoch, note_position, note_refusal};
 use super::trace::RequestTrace;
 use super::write::{
     Attempt, Awaited, acquire_failure, await_answer, judge_refusal, leader_pool, member_failure,
@@ -17,12 +17,8 @@
 use crate::statement::{Access, Request, TransactionState};
 use crate::verdict::{Failure, FailureReason};
 use std::sync::Arc;
-use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// Longest wait for a connection while there are other members.
-const ACQUIRE_WAIT: Duration = Duration::from_millis(60);
-
 /// A caller's transaction.
 #[derive(Debug)]
 pub(super) struct Transaction {
@@ -249,7 +245,11 @@
             .filter(|leader| *leader == writable)
             .and_then(|leader| {
                 let pool = leader_pool(&self.engine, &leader)?;
-                let target = ReadTarget { pool, after: None };
+                let target = ReadTarget {
+                    pool,
+                    after: None,
+                    is_only: true,
+                };
                 let leader = Some(leader);
                 Some(Place { target, leader })
             });
@@ -269,7 +269,7 @@
     ) -> Attempt<Completion> {
         let pool = Arc::clone(&place.target.pool);
         let member = pool.member().id.clone();
-        let wait = limits.offer.min(Instant::now() + ACQUIRE_WAIT);
+        let wait = acquire_until(&limits, &place.target);
         let mut connection = match pool.acquire(&self.values, wait).await {
             Ok(connection) => connection,
             Err(error) => {
