--- a/crates/engine/src/leadership/duty.rs
+++ b/crates/engine/src/leadership/duty.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use stilequay_coordination::clock::{Clock, MonotonicClock};
+use stilequay_coordination::clock::Clock;
 use stilequay_coordination::identity::{Incarnation, NodeId};
 use stilequay_coordination::lease::{
     Acquisition, FencingNumber, Lease, LeaseCandidate, LeaseError, LeaseName, LeaseRecord,
@@ -116,17 +116,31 @@
     }
 }
 
+/// The runtime's monotonic clock, which tests can pause.
+#[derive(Debug, Clone)]
+struct RuntimeClock {
+    origin: Instant,
+}
+
+impl Clock for RuntimeClock {
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+}
+
 /// The lease as far as this process holds it.
 #[derive(Debug)]
 pub struct Duty {
-    clock: MonotonicClock,
+    clock: RuntimeClock,
     lease: Mutex<Option<Lease>>,
 }
 
 impl Default for Duty {
     fn default() -> Self {
         Self {
-            clock: MonotonicClock::new(),
+            clock: RuntimeClock {
+                origin: Instant::now(),
+            },
             lease: Mutex::new(None),
         }
     }
--- /dev/null
+++ b/crates/engine/tests/leadership.rs
@@ -0,0 +1,349 @@
+//! Changes of leader under faults: nothing acknowledged is lost, and nobody is promoted
+//! who may lack a commit.
+
+mod support;
+
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::directory::{MemberState, Role};
+use stilequay_engine::leadership::record::{TermPhase, TermRecord};
+use support::records::Fault;
+use support::{Client, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, seen, until};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Longest time in which a lost leader is replaced, on the paused clock.
+const REPLACED_WITHIN: Duration = Duration::from_millis(2_500);
+
+/// Callers that write all the time at each process: only traffic makes a leader suspect.
+fn keep_writing(fleet: &Fleet) {
+    for node in &fleet.nodes {
+        let mut client = Client::open(&node.engine, OWN_DATABASE);
+        tokio::spawn(async move {
+            loop {
+                let _ = client.write("x 1").await;
+                sleep(Duration::from_millis(40)).await;
+            }
+        });
+    }
+}
+
+/// Writes until one is acknowledged, as a caller that comes back does.
+async fn write_until_acknowledged(fleet: &Fleet, node: usize) {
+    let mut client = fleet.session(node, LEADER_DATABASE);
+    let written = async {
+        while client.write("x 1").await.outcome.is_err() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let written = timeout(Duration::from_secs(30), written).await;
+    written.expect("a write is acknowledged");
+}
+
+async fn write(fleet: &Fleet, count: usize) {
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    for _ in 0..count {
+        assert!(client.write("x 1").await.outcome.is_ok());
+    }
+}
+
+fn epoch(fleet: &Fleet, node: usize) -> u64 {
+    fleet.nodes[node]
+        .engine
+        .group(&Arc::from(GROUP))
+        .view()
+        .epoch
+}
+
+fn crash(fleet: &Fleet) {
+    fleet.world.crash("a");
+}
+
+fn go_dark(fleet: &Fleet) {
+    fleet.world.change("a", |server| server.dark = true);
+}
+
+fn leave(fleet: &Fleet) {
+    let state = MemberState::Leaving {
+        since: Instant::now(),
+    };
+    fleet.world.change("a", |server| server.state = state);
+}
+
+fn cut_from_all_processes(fleet: &Fleet) {
+    for node in &fleet.nodes {
+        fleet.network().cut(&node.name, "a");
+    }
+}
+
+fn cut_from_replicas(fleet: &Fleet) {
+    fleet.network().cut("a", "b");
+    fleet.network().cut("a", "c");
+}
+
+#[rstest]
+#[case::crashed(crash)]
+#[case::dark(go_dark)]
+#[case::leaving(leave)]
+#[case::cut_from_all_processes(cut_from_all_processes)]
+#[case::cut_from_its_replicas(cut_from_replicas)]
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_is_lost_is_replaced_and_every_commit_kept(#[case] fault: fn(&Fleet)) {
+    let fleet = Fleet::start(3).await;
+    write(&fleet, 5).await;
+    fault(&fleet);
+    let began = Instant::now();
+    keep_writing(&fleet);
+    until(|| epoch(&fleet, 0) > 0).await;
+    let writers = (0..3).map(|node| write_until_acknowledged(&fleet, node));
+    futures::future::join_all(writers).await;
+    assert!(began.elapsed() < REPLACED_WITHIN, "{:?}", began.elapsed());
+    let leader = fleet.world.leader();
+    assert_ne!(leader, "a");
+    assert!(fleet.world.server(&leader).log.len() >= 8);
+    let mut client = fleet.session(1, LEADER_DATABASE);
+    assert_eq!(seen(&client.read("x").await).0, leader);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_has_received_less_is_not_promoted() {
+    let fleet = Fleet::start(2).await;
+    fleet.world.change("b", |server| server.deaf = true);
+    write(&fleet, 5).await;
+    fleet.world.crash("a");
+    keep_writing(&fleet);
+    until(|| !fleet.world.promotions().is_empty()).await;
+    fleet.world.change("b", |server| server.deaf = false);
+    write_until_acknowledged(&fleet, 0).await;
+    assert_eq!(fleet.world.leader(), "c");
+}
+
+#[tokio::test(start_paused = true)]
+async fn nobody_is_promoted_while_a_replica_that_may_hold_more_is_away() {
+    let fleet = Fleet::start(2).await;
+    fleet.world.change("b", |server| server.deaf = true);
+    write(&fleet, 5).await;
+    fleet.world.crash("a");
+    fleet.world.change("c", |server| server.dark = true);
+    keep_writing(&fleet);
+    sleep(Duration::from_secs(6)).await;
+    assert!(fleet.world.promotions().is_empty());
+    fleet.world.change("c", |server| server.dark = false);
+    until(|| !fleet.world.promotions().is_empty()).await;
+    fleet.world.change("b", |server| server.deaf = false);
+    write_until_acknowledged(&fleet, 0).await;
+    assert_eq!(fleet.world.leader(), "c");
+    assert!(fleet.world.server("c").log.len() >= 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn replicas_are_paused_before_the_order_and_receive_after_it() {
+    let fleet = Fleet::start(2).await;
+    write(&fleet, 3).await;
+    cut_from_all_processes(&fleet);
+    keep_writing(&fleet);
+    let world = Arc::clone(&fleet.world);
+    until(|| !world.promotions().is_empty()).await;
+    assert!(
+        ["b", "c"]
+            .iter()
+            .all(|name| world.server(name).paused_for > 0)
+    );
+    write_until_acknowledged(&fleet, 0).await;
+    until(|| {
+        ["b", "c"]
+            .iter()
+            .all(|name| world.server(name).paused_for == 0)
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_old_leader_gets_no_commit_acknowledged_after_the_order() {
+    let fleet = Fleet::start(2).await;
+    write(&fleet, 3).await;
+    fleet.network().cut("node-1", "a");
+    fleet.network().cut("node-0", "a");
+    keep_writing(&fleet);
+    let world = Arc::clone(&fleet.world);
+    until(|| !world.promotions().is_empty()).await;
+    // The cut heals: the old leader still believes in its term.
+    fleet.network().heal();
+    assert_eq!(world.server("a").role, Role::Primary);
+    write_until_acknowledged(&fleet, 0).await;
+    write_until_acknowledged(&fleet, 1).await;
+    let leader = world.server(&world.leader());
+    let old = world.server("a");
+    let kept = old.log.iter().filter(|entry| entry.0 == 1).count();
+    let carried_over = leader.log.iter().filter(|entry| entry.0 == 1).count();
+    assert!(carried_over >= 3);
+    assert!(kept >= carried_over, "{kept} {carried_over}");
+}
+
+#[rstest]
+#[case::as_the_fence_is_recorded(TermPhase::Fencing)]
+#[case::as_the_target_is_recorded(TermPhase::Promoting)]
+#[tokio::test(start_paused = true)]
+async fn what_one_holder_began_the_next_completes(#[case] phase: TermPhase) {
+    let mut fleet = Fleet::start(3).await;
+    write(&fleet, 5).await;
+    fleet.world.crash("a");
+    keep_writing(&fleet);
+    let records = Arc::clone(&fleet.records);
+    let recorded = || {
+        let record = records.get(&TermRecord::key(GROUP))?;
+        TermRecord::decode(&record.value).ok()
+    };
+    until(|| recorded().is_some_and(|term| term.phase == phase)).await;
+    let holder = recorded().expect("recorded").holder;
+    let node = fleet
+        .nodes
+        .iter_mut()
+        .find(|node| *node.name == *holder)
+        .expect("the holder");
+    node.kill();
+    let survivor = fleet.nodes.iter().position(|node| *node.name != *holder);
+    write_until_acknowledged(&fleet, survivor.expect("another")).await;
+    assert!(fleet.world.server(&fleet.world.leader()).log.len() >= 6);
+    assert_eq!(recorded().map(|term| term.phase), Some(TermPhase::Active));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_dies_with_the_leader_is_followed_although_others_report() {
+    let mut fleet = Fleet::start(4).await;
+    write(&fleet, 2).await;
+    let lease = fleet.records.get("lease/promotion").expect("a lease");
+    let text = String::from_utf8_lossy(&lease.value).into_owned();
+    let holder = fleet
+        .nodes
+        .iter()
+        .position(|node| text.contains(&node.name))
+        .expect("a holder");
+    fleet.nodes[holder].kill();
+    fleet.world.crash("a");
+    keep_writing(&fleet);
+    let began = Instant::now();
+    write_until_acknowledged(&fleet, (holder + 1) % 4).await;
+    assert!(
+        began.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        began.elapsed()
+    );
+}
+
+#[rstest]
+#[case::it_loses_answers(Fault::LosingAnswers, false)]
+#[case::it_refuses(Fault::Refusing, true)]
+#[case::it_is_silent(Fault::Silent, true)]
+#[tokio::test(start_paused = true)]
+async fn a_promotion_outlasts_the_stores_faults(#[case] fault: Fault, #[case] stops: bool) {
+    let fleet = Fleet::start(2).await;
+    write(&fleet, 5).await;
+    fleet.records.set_fault(fault);
+    fleet.world.crash("a");
+    keep_writing(&fleet);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(fleet.world.promotions().is_empty(), stops);
+    fleet.records.set_fault(Fault::None);
+    write_until_acknowledged(&fleet, 0).await;
+    assert!(fleet.world.server(&fleet.world.leader()).log.len() >= 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_target_that_dies_is_given_up_for_another() {
+    let fleet = Fleet::start(2).await;
+    write(&fleet, 5).await;
+    fleet.world.crash("a");
+    keep_writing(&fleet);
+    let world = Arc::clone(&fleet.world);
+    until(|| !world.promotions().is_empty()).await;
+    let target = world.promotions()[0].target.clone();
+    world.crash(&target);
+    // The other replica alone can't be known to hold everything: one has to come back.
+    world.restart("a");
+    write_until_acknowledged(&fleet, 0).await;
+    assert!(world.server(&world.leader()).log.len() >= 6);
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_last_member_is_not_promoted_again_and_again() {
+    let fleet = Fleet::start(2).await;
+    write(&fleet, 2).await;
+    fleet.world.crash("b");
+    fleet.world.crash("c");
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    for _ in 0..20 {
+        assert!(client.write("x 1").await.outcome.is_err());
+    }
+    assert!(fleet.world.promotions().is_empty());
+    fleet.world.restart("b");
+    write_until_acknowledged(&fleet, 0).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_takes_no_more_connections_is_not_suspected() {
+    let fleet = Fleet::start(2).await;
+    write(&fleet, 2).await;
+    // Idle connections end after a while; new ones are refused.
+    sleep(Duration::from_secs(4)).await;
+    fleet
+        .nodes
+        .iter()
+        .for_each(|node| node.engine.close_unused_connections());
+    fleet.world.change("a", |server| server.full = true);
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    for _ in 0..10 {
+        let _ = client.write("x 1").await;
+    }
+    assert!(fleet.world.promotions().is_empty());
+    fleet.world.change("a", |server| server.full = false);
+    write_until_acknowledged(&fleet, 0).await;
+    assert_eq!(fleet.world.leader(), "a");
+}
+
+#[tokio::test(start_paused = true)]
+async fn orders_carry_the_holder_and_a_number_that_never_falls() {
+    let mut fleet = Fleet::start(3).await;
+    write(&fleet, 1).await;
+    for _ in 0..3 {
+        let leader = fleet.world.leader();
+        fleet.world.crash(&leader);
+        write_until_acknowledged(&fleet, 0).await;
+        fleet.world.restart(&leader);
+        let holder = fleet
+            .world
+            .promotions()
+            .last()
+            .expect("an order")
+            .holder
+            .clone();
+        let index = fleet.nodes.iter().position(|node| *node.name == *holder);
+        let index = index.expect("the holder");
+        if index > 0 {
+            fleet.nodes[index].kill();
+            let name = fleet.nodes[index].name.clone();
+            fleet.nodes[index] = fleet.spawn_node(&name);
+        }
+    }
+    let numbers: Vec<_> = fleet.world.promotions().iter().map(|o| o.fencing).collect();
+    assert!(numbers.len() >= 3);
+    assert!(numbers.is_sorted(), "{numbers:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_cut_from_the_store_goes_on_and_follows_once_it_is_back() {
+    let fleet = Fleet::start(3).await;
+    write(&fleet, 2).await;
+    fleet.records.refuse_node("node-2", true);
+    let mut client = fleet.session(2, OWN_DATABASE);
+    for _ in 0..10 {
+        assert!(client.write("x 1").await.outcome.is_ok());
+        assert!(client.read("x").await.outcome.is_ok());
+        sleep(Duration::from_millis(200)).await;
+    }
+    fleet.world.crash("a");
+    write_until_acknowledged(&fleet, 0).await;
+    fleet.records.refuse_node("node-2", false);
+    write_until_acknowledged(&fleet, 2).await;
+    assert_eq!(epoch(&fleet, 2), epoch(&fleet, 0));
+}
--- /dev/null
+++ b/crates/engine/tests/reads.rs
@@ -0,0 +1,137 @@
+//! Which member runs a read, and how fresh it is.
+
+mod support;
+
+use std::time::Duration;
+use stilequay_engine::verdict::{FailureReason, Verdict};
+use support::records::Fault;
+use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, OWN_DATABASE, STALENESS, seen};
+use tokio::time::{Instant, sleep};
+
+#[tokio::test(start_paused = true)]
+async fn a_session_reads_what_it_wrote_also_where_replicas_apply_late() {
+    let fleet = Fleet::start(1).await;
+    for replica in ["b", "c"] {
+        fleet.world.change(replica, |server| {
+            server.apply_lag = Duration::from_millis(700);
+        });
+    }
+    let mut client = fleet.session(0, OWN_DATABASE);
+    for commits in 1..=20 {
+        client.write("x 1").await;
+        assert_eq!(seen(&client.read("x").await).1, commits);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_bounded_read_sees_what_was_committed_longer_ago_than_its_bound() {
+    let fleet = Fleet::start(1).await;
+    for replica in ["b", "c"] {
+        fleet.world.change(replica, |server| {
+            server.apply_lag = Duration::from_secs(60);
+        });
+    }
+    let mut writer = fleet.session(0, LEADER_DATABASE);
+    let mut reader = fleet.session(0, BOUNDED_DATABASE);
+    writer.write("x 1").await;
+    sleep(STALENESS + Duration::from_millis(50)).await;
+    for _ in 0..10 {
+        assert_eq!(seen(&reader.read("x").await), ("a".to_owned(), 1));
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_member_is_passed_over_within_the_reads_time() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, BOUNDED_DATABASE);
+    let (first, _) = seen(&client.read("x").await);
+    fleet.world.change(&first, |server| server.dark = true);
+    let asked = Instant::now();
+    let (second, _) = seen(&client.read("x").await);
+    assert_ne!(first, second);
+    assert!(asked.elapsed() < Duration::from_millis(300));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_read_whose_answer_is_broken_off_runs_at_another_member() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, BOUNDED_DATABASE);
+    let (first, _) = seen(&client.read("x").await);
+    fleet.world.crash(&first);
+    assert!(client.read("x").await.outcome.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_read_needs_evidence_that_the_leader_still_leads() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    assert_eq!(seen(&client.read("x").await).0, "a");
+    fleet.records.set_fault(Fault::Refusing);
+    sleep(Duration::from_secs(1)).await;
+    let failure = client.read("x").await.outcome.expect_err("no evidence");
+    assert_eq!(failure.reason, FailureReason::NoLeader);
+    assert_eq!(failure.verdict, Verdict::NotRun);
+    // A commit that a replica has received is such evidence, without the store.
+    assert!(client.write("x 1").await.outcome.is_ok());
+    assert_eq!(seen(&client.read("x").await), ("a".to_owned(), 1));
+    sleep(Duration::from_secs(1)).await;
+    assert!(client.read("x").await.outcome.is_err());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_elsewhere_wakes_a_leader_read_that_waits_for_evidence() {
+    let fleet = Fleet::start(1).await;
+    fleet.records.set_fault(Fault::Silent);
+    sleep(Duration::from_secs(1)).await;
+    let mut reader = fleet.session(0, LEADER_DATABASE);
+    let mut writer = fleet.session(0, OWN_DATABASE);
+    let writing = async {
+        sleep(Duration::from_millis(100)).await;
+        writer.write("x 1").await
+    };
+    let (read, written) = tokio::join!(reader.read("x"), writing);
+    assert!(written.outcome.is_ok());
+    assert!(read.outcome.is_ok(), "{read:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn replicas_serve_bounded_reads_while_there_is_no_leader() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, OWN_DATABASE);
+    client.write("x 1").await;
+    // Without the store nobody can be promoted.
+    fleet.records.set_fault(Fault::Refusing);
+    fleet.world.crash("a");
+    for _ in 0..20 {
+        sleep(Duration::from_millis(300)).await;
+        assert_eq!(seen(&client.read("x").await).1, 1);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn no_read_is_served_by_a_replica_that_may_lack_a_commit() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, OWN_DATABASE);
+    fleet.world.change("c", |server| server.deaf = true);
+    client.write("x 1").await;
+    fleet.records.set_fault(Fault::Refusing);
+    fleet.world.crash("a");
+    fleet.world.crash("b");
+    sleep(STALENESS * 2).await;
+    let failure = client.read("x").await.outcome.expect_err("only c is left");
+    assert_eq!(failure.verdict, Verdict::NotRun);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_read_only_transaction_stays_at_one_member_and_sees_the_sessions_commits() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, OWN_DATABASE);
+    client.write("x 1").await;
+    client.begin(true).await;
+    let (server, commits) = seen(&client.read("x").await);
+    assert_eq!(commits, 1);
+    for _ in 0..3 {
+        assert_eq!(seen(&client.read("x").await).0, server);
+    }
+    assert!(client.commit().await.outcome.expect("committed").is_some());
+}
--- /dev/null
+++ b/crates/engine/tests/simulation.rs
@@ -0,0 +1,220 @@
+//! Processes and servers under random faults, and planted mistakes that the same checks
+//! must find.
+
+mod support;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::directory::MemberState;
+use support::history::History;
+use support::records::Fault;
+use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, OWN_DATABASE, until};
+use tokio::time::{Instant, sleep};
+
+const SERVERS: [&str; 3] = ["a", "b", "c"];
+const DATABASES: [&str; 3] = [LEADER_DATABASE, OWN_DATABASE, BOUNDED_DATABASE];
+/// Faults in one run.
+const FAULTS: usize = 10;
+/// Time after the last fault in which everything recovers.
+const RECOVERY: Duration = Duration::from_secs(12);
+
+fn spawn_callers(fleet: &Fleet, history: &Arc<History>) {
+    for (index, node) in fleet.nodes.iter().enumerate() {
+        for (kind, database) in DATABASES.iter().enumerate() {
+            history.spawn_caller(&node.engine, database, index * DATABASES.len() + kind);
+        }
+    }
+}
+
+/// Brings one fault about, for a while.
+async fn strike(fleet: &Fleet, rng: &mut StdRng) {
+    let server = SERVERS[rng.random_range(0..SERVERS.len())];
+    let other = SERVERS[rng.random_range(0..SERVERS.len())];
+    let node = fleet.nodes[rng.random_range(0..fleet.nodes.len())]
+        .name
+        .clone();
+    let lasts = Duration::from_millis(rng.random_range(100..3_000));
+    let world = &fleet.world;
+    match rng.random_range(0..11) {
+        0 => {
+            world.crash(server);
+            sleep(lasts).await;
+            world.restart(server);
+        }
+        1 => {
+            let leader = world.leader();
+            world.crash(&leader);
+            sleep(lasts).await;
+            world.restart(&leader);
+        }
+        2 => {
+            world.change(server, |s| s.dark = true);
+            sleep(lasts).await;
+            world.change(server, |s| s.dark = false);
+        }
+        3 => {
+            fleet.network().cut(&node, server);
+            sleep(lasts).await;
+        }
+        4 => {
+            let leader = world.leader();
+            fleet
+                .nodes
+                .iter()
+                .for_each(|node| fleet.network().cut(&node.name, &leader));
+            sleep(lasts).await;
+        }
+        5 => {
+            fleet.network().cut(server, other);
+            sleep(lasts).await;
+        }
+        6 => {
+            world.change(server, |s| s.deaf = true);
+            sleep(lasts).await;
+            world.change(server, |s| s.deaf = false);
+        }
+        7 => {
+            let faults = [Fault::Refusing, Fault::Silent, Fault::LosingAnswers];
+            fleet
+                .records
+                .set_fault(faults[rng.random_range(0..faults.len())]);
+            sleep(lasts).await;
+            fleet.records.set_fault(Fault::None);
+        }
+        8 => {
+            fleet.records.refuse_node(&node, true);
+            sleep(lasts).await;
+            fleet.records.refuse_node(&node, false);
+        }
+        9 => {
+            world.change(server, |s| {
+                s.apply_lag = Duration::from_millis(rng.random_range(0..2_000));
+                s.slowness = rng.random_range(1..20);
+            });
+            sleep(lasts).await;
+            world.change(server, |s| s.slowness = 1);
+        }
+        _ => {
+            let since = Instant::now();
+            world.change(server, |s| s.state = MemberState::Leaving { since });
+            sleep(lasts).await;
+            world.change(server, |s| s.state = MemberState::Ready);
+        }
+    }
+    fleet.network().heal();
+}
+
+async fn run(seed: u64) -> (Vec<String>, (usize, usize)) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let fleet = Fleet::start(3).await;
+    let history = Arc::new(History::default());
+    spawn_callers(&fleet, &history);
+    for _ in 0..FAULTS {
+        sleep(Duration::from_millis(rng.random_range(50..800))).await;
+        strike(&fleet, &mut rng).await;
+    }
+    let before = history.counts().0;
+    sleep(RECOVERY).await;
+    assert!(
+        history.counts().0 > before,
+        "seed {seed}: no write after the faults"
+    );
+    (history.violations(&fleet.world), history.counts())
+}
+
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn no_promise_is_broken_under_random_faults(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)] seed: u64,
+) {
+    let (violations, (commits, reads)) = run(seed).await;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    assert!(
+        commits > 100 && reads > 100,
+        "seed {seed}: {commits} {reads}"
+    );
+}
+
+/// Cuts all processes from the leader but one, which does not hold the lease; returns it.
+fn cut_all_but_one(fleet: &Fleet) -> String {
+    let lease = fleet.records.get("lease/promotion").expect("a lease");
+    let lease = String::from_utf8_lossy(&lease.value).into_owned();
+    let names = || fleet.nodes.iter().map(|node| node.name.clone());
+    let keeper = names().find(|name| !lease.contains(name.as_str()));
+    let keeper = keeper.expect("a process without the lease");
+    let others = names().filter(|name| *name != keeper);
+    others.for_each(|name| fleet.network().cut(&name, "a"));
+    keeper
+}
+
+/// One process keeps the old leader and loses the store; the others promote another.
+async fn split(fleet: &Fleet, history: &Arc<History>) {
+    spawn_callers(fleet, history);
+    sleep(Duration::from_secs(2)).await;
+    let keeper = cut_all_but_one(fleet);
+    fleet.records.refuse_node(&keeper, true);
+    until(|| !fleet.world.promotions().is_empty()).await;
+    sleep(Duration::from_secs(2)).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_split_breaks_no_promise() {
+    let fleet = Fleet::start(3).await;
+    let history = Arc::new(History::default());
+    split(&fleet, &history).await;
+    assert_eq!(history.violations(&fleet.world), Vec::<String>::new());
+}
+
+#[tokio::test(start_paused = true)]
+async fn replicas_that_are_not_really_paused_are_found() {
+    let fleet = Fleet::start(3).await;
+    // Of two that have received as much, `c` is chosen; `b` goes on receiving.
+    fleet.world.change("b", |s| s.ignores_pause = true);
+    let history = Arc::new(History::default());
+    split(&fleet, &history).await;
+    let violations = history.violations(&fleet.world);
+    assert!(
+        violations.iter().any(|v| v.starts_with("lost")),
+        "{violations:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_is_not_asked_is_found() {
+    let fleet = Fleet::start(3).await;
+    let history = Arc::new(History::default());
+    fleet.world.change("b", |s| s.deaf = true);
+    spawn_callers(&fleet, &history);
+    sleep(Duration::from_secs(2)).await;
+    fleet.world.hidden.lock().unwrap().insert("c".to_owned());
+    // The entry is forgotten, as one that went away long ago is.
+    sleep(Duration::from_secs(30)).await;
+    fleet.world.crash("a");
+    until(|| !fleet.world.promotions().is_empty()).await;
+    sleep(Duration::from_secs(2)).await;
+    let violations = history.violations(&fleet.world);
+    assert!(
+        violations.iter().any(|v| v.starts_with("lost")),
+        "{violations:?}"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn evidence_from_a_store_that_shows_the_past_is_found() {
+    let fleet = Fleet::start(3).await;
+    let history = Arc::new(History::default());
+    spawn_callers(&fleet, &history);
+    sleep(Duration::from_secs(2)).await;
+    let keeper = cut_all_but_one(&fleet);
+    fleet.records.show_past_to(&keeper);
+    until(|| !fleet.world.promotions().is_empty()).await;
+    sleep(Duration::from_secs(4)).await;
+    let violations = history.violations(&fleet.world);
+    assert!(
+        violations.iter().any(|v| v.starts_with("stale")),
+        "{violations:?}"
+    );
+}
--- /dev/null
+++ b/crates/engine/tests/support/mod.rs
@@ -0,0 +1,300 @@
+//! A stand-in of a group of servers, of the store and of the promotion service, in memory
+//! and on tokio's paused clock: every run takes the same course.
+
+#![allow(dead_code)]
+
+pub mod history;
+pub mod records;
+pub mod servers;
+
+use bytes::Bytes;
+use records::MemoryRecords;
+use servers::{Network, World, WorldBackEnd, WorldPromoter};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::configuration::{Configuration, Consistency, GroupSettings, Route};
+use stilequay_engine::directory::Directory;
+use stilequay_engine::engine::{Engine, EngineSettings};
+use stilequay_engine::leadership;
+use stilequay_engine::session::Session;
+use stilequay_engine::statement::{Access, PreparedStatement, Reply, Request, Statement};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// The database of each consistency.
+pub const LEADER_DATABASE: &str = "orders";
+pub const BOUNDED_DATABASE: &str = "menus";
+pub const OWN_DATABASE: &str = "riders";
+/// Age that bounded reads may have.
+pub const STALENESS: Duration = Duration::from_millis(1_500);
+/// The only group.
+pub const GROUP: &str = "ledger";
+/// Time-out of all routes.
+pub const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// A fleet of processes before one group.
+pub struct Fleet {
+    pub world: Arc<World>,
+    pub records: Arc<MemoryRecords>,
+    pub nodes: Vec<Node>,
+}
+
+/// One process of the fleet.
+pub struct Node {
+    pub name: String,
+    pub engine: Arc<Engine>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Node {
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        self.tasks.drain(..).for_each(|task| task.abort());
+    }
+}
+
+pub fn configuration(sync_replicas: usize) -> Configuration {
+    let route = |consistency, staleness| {
+        Arc::new(Route {
+            group: Arc::from(GROUP),
+            consistency,
+            max_staleness: staleness,
+            timeout: TIMEOUT,
+            objective: Duration::from_millis(250),
+            priority: 1,
+        })
+    };
+    let routes = [
+        (LEADER_DATABASE, route(Consistency::Leader, Duration::ZERO)),
+        (
+            BOUNDED_DATABASE,
+            route(Consistency::BoundedStaleness, STALENESS),
+        ),
+        (OWN_DATABASE, route(Consistency::ReadYourWrites, STALENESS)),
+    ];
+    let group = GroupSettings {
+        member_connections: 34,
+        sync_replicas,
+    };
+    Configuration {
+        version: 1,
+        routes: routes
+            .into_iter()
+            .map(|(name, route)| (Arc::from(name), route))
+            .collect(),
+        groups: HashMap::from([(Arc::from(GROUP), group)]),
+        transaction_idle: Some(Duration::from_secs(3)),
+    }
+}
+
+impl Fleet {
+    /// Starts `nodes` processes before three servers, `a` leading, and waits until every
+    /// process knows the leader.
+    pub async fn start(nodes: usize) -> Self {
+        print_events_if_asked();
+        let world = World::new(&["a", "b", "c"]);
+        let records = MemoryRecords::new();
+        let mut fleet = Self {
+            world,
+            records,
+            nodes: Vec::new(),
+        };
+        for index in 0..nodes {
+            let node = fleet.spawn_node(&format!("node-{index}"));
+            fleet.nodes.push(node);
+        }
+        let knows_leader =
+            |node: &Node| node.engine.group(&Arc::from(GROUP)).view().leader.is_some();
+        let nodes = fleet.nodes.iter().collect::<Vec<_>>();
+        until(|| nodes.iter().all(|node| knows_leader(node))).await;
+        fleet
+    }
+
+    /// Starts one process.
+    pub fn spawn_node(&self, name: &str) -> Node {
+        let settings = EngineSettings {
+            node: Arc::from(name),
+            zone: Arc::from("zone-a"),
+            leaving_use: Duration::from_secs(4),
+        };
+        let back_end = WorldBackEnd {
+            world: Arc::clone(&self.world),
+            node: name.to_owned(),
+        };
+        let records = self.records.for_node(name);
+        let engine = Engine::new(settings, Arc::new(back_end), records);
+        engine.set_configuration(configuration(1));
+        engine.set_directory(self.directory());
+        let promoter = Arc::new(WorldPromoter {
+            world: Arc::clone(&self.world),
+        });
+        let tasks = vec![
+            tokio::spawn(leadership::run(Arc::clone(&engine), promoter)),
+            tokio::spawn(follow_directory(
+                Arc::clone(&engine),
+                Arc::clone(&self.world),
+            )),
+        ];
+        Node {
+            name: name.to_owned(),
+            engine,
+            tasks,
+        }
+    }
+
+    pub fn directory(&self) -> Directory {
+        Directory::default().replaced(1, self.world.entries(), Instant::now())
+    }
+
+    /// A session at one process.
+    pub fn session(&self, node: usize, database: &str) -> Client {
+        Client::open(&self.nodes[node].engine, database)
+    }
+
+    pub fn network(&self) -> &Network {
+        &self.world.network
+    }
+}
+
+/// Entries change a moment after the servers do.
+async fn follow_directory(engine: Arc<Engine>, world: Arc<World>) {
+    let mut version = 1;
+    loop {
+        sleep(Duration::from_millis(20)).await;
+        version += 1;
+        let next = engine
+            .directory()
+            .replaced(version, world.entries(), Instant::now());
+        engine.set_directory(next);
+    }
+}
+
+/// Waits for a condition, on the paused clock.
+pub async fn until(condition: impl Fn() -> bool) {
+    for _ in 0..20_000 {
+        if condition() {
+            return;
+        }
+        sleep(Duration::from_millis(2)).await;
+    }
+    panic!("the condition was not met");
+}
+
+/// A caller.
+pub struct Client {
+    pub session: Session,
+    next: u64,
+}
+
+impl Client {
+    pub fn open(engine: &Arc<Engine>, database: &str) -> Self {
+        let session = Session::open(Arc::clone(engine), Arc::from(database));
+        Self {
+            session: session.expect("the database has a route"),
+            next: 0,
+        }
+    }
+
+    pub async fn ask(&mut self, statement: Statement) -> Reply {
+        self.ask_as(statement).await.1
+    }
+
+    /// Asks, and tells the request's id too.
+    pub async fn ask_as(&mut self, statement: Statement) -> (String, Reply) {
+        self.next += 1;
+        let id = format!("{:08x}-{}", rand::random::<u32>(), self.next);
+        let request = Request {
+            id: Arc::from(id.as_str()),
+            statement,
+            received: Instant::now(),
+        };
+        (id, self.session.handle(&request).await)
+    }
+
+    pub async fn read(&mut self, thing: &str) -> Reply {
+        self.ask(read(thing)).await
+    }
+
+    pub async fn write(&mut self, thing: &str) -> Reply {
+        self.ask(write(thing)).await
+    }
+
+    pub async fn begin(&mut self, read_only: bool) -> Reply {
+        self.ask(Statement::Begin { read_only }).await
+    }
+
+    pub async fn commit(&mut self) -> Reply {
+        self.ask(Statement::Commit).await
+    }
+
+    pub async fn rollback(&mut self) -> Reply {
+        self.ask(Statement::Rollback).await
+    }
+
+    pub async fn set(&mut self, name: &str, value: &str) -> Reply {
+        let (name, value) = (bytes(name), bytes(value));
+        self.ask(Statement::Set { name, value }).await
+    }
+
+    pub async fn prepare(&mut self, name: &str, access: Access, shape: &str) -> Reply {
+        let prepared = PreparedStatement {
+            access,
+            shape: bytes(shape),
+        };
+        let name = bytes(name);
+        self.ask(Statement::Prepare { name, prepared }).await
+    }
+
+    pub async fn execute(&mut self, name: &str, arguments: &str) -> Reply {
+        let (name, arguments) = (bytes(name), bytes(arguments));
+        self.ask(Statement::Execute { name, arguments }).await
+    }
+}
+
+pub fn read(thing: &str) -> Statement {
+    Statement::Read {
+        text: bytes(&format!("READ {thing}")),
+    }
+}
+
+pub fn write(thing: &str) -> Statement {
+    Statement::Write {
+        text: bytes(&format!("WRITE {thing}")),
+    }
+}
+
+pub fn bytes(text: &str) -> Bytes {
+    Bytes::copy_from_slice(text.as_bytes())
+}
+
+/// What a read's row tells: the server, and how many commits its log had applied.
+pub fn seen(reply: &Reply) -> (String, u64) {
+    assert!(reply.outcome.is_ok(), "{reply:?}");
+    let row = std::str::from_utf8(&reply.rows[0]).expect("a text");
+    let (server, count) = row.split_once(' ').expect("two words");
+    (server.to_owned(), count.parse().expect("a number"))
+}
+
+/// Prints events where `STILEQUAY_TEST_EVENTS` is set: for whoever looks into a failure.
+struct EventPrinter;
+
+impl log::Log for EventPrinter {
+    fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        eprintln!("{}", record.args());
+    }
+
+    fn flush(&self) {}
+}
+
+fn print_events_if_asked() {
+    if std::env::var_os("STILEQUAY_TEST_EVENTS").is_some() {
+        // Several tests may ask for it.
+        let _ = log::set_logger(&EventPrinter);
+        log::set_max_level(log::LevelFilter::Trace);
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/support/records.rs
@@ -0,0 +1,183 @@
+//! A store of records in memory, with the faults that the platform's store has.
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use std::collections::{BTreeMap, HashSet};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use stilequay_engine::ports::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+/// Time that a call takes.
+const CALL_TIME: Duration = Duration::from_millis(2);
+
+/// A fault of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Fault {
+    #[default]
+    None,
+    /// Every call is refused.
+    Refusing,
+    /// No call is answered; nothing is done.
+    Silent,
+    /// Writes are done, and their answers lost.
+    LosingAnswers,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<String, Record>,
+    version: u64,
+    fault: Fault,
+    /// What some processes are shown in place of what is there: a planted mistake.
+    past: Option<(BTreeMap<String, Record>, u64)>,
+    shown_past: HashSet<String>,
+    refused_nodes: HashSet<String>,
+    calls: u64,
+}
+
+/// The store, shared by all processes.
+#[derive(Debug)]
+pub struct MemoryRecords {
+    state: Mutex<State>,
+    changes: watch::Sender<u64>,
+}
+
+impl MemoryRecords {
+    pub fn new() -> Arc<Self> {
+        Arc::new(Self {
+            state: Mutex::default(),
+            changes: watch::Sender::new(0),
+        })
+    }
+
+    /// The store as one process reaches it.
+    pub fn for_node(self: &Arc<Self>, node: &str) -> Arc<NodeRecords> {
+        Arc::new(NodeRecords {
+            store: Arc::clone(self),
+            node: node.to_owned(),
+        })
+    }
+
+    pub fn set_fault(&self, fault: Fault) {
+        self.state.lock().unwrap().fault = fault;
+    }
+
+    /// Shows one process nothing newer than now: no such store may be built upon.
+    pub fn show_past_to(&self, node: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.past = Some((state.rows.clone(), state.version));
+        state.shown_past.insert(node.to_owned());
+    }
+
+    /// Turns one process away, or serves it again.
+    pub fn refuse_node(&self, node: &str, refused: bool) {
+        let mut state = self.state.lock().unwrap();
+        match refused {
+            true => state.refused_nodes.insert(node.to_owned()),
+            false => state.refused_nodes.remove(node),
+        };
+    }
+
+    pub fn get(&self, key: &str) -> Option<Record> {
+        self.state.lock().unwrap().rows.get(key).cloned()
+    }
+
+    pub fn calls(&self) -> u64 {
+        self.state.lock().unwrap().calls
+    }
+}
+
+/// The store as one process reaches it.
+#[derive(Debug)]
+pub struct NodeRecords {
+    store: Arc<MemoryRecords>,
+    node: String,
+}
+
+impl NodeRecords {
+    /// Lets a call take its time, and fail as the present fault says.
+    async fn enter(&self) -> Result<Fault, RecordStoreError> {
+        sleep(CALL_TIME).await;
+        let (fault, refused) = {
+            let mut state = self.store.state.lock().unwrap();
+            state.calls += 1;
+            (state.fault, state.refused_nodes.contains(&self.node))
+        };
+        match fault {
+            Fault::Refusing => Err(RecordStoreError::Unavailable("refused".to_owned())),
+            Fault::Silent => {
+                sleep(Duration::from_millis(1_500)).await;
+                Err(RecordStoreError::Unknown("timed out".to_owned()))
+            }
+            _ if refused => Err(RecordStoreError::Unavailable("turned away".to_owned())),
+            fault => Ok(fault),
+        }
+    }
+}
+
+#[async_trait]
+impl RecordStore for NodeRecords {
+    async fn read_all(&self) -> Result<RecordChanges, RecordStoreError> {
+        self.enter().await?;
+        let state = self.store.state.lock().unwrap();
+        let present = (state.rows.clone(), state.version);
+        let shown = match state.shown_past.contains(&self.node) {
+            true => state.past.clone().unwrap_or(present),
+            false => present,
+        };
+        Ok(RecordChanges {
+            written: shown.0.into_values().collect(),
+            version: shown.1,
+        })
+    }
+
+    async fn watch(&self, version: u64, wait: Duration) -> Result<RecordChanges, RecordStoreError> {
+        let mut changes = self.store.changes.subscribe();
+        let _ = timeout(wait, changes.wait_for(|newest| *newest > version)).await;
+        self.enter().await?;
+        let state = self.store.state.lock().unwrap();
+        if state.shown_past.contains(&self.node) {
+            return Ok(RecordChanges {
+                written: Vec::new(),
+                version,
+            });
+        }
+        let written = state.rows.values().filter(|row| row.version > version);
+        Ok(RecordChanges {
+            written: written.cloned().collect(),
+            version: state.version,
+        })
+    }
+
+    async fn put_if(
+        &self,
+        key: &str,
+        expected: u64,
+        value: Bytes,
+    ) -> Result<PutOutcome, RecordStoreError> {
+        let fault = self.enter().await?;
+        let version = {
+            let mut state = self.store.state.lock().unwrap();
+            let present = state.rows.get(key).map_or(0, |row| row.version);
+            if present != expected {
+                return Ok(PutOutcome::Conflict);
+            }
+            state.version += 1;
+            let version = state.version;
+            let row = Record {
+                key: key.to_owned(),
+                value,
+                version,
+            };
+            state.rows.insert(key.to_owned(), row);
+            version
+        };
+        self.store.changes.send_replace(version);
+        match fault {
+            Fault::LosingAnswers => Err(RecordStoreError::Unknown("lost".to_owned())),
+            _ => Ok(PutOutcome::Stored(version)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/writes.rs
@@ -0,0 +1,104 @@
+//! What a caller is told of a write, whatever becomes of it.
+
+mod support;
+
+use rstest::rstest;
+use std::time::Duration;
+use stilequay_engine::verdict::{FailureReason, Verdict};
+use support::servers::Server;
+use support::{Fleet, LEADER_DATABASE};
+use tokio::time::{Instant, sleep};
+
+fn busy(server: &mut Server) {
+    server.busy = true;
+}
+
+fn full(server: &mut Server) {
+    server.full = true;
+}
+
+fn loses_answers(server: &mut Server) {
+    server.loses_answers = true;
+}
+
+fn breaks_off(server: &mut Server) {
+    server.breaks_off = true;
+}
+
+fn dark(server: &mut Server) {
+    server.dark = true;
+}
+
+/// What the caller is told, and how many commits there are in the end.
+#[rstest]
+#[case::its_queue_is_full(busy, Verdict::NotRun, FailureReason::Overloaded, 0)]
+#[case::it_takes_no_connection(full, Verdict::NotRun, FailureReason::Overloaded, 0)]
+#[case::its_answer_is_lost(loses_answers, Verdict::MayHaveRun, FailureReason::AnswerTimedOut, 1)]
+#[case::it_breaks_off(breaks_off, Verdict::MayHaveRun, FailureReason::ConnectionLost, 1)]
+#[case::it_says_nothing(dark, Verdict::NotRun, FailureReason::Overloaded, 0)]
+#[tokio::test(start_paused = true)]
+async fn a_write_that_fails_is_told_truly_and_never_runs_twice(
+    #[case] fault: fn(&mut Server),
+    #[case] verdict: Verdict,
+    #[case] reason: FailureReason,
+    #[case] commits: usize,
+) {
+    let fleet = Fleet::start(1).await;
+    fleet.world.change("a", fault);
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    let asked = Instant::now();
+    let failure = client.write("x 1").await.outcome.expect_err("a fault");
+    assert_eq!(failure.verdict, verdict);
+    assert_eq!(failure.reason, reason);
+    assert_eq!(failure.retry_after.is_some(), verdict == Verdict::NotRun);
+    // Given up well before its time-out, on the paused clock.
+    assert!(asked.elapsed() < support::TIMEOUT.mul_f64(0.6));
+    assert_eq!(fleet.world.server("a").log.len(), commits);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_whose_answer_is_lost_may_have_run() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    client.begin(false).await;
+    client.write("x 1").await;
+    fleet.world.change("a", loses_answers);
+    let failure = client.commit().await.outcome.expect_err("no answer");
+    assert_eq!(failure.verdict, Verdict::MayHaveRun);
+    assert_eq!(fleet.world.server("a").log.len(), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_that_wrote_nothing_is_promised_to_be_nothing() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    client.begin(false).await;
+    client.read("x").await;
+    fleet.world.crash("a");
+    let failure = client.commit().await.outcome.expect_err("no answer");
+    assert_eq!(failure.verdict, Verdict::NotRun);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_that_no_replica_receives_is_not_acknowledged() {
+    let fleet = Fleet::start(1).await;
+    fleet.world.change("b", |server| server.deaf = true);
+    fleet.world.change("c", |server| server.deaf = true);
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    let failure = client.write("x 1").await.outcome.expect_err("no replica");
+    assert_eq!(failure.verdict, Verdict::MayHaveRun);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_queue_that_is_full_for_a_moment_only_delays() {
+    let fleet = Fleet::start(1).await;
+    fleet.world.change("a", busy);
+    let world = fleet.world.clone();
+    tokio::spawn(async move {
+        sleep(Duration::from_millis(100)).await;
+        world.change("a", |server| server.busy = false);
+    });
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    assert!(client.write("x 1").await.outcome.is_ok());
+    assert_eq!(fleet.world.server("a").log.len(), 1);
+}
