--- /dev/null
+++ b/crates/engine/tests/beliefs.rs
@@ -0,0 +1,179 @@
+//! Who may believe what, for how long, on which evidence.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use std::time::Duration;
+use stilequay_engine::group::{Group, PositionSample, PositionSamples, TERM_LEASE};
+use stilequay_engine::leadership::record::{TermPhase, TermRecord};
+use stilequay_engine::position::LogPosition;
+use tokio::time::{Instant, advance};
+
+fn group() -> Group {
+    Group::new("ledger".into())
+}
+
+fn record(epoch: u64, phase: TermPhase, target: Option<&str>) -> TermRecord {
+    TermRecord {
+        group: "ledger".into(),
+        epoch,
+        phase,
+        target: target.map(Into::into),
+        target_address: None,
+        previous: Some("a".into()),
+        previous_address: None,
+        holder: "node-0".into(),
+    }
+}
+
+fn leader(group: &Group, staleness: Duration) -> Option<String> {
+    let leader = group.leased_leader(Instant::now(), staleness);
+    leader.map(|leader| leader.member.to_string())
+}
+
+fn writable(group: &Group) -> Option<String> {
+    let leader = group.writable_leader(Instant::now());
+    leader.map(|leader| leader.member.to_string())
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_read_of_the_store_lasts_from_when_it_was_begun() {
+    let group = group();
+    let begun = Instant::now();
+    advance(Duration::from_millis(150)).await;
+    group.apply_first_leader(Some("a".into()), Some(begun));
+    assert_eq!(leader(&group, Duration::ZERO).as_deref(), Some("a"));
+    advance(TERM_LEASE - Duration::from_millis(150)).await;
+    assert_eq!(leader(&group, Duration::ZERO), None);
+    // What may be older is served for as much longer.
+    assert_eq!(leader(&group, Duration::from_secs(1)).as_deref(), Some("a"));
+}
+
+#[rstest]
+#[case::a_replica_received_it(true, Some("a"))]
+#[case::none_had_to(false, None)]
+#[tokio::test(start_paused = true)]
+async fn a_commit_is_evidence_only_where_a_replica_received_it(
+    #[case] replicated: bool,
+    #[case] expected: Option<&str>,
+) {
+    let group = group();
+    group.apply_first_leader(Some("a".into()), Some(Instant::now()));
+    advance(Duration::from_secs(1)).await;
+    let sent = Instant::now();
+    group.record_commit(0, sent, Some(LogPosition::new(1, 5)), replicated);
+    assert_eq!(leader(&group, Duration::ZERO).as_deref(), expected);
+    assert_eq!(group.covering_position(sent).is_some(), replicated);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_commit_of_an_earlier_epoch_is_no_evidence_for_the_next() {
+    let group = group();
+    group.apply_first_leader(Some("a".into()), Some(Instant::now()));
+    group.apply_record(
+        &record(1, TermPhase::Promoting, Some("b")),
+        None,
+        Instant::now(),
+    );
+    group.record_commit(0, Instant::now(), Some(LogPosition::new(1, 5)), true);
+    assert_eq!(leader(&group, Duration::ZERO), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_fence_stops_writes_at_once_and_reads_when_the_evidence_lapses() {
+    let group = group();
+    group.apply_first_leader(Some("a".into()), Some(Instant::now()));
+    let fencing = record(1, TermPhase::Fencing, None);
+    let begun = Some(Instant::now());
+    group.apply_record(&fencing, begun, Instant::now());
+    assert_eq!(writable(&group), None);
+    assert_eq!(leader(&group, Duration::ZERO).as_deref(), Some("a"));
+    advance(TERM_LEASE).await;
+    group.apply_record(&fencing, Some(Instant::now()), Instant::now());
+    assert_eq!(leader(&group, Duration::ZERO), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_leader_is_used_a_lease_after_the_fence_was_learned_of() {
+    let group = group();
+    group.apply_first_leader(Some("a".into()), Some(Instant::now()));
+    let promoting = record(1, TermPhase::Promoting, Some("b"));
+    group.apply_record(&promoting, Some(Instant::now()), Instant::now());
+    assert_eq!(writable(&group), None);
+    advance(TERM_LEASE / 2).await;
+    // Learned of again: the wait does not begin anew.
+    group.apply_record(&promoting, Some(Instant::now()), Instant::now());
+    advance(TERM_LEASE / 2 + Duration::from_millis(30)).await;
+    assert_eq!(writable(&group).as_deref(), Some("b"));
+    // It may not have taken the lead yet: it is given writes, which it refuses, no reads.
+    assert_eq!(leader(&group, Duration::from_secs(9)), None);
+    group.confirm_leader(1);
+    assert_eq!(leader(&group, Duration::from_secs(9)).as_deref(), Some("b"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_active_leader_is_used_at_once_and_an_older_epoch_never_again() {
+    let group = group();
+    group.apply_first_leader(Some("a".into()), Some(Instant::now()));
+    let active = record(2, TermPhase::Active, Some("c"));
+    group.apply_record(&active, Some(Instant::now()), Instant::now());
+    assert_eq!(writable(&group).as_deref(), Some("c"));
+    assert_eq!(leader(&group, Duration::ZERO).as_deref(), Some("c"));
+    let older = record(1, TermPhase::Active, Some("b"));
+    assert!(!group.apply_record(&older, Some(Instant::now()), Instant::now()));
+    assert!(!group.apply_first_leader(Some("a".into()), Some(Instant::now())));
+    assert_eq!(writable(&group).as_deref(), Some("c"));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_watch_that_may_tell_late_is_no_evidence() {
+    let group = group();
+    let active = record(1, TermPhase::Active, Some("b"));
+    group.apply_record(&active, None, Instant::now());
+    assert_eq!(writable(&group).as_deref(), Some("b"));
+    assert_eq!(leader(&group, Duration::ZERO), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_position_told_without_evidence_covers_nothing() {
+    let group = group();
+    group.apply_first_leader(Some("a".into()), Some(Instant::now()));
+    advance(TERM_LEASE * 2).await;
+    let sent = Instant::now();
+    group.record_leader_position(0, sent, LogPosition::new(1, 5));
+    assert_eq!(group.covering_position(sent), None);
+}
+
+proptest! {
+    /// Whatever samples there are, the one chosen covers the moment, and is the least of
+    /// its epoch that does, but for those left out for being close to another.
+    #[test]
+    fn the_position_chosen_covers_the_moment(
+        steps in prop::collection::vec((0_u64..200, 0_u64..9, 0_u64..2), 1..200),
+        asked_ms in 0_u64..6_000,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
+        let _entered = runtime.enter();
+        let origin = Instant::now();
+        let mut samples = PositionSamples::default();
+        let (mut at, mut number, mut epoch) = (origin, 0, 0);
+        let mut all = Vec::new();
+        for (pause, commits, changes) in steps {
+            at += Duration::from_millis(pause);
+            number += commits;
+            epoch += changes;
+            let position = LogPosition::new(epoch + 1, number);
+            let sample = PositionSample { position, at, epoch };
+            samples.record(sample);
+            all.push(sample);
+        }
+        let moment = origin + Duration::from_millis(asked_ms);
+        match samples.covering(moment) {
+            Some(position) => {
+                let chosen = all.iter().filter(|s| s.position == position);
+                prop_assert!(chosen.clone().any(|s| s.at >= moment));
+                prop_assert!(chosen.clone().any(|s| s.epoch == epoch));
+            }
+            None => prop_assert!(all.iter().all(|s| s.at < moment)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/choice.rs
@@ -0,0 +1,177 @@
+//! Which member may be promoted, from what the members told.
+
+use rstest::rstest;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::directory::{Member, MemberState, Role};
+use stilequay_engine::leadership::choice::{FenceSurvey, Obstacle, PreviousLeader, fencing_term};
+use stilequay_engine::leadership::survey::{Response, Surveyed};
+use stilequay_engine::ports::MemberReport;
+use stilequay_engine::position::LogPosition;
+use tokio::time::Instant;
+
+const TERM: u64 = 2;
+
+fn address(name: &str) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, name.as_bytes()[0]], 5000))
+}
+
+fn surveyed(name: &str, state: MemberState, response: Response) -> Surveyed {
+    let member = Member {
+        id: name.into(),
+        group: "ledger".into(),
+        address: address(name),
+        zone: "hall".into(),
+        role: Role::Replica,
+        slots: 3,
+        state,
+    };
+    let member = Arc::new(member);
+    Surveyed { member, response }
+}
+
+fn report(role: Role, received: u64, paused_for: u64) -> Response {
+    Response::Report(MemberReport {
+        role,
+        term: 1,
+        received: LogPosition::new(1, received),
+        paused_for,
+    })
+}
+
+fn paused(received: u64) -> Response {
+    report(Role::Replica, received, TERM)
+}
+
+fn demoted(received: u64) -> Response {
+    report(Role::Replica, received, 0)
+}
+
+fn silent() -> Response {
+    Response::Silent("no answer".to_owned())
+}
+
+fn down() -> Response {
+    Response::Down("refused".to_owned())
+}
+
+fn choose(responses: [Response; 3], sync_replicas: usize) -> Result<String, Obstacle> {
+    let names = ["a", "b", "c"];
+    let members: Vec<Surveyed> = names
+        .iter()
+        .zip(responses)
+        .map(|(name, response)| surveyed(name, MemberState::Ready, response))
+        .collect();
+    choose_from(&members, sync_replicas)
+}
+
+fn choose_from(members: &[Surveyed], sync_replicas: usize) -> Result<String, Obstacle> {
+    let previous = PreviousLeader {
+        id: Some("a".into()),
+        address: Some(address("a")),
+    };
+    let survey = FenceSurvey {
+        members,
+        previous: &previous,
+        term: TERM,
+        sync_replicas,
+        preferred_zone: None,
+    };
+    survey
+        .choose(Instant::now())
+        .map(|member| member.to_string())
+}
+
+fn may_hold_more(name: &str) -> Result<String, Obstacle> {
+    Err(Obstacle::MayHoldMore(name.into()))
+}
+
+fn not_fenced(name: &str) -> Result<String, Obstacle> {
+    Err(Obstacle::NotFenced(name.into()))
+}
+
+/// The old leader is `a`.
+#[rstest]
+#[case::the_longest_log([silent(), paused(5), paused(7)], Ok("c".to_owned()))]
+#[case::of_a_crashed_leader([down(), paused(8), paused(7)], Ok("b".to_owned()))]
+#[case::one_replica_is_silent([silent(), paused(5), silent()], not_fenced("c"))]
+#[case::one_replica_is_down([silent(), paused(5), down()], may_hold_more("c"))]
+#[case::one_replica_is_full([silent(), paused(5), Response::Full], not_fenced("c"))]
+#[case::one_replica_is_not_paused([silent(), paused(5), report(Role::Replica, 5, 0)], not_fenced("c"))]
+#[case::demoted_and_as_long([demoted(5), paused(5), silent()], Ok("b".to_owned()))]
+#[case::demoted_and_longer([demoted(9), paused(5), paused(7)], Ok("c".to_owned()))]
+#[case::demoted_longer_and_one_unread([demoted(9), paused(5), silent()], Ok("a".to_owned()))]
+#[case::nobody_else_answers([demoted(9), silent(), silent()], Ok("a".to_owned()))]
+#[case::nobody_answers([silent(), silent(), silent()], not_fenced("b"))]
+#[case::all_others_are_down([silent(), down(), down()], Err(Obstacle::NoCandidate))]
+fn the_member_that_holds_every_acknowledged_commit_is_chosen(
+    #[case] responses: [Response; 3],
+    #[case] expected: Result<String, Obstacle>,
+) {
+    assert_eq!(choose(responses, 1), expected);
+}
+
+#[test]
+fn without_a_synchronous_replica_the_longest_log_at_hand_is_taken() {
+    assert_eq!(
+        choose([silent(), paused(5), silent()], 0),
+        Ok("b".to_owned())
+    );
+}
+
+#[test]
+fn of_equal_logs_one_is_taken_that_stays() {
+    let since = Instant::now();
+    let members = [
+        surveyed("a", MemberState::Ready, silent()),
+        surveyed("b", MemberState::Ready, paused(5)),
+        surveyed("c", MemberState::Leaving { since }, paused(5)),
+    ];
+    assert_eq!(choose_from(&members, 1), Ok("b".to_owned()));
+}
+
+#[rstest]
+#[case::a_moment_ago(Duration::from_secs(1), may_hold_more("d"))]
+#[case::long_ago(Duration::from_secs(11), Ok("c".to_owned()))]
+#[tokio::test(start_paused = true)]
+async fn a_member_that_has_gone_and_is_down_is_waited_for_a_while(
+    #[case] ago: Duration,
+    #[case] expected: Result<String, Obstacle>,
+) {
+    let since = Instant::now();
+    tokio::time::advance(ago).await;
+    let members = [
+        surveyed("a", MemberState::Ready, silent()),
+        surveyed("b", MemberState::Ready, paused(5)),
+        surveyed("c", MemberState::Ready, paused(7)),
+        surveyed("d", MemberState::Gone { since }, down()),
+    ];
+    assert_eq!(choose_from(&members, 1), expected);
+}
+
+#[test]
+fn a_server_in_the_old_leaders_place_is_the_old_leader() {
+    let mut renamed = surveyed("x", MemberState::Ready, demoted(9));
+    let mut member = Member::clone(&renamed.member);
+    member.address = address("a");
+    renamed.member = Arc::new(member);
+    let members = [
+        renamed,
+        surveyed("b", MemberState::Ready, paused(9)),
+        surveyed("c", MemberState::Ready, silent()),
+    ];
+    assert_eq!(choose_from(&members, 1), Ok("b".to_owned()));
+}
+
+#[rstest]
+#[case::nobody_told(vec![], 1)]
+#[case::above_every_term(vec![report(Role::Primary, 5, 0), report(Role::Replica, 5, 0)], 2)]
+#[case::a_fence_that_was_begun(vec![report(Role::Primary, 5, 0), report(Role::Replica, 5, 4)], 4)]
+fn a_fence_is_in_the_name_of_a_term_that_all_heed(#[case] told: Vec<Response>, #[case] term: u64) {
+    let members: Vec<Surveyed> = told
+        .into_iter()
+        .map(|response| surveyed("b", MemberState::Ready, response))
+        .collect();
+    assert_eq!(fencing_term(&members), term);
+}
--- /dev/null
+++ b/crates/engine/tests/events.rs
@@ -0,0 +1,131 @@
+//! The fields of events: whoever reads logs relies on them.
+
+use insta::assert_json_snapshot;
+use serde_json::Value;
+use std::time::Duration;
+use stilequay_engine::directory::{MemberState, Role};
+use stilequay_engine::events::{
+    AttemptEvent, Event, EventClass, EventLog, OutcomeEvent, RequestEvent,
+};
+use stilequay_engine::leadership::record::TermPhase;
+use stilequay_engine::ports::MemberReport;
+use stilequay_engine::position::LogPosition;
+use stilequay_engine::verdict::{FailureReason, Verdict};
+use tokio::time::advance;
+
+fn request(outcome: OutcomeEvent) -> Event {
+    Event::Request(RequestEvent {
+        id: "5c0e".into(),
+        database: "orders".into(),
+        group: Some("ledger".into()),
+        statement: "write",
+        configuration: 7,
+        epoch: Some(2),
+        evidence_age_ms: Some(120),
+        after: Some(LogPosition::new(3, 1207)),
+        attempts: vec![AttemptEvent {
+            member: "i-7f".into(),
+            result: "no answer in time".to_owned(),
+            ended_ms: 464,
+        }],
+        outcome,
+        elapsed_ms: 465,
+    })
+}
+
+fn failed() -> OutcomeEvent {
+    OutcomeEvent::Failed {
+        verdict: Verdict::MayHaveRun,
+        reason: FailureReason::AnswerTimedOut,
+        retry_after_ms: None,
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn every_event_has_its_fields() {
+    let since = tokio::time::Instant::now();
+    let report = MemberReport {
+        role: Role::Replica,
+        term: 3,
+        received: LogPosition::new(3, 1207),
+        paused_for: 4,
+    };
+    let events = [
+        request(OutcomeEvent::Completed),
+        request(failed()),
+        Event::SessionRefused {
+            database: "nowhere".into(),
+            reason: FailureReason::UnknownDatabase,
+            configuration: 7,
+        },
+        Event::ConfigurationTaken {
+            version: 7,
+            routes: 3,
+        },
+        Event::MemberChanged {
+            member: "i-7f".into(),
+            group: "ledger".into(),
+            state: MemberState::Leaving { since },
+            role: Role::Primary,
+            directory: 55,
+        },
+        Event::LeaderChanged {
+            group: "ledger".into(),
+            epoch: 2,
+            leader: Some("i-7f".into()),
+            confirmed: true,
+        },
+        Event::LeaderSuspected {
+            group: "ledger".into(),
+            epoch: 2,
+            leader: "i-7f".into(),
+            evidence: "unreachable",
+            since_ms: 104,
+        },
+        Event::PromotionStep {
+            group: "ledger".into(),
+            epoch: 3,
+            phase: TermPhase::Fencing,
+            step: "fence",
+            member: Some("i-80".into()),
+            report: Some(report),
+            result: String::new(),
+        },
+        Event::PromotionLease {
+            held: true,
+            fencing: 4,
+            reason: "acquired".to_owned(),
+        },
+        Event::Dependency {
+            name: "term_records",
+            available: false,
+            reason: "no answer".to_owned(),
+        },
+        Event::Lifecycle {
+            action: "start",
+            detail: "version 0.1.0".to_owned(),
+        },
+    ];
+    let written: Vec<Value> = events
+        .iter()
+        .map(|event| serde_json::to_value(event).expect("JSON"))
+        .collect();
+    assert_json_snapshot!(written);
+}
+
+#[tokio::test(start_paused = true)]
+async fn failures_keep_their_room_while_successes_are_many() {
+    let log = EventLog::default();
+    let mut written = 0;
+    for _ in 0..10_000 {
+        if log.has_budget(EventClass::Success) {
+            log.write(&request(OutcomeEvent::Completed));
+            written += 1;
+        }
+    }
+    assert!((1..50).contains(&written), "{written}");
+    assert!(log.has_budget(EventClass::Failure));
+    assert!(!log.has_budget(EventClass::Success));
+    advance(Duration::from_secs(2)).await;
+    assert!(log.has_budget(EventClass::Success));
+}
--- /dev/null
+++ b/crates/engine/tests/pool.rs
@@ -0,0 +1,161 @@
+//! Connections to one member, shared.
+
+mod support;
+
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::directory::{Directory, Member};
+use stilequay_engine::leadership::fleet::connection_share;
+use stilequay_engine::pool::{AcquireError, MemberPool, SessionValues};
+use stilequay_engine::ports::{BackEnd, BackEndConnection, Command, ConnectError};
+use support::servers::{World, WorldBackEnd};
+use tokio::time::{Instant, sleep};
+
+/// Connects after a while, and counts.
+#[derive(Debug)]
+struct SlowBackEnd {
+    inner: WorldBackEnd,
+    time: Duration,
+    opened: std::sync::atomic::AtomicUsize,
+}
+
+#[async_trait::async_trait]
+impl BackEnd for SlowBackEnd {
+    async fn connect(&self, member: &Member) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+        sleep(self.time).await;
+        self.opened
+            .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        self.inner.connect(member).await
+    }
+}
+
+fn pool(time: Duration) -> (Arc<World>, Arc<SlowBackEnd>, Arc<MemberPool>) {
+    let world = World::new(&["a", "b", "c"]);
+    let back_end = Arc::new(SlowBackEnd {
+        inner: WorldBackEnd {
+            world: Arc::clone(&world),
+            node: "node-0".to_owned(),
+        },
+        time,
+        opened: Default::default(),
+    });
+    let directory = Directory::default().replaced(1, world.entries(), Instant::now());
+    let member = directory.member("a").expect("a member").clone();
+    let pool = Arc::new(MemberPool::new(member, back_end.clone()));
+    (world, back_end, pool)
+}
+
+fn soon(millis: u64) -> Instant {
+    Instant::now() + Duration::from_millis(millis)
+}
+
+fn opened(back_end: &SlowBackEnd) -> usize {
+    back_end.opened.load(std::sync::atomic::Ordering::Relaxed)
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_opening_that_is_given_up_is_kept_for_the_next() {
+    let (_world, back_end, pool) = pool(Duration::from_millis(100));
+    let values = SessionValues::default();
+    let given_up = pool.acquire(&values, soon(40)).await;
+    assert_eq!(given_up.err(), Some(AcquireError::Exhausted));
+    sleep(Duration::from_millis(100)).await;
+    assert!(pool.acquire(&values, soon(5)).await.is_ok());
+    assert_eq!(opened(&back_end), 1);
+    // Nor does it count as a failure of the member.
+    assert_eq!(pool.health().unreachable_since(), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn connections_in_use_are_bounded_and_those_that_wait_are_served() {
+    let (_world, back_end, pool) = pool(Duration::ZERO);
+    pool.set_limit(2);
+    let values = SessionValues::default();
+    let first = pool.acquire(&values, soon(50)).await.expect("free");
+    let second = pool.acquire(&values, soon(50)).await.expect("free");
+    let third = pool.acquire(&values, soon(50)).await;
+    assert_eq!(third.err(), Some(AcquireError::Exhausted));
+    let waiting = pool.acquire(&values, soon(500));
+    let giving_back = async {
+        sleep(Duration::from_millis(100)).await;
+        drop(first);
+    };
+    let (third, ()) = tokio::join!(waiting, giving_back);
+    assert!(third.is_ok());
+    assert_eq!(opened(&back_end), 2);
+    drop(second);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_connection_inside_a_transaction_is_closed_when_it_is_dropped() {
+    let (_world, back_end, pool) = pool(Duration::ZERO);
+    let values = SessionValues::default();
+    let mut connection = pool.acquire(&values, soon(50)).await.expect("free");
+    let begin = Command::Begin {
+        read_only: false,
+        after: None,
+    };
+    connection.run(&begin).await.expect("begun");
+    drop(connection);
+    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    assert_eq!(opened(&back_end), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_rolled_back_connection_is_used_again() {
+    let (_world, back_end, pool) = pool(Duration::ZERO);
+    let values = SessionValues::default();
+    let mut connection = pool.acquire(&values, soon(50)).await.expect("free");
+    let begin = Command::Begin {
+        read_only: false,
+        after: None,
+    };
+    connection.run(&begin).await.expect("begun");
+    connection.roll_back();
+    sleep(Duration::from_millis(50)).await;
+    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    assert_eq!(opened(&back_end), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn connections_end_that_were_not_used_for_long() {
+    let (_world, back_end, pool) = pool(Duration::ZERO);
+    let values = SessionValues::default();
+    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    sleep(Duration::from_secs(1)).await;
+    pool.close_unused(Instant::now());
+    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    assert_eq!(opened(&back_end), 1);
+    sleep(Duration::from_secs(3)).await;
+    pool.close_unused(Instant::now());
+    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    assert_eq!(opened(&back_end), 2);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_member_that_is_gone_is_told_at_once_after_the_first_try() {
+    let (world, back_end, pool) = pool(Duration::ZERO);
+    world.crash("a");
+    let values = SessionValues::default();
+    for _ in 0..5 {
+        let refused = pool.acquire(&values, soon(50)).await;
+        assert!(matches!(refused, Err(AcquireError::Unreachable(_))));
+    }
+    assert_eq!(opened(&back_end), 1);
+}
+
+#[rstest]
+#[case::the_first_deployment(34, 6, 4)]
+#[case::the_second(32, 8, 3)]
+#[case::one_process_alone(34, 1, 6)]
+#[case::more_processes_than_connections(34, 700, 2)]
+#[case::a_member_that_takes_few(4, 1, 2)]
+#[case::a_fleet_not_counted_yet(34, 0, 6)]
+fn a_members_connections_are_divided(
+    #[case] accepted: usize,
+    #[case] processes: usize,
+    #[case] share: usize,
+) {
+    assert_eq!(connection_share(accepted, processes), share);
+}
