Learn from other processes while the store does not serve this one

Change: where the store does not answer within 20 ms, three processes are asked for records, evidence and positions; ages are taken from before the question.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -8,8 +8,9 @@
 use crate::leadership::follower::TermFollower;
 use crate::names::{GroupName, MemberId, NodeName, ZoneName};
 use crate::pool::MemberPool;
-use crate::ports::{BackEnd, RecordStore};
+use crate::ports::{BackEnd, PeerNetwork, RecordStore};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -36,6 +37,8 @@
     pub node: NodeName,
     /// Its zone.
     pub zone: ZoneName,
+    /// Where this process answers others.
+    pub peer_address: Option<SocketAddr>,
     /// How long a member that leaves, or has left, may still be given work.
     pub leaving_use: Duration,
 }
@@ -60,6 +63,7 @@
 pub struct Engine {
     settings: EngineSettings,
     back_end: Arc<dyn BackEnd>,
+    peers: Arc<dyn PeerNetwork>,
     configuration: watch::Sender<Option<Arc<Configuration>>>,
     directory: watch::Sender<Arc<Directory>>,
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
@@ -77,10 +81,12 @@
         settings: EngineSettings,
         back_end: Arc<dyn BackEnd>,
         records: Arc<dyn RecordStore>,
+        peers: Arc<dyn PeerNetwork>,
     ) -> Arc<Self> {
         Arc::new(Self {
             settings,
             back_end,
+            peers,
             configuration: watch::Sender::new(None),
             directory: watch::Sender::new(Arc::default()),
             groups: Mutex::default(),
@@ -108,6 +114,11 @@
         &self.hedges
     }
 
+    /// The other processes.
+    pub fn peers(&self) -> &Arc<dyn PeerNetwork> {
+        &self.peers
+    }
+
     /// The records of leaderships.
     pub fn terms(&self) -> &TermFollower {
         &self.terms
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -254,6 +254,22 @@
         }
     }
 
+    /// Takes evidence for the leader of `epoch` that another process had at `at`.
+    pub fn record_evidence(&self, epoch: Epoch, at: Instant) {
+        let mut state = self.lock();
+        if state.view.epoch == epoch && state.view.writable_from.is_some() {
+            state.evidence = state.evidence.max(Some(at));
+            self.evidence_changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// The newest moment that a position is known to cover.
+    pub fn newest_covering(&self) -> Option<PositionSample> {
+        let state = self.lock();
+        let newest = state.samples.newest()?;
+        (newest.epoch == state.view.epoch).then_some(newest)
+    }
+
     /// Takes a position that is known to cover what was acknowledged before `at`.
     pub fn record_covering_position(&self, at: Instant, position: LogPosition) {
         let mut state = self.lock();
--- a/crates/engine/src/group/samples.rs
+++ b/crates/engine/src/group/samples.rs
@@ -32,14 +32,17 @@
 impl PositionSamples {
     /// Adds a sample. One that covers no later moment than the newest adds nothing.
     pub fn record(&mut self, sample: PositionSample) {
-        if self.newest.is_some_and(|newest| sample.at <= newest.at) {
+        let adds = self
+            .newest
+            .is_none_or(|newest| (sample.at, sample.epoch) > (newest.at, newest.epoch));
+        if !adds {
             return;
         }
         self.newest = Some(sample);
         let spaced = self
             .kept
             .back()
-            .is_none_or(|last| sample.at >= last.at + SPACING);
+            .is_none_or(|last| sample.at >= last.at + SPACING || sample.epoch > last.epoch);
         if spaced {
             self.kept.push_back(sample);
             if self.kept.len() > CAPACITY {
@@ -48,6 +51,11 @@
         }
     }
 
+    /// The sample that covers the latest moment.
+    pub fn newest(&self) -> Option<PositionSample> {
+        self.newest
+    }
+
     /// The oldest position that covers `moment`; one of the newest epoch if there is any,
     /// since the end of an earlier epoch's log may have been lost with its leader.
     pub fn covering(&self, moment: Instant) -> Option<LogPosition> {
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -2,11 +2,15 @@
 
 use crate::engine::Engine;
 use crate::group::{Epoch, Group, UsableLeader};
+use crate::peers;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// Pause before the store is asked again for evidence.
 const EVIDENCE_PAUSE: Duration = Duration::from_millis(40);
+/// Wait for the store before other processes are asked.
+const STORE_PATIENCE: Duration = Duration::from_millis(20);
+
 /// The leader that may be given writes, if there is one by `until`.
 pub async fn writable_leader(group: &Group, until: Instant) -> Option<UsableLeader> {
     let mut changes = group.subscribe();
@@ -52,10 +56,15 @@
     }
 }
 
-/// Asks the store for evidence; where that has brought none, waits a moment.
+/// Asks the store for evidence, and other processes where it does not answer soon; where
+/// neither has brought any, waits a moment.
 async fn refresh(engine: &Engine, group: &Group, staleness: Duration) {
     // A failure is told by the task that follows the records.
-    let _ = engine.terms().refresh(engine, Instant::now()).await;
+    let store = engine.terms().refresh(engine, Instant::now());
+    let answered = timeout(STORE_PATIENCE, store).await;
+    if !matches!(answered, Ok(Ok(()))) {
+        peers::ask(engine, std::slice::from_ref(group.name())).await;
+    }
     if group.leased_leader(Instant::now(), staleness).is_none() {
         sleep(EVIDENCE_PAUSE).await;
     }
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -5,7 +5,9 @@
 
 use crate::engine::Engine;
 use crate::ports::Record;
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -24,6 +26,28 @@
 /// Greatest number: more than one process needs would only wait in the member's queue.
 const GREATEST_SHARE: usize = 6;
 
+/// What a process tells of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct NodeRecord {
+    /// Where it answers other processes.
+    address: Option<SocketAddr>,
+    /// Differs between two writings.
+    nonce: u64,
+}
+
+/// Where the other processes answer, as far as is known.
+pub fn peers(engine: &Engine) -> Vec<SocketAddr> {
+    let own = engine.settings().peer_address;
+    let others = engine.terms().subscribe_others();
+    let records = others.borrow();
+    let nodes = records.values().filter(|r| r.key.starts_with(KEY_PREFIX));
+    nodes
+        .filter_map(|record| rmp_serde::from_slice::<NodeRecord>(&record.value).ok())
+        .filter_map(|node| node.address)
+        .filter(|address| Some(*address) != own)
+        .collect()
+}
+
 /// Connections that one of `processes` may use of a member that accepts `accepted`.
 pub fn connection_share(accepted: usize, processes: usize) -> usize {
     let share = accepted.saturating_sub(RESERVED) / processes.max(1);
@@ -36,7 +60,11 @@
     loop {
         let others = engine.terms().subscribe_others();
         let version = others.borrow().get(&key).map_or(0, |known| known.version);
-        let value = rmp_serde::to_vec(&rand::random::<u64>()).unwrap_or_default();
+        let record = NodeRecord {
+            address: engine.settings().peer_address,
+            nonce: rand::random(),
+        };
+        let value = rmp_serde::to_vec_named(&record).unwrap_or_default();
         let put = engine.terms().store().put_if(&key, version, value.into());
         match put.await {
             Ok(crate::ports::PutOutcome::Stored(_)) => sleep(RENEWAL_INTERVAL).await,
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -6,6 +6,7 @@
 use crate::events::Event;
 use crate::group::Group;
 use crate::names::{GroupName, MemberId};
+use crate::peers;
 use crate::ports::{Record, RecordChanges, RecordStore, RecordStoreError};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -100,6 +101,7 @@
                 Err(RecordStoreError::HistoryGone) => version = None,
                 Err(error) => {
                     self.note_available(engine, &mut available, false, error.to_string());
+                    peers::ask(engine, &engine.directory().groups()).await;
                     sleep(RETRY_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
                 }
             }
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -3,6 +3,7 @@
 use super::survey::{self, Patience, Surveyed};
 use crate::engine::Engine;
 use crate::group::Group;
+use crate::peers;
 use crate::pool::SessionValues;
 use crate::ports::{Command, Control};
 use crate::position::LogPosition;
@@ -33,6 +34,14 @@
     if let Some(position) = group.covering_position(moment) {
         return Some(position);
     }
+    let _ = timeout_at(
+        until,
+        peers::ask(engine, std::slice::from_ref(group.name())),
+    )
+    .await;
+    if let Some(position) = group.covering_position(moment) {
+        return Some(position);
+    }
     let _ = timeout_at(until, ask_members(engine, group)).await;
     group.covering_position(moment)
 }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod group;
 pub mod leadership;
 pub mod names;
+pub mod peers;
 pub mod pool;
 pub mod ports;
 pub mod position;
--- /dev/null
+++ b/crates/engine/src/peers/mod.rs
@@ -0,0 +1,99 @@
+//! Learning from other processes what the store can't tell now.
+//!
+//! A process that the store refuses, or that finds it down, asks a few others: for the
+//! records of leaderships, and for evidence that a leader's term goes on, which the
+//! commits that pass through them bring. Nobody is asked while the store answers.
+
+mod tcp;
+
+pub use tcp::{TcpPeers, serve};
+
+use crate::engine::Engine;
+use crate::events::millis;
+use crate::leadership::fleet;
+use crate::leadership::follower::VersionedTerm;
+use crate::names::GroupName;
+use crate::ports::{CoveringBelief, GroupBelief, TermBelief};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use rand::seq::IndexedRandom;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::{Instant, timeout_at};
+
+/// Processes asked at a time.
+const ASKED_AT_ONCE: usize = 3;
+/// Longest wait for their answers.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
+
+/// What this process believes of `groups`.
+pub fn beliefs(engine: &Engine, groups: &[GroupName]) -> Vec<GroupBelief> {
+    groups.iter().map(|name| belief(engine, name)).collect()
+}
+
+fn belief(engine: &Engine, name: &GroupName) -> GroupBelief {
+    let group = engine.group(name);
+    let now = Instant::now();
+    let age_ms = |at: Instant| millis(now.duration_since(at)) + 1;
+    let view = group.view();
+    let covering = group.newest_covering().map(|sample| CoveringBelief {
+        position: sample.position,
+        age_ms: age_ms(sample.at),
+    });
+    let term = engine.terms().known(name).map(|term| TermBelief {
+        record: term.record,
+        version: term.version,
+    });
+    GroupBelief {
+        group: name.clone(),
+        epoch: view.epoch,
+        confirmed: view.confirmed,
+        evidence_age_ms: group.evidence().map(age_ms),
+        covering,
+        term,
+    }
+}
+
+/// Asks a few processes about `groups`, and takes what they believe.
+pub async fn ask(engine: &Engine, groups: &[GroupName]) {
+    let asked = Instant::now();
+    let until = asked + ANSWER_TIMEOUT;
+    let peers = choose_peers(engine);
+    let questions = peers.iter().map(|peer| engine.peers().ask(*peer, groups));
+    let mut answers: FuturesUnordered<_> = questions.collect();
+    while let Ok(Some(answer)) = timeout_at(until, answers.next()).await {
+        let Ok(beliefs) = answer else { continue };
+        metrics::counter!("stilequay_peer_answers_total").increment(1);
+        beliefs
+            .into_iter()
+            .for_each(|belief| take(engine, belief, asked));
+    }
+}
+
+fn choose_peers(engine: &Engine) -> Vec<SocketAddr> {
+    let peers = fleet::peers(engine);
+    let chosen = peers.sample(&mut rand::rng(), ASKED_AT_ONCE);
+    chosen.copied().collect()
+}
+
+/// Takes what another process believed when it was asked at `asked`.
+fn take(engine: &Engine, belief: GroupBelief, asked: Instant) {
+    if let Some(TermBelief { record, version }) = belief.term {
+        let term = VersionedTerm { record, version };
+        engine.terms().apply_one(engine, term, None);
+    }
+    let group = engine.group(&belief.group);
+    let before = |age_ms: u64| asked.checked_sub(Duration::from_millis(age_ms));
+    if belief.confirmed {
+        group.confirm_leader(belief.epoch);
+    }
+    if let Some(at) = belief.evidence_age_ms.and_then(before) {
+        group.record_evidence(belief.epoch, at);
+    }
+    if let Some(covering) = belief.covering
+        && let Some(at) = before(covering.age_ms)
+        && group.view().epoch == belief.epoch
+    {
+        group.record_covering_position(at, covering.position);
+    }
+}
--- a/crates/engine/src/ports/mod.rs
+++ b/crates/engine/src/ports/mod.rs
@@ -1,6 +1,7 @@
 //! What the engine needs of the outside.
 
 mod back_end;
+mod peers;
 mod promoter;
 mod record_store;
 
@@ -8,5 +9,6 @@
     Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError, MemberReport,
     Refusal, RefusalKind,
 };
+pub use peers::{CoveringBelief, GroupBelief, PeerError, PeerNetwork, TermBelief};
 pub use promoter::{PromoteError, Promoter, PromotionOrder};
 pub use record_store::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
--- /dev/null
+++ b/crates/engine/src/ports/peers.rs
@@ -0,0 +1,73 @@
+//! Questions to other processes of the fleet.
+
+use crate::group::Epoch;
+use crate::leadership::record::TermRecord;
+use crate::names::GroupName;
+use crate::position::LogPosition;
+use async_trait::async_trait;
+use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
+use std::fmt::Debug;
+use std::net::SocketAddr;
+
+/// What a process believes of one group. Ages are counted when the answer is made: whoever
+/// asked takes them from before the question was sent, so they only grow on the way.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GroupBelief {
+    /// The group.
+    pub group: GroupName,
+    /// The epoch of its leader.
+    pub epoch: Epoch,
+    /// Whether the leader is known to have taken the lead.
+    pub confirmed: bool,
+    /// Age of the newest evidence for the leader's term, ms.
+    pub evidence_age_ms: Option<u64>,
+    /// The newest position known to cover a moment, and that moment's age.
+    pub covering: Option<CoveringBelief>,
+    /// The record of the leadership, if there was ever a promotion.
+    pub term: Option<TermBelief>,
+}
+
+/// A position that covers a moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CoveringBelief {
+    /// The position.
+    pub position: LogPosition,
+    /// Age of the moment, ms.
+    pub age_ms: u64,
+}
+
+/// A record as the store had it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TermBelief {
+    /// The record.
+    pub record: TermRecord,
+    /// Its version in the store.
+    pub version: u64,
+}
+
+quick_error! {
+    /// A process did not answer.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum PeerError {
+        /// It was not reached, or broke off.
+        Unreachable(reason: String) {
+            display("unreachable: {reason}")
+        }
+        /// It answered what makes no sense.
+        Protocol(reason: String) {
+            display("protocol violation: {reason}")
+        }
+    }
+}
+
+/// Asks other processes.
+#[async_trait]
+pub trait PeerNetwork: Debug + Send + Sync + 'static {
+    /// What the process at `peer` believes of `groups`.
+    async fn ask(
+        &self,
+        peer: SocketAddr,
+        groups: &[GroupName],
+    ) -> Result<Vec<GroupBelief>, PeerError>;
+}
--- /dev/null
+++ b/crates/engine/tests/peers.rs
@@ -0,0 +1,94 @@
+//! What processes learn from one another while the store does not serve them.
+
+mod support;
+
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::peers::{TcpPeers, serve};
+use stilequay_engine::ports::PeerNetwork;
+use support::records::Fault;
+use support::{Client, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, seen, until};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+fn keep_writing(fleet: &Fleet, node: usize) {
+    let mut client = Client::open(&fleet.nodes[node].engine, OWN_DATABASE);
+    tokio::spawn(async move {
+        loop {
+            let _ = client.write("x 1").await;
+            sleep(Duration::from_millis(60)).await;
+        }
+    });
+}
+
+async fn until_all_are_known(fleet: &Fleet) {
+    let known = || {
+        let mut nodes = fleet.nodes.iter();
+        nodes.all(|node| node.engine.processes() == fleet.nodes.len())
+    };
+    until(known).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn commits_through_one_process_are_evidence_for_another() {
+    let fleet = Fleet::start(2).await;
+    until_all_are_known(&fleet).await;
+    keep_writing(&fleet, 1);
+    fleet.records.set_fault(Fault::Silent);
+    sleep(Duration::from_secs(2)).await;
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    for _ in 0..10 {
+        assert_eq!(seen(&client.read("x").await).0, "a");
+        sleep(Duration::from_millis(300)).await;
+    }
+    fleet.peers.set_away(true);
+    sleep(Duration::from_secs(1)).await;
+    assert!(client.read("x").await.outcome.is_err());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_process_that_the_store_turns_away_learns_of_a_new_leader() {
+    let fleet = Fleet::start(3).await;
+    until_all_are_known(&fleet).await;
+    let lease = fleet.records.get("lease/promotion").expect("a lease");
+    let lease = String::from_utf8_lossy(&lease.value).into_owned();
+    let cut = (0..3).find(|index| !lease.contains(&fleet.nodes[*index].name));
+    let cut = cut.expect("a process without the lease");
+    fleet.records.refuse_node(&fleet.nodes[cut].name, true);
+    (0..3).for_each(|node| keep_writing(&fleet, node));
+    fleet.world.crash("a");
+    let group = fleet.nodes[cut].engine.group(&Arc::from(GROUP));
+    until(|| group.view().epoch == 1 && group.view().confirmed).await;
+    let mut client = fleet.session(cut, LEADER_DATABASE);
+    assert!(client.write("x 1").await.outcome.is_ok());
+    assert_eq!(seen(&client.read("x").await).0, fleet.world.leader());
+}
+
+#[tokio::test]
+async fn questions_and_answers_go_over_tcp() {
+    tokio::time::pause();
+    let fleet = Fleet::start(1).await;
+    tokio::time::resume();
+    let engine = Arc::clone(&fleet.nodes[0].engine);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(serve(engine, listener));
+    let groups = [Arc::from(GROUP), Arc::from("unknown")];
+    let beliefs = TcpPeers.ask(address, &groups).await.expect("an answer");
+    assert_eq!(beliefs.len(), 1);
+    assert_eq!((&*beliefs[0].group, beliefs[0].epoch), (GROUP, 0));
+    assert!(beliefs[0].confirmed);
+    assert!(beliefs[0].evidence_age_ms.is_some());
+    // What makes no sense gets no answer, and the next question does.
+    let stream = TcpStream::connect(address).await.expect("connected");
+    let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+    frames
+        .send(Bytes::from_static(b"\xc1nonsense"))
+        .await
+        .expect("sent");
+    assert!(frames.next().await.is_none());
+    assert!(TcpPeers.ask(address, &groups).await.is_ok());
+}
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -4,10 +4,12 @@
 #![allow(dead_code)]
 
 pub mod history;
+pub mod peers;
 pub mod records;
 pub mod servers;
 
 use bytes::Bytes;
+use peers::MemoryPeers;
 use records::MemoryRecords;
 use servers::{Network, World, WorldBackEnd, WorldPromoter};
 use std::collections::HashMap;
@@ -37,6 +39,7 @@
 pub struct Fleet {
     pub world: Arc<World>,
     pub records: Arc<MemoryRecords>,
+    pub peers: Arc<MemoryPeers>,
     pub nodes: Vec<Node>,
 }
 
@@ -98,6 +101,7 @@
         let mut fleet = Self {
             world,
             records,
+            peers: Arc::default(),
             nodes: Vec::new(),
         };
         for index in 0..nodes {
@@ -108,6 +112,7 @@
             |node: &Node| node.engine.group(&Arc::from(GROUP)).view().leader.is_some();
         let nodes = fleet.nodes.iter().collect::<Vec<_>>();
         until(|| nodes.iter().all(|node| knows_leader(node))).await;
+        until(|| fleet.records.get("lease/promotion").is_some()).await;
         fleet
     }
 
@@ -116,6 +121,7 @@
         let settings = EngineSettings {
             node: Arc::from(name),
             zone: Arc::from("zone-a"),
+            peer_address: Some(MemoryPeers::address_of(name)),
             leaving_use: Duration::from_secs(4),
         };
         let back_end = WorldBackEnd {
@@ -123,7 +129,8 @@
             node: name.to_owned(),
         };
         let records = self.records.for_node(name);
-        let engine = Engine::new(settings, Arc::new(back_end), records);
+        let engine = Engine::new(settings, Arc::new(back_end), records, self.peers.clone());
+        self.peers.join(name, &engine);
         engine.set_configuration(configuration(1));
         engine.set_directory(self.directory());
         let promoter = Arc::new(WorldPromoter {
