Refuse commits that no replica would receive; explain a request from logs

Change: a stall that was verified is known to sessions: writes are refused unrun, a transaction's commit is replaced by a rollback.

--- a/crates/ctl/src/command_line.rs
+++ b/crates/ctl/src/command_line.rs
@@ -61,6 +61,13 @@
 pub enum Request {
     /// Carries out a command.
     Run(Box<Invocation>),
+    /// Explains a request from logs; asks no daemon.
+    Explain {
+        /// The request.
+        id: String,
+        /// The logs.
+        logs: Vec<PathBuf>,
+    },
     /// Prints the help.
     Help,
     /// Prints the version.
@@ -81,6 +88,7 @@
     status                  show the fleet and its configuration
     diff -f FILE...         show what apply would change
     outcome PATH            ask what became of a change whose outcome was unknown
+    explain ID LOG...       tell from logs why a request ended as it did
     verifier                read a password from standard input, print its verifier
 
 Kinds: databasegroups, services, sessionpolicies.
@@ -135,6 +143,9 @@
     if matches.opt_present("version") {
         return Ok(Request::Version);
     }
+    if let Some(("explain", arguments)) = split_first(&matches.free) {
+        return explain(arguments);
+    }
     let format = match matches.opt_str("output") {
         None => Format::Table,
         Some(name) => Format::from_name(&name)
@@ -151,6 +162,21 @@
     })))
 }
 
+fn split_first(words: &[String]) -> Option<(&str, &[String])> {
+    let (first, rest) = words.split_first()?;
+    Some((first, rest))
+}
+
+fn explain(arguments: &[String]) -> Result<Request, ControlError> {
+    match arguments {
+        [id, logs @ ..] if !logs.is_empty() => Ok(Request::Explain {
+            id: id.clone(),
+            logs: logs.iter().map(PathBuf::from).collect(),
+        }),
+        _ => Err(usage("wrong arguments of explain")),
+    }
+}
+
 fn command(matches: &Matches) -> Result<Command, ControlError> {
     let words: Vec<_> = matches.free.iter().map(String::as_str).collect();
     let files: Vec<_> = matches
--- /dev/null
+++ b/crates/ctl/src/explain.rs
@@ -0,0 +1,244 @@
+//! Gathers what the logs of several processes tell of one request: its own lines, and the
+//! beliefs that were in force when it was decided.
+
+use serde::Deserialize;
+use serde_json::{Map, Value};
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::io::BufRead;
+
+/// Changes of belief about the request's group that are told, at the most.
+const CHANGES_TOLD: usize = 12;
+
+/// A line of a log, as far as this module reads it.
+#[derive(Debug, Clone, Deserialize)]
+struct Line {
+    time: String,
+    node: String,
+    event: Option<EventFields>,
+}
+
+/// An event: what it is, whom it concerns, and all else.
+#[derive(Debug, Clone, Deserialize)]
+struct EventFields {
+    event: String,
+    id: Option<String>,
+    group: Option<String>,
+    #[serde(flatten)]
+    rest: Map<String, Value>,
+}
+
+/// A line that matters.
+#[derive(Debug, Clone)]
+struct Entry {
+    time: String,
+    node: String,
+    event: EventFields,
+}
+
+/// What the logs told, sorted by time.
+#[derive(Debug, Default)]
+pub struct Explanation {
+    requests: Vec<Entry>,
+    changes: Vec<Entry>,
+    unreadable: usize,
+}
+
+impl Explanation {
+    /// Takes the lines of one log. What stands before a line's first brace is passed over.
+    ///
+    /// # Errors
+    ///
+    /// The reader's own.
+    pub fn read(&mut self, id: &str, log: impl BufRead) -> std::io::Result<()> {
+        for line in log.split(b'\n') {
+            let line = line?;
+            let line = String::from_utf8_lossy(&line);
+            let Some(start) = line.find('{') else {
+                continue;
+            };
+            match serde_json::from_str::<Line>(line[start..].trim_end()) {
+                Ok(line) => self.take(id, line),
+                Err(_) => self.unreadable += 1,
+            }
+        }
+        Ok(())
+    }
+
+    fn take(&mut self, id: &str, line: Line) {
+        let Some(event) = line.event else { return };
+        let entry = Entry {
+            time: line.time,
+            node: line.node,
+            event,
+        };
+        if entry.event.event != "request" {
+            self.changes.push(entry);
+        } else if entry.event.id.as_deref() == Some(id) {
+            self.requests.push(entry);
+        }
+    }
+
+    /// Whether no line tells of the request.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// The explanation, for people.
+    pub fn text(mut self) -> String {
+        self.requests.sort_by(|a, b| a.time.cmp(&b.time));
+        self.changes.sort_by(|a, b| a.time.cmp(&b.time));
+        let mut text = String::new();
+        for request in &self.requests {
+            put_request(&mut text, request);
+            self.put_beliefs(&mut text, request);
+            self.put_changes(&mut text, request);
+        }
+        if self.unreadable > 0 {
+            put_line(
+                &mut text,
+                &format!("({} lines were not readable)", self.unreadable),
+            );
+        }
+        text
+    }
+
+    /// What the process itself had last learned of each matter.
+    fn put_beliefs(&self, text: &mut String, request: &Entry) {
+        let mut newest: BTreeMap<String, &Entry> = BTreeMap::new();
+        let own = self
+            .before(request)
+            .filter(|change| change.node == request.node);
+        for change in own {
+            if let Some(matter) = matter(change, request) {
+                newest.insert(matter, change);
+            }
+        }
+        put_line(text, &format!("  in force at {}:", request.node));
+        for change in newest.values() {
+            put_change(text, change);
+        }
+    }
+
+    /// What all processes had last told of the request's group.
+    fn put_changes(&self, text: &mut String, request: &Entry) {
+        let about_group = |change: &&Entry| {
+            let same = change.event.group == request.event.group;
+            same && change.event.event != "member_changed"
+        };
+        let changes: Vec<&Entry> = self.before(request).filter(about_group).collect();
+        if changes.is_empty() {
+            return;
+        }
+        put_line(text, "  told of its group before, by all processes:");
+        let latest = changes.len().saturating_sub(CHANGES_TOLD);
+        for change in &changes[latest..] {
+            put_change(text, change);
+        }
+    }
+
+    fn before<'a>(&'a self, request: &'a Entry) -> impl Iterator<Item = &'a Entry> {
+        self.changes
+            .iter()
+            .filter(|change| change.time <= request.time)
+    }
+}
+
+/// What a change of belief is about, if it can have decided the request: a later change of
+/// the same matter replaces it.
+fn matter(change: &Entry, request: &Entry) -> Option<String> {
+    let event = &change.event;
+    let text = |name: &str| {
+        event
+            .rest
+            .get(name)
+            .and_then(Value::as_str)
+            .map(str::to_owned)
+    };
+    match event.event.as_str() {
+        "configuration_taken" | "lifecycle" => Some(event.event.clone()),
+        "dependency" => Some(format!("dependency {}", text("name")?)),
+        "member_changed" if event.group == request.event.group => {
+            Some(format!("member {}", text("member")?))
+        }
+        "leader_changed" if event.group == request.event.group => Some("leader".to_owned()),
+        _ => None,
+    }
+}
+
+fn put_request(text: &mut String, request: &Entry) {
+    let field = |name: &str| show(request.event.rest.get(name));
+    let group = request.event.group.as_deref().unwrap_or("no group");
+    let id = request.event.id.as_deref().unwrap_or_default();
+    put_line(
+        text,
+        &format!(
+            "{} {}: request {id}, {} on {} of {group}",
+            request.time,
+            request.node,
+            field("statement"),
+            field("database"),
+        ),
+    );
+    let outcome = field("outcome");
+    put_line(
+        text,
+        &format!("  outcome: {outcome} after {} ms", field("elapsed_ms")),
+    );
+    put_line(
+        text,
+        &format!(
+            "  relied on: configuration {}, epoch {}, evidence {} ms old, position {}",
+            field("configuration"),
+            field("epoch"),
+            field("evidence_age_ms"),
+            field("after"),
+        ),
+    );
+    let attempts = request.event.rest.get("attempts").and_then(Value::as_array);
+    if attempts.is_none_or(Vec::is_empty) {
+        put_line(text, "  tried: no member");
+    }
+    for attempt in attempts.into_iter().flatten() {
+        let field = |name: &str| show(attempt.get(name));
+        let (member, result) = (field("member"), field("result"));
+        put_line(
+            text,
+            &format!("  tried: {member}: {result} ({} ms)", field("ended_ms")),
+        );
+    }
+}
+
+fn put_change(text: &mut String, change: &Entry) {
+    let fields = change.event.rest.iter();
+    let fields: Vec<String> = fields
+        .filter(|(_, value)| !value.is_null() && value.as_str() != Some(""))
+        .map(|(name, value)| format!("{name} {}", show(Some(value))))
+        .collect();
+    let (time, node, event) = (&change.time, &change.node, &change.event.event);
+    put_line(
+        text,
+        &format!("    {time} {node}: {event}, {}", fields.join(", ")),
+    );
+}
+
+fn put_line(text: &mut String, line: &str) {
+    // Writing to a text can't fail.
+    let _ = writeln!(text, "{line}");
+}
+
+/// A value without quotes and braces.
+fn show(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "none".to_owned(),
+        Some(Value::String(text)) => text.clone(),
+        Some(Value::Object(fields)) => {
+            let fields = fields.iter();
+            let shown: Vec<String> = fields
+                .map(|(name, value)| format!("{name} {}", show(Some(value))))
+                .collect();
+            shown.join(" ")
+        }
+        Some(value) => value.to_string(),
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod command_line;
 pub mod commands;
 pub mod connection;
+pub mod explain;
 pub mod files;
 pub mod output;
 pub mod verifier;
--- /dev/null
+++ b/crates/ctl/tests/explain.rs
@@ -0,0 +1,39 @@
+//! What is told of a request from the logs of several processes.
+
+use insta::assert_snapshot;
+use stilequay_ctl::explain::Explanation;
+
+const FRONT_1: &str = r#"{"time":"2026-01-01T00:00:01.000Z","level":"info","node":"front-1","event":{"event":"configuration_taken","version":6,"routes":3}}
+{"time":"2026-01-01T00:00:02.000Z","level":"info","node":"front-1","event":{"event":"configuration_taken","version":7,"routes":3}}
+{"time":"2026-01-01T00:00:03.000Z","level":"info","node":"front-1","event":{"event":"leader_changed","group":"ledger","epoch":1,"leader":"i-7f","confirmed":true}}
+{"time":"2026-01-01T00:00:03.500Z","level":"info","node":"front-1","event":{"event":"leader_changed","group":"other","epoch":9,"leader":"i-00","confirmed":true}}
+{"time":"2026-01-01T00:00:04.000Z","level":"info","node":"front-1","event":{"event":"dependency","name":"term_records","available":false,"reason":"no answer: timed out"}}
+  13.4 front-1 {"time":"2026-01-01T00:00:05.000Z","level":"warn","node":"front-1","event":{"event":"request","id":"5c0e","database":"orders","group":"ledger","statement":"read","configuration":7,"epoch":1,"evidence_age_ms":980,"after":null,"attempts":[],"outcome":{"failed":{"verdict":"not_run","reason":"no_leader","retry_after_ms":100}},"elapsed_ms":337}}
+{"time":"2026-01-01T00:00:05.000Z","level":"warn","node":"front-1","event":{"event":"request","id":"another","database":"orders","group":"ledger","statement":"read","configuration":7,"epoch":1,"evidence_age_ms":980,"after":null,"attempts":[],"outcome":"completed","elapsed_ms":3}}
+{"time":"2026-01-01T00:00:06.000Z","level":"info","node":"front-1","event":{"event":"dependency","name":"term_records","available":true,"reason":""}}
+{"time":"2026-01-01T00:00:07.000Z","level":"info","node":"front-1","message":"no event"}
+"#;
+
+const FRONT_2: &str = r#"{"time":"2026-01-01T00:00:04.500Z","level":"info","node":"front-2","event":{"event":"leader_suspected","group":"ledger","epoch":1,"leader":"i-7f","evidence":"unreachable","since_ms":104}}
+{"time":"2026-01-01T00:00:05.100Z","level":"warn","node":"front-2","event":{"event":"request","id":"5c0e","database":"orders","group":"ledger","statement":"read","configuration":7,"epoch":1,"evidence_age_ms":20,"after":{"term":3,"number":7},"attempts":[{"member":"i-7f","result":"LAGGING","ended_ms":4},{"member":"i-80","result":"completed","ended_ms":9}],"outcome":"completed","elapsed_ms":9}}
+{broken
+"#;
+
+fn explain(id: &str) -> Explanation {
+    let mut explanation = Explanation::default();
+    for log in [FRONT_2, FRONT_1] {
+        explanation.read(id, log.as_bytes()).expect("read");
+    }
+    explanation
+}
+
+#[test]
+fn a_request_is_explained_from_the_logs_of_all_processes() {
+    assert_snapshot!(explain("5c0e").text());
+}
+
+#[test]
+fn a_request_that_no_line_tells_of_is_told_so() {
+    assert!(explain("nobody").is_empty());
+    assert!(!explain("another").is_empty());
+}
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -66,6 +66,7 @@
     samples: PositionSamples,
     last_commit: Option<Instant>,
     commit_waiting_since: Option<Instant>,
+    commits_stalled: bool,
 }
 
 /// The beliefs about one group, shared by all tasks.
@@ -95,6 +96,7 @@
                 samples: PositionSamples::default(),
                 last_commit: None,
                 commit_waiting_since: None,
+                commits_stalled: false,
             }),
             changes: watch::Sender::new(0),
             evidence_changes: watch::Sender::new(0),
@@ -139,6 +141,7 @@
         let before = state.view.clone();
         if record.epoch > known {
             state.commit_waiting_since = None;
+            state.commits_stalled = false;
             state.evidence = state
                 .evidence
                 .filter(|_| record.phase == TermPhase::Fencing);
@@ -203,9 +206,21 @@
         self.lock().commit_waiting_since.get_or_insert(sent);
     }
 
-    /// Forgets commits that were sent and not acknowledged.
-    pub fn forget_waiting_commits(&self) {
-        self.lock().commit_waiting_since = None;
+    /// Notes that a replica receives what the leader commits.
+    pub fn replication_works(&self) {
+        let mut state = self.lock();
+        state.commit_waiting_since = None;
+        state.commits_stalled = false;
+    }
+
+    /// Notes that no replica receives what the leader commits.
+    pub fn replication_fails(&self) {
+        self.lock().commits_stalled = true;
+    }
+
+    /// Whether a commit that is sent now is known to get no acknowledgement.
+    pub fn commits_stalled(&self) -> bool {
+        self.lock().commits_stalled
     }
 
     /// Since when commits were sent and none was acknowledged.
@@ -225,6 +240,7 @@
         let mut state = self.lock();
         state.last_commit = state.last_commit.max(Some(sent));
         state.commit_waiting_since = None;
+        state.commits_stalled = false;
         if state.view.epoch != epoch {
             return;
         }
--- a/crates/engine/src/leadership/suspicion.rs
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -137,11 +137,12 @@
         let replicas = replica_reports(engine, group, leader).await;
         let received = replicas.iter().any(|r| r.received >= report.received);
         if received {
-            group.forget_waiting_commits();
+            group.replication_works();
             return None;
         }
         suspicion = (!replicas.is_empty()).then_some(Suspicion::CommitsStalled);
     }
+    group.replication_fails();
     suspicion
 }
 
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -26,6 +26,8 @@
 const REPORTERS_NEEDED: usize = 2;
 /// Pause after a leader was asked and found well.
 const VERIFIED_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before a group is looked at again whose commits no replica receives.
+const STALLED_PAUSE: Duration = Duration::from_millis(800);
 /// Pause after a suspicion that another process has to act on.
 const REPORTED_PAUSE: Duration = Duration::from_millis(200);
 /// Pause after a promotion that this process could not complete.
@@ -101,7 +103,9 @@
         let outvoted = reporters >= needed;
         let suspicion = verified.or(outvoted.then_some(Suspicion::Unreachable));
         let (Some(suspicion), Some(leader)) = (suspicion, view.leader) else {
-            if began.elapsed() > LOOK_INTERVAL {
+            if group.commits_stalled() {
+                sleep(STALLED_PAUSE).await;
+            } else if began.elapsed() > LOOK_INTERVAL {
                 sleep(VERIFIED_PAUSE).await;
             }
             return;
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -330,6 +330,10 @@
     ) -> Result<Completion, Failure> {
         let limits = StatementLimits::new(&transaction.route, request.received);
         let member = open.connection.pool().member().id.clone();
+        if open.wrote && transaction.group.commits_stalled() {
+            open.connection.roll_back();
+            return Err(Failure::not_run(FailureReason::NoReplica));
+        }
         let sent = Instant::now();
         if open.wrote {
             transaction.group.record_commit_sent(sent);
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -45,6 +45,9 @@
         let limits = StatementLimits::new(route, request.received);
         let group = self.engine.group(&route.group);
         loop {
+            if group.commits_stalled() {
+                return Err(Failure::not_run(FailureReason::NoReplica));
+            }
             let Some(leader) = access::writable_leader(&group, limits.offer).await else {
                 return Err(Failure::not_run(FailureReason::NoLeader));
             };
--- a/crates/engine/src/verdict.rs
+++ b/crates/engine/src/verdict.rs
@@ -25,6 +25,8 @@
     NotStarted,
     /// No leader is known or usable now.
     NoLeader,
+    /// No replica receives commits: none would be acknowledged.
+    NoReplica,
     /// No member that is fresh enough can be reached.
     NoFreshMember,
     /// Members or the queue before them are full.
--- a/crates/engine/tests/leadership.rs
+++ b/crates/engine/tests/leadership.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use stilequay_engine::directory::{MemberState, Role};
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
+use stilequay_engine::verdict::{FailureReason, Verdict};
 use support::records::Fault;
 use support::{Client, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, seen, until};
 use tokio::time::{Instant, sleep, timeout};
@@ -272,9 +273,18 @@
     fleet.world.crash("b");
     fleet.world.crash("c");
     let mut client = fleet.session(0, LEADER_DATABASE);
+    let mut promised = 0;
     for _ in 0..20 {
-        assert!(client.write("x 1").await.outcome.is_err());
+        let failure = client.write("x 1").await.outcome.expect_err("no replica");
+        promised += usize::from(failure.reason == FailureReason::NoReplica);
     }
+    // Once the stall is known, writes are refused unrun, and transactions rolled back.
+    assert!(promised >= 15, "{promised}");
+    client.begin(false).await;
+    assert!(client.write("x 1").await.outcome.is_ok());
+    let failure = client.commit().await.outcome.expect_err("no replica");
+    assert_eq!(failure.reason, FailureReason::NoReplica);
+    assert_eq!(failure.verdict, Verdict::NotRun);
     assert!(fleet.world.promotions().is_empty());
     fleet.world.restart("b");
     write_until_acknowledged(&fleet, 0).await;
--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -156,6 +156,8 @@
     sleep(Duration::from_secs(2)).await;
     let keeper = cut_all_but_one(fleet);
     fleet.records.refuse_node(&keeper, true);
+    // Nor does it learn of the change from the others.
+    fleet.peers.set_away(true);
     until(|| !fleet.world.promotions().is_empty()).await;
     sleep(Duration::from_secs(2)).await;
 }
