Keep what the lease costs from growing with the fleet

Cause: the lease's renewals lay among the records that every process follows: at 67 processes 200 calls of the store a second, at the users' target 18,000; and evidence reads brought every process's record along. Change: leases lie in a table that nobody follows; five processes pursue the lease, any other only while it suspects a leader; evidence reads name the terms only, or one term where groups are many.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -43,6 +43,16 @@
     pub leaving_use: Duration,
 }
 
+/// The stores of records. Every process follows the shared ones; leases change often and
+/// concern few, so they are kept apart.
+#[derive(Debug, Clone)]
+pub struct EngineRecords {
+    /// Leaderships, processes, suspicions.
+    pub shared: Arc<dyn RecordStore>,
+    /// Leases.
+    pub leases: Arc<dyn RecordStore>,
+}
+
 /// How far the process has come towards its end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum StopPhase {
@@ -69,6 +79,7 @@
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
     pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
     terms: TermFollower,
+    lease_records: Arc<dyn RecordStore>,
     stop: watch::Sender<StopPhase>,
     events: EventLog,
     hedges: RetryBudget,
@@ -80,7 +91,7 @@
     pub fn new(
         settings: EngineSettings,
         back_end: Arc<dyn BackEnd>,
-        records: Arc<dyn RecordStore>,
+        records: EngineRecords,
         peers: Arc<dyn PeerNetwork>,
     ) -> Arc<Self> {
         Arc::new(Self {
@@ -91,7 +102,8 @@
             directory: watch::Sender::new(Arc::default()),
             groups: Mutex::default(),
             pools: Mutex::default(),
-            terms: TermFollower::new(records),
+            terms: TermFollower::new(records.shared),
+            lease_records: records.leases,
             stop: watch::Sender::new(StopPhase::Serving),
             events: EventLog::default(),
             hedges: RetryBudget::new(HEDGE_BUDGET),
@@ -114,6 +126,11 @@
         &self.hedges
     }
 
+    /// Where leases are kept.
+    pub fn lease_records(&self) -> &Arc<dyn RecordStore> {
+        &self.lease_records
+    }
+
     /// The other processes.
     pub fn peers(&self) -> &Arc<dyn PeerNetwork> {
         &self.peers
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -60,7 +60,7 @@
 /// neither has brought any, waits a moment.
 async fn refresh(engine: &Engine, group: &Group, staleness: Duration) {
     // A failure is told by the task that follows the records.
-    let store = engine.terms().refresh(engine, Instant::now());
+    let store = engine.terms().refresh(engine, group, Instant::now());
     let answered = timeout(STORE_PATIENCE, store).await;
     if !matches!(answered, Ok(Ok(()))) {
         peers::ask(engine, std::slice::from_ref(group.name())).await;
--- a/crates/engine/src/leadership/duty.rs
+++ b/crates/engine/src/leadership/duty.rs
@@ -1,10 +1,10 @@
 //! The lease under which one process of the fleet gives promotion orders.
 
+use super::fleet;
 use crate::engine::{Engine, StopPhase};
 use crate::events::Event;
 use crate::ports::{PutOutcome, Record, RecordStore, RecordStoreError};
 use async_trait::async_trait;
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::clock::Clock;
@@ -13,8 +13,7 @@
     Acquisition, FencingNumber, Lease, LeaseCandidate, LeaseError, LeaseName, LeaseRecord,
     LeaseSettings, LeaseStore, LeaseStoreError, PutOutcome as LeasePutOutcome,
 };
-use tokio::sync::watch;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep};
 
 /// What the lease is for.
 const LEASE_NAME: &str = "promotion";
@@ -28,6 +27,14 @@
 };
 /// Interval of renewals.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(330);
+/// Processes that always pursue the lease.
+const CANDIDATES: usize = 5;
+/// Interval in which a candidate looks at the lease of another.
+const POLL_INTERVAL: Duration = Duration::from_millis(350);
+/// Interval in which any other process asks itself whether it is to pursue it.
+const BYSTANDER_PAUSE: Duration = Duration::from_millis(300);
+/// How long a suspicion makes a process pursue it.
+const WANTED_FOR: Duration = Duration::from_secs(6);
 /// Pause after a failure, and the random part added to waits.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -63,7 +70,7 @@
     }
 
     async fn find(&self, key: &str) -> Result<Option<Record>, RecordStoreError> {
-        let records = self.records.read_all().await?;
+        let records = self.records.read(key).await?;
         Ok(records.written.into_iter().find(|record| record.key == key))
     }
 }
@@ -133,6 +140,8 @@
 pub struct Duty {
     clock: RuntimeClock,
     lease: Mutex<Option<Lease>>,
+    /// Until when this process wants the lease although others come first.
+    wanted_until: Mutex<Option<Instant>>,
 }
 
 impl Default for Duty {
@@ -142,6 +151,7 @@
                 origin: Instant::now(),
             },
             lease: Mutex::new(None),
+            wanted_until: Mutex::new(None),
         }
     }
 }
@@ -154,6 +164,20 @@
         lease.as_ref()?.check(self.clock.now()).ok()
     }
 
+    /// Notes that a leader is suspected: should nobody hold the lease, this process takes it
+    /// after those that come first had their time.
+    pub fn want(&self) {
+        let until = Instant::now() + WANTED_FOR;
+        *lock(&self.wanted_until) = Some(until);
+    }
+
+    /// Whether this process is to pursue the lease: a few of the fleet always do, any other
+    /// only while it suspects a leader. So the cost at the store does not grow with the fleet.
+    fn is_candidate(&self, engine: &Engine) -> bool {
+        let wanted = lock(&self.wanted_until).is_some_and(|until| Instant::now() < until);
+        wanted || self.held().is_some() || fleet::rank(engine) < CANDIDATES
+    }
+
     fn set(&self, engine: &Engine, lease: Option<Lease>, reason: &str) {
         let mut held = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
         let changed = held.is_some() != lease.is_some();
@@ -170,7 +194,7 @@
 
     /// Pursues the lease until the process leaves.
     pub async fn pursue(&self, engine: &Engine) {
-        let records = Arc::clone(engine.terms().store());
+        let records = Arc::clone(engine.lease_records());
         let mut candidate = LeaseCandidate::new(
             LeaseName::new(LEASE_NAME),
             NodeId::new(&*engine.settings().node),
@@ -183,12 +207,14 @@
             Arc::new(self.clock.clone()),
         )
         .reclaiming_earlier_lives();
-        let mut records = engine.terms().subscribe_others();
         let mut stop = engine.subscribe_stop();
         loop {
-            let pause = self.pursue_once(engine, &mut candidate).await;
+            let pause = match self.is_candidate(engine) {
+                true => self.pursue_once(engine, &mut candidate).await,
+                false => BYSTANDER_PAUSE,
+            };
             tokio::select! {
-                () = self.observe_for(pause, &mut records, &mut candidate) => {}
+                () = sleep(pause) => {}
                 _ = stop.wait_for(|phase| *phase > StopPhase::Serving) => break,
             }
         }
@@ -200,25 +226,6 @@
         }
     }
 
-    /// Waits for `pause`. Where another holds the lease, its renewals are learned from the
-    /// records that are followed anyway, and put the end of the wait off.
-    async fn observe_for(
-        &self,
-        pause: Duration,
-        records: &mut watch::Receiver<HashMap<String, Record>>,
-        candidate: &mut LeaseCandidate,
-    ) {
-        let mut until = Instant::now() + pause;
-        while timeout_at(until, records.changed()).await.is_ok() {
-            let key = key(&LeaseName::new(LEASE_NAME));
-            let record = records.borrow_and_update().get(&key).and_then(decode);
-            let Some(record) = record.filter(|_| self.held().is_none()) else {
-                continue;
-            };
-            until = Instant::now() + candidate.observe(&record) + jitter();
-        }
-    }
-
     fn held(&self) -> Option<Lease> {
         let lease = self.lease.lock().unwrap_or_else(PoisonError::into_inner);
         lease.clone()
@@ -243,13 +250,17 @@
                     self.set(engine, Some(lease), "acquired");
                     RENEWAL_INTERVAL
                 }
-                Ok(Acquisition::Taken { retry_after }) => retry_after + jitter(),
+                Ok(Acquisition::Taken { retry_after }) => retry_after.min(POLL_INTERVAL) + jitter(),
                 Err(_) => RETRY_PAUSE + jitter(),
             },
         }
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn jitter() -> Duration {
     RETRY_PAUSE.mul_f64(rand::random())
 }
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Prefix of the keys of these records.
 const KEY_PREFIX: &str = "node/";
@@ -48,6 +49,19 @@
         .collect()
 }
 
+/// This process's place among all in an order that is the same everywhere; zero is first.
+/// A process that does not know the fleet yet counts itself first.
+pub fn rank(engine: &Engine) -> usize {
+    let order = |name: &str| (xxh3_64(name.as_bytes()), name.to_owned());
+    let own = order(&engine.settings().node);
+    let others = engine.terms().subscribe_others();
+    let records = others.borrow();
+    let names = records
+        .keys()
+        .filter_map(|key| key.strip_prefix(KEY_PREFIX));
+    names.filter(|name| order(name) < own).count()
+}
+
 /// Connections that one of `processes` may use of a member that accepts `accepted`.
 pub fn connection_share(accepted: usize, processes: usize) -> usize {
     let share = accepted.saturating_sub(RESERVED) / processes.max(1);
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -16,6 +16,9 @@
 
 /// Longest wait of one watch.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
+/// Groups whose records are read together, at the most: one call for all of them costs no
+/// more than one for each.
+const WHOLE_READ_GROUPS: usize = 64;
 /// Pause after a failed call of the store, and the random part added to it.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
@@ -64,21 +67,34 @@
         self.others.subscribe()
     }
 
-    /// Reads all records now, unless another task has done so since `since`.
+    /// Reads the record of `group` now, and those of the other groups where they are few,
+    /// unless another task has done so since `since`.
     ///
     /// # Errors
     ///
     /// [`RecordStoreError`] where the store gave no answer.
-    pub async fn refresh(&self, engine: &Engine, since: Instant) -> Result<(), RecordStoreError> {
+    pub async fn refresh(
+        &self,
+        engine: &Engine,
+        group: &Group,
+        since: Instant,
+    ) -> Result<(), RecordStoreError> {
         let _one_at_a_time = self.reading.lock().await;
-        let recent = |group: &GroupName| engine.group(group).evidence() >= Some(since);
-        let groups = engine.directory().groups();
-        if !groups.is_empty() && groups.iter().all(recent) {
+        if group.evidence() >= Some(since) {
             return Ok(());
         }
+        let groups = engine.directory().groups();
         let begun = Instant::now();
-        let changes = self.records.read_all().await?;
-        self.apply(engine, &changes, begun, true);
+        let prefix = match groups.len() <= WHOLE_READ_GROUPS {
+            true => TermRecord::KEY_PREFIX.to_owned(),
+            false => TermRecord::key(group.name()),
+        };
+        let changes = self.records.read(&prefix).await?;
+        let read = groups
+            .into_iter()
+            .filter(|name| TermRecord::key(name).starts_with(&prefix));
+        self.apply(engine, &changes, Some(begun));
+        self.apply_first_leaders(engine, &read.collect::<Vec<_>>(), begun);
         Ok(())
     }
 
@@ -89,13 +105,18 @@
         loop {
             let begun = Instant::now();
             let result = match version {
-                None => self.records.read_all().await,
+                None => self.records.read("").await,
                 Some(after) => self.records.watch(after, WATCH_WAIT).await,
             };
             match result {
                 Ok(changes) => {
                     self.note_available(engine, &mut available, true, String::new());
-                    self.apply(engine, &changes, begun, version.is_none());
+                    let whole = version.is_none();
+                    self.apply(engine, &changes, whole.then_some(begun));
+                    if whole {
+                        let groups = engine.directory().groups();
+                        self.apply_first_leaders(engine, &groups, begun);
+                    }
                     version = Some(changes.version);
                 }
                 Err(RecordStoreError::HistoryGone) => version = None,
@@ -149,10 +170,9 @@
         }
     }
 
-    /// Applies what a read begun at `begun` has shown; `whole` if it has shown everything.
-    /// A watch may hear of changes late, so what it tells is no evidence.
-    fn apply(&self, engine: &Engine, changes: &RecordChanges, begun: Instant, whole: bool) {
-        let evidence = whole.then_some(begun);
+    /// Applies what was read. `evidence` is when the read was begun, if it showed the newest
+    /// records: a watch may hear of changes late, so what it tells is no evidence.
+    fn apply(&self, engine: &Engine, changes: &RecordChanges, evidence: Option<Instant>) {
         for record in &changes.written {
             if record.key.starts_with(TermRecord::KEY_PREFIX) {
                 self.apply_stored(engine, record, evidence);
@@ -162,9 +182,6 @@
                 });
             }
         }
-        if whole {
-            self.apply_first_leaders(engine, begun);
-        }
     }
 
     fn apply_stored(&self, engine: &Engine, record: &Record, begun: Option<Instant>) {
@@ -179,12 +196,12 @@
     }
 
     /// Groups without a record are led by whoever says so: nobody was ever promoted.
-    fn apply_first_leaders(&self, engine: &Engine, begun: Instant) {
+    fn apply_first_leaders(&self, engine: &Engine, groups: &[GroupName], begun: Instant) {
         let directory = engine.directory();
-        for name in directory.groups() {
-            if self.known(&name).is_none() {
-                let leader = first_leader(&directory, &name);
-                engine.group(&name).apply_first_leader(leader, Some(begun));
+        for name in groups {
+            if self.known(name).is_none() {
+                let leader = first_leader(&directory, name);
+                engine.group(name).apply_first_leader(leader, Some(begun));
             }
         }
     }
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -20,6 +20,7 @@
 mod watcher;
 
 use crate::engine::Engine;
+use crate::group::Group;
 use crate::ports::Promoter;
 use duty::Duty;
 use std::sync::Arc;
@@ -55,9 +56,9 @@
 async fn learn_first_leaders(engine: &Engine) {
     let mut directory = engine.subscribe_directory();
     loop {
-        while lacks_leader(engine) {
+        while let Some(group) = group_without_leader(engine) {
             // A failure is told by the task that follows the records.
-            let _ = engine.terms().refresh(engine, Instant::now()).await;
+            let _ = engine.terms().refresh(engine, &group, Instant::now()).await;
             sleep(FIRST_LEADER_PAUSE).await;
         }
         if directory.changed().await.is_err() {
@@ -66,10 +67,11 @@
     }
 }
 
-fn lacks_leader(engine: &Engine) -> bool {
-    let groups = engine.directory().groups();
-    let views = groups.iter().map(|name| engine.group(name).view());
-    views
-        .into_iter()
-        .any(|view| view.epoch == 0 && view.leader.is_none())
+fn group_without_leader(engine: &Engine) -> Option<Arc<Group>> {
+    let names = engine.directory().groups();
+    let mut groups = names.iter().map(|name| engine.group(name));
+    groups.find(|group| {
+        let view = group.view();
+        view.epoch == 0 && view.leader.is_none()
+    })
 }
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -358,9 +358,9 @@
     /// The version of `record`, if that is what the store has: an earlier write whose
     /// answer was lost may have been done.
     async fn find_own(&self, record: &TermRecord) -> Result<u64, PromotionError> {
-        let changes = self.engine.terms().store().read_all().await;
-        let changes = changes.map_err(|_| PromotionError::Superseded)?;
         let key = TermRecord::key(&self.group);
+        let changes = self.engine.terms().store().read(&key).await;
+        let changes = changes.map_err(|_| PromotionError::Superseded)?;
         let current = changes.written.iter().find(|found| found.key == key);
         let own = current.filter(|found| found.value == record.encode());
         own.map(|found| found.version)
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -128,6 +128,7 @@
         if self.duty.check().is_some() {
             self.promote(group.name()).await;
         } else {
+            self.duty.want();
             self.report(group.name(), view.epoch, suspicion).await;
             sleep(REPORTED_PAUSE).await;
         }
@@ -150,7 +151,7 @@
         let _ = self
             .engine
             .terms()
-            .refresh(&self.engine, Instant::now())
+            .refresh(&self.engine, &self.engine.group(group), Instant::now())
             .await;
         let mut result = promotion.run().await;
         while result == Err(PromotionError::TargetLost) {
--- a/crates/engine/src/ports/record_store.rs
+++ b/crates/engine/src/ports/record_store.rs
@@ -58,8 +58,9 @@
 /// A store of records, shared by the fleet. Reads and writes are linearizable.
 #[async_trait]
 pub trait RecordStore: Debug + Send + Sync + 'static {
-    /// All records, and the version as of which they were read.
-    async fn read_all(&self) -> Result<RecordChanges, RecordStoreError>;
+    /// All records whose keys begin with `prefix`, and the version as of which they were
+    /// read.
+    async fn read(&self, prefix: &str) -> Result<RecordChanges, RecordStoreError>;
 
     /// Waits up to `wait` for changes after `version`.
     async fn watch(&self, version: u64, wait: Duration) -> Result<RecordChanges, RecordStoreError>;
