--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -18,6 +18,14 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Calls that one process keeps waiting for changes: entries, configuration, records.
+const FEEDS: f64 = 3.0;
+/// Share of the store's reads that they may take.
+const FEED_SHARE: f64 = 0.25;
+/// Share of the contact time for which one of them waits.
+const FEED_CONTACT_SHARE: f64 = 0.4;
+/// Longest such wait, seconds.
+const FEED_WAIT_MAX_S: f64 = 20.0;
 /// Processes assumed before the fleet is known.
 const FIRST_PROCESSES: usize = 9;
 /// Connections that a member is assumed to accept before the configuration is known.
@@ -39,6 +47,11 @@
     pub zone: ZoneName,
     /// Where this process answers others.
     pub peer_address: Option<SocketAddr>,
+    /// Time within which a change in the store must be learned of, also where the call that
+    /// was to tell it is never answered.
+    pub contact: Duration,
+    /// Reads that the store serves in a second, to all processes together.
+    pub store_reads_per_second: f64,
     /// How long a member that leaves, or has left, may still be given work.
     pub leaving_use: Duration,
 }
@@ -229,6 +242,16 @@
         self.divide_connections();
     }
 
+    /// How long one call that waits for changes in the store may wait: short enough that a
+    /// call that is never answered is noticed in time, and so long that those of the whole
+    /// fleet take only a share of what the store serves.
+    pub fn feed_wait(&self) -> Duration {
+        let feeds = FEEDS * self.processes() as f64;
+        let fair = feeds / (self.settings.store_reads_per_second * FEED_SHARE).max(1.0);
+        let prompt = self.settings.contact.mul_f64(FEED_CONTACT_SHARE);
+        prompt.max(Duration::from_secs_f64(fair.min(FEED_WAIT_MAX_S)))
+    }
+
     /// Processes in the fleet, as far as is known.
     pub fn processes(&self) -> usize {
         self.processes.load(Ordering::Relaxed)
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -14,8 +14,6 @@
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::{Instant, sleep};
 
-/// Longest wait of one watch.
-const WATCH_WAIT: Duration = Duration::from_secs(5);
 /// Groups whose records are read together, at the most: one call for all of them costs no
 /// more than one for each.
 const WHOLE_READ_GROUPS: usize = 64;
@@ -106,7 +104,7 @@
             let begun = Instant::now();
             let result = match version {
                 None => self.records.read("").await,
-                Some(after) => self.records.watch(after, WATCH_WAIT).await,
+                Some(after) => self.records.watch(after, engine.feed_wait()).await,
             };
             match result {
                 Ok(changes) => {
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -122,6 +122,8 @@
             node: Arc::from(name),
             zone: Arc::from("zone-a"),
             peer_address: Some(MemoryPeers::address_of(name)),
+            contact: Duration::from_secs(4),
+            store_reads_per_second: 2_000.0,
             leaving_use: Duration::from_secs(4),
         };
         let back_end = WorldBackEnd {
