Let no position lower than a known one cover a later moment

All members but one were asked how far they had received; none of them held what only the leader and the server that had left had. Ruled out: the lease of the term (epoch 0 throughout, the reads went to a replica with a position), the routing. Change: a position that is lower than one covering an earlier moment is not taken; a member that has left is ignored in a choice only where the others have received as much as the leader was known to have; entries that went away are remembered for 60 s in place of 20.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -72,7 +72,7 @@
 }
 
 /// How long an entry that went away is remembered.
-pub const GONE_MEMORY: Duration = Duration::from_secs(20);
+pub const GONE_MEMORY: Duration = Duration::from_secs(60);
 
 impl Directory {
     /// The members of `group`, in no order, gone ones included.
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -279,6 +279,11 @@
         }
     }
 
+    /// The newest position that is known to cover a moment, of whatever epoch.
+    pub fn newest_known(&self) -> Option<LogPosition> {
+        self.lock().samples.newest().map(|sample| sample.position)
+    }
+
     /// The newest moment that a position is known to cover.
     pub fn newest_covering(&self) -> Option<PositionSample> {
         let state = self.lock();
@@ -286,10 +291,20 @@
         (newest.epoch == state.view.epoch).then_some(newest)
     }
 
-    /// Takes a position that is known to cover what was acknowledged before `at`.
+    /// Takes a position that is said to cover what was acknowledged before `at`.
+    ///
+    /// One lower than a position that covers an earlier moment can't cover a later one:
+    /// those who told it lack a log that has left with its member.
     pub fn record_covering_position(&self, at: Instant, position: LogPosition) {
         let mut state = self.lock();
         let epoch = state.view.epoch;
+        if state
+            .samples
+            .newest()
+            .is_some_and(|known| position < known.position)
+        {
+            return;
+        }
         let sample = PositionSample {
             position,
             at,
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -51,6 +51,8 @@
     pub term: Term,
     /// Replicas that must receive a commit before its acknowledgement.
     pub sync_replicas: usize,
+    /// The highest position that the old leader's log is known to have had.
+    pub known: Option<LogPosition>,
     /// Zone of the member preferred among equals.
     pub preferred_zone: Option<&'a ZoneName>,
 }
@@ -125,7 +127,11 @@
         let unread = self
             .others(now)
             .find(|member| member.response.report().is_none());
-        match unread {
+        // What has left took its log along. The others hold that too once they have
+        // received as much as the leader is known to have had.
+        let left = self.members.iter().find(|member| member.has_left(now));
+        let left = left.filter(|_| self.known.is_some_and(|known| received < known));
+        match unread.or(left) {
             Some(member) => Err(Obstacle::MayHoldMore(member.member.id.clone())),
             None => Ok(()),
         }
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -162,6 +162,7 @@
                 previous: &previous,
                 term: fencing,
                 sync_replicas,
+                known: self.engine.group(&self.group).newest_known(),
                 preferred_zone: None,
             };
             match survey.choose(Instant::now()) {
--- a/crates/engine/tests/beliefs.rs
+++ b/crates/engine/tests/beliefs.rs
@@ -143,6 +143,19 @@
     assert_eq!(group.covering_position(sent), None);
 }
 
+#[tokio::test(start_paused = true)]
+async fn a_lower_position_can_not_cover_a_later_moment() {
+    let group = group();
+    group.apply_first_leader(Some("a".into()), Some(Instant::now()));
+    group.record_leader_position(0, Instant::now(), LogPosition::new(1, 255));
+    advance(Duration::from_millis(200)).await;
+    let later = Instant::now();
+    group.record_covering_position(later, LogPosition::new(1, 231));
+    assert_eq!(group.covering_position(later), None);
+    group.record_covering_position(later, LogPosition::new(1, 255));
+    assert!(group.covering_position(later).is_some());
+}
+
 proptest! {
     /// Whatever samples there are, the one chosen covers the moment, and is the least of
     /// its epoch that does, but for those left out for being close to another.
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -67,6 +67,14 @@
 }
 
 fn choose_from(members: &[Surveyed], sync_replicas: usize) -> Result<String, Obstacle> {
+    choose_knowing(members, sync_replicas, None)
+}
+
+fn choose_knowing(
+    members: &[Surveyed],
+    sync_replicas: usize,
+    known: Option<LogPosition>,
+) -> Result<String, Obstacle> {
     let previous = PreviousLeader {
         id: Some("a".into()),
         address: Some(address("a")),
@@ -76,6 +84,7 @@
         previous: &previous,
         term: TERM,
         sync_replicas,
+        known,
         preferred_zone: None,
     };
     survey
@@ -150,6 +159,26 @@
     assert_eq!(choose_from(&members, 1), expected);
 }
 
+#[rstest]
+#[case::the_others_have_as_much(7, Ok("c".to_owned()))]
+#[case::the_leader_had_more(8, may_hold_more("d"))]
+#[tokio::test(start_paused = true)]
+async fn a_member_that_has_left_took_its_log_along(
+    #[case] known: u64,
+    #[case] expected: Result<String, Obstacle>,
+) {
+    let since = Instant::now();
+    tokio::time::advance(Duration::from_secs(11)).await;
+    let members = [
+        surveyed("a", MemberState::Ready, silent()),
+        surveyed("b", MemberState::Ready, paused(5)),
+        surveyed("c", MemberState::Ready, paused(7)),
+        surveyed("d", MemberState::Gone { since }, down()),
+    ];
+    let known = Some(LogPosition::new(1, known));
+    assert_eq!(choose_knowing(&members, 1, known), expected);
+}
+
 #[test]
 fn a_server_in_the_old_leaders_place_is_the_old_leader() {
     let mut renamed = surveyed("x", MemberState::Ready, demoted(9));
--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::directory::MemberState;
+use stilequay_engine::directory::{GONE_MEMORY, MemberState};
 use support::history::History;
 use support::records::Fault;
 use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, OWN_DATABASE, until};
@@ -193,7 +193,7 @@
     sleep(Duration::from_secs(2)).await;
     fleet.world.hidden.lock().unwrap().insert("c".to_owned());
     // The entry is forgotten, as one that went away long ago is.
-    sleep(Duration::from_secs(30)).await;
+    sleep(GONE_MEMORY + Duration::from_secs(10)).await;
     fleet.world.crash("a");
     until(|| !fleet.world.promotions().is_empty()).await;
     sleep(Duration::from_secs(2)).await;
