Handle a missing answer in one place; remove what nothing uses

Found in reading the change once more: sessions told and noted a missing answer in five places (write, commit, opening, first and later statements), and mapped refusals in two; the pool connected in two; the loss of a feed was told in two; the zone preferred in a choice, the time of the last commit and of the last answer were kept and never used. What callers are told is the same; the trace of an opening that failed now begins with 'before the statement was sent'. Tests keep their assertions; one literal loses the field that is gone.

--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -320,6 +320,37 @@
     }
 }
 
+/// Tells when something outside is lost, and when it is regained: once each time.
+#[derive(Debug)]
+pub struct DependencyMonitor {
+    name: &'static str,
+    available: bool,
+}
+
+impl DependencyMonitor {
+    /// Watches what is called `name`, taken to be there.
+    pub fn new(name: &'static str) -> Self {
+        Self {
+            name,
+            available: true,
+        }
+    }
+
+    /// Takes what came of the latest use: nothing, or why it failed.
+    pub fn note(&mut self, log: &EventLog, failure: Option<String>) {
+        let available = failure.is_none();
+        if self.available == available {
+            return;
+        }
+        self.available = available;
+        log.write(&Event::Dependency {
+            name: self.name,
+            available,
+            reason: failure.unwrap_or_default(),
+        });
+    }
+}
+
 /// Whole milliseconds of `duration`.
 pub fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -64,7 +64,6 @@
     view: LeaderView,
     evidence: Option<Instant>,
     samples: PositionSamples,
-    last_commit: Option<Instant>,
     commit_waiting_since: Option<Instant>,
     commits_stalled: bool,
 }
@@ -94,7 +93,6 @@
                 view,
                 evidence: None,
                 samples: PositionSamples::default(),
-                last_commit: None,
                 commit_waiting_since: None,
                 commits_stalled: false,
             }),
@@ -196,11 +194,6 @@
         self.lock().evidence
     }
 
-    /// When the last acknowledged commit was sent.
-    pub fn last_commit(&self) -> Option<Instant> {
-        self.lock().last_commit
-    }
-
     /// Notes that a commit was sent to the leader at `sent`.
     pub fn record_commit_sent(&self, sent: Instant) {
         self.lock().commit_waiting_since.get_or_insert(sent);
@@ -238,7 +231,6 @@
         replicated: bool,
     ) {
         let mut state = self.lock();
-        state.last_commit = state.last_commit.max(Some(sent));
         state.commit_waiting_since = None;
         state.commits_stalled = false;
         if state.view.epoch != epoch {
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -8,7 +8,7 @@
 
 use super::survey::{Response, Surveyed};
 use crate::directory::{Member, MemberState, Role};
-use crate::names::{MemberId, ZoneName};
+use crate::names::MemberId;
 use crate::position::{LogPosition, Term};
 use std::net::SocketAddr;
 use tokio::time::Instant;
@@ -53,8 +53,6 @@
     pub sync_replicas: usize,
     /// The highest position that the old leader's log is known to have had.
     pub known: Option<LogPosition>,
-    /// Zone of the member preferred among equals.
-    pub preferred_zone: Option<&'a ZoneName>,
 }
 
 impl FenceSurvey<'_> {
@@ -137,15 +135,13 @@
         }
     }
 
-    /// The replica that has received most; among equals one that stays, in the preferred
-    /// zone.
+    /// The replica that has received most; among equals one that stays.
     fn best_other(&self) -> Option<(MemberId, LogPosition)> {
         let candidates = self.members.iter().filter_map(|member| {
             let report = member.response.report()?;
             let stays = member.member.state == MemberState::Ready;
-            let near = Some(&member.member.zone) == self.preferred_zone;
             let eligible = report.role == Role::Replica && !self.is_previous(member);
-            let rank = (report.received, stays, near);
+            let rank = (report.received, stays);
             eligible.then(|| (rank, member.member.id.clone()))
         });
         let (rank, id) = candidates.max()?;
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -1,9 +1,9 @@
 //! Follows the records of leaderships, and reads them when evidence is needed.
 
 use super::record::{TermPhase, TermRecord};
-use crate::directory::{Directory, MemberState, Role};
+use crate::directory::{Directory, Role};
 use crate::engine::Engine;
-use crate::events::Event;
+use crate::events::{DependencyMonitor, Event};
 use crate::group::Group;
 use crate::names::{GroupName, MemberId};
 use crate::peers;
@@ -99,7 +99,7 @@
     /// Follows the records until the process ends.
     pub async fn follow(&self, engine: &Engine) {
         let mut version = None;
-        let mut available = true;
+        let mut dependency = DependencyMonitor::new("term_records");
         loop {
             let begun = Instant::now();
             let result = match version {
@@ -108,7 +108,7 @@
             };
             match result {
                 Ok(changes) => {
-                    self.note_available(engine, &mut available, true, String::new());
+                    dependency.note(engine.events(), None);
                     let whole = version.is_none();
                     self.apply(engine, &changes, whole.then_some(begun));
                     if whole {
@@ -119,7 +119,7 @@
                 }
                 Err(RecordStoreError::HistoryGone) => version = None,
                 Err(error) => {
-                    self.note_available(engine, &mut available, false, error.to_string());
+                    dependency.note(engine.events(), Some(error.to_string()));
                     peers::ask(engine, &engine.directory().groups()).await;
                     sleep(RETRY_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
                 }
@@ -157,17 +157,6 @@
         }
     }
 
-    fn note_available(&self, engine: &Engine, known: &mut bool, now: bool, reason: String) {
-        if *known != now {
-            *known = now;
-            engine.events().write(&Event::Dependency {
-                name: "term_records",
-                available: now,
-                reason,
-            });
-        }
-    }
-
     /// Applies what was read. `evidence` is when the read was begun, if it showed the newest
     /// records: a watch may hear of changes late, so what it tells is no evidence.
     fn apply(&self, engine: &Engine, changes: &RecordChanges, evidence: Option<Instant>) {
@@ -247,7 +236,7 @@
     let mut leaders = members
         .iter()
         .filter(|member| member.role == Role::Primary)
-        .filter(|member| !matches!(member.state, MemberState::Gone { .. }));
+        .filter(|member| !member.is_gone());
     let leader = leaders.next()?;
     leaders.next().is_none().then(|| leader.id.clone())
 }
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -108,8 +108,7 @@
     /// As for [`Promotion::run`].
     pub async fn choose_again(&self) -> Result<(), PromotionError> {
         let known = self.engine.terms().known(&self.group);
-        let term = self.begin(known).await?;
-        drop(term);
+        self.begin(known).await?;
         self.run().await
     }
 
@@ -163,7 +162,6 @@
                 term: fencing,
                 sync_replicas,
                 known: self.engine.group(&self.group).newest_known(),
-                preferred_zone: None,
             };
             match survey.choose(Instant::now()) {
                 Ok(target) => {
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -70,7 +70,7 @@
     let pool = engine.pool(member);
     match timeout(ORDER_TIMEOUT, pool.order(control)).await {
         Ok(Ok(report)) => {
-            pool.note(|health| health.heard(Instant::now()));
+            pool.note(|health| health.heard());
             Response::Report(report)
         }
         Ok(Err(error)) => failure(&error),
--- a/crates/engine/src/pool/health.rs
+++ b/crates/engine/src/pool/health.rs
@@ -28,7 +28,6 @@
     busy_until: Option<Instant>,
     lacks: Option<(LogPosition, Instant)>,
     applied: Option<LogPosition>,
-    last_answer: Option<Instant>,
     waiting_since: Option<Instant>,
 }
 
@@ -49,7 +48,6 @@
             busy_until: None,
             lacks: None,
             applied: None,
-            last_answer: None,
             waiting_since: None,
         }
     }
@@ -60,13 +58,12 @@
         let before = self.expected_latency_ms(now);
         self.latency_ms = before + (latency_ms - before) * NEWEST_WEIGHT;
         self.measured = now;
-        self.heard(now);
+        self.heard();
     }
 
     /// Something was heard of it.
-    pub fn heard(&mut self, now: Instant) {
+    pub fn heard(&mut self) {
         self.unreachable = None;
-        self.last_answer = Some(now);
         self.waiting_since = None;
     }
 
@@ -145,9 +142,4 @@
         self.lacks
             .is_some_and(|(lacked, until)| lacked <= position && now < until)
     }
-
-    /// When anything was last heard of it.
-    pub fn last_answer(&self) -> Option<Instant> {
-        self.last_answer
-    }
 }
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -273,9 +273,7 @@
     }
 
     async fn open(&self) -> Result<Established, AcquireError> {
-        let connected = timeout(CONNECT_TIMEOUT, self.back_end.connect(&self.member)).await;
-        let result = connected.unwrap_or(Err(ConnectError::TimedOut));
-        self.note_connect(&result.as_ref().err().cloned());
+        let result = self.open_separately().await;
         metrics::counter!("stilequay_pool_connections_opened_total").increment(1);
         match result {
             Ok(connection) => Ok(Established::new(connection)),
@@ -304,9 +302,9 @@
         let now = Instant::now();
         let mut state = self.lock();
         match error {
-            None => state.health.heard(now),
+            None => state.health.heard(),
             Some(ConnectError::TooManyConnections) => {
-                state.health.heard(now);
+                state.health.heard();
                 state.no_opening_until = Some(now + TOO_MANY_PAUSE);
             }
             Some(_) => state.health.unreachable(now),
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -2,9 +2,12 @@
 //! silent.
 
 use super::floor::FloorRequirement;
-use super::limits::{RETRY_PAUSE, StatementLimits};
+use super::limits::StatementLimits;
 use super::trace::RequestTrace;
-use super::write::{leader_pool, member_failure, note_unanswered, refusal_text, release};
+use super::write::{
+    leader_pool, member_failure, not_run_reason, note_unanswered, pause_or_refuse, refusal_text,
+    release,
+};
 use super::{Completion, Session};
 use crate::configuration::{Consistency, Route};
 use crate::group::{Epoch, Group};
@@ -21,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// Longest wait for a connection to a member while there are other members.
 const ACQUIRE_WAIT: Duration = Duration::from_millis(40);
@@ -100,10 +103,10 @@
                 failure.reason,
                 FailureReason::NoFreshMember | FailureReason::Overloaded | FailureReason::NoLeader
             );
-            if !retried || Instant::now() + RETRY_PAUSE >= limits.offer {
+            if !retried {
                 return Err(failure);
             }
-            sleep(RETRY_PAUSE).await;
+            pause_or_refuse(limits, failure.reason).await?;
         }
     }
 
@@ -338,11 +341,8 @@
 }
 
 fn refusal_failure(refusal: Refusal) -> Failure {
-    match refusal.kind {
-        RefusalKind::Failed => member_failure(refusal),
-        RefusalKind::Busy => Failure::not_run(FailureReason::Overloaded),
-        RefusalKind::Lagging => Failure::not_run(FailureReason::NoFreshMember),
-        RefusalKind::NotLeader => Failure::not_run(FailureReason::NoLeader),
-        RefusalKind::UnknownPrepared => Failure::not_run(FailureReason::ConnectionLost),
+    match not_run_reason(refusal.kind) {
+        Some(reason) => Failure::not_run(reason),
+        None => member_failure(refusal),
     }
 }
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -4,8 +4,8 @@
 use super::read::{ReadTarget, acquire_until, leading_epoch, note_position, note_refusal};
 use super::trace::RequestTrace;
 use super::write::{
-    Attempt, Awaited, acquire_failure, await_answer, judge_refusal, leader_pool, member_failure,
-    note_unanswered, pause_or_refuse, refusal_text,
+    Attempt, Awaited, Unanswered, acquire_failure, await_answer, await_in_time, judge_refusal,
+    leader_pool, member_failure, pause_or_refuse, refusal_text,
 };
 use super::{Completion, Session};
 use crate::configuration::Route;
@@ -284,20 +284,14 @@
         let epoch = leading_epoch(&transaction.group, &member);
         let sent = Instant::now();
         let opening = async {
-            connection.put_values(&self.values).await?;
-            connection.run(&begin).await
+            let put = connection.put_values(&self.values).await;
+            put.map_err(RunError::Before)?;
+            connection.run(&begin).await.map_err(RunError::Before)
         };
-        let answer = match timeout_at(limits.offer, opening).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => {
-                trace.attempted(&member, error.to_string());
-                return Attempt::NotRun(FailureReason::ConnectionLost);
-            }
-            Err(_) => {
-                trace.attempted(&member, "no answer in time");
-                note_unanswered(&pool, sent);
-                return Attempt::NotRun(FailureReason::AnswerTimedOut);
-            }
+        let awaited = await_in_time(opening, limits.offer).await;
+        let answer = match awaited.told(&pool, sent, trace) {
+            Ok(answer) => answer,
+            Err(missing) => return Attempt::NotRun(missing.reason()),
         };
         note_position(&transaction.group, epoch, sent, &answer);
         if let Err(refusal) = answer.outcome {
@@ -343,22 +337,9 @@
             true => Failure::may_have_run(reason),
             false => Failure::not_run(FailureReason::TransactionLost),
         };
-        let answer = match awaited {
-            Awaited::Answered(Ok(answer)) => answer,
-            Awaited::Answered(Err(error)) => {
-                trace.attempted(&member, error.to_string());
-                return Err(lost(FailureReason::ConnectionLost));
-            }
-            Awaited::TimedOut => {
-                trace.attempted(&member, "no answer in time");
-                note_unanswered(open.connection.pool(), sent);
-                return Err(lost(FailureReason::AnswerTimedOut));
-            }
-            Awaited::Superseded => {
-                trace.attempted(&member, "superseded before its answer");
-                return Err(lost(FailureReason::NoLeader));
-            }
-        };
+        let answer = awaited
+            .told(open.connection.pool(), sent, trace)
+            .map_err(|missing| lost(missing.reason()))?;
         let signature = match answer.outcome {
             Ok(signature) => signature,
             Err(refusal) => {
@@ -392,17 +373,13 @@
     let member = open.connection.pool().member().id.clone();
     let sent = Instant::now();
     let running = open.connection.run_work(&request.id, work, None);
-    let answer = match timeout_at(limits.answer, running).await {
-        Ok(Ok(answer)) => answer,
-        Ok(Err(error)) => {
-            trace.attempted(&member, error.to_string());
-            return Attempt::NotRun(FailureReason::ConnectionLost);
-        }
-        Err(_) => {
-            trace.attempted(&member, "no answer in time");
-            note_unanswered(open.connection.pool(), sent);
+    let awaited = await_in_time(running, limits.answer).await;
+    let answer = match awaited.told(open.connection.pool(), sent, trace) {
+        Ok(answer) => answer,
+        Err(Unanswered::TimedOut) => {
             return Attempt::Decided(Err(Failure::not_run(FailureReason::TransactionLost)));
         }
+        Err(missing) => return Attempt::NotRun(missing.reason()),
     };
     match answer.outcome {
         Ok(signature) => {
@@ -433,22 +410,13 @@
 ) -> Result<Completion, Failure> {
     let limits = StatementLimits::new(&transaction.route, request.received);
     let member = open.connection.pool().member().id.clone();
-    let lost = || Failure::not_run(FailureReason::TransactionLost);
     loop {
         let sent = Instant::now();
         let running = open.connection.run_work(&request.id, work, None);
-        let answer = match timeout_at(limits.answer, running).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => {
-                trace.attempted(&member, error.to_string());
-                return Err(lost());
-            }
-            Err(_) => {
-                trace.attempted(&member, "no answer in time");
-                note_unanswered(open.connection.pool(), sent);
-                return Err(lost());
-            }
-        };
+        let answer = await_in_time(running, limits.answer)
+            .await
+            .told(open.connection.pool(), sent, trace)
+            .map_err(|_| Failure::not_run(FailureReason::TransactionLost))?;
         match answer.outcome {
             Ok(signature) => {
                 trace.attempted(&member, "completed");
@@ -496,10 +464,7 @@
     };
     match leader {
         Some(leader) => await_answer(running, &transaction.group, &leader, limits.answer).await,
-        None => match timeout_at(limits.answer, running).await {
-            Ok(answer) => Awaited::Answered(answer),
-            Err(_) => Awaited::TimedOut,
-        },
+        None => await_in_time(running, limits.answer).await,
     }
 }
 
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -13,7 +13,7 @@
 use crate::statement::{Request, TransactionState};
 use crate::verdict::{Failure, FailureReason, MemberFailure};
 use std::sync::Arc;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// What came of giving a statement to a member once.
 pub(super) enum Attempt<T> {
@@ -23,6 +23,29 @@
     NotRun(FailureReason),
 }
 
+/// Why an answer is missing.
+pub(super) enum Unanswered {
+    /// The connection failed before the statement was sent.
+    NotSent,
+    /// The connection failed after the statement was sent.
+    Lost,
+    /// It did not come in time.
+    TimedOut,
+    /// Another leader was chosen meanwhile.
+    Superseded,
+}
+
+impl Unanswered {
+    /// What a caller is told of it.
+    pub(super) fn reason(&self) -> FailureReason {
+        match self {
+            Unanswered::NotSent | Unanswered::Lost => FailureReason::ConnectionLost,
+            Unanswered::TimedOut => FailureReason::AnswerTimedOut,
+            Unanswered::Superseded => FailureReason::NoLeader,
+        }
+    }
+}
+
 /// An answer, or the reason why there is none.
 pub(super) enum Awaited<T> {
     /// It came.
@@ -33,6 +56,38 @@
     Superseded,
 }
 
+impl Awaited<Result<Answer, RunError>> {
+    /// The answer to what was sent at `sent`. One that is missing is told in `trace`, and
+    /// a member's silence is noted.
+    pub(super) fn told(
+        self,
+        pool: &MemberPool,
+        sent: Instant,
+        trace: &mut RequestTrace,
+    ) -> Result<Answer, Unanswered> {
+        let member = &pool.member().id;
+        match self {
+            Awaited::Answered(Ok(answer)) => Ok(answer),
+            Awaited::Answered(Err(error)) => {
+                trace.attempted(member, error.to_string());
+                Err(match error {
+                    RunError::Before(_) => Unanswered::NotSent,
+                    RunError::After(_) => Unanswered::Lost,
+                })
+            }
+            Awaited::TimedOut => {
+                trace.attempted(member, "no answer in time");
+                note_unanswered(pool, sent);
+                Err(Unanswered::TimedOut)
+            }
+            Awaited::Superseded => {
+                trace.attempted(member, "superseded before its answer");
+                Err(Unanswered::Superseded)
+            }
+        }
+    }
+}
+
 impl Session {
     /// Runs a write outside any transaction.
     pub(super) async fn run_write(
@@ -100,25 +155,10 @@
         sent: Instant,
         trace: &mut RequestTrace,
     ) -> Attempt<Completion> {
-        let answer = match awaited {
-            Awaited::Answered(Ok(answer)) => answer,
-            Awaited::Answered(Err(RunError::Before(error))) => {
-                trace.attempted(&leader.member, error.to_string());
-                return Attempt::NotRun(FailureReason::ConnectionLost);
-            }
-            Awaited::Answered(Err(RunError::After(error))) => {
-                trace.attempted(&leader.member, error.to_string());
-                return Attempt::Decided(Err(Failure::may_have_run(FailureReason::ConnectionLost)));
-            }
-            Awaited::TimedOut => {
-                trace.attempted(&leader.member, "no answer in time");
-                note_unanswered(connection.pool(), sent);
-                return Attempt::Decided(Err(Failure::may_have_run(FailureReason::AnswerTimedOut)));
-            }
-            Awaited::Superseded => {
-                trace.attempted(&leader.member, "superseded before its answer");
-                return Attempt::Decided(Err(Failure::may_have_run(FailureReason::NoLeader)));
-            }
+        let answer = match awaited.told(connection.pool(), sent, trace) {
+            Ok(answer) => answer,
+            Err(missing @ Unanswered::NotSent) => return Attempt::NotRun(missing.reason()),
+            Err(missing) => return Attempt::Decided(Err(Failure::may_have_run(missing.reason()))),
         };
         release(connection, answer.state);
         match answer.outcome {
@@ -174,6 +214,17 @@
     }
 }
 
+/// Waits for an answer until `until`, whoever leads meanwhile.
+pub(super) async fn await_in_time<T>(
+    running: impl Future<Output = T>,
+    until: Instant,
+) -> Awaited<T> {
+    match timeout_at(until, running).await {
+        Ok(answer) => Awaited::Answered(answer),
+        Err(_) => Awaited::TimedOut,
+    }
+}
+
 /// Waits before another try, or refuses where there is no time for one.
 pub(super) async fn pause_or_refuse(
     limits: StatementLimits,
@@ -206,13 +257,21 @@
     }
 }
 
+/// Why a refused statement has not run; `None` where it may have.
+pub(super) fn not_run_reason(kind: RefusalKind) -> Option<FailureReason> {
+    match kind {
+        RefusalKind::Busy => Some(FailureReason::Overloaded),
+        RefusalKind::NotLeader => Some(FailureReason::NoLeader),
+        RefusalKind::Lagging => Some(FailureReason::NoFreshMember),
+        RefusalKind::UnknownPrepared => Some(FailureReason::ConnectionLost),
+        RefusalKind::Failed => None,
+    }
+}
+
 pub(super) fn judge_refusal<T>(refusal: Refusal) -> Attempt<T> {
-    match refusal.kind {
-        RefusalKind::Busy => Attempt::NotRun(FailureReason::Overloaded),
-        RefusalKind::NotLeader => Attempt::NotRun(FailureReason::NoLeader),
-        RefusalKind::Lagging => Attempt::NotRun(FailureReason::NoFreshMember),
-        RefusalKind::UnknownPrepared => Attempt::NotRun(FailureReason::ConnectionLost),
-        RefusalKind::Failed => Attempt::Decided(Err(member_failure(refusal))),
+    match not_run_reason(refusal.kind) {
+        Some(reason) => Attempt::NotRun(reason),
+        None => Attempt::Decided(Err(member_failure(refusal))),
     }
 }
 
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -85,7 +85,6 @@
         term: TERM,
         sync_replicas,
         known,
-        preferred_zone: None,
     };
     survey
         .choose(Instant::now())
