Take no belief about a fenced leader for the one that is promoted

The epoch rises when the fence is recorded, and during the fence the view goes on naming the old leader as confirmed. A process that had already learned of the target asked another that had not, took its 'confirmed' and its evidence for the target, and then took the position of the target, which had received all and applied little, for that of a leader under lease.

Ruled out: the survey of the members (the dead leader had not been away for long enough to be left out) and the fence (all replicas were paused).

Change: what processes tell one another names the member that it is of, and nothing is told of a leader that is being fenced off. Positions, commits and confirmations are taken only of the member that leads now, in the same epoch: reading this, a second way to the same fault was found (the old leader's late answer after the change) and closed.

Both tests fail without the change.

--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -50,6 +50,26 @@
     pub confirmed: bool,
 }
 
+impl LeaderView {
+    /// The leader, or the member that is being promoted; `None` while the leader before is
+    /// fenced off and no other is chosen.
+    pub fn target(&self) -> Option<&MemberId> {
+        self.leader
+            .as_ref()
+            .filter(|_| self.writable_from.is_some())
+    }
+
+    /// Whether `leader` leads, or goes on leading until it is fenced off.
+    fn is_led_by(&self, leader: &UsableLeader) -> bool {
+        self.epoch == leader.epoch && self.leader.as_ref() == Some(&leader.member)
+    }
+
+    /// Whether `leader` leads, or is being promoted, and is not being fenced off.
+    fn is_target(&self, leader: &UsableLeader) -> bool {
+        self.is_led_by(leader) && self.writable_from.is_some()
+    }
+}
+
 /// A leader to be used now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UsableLeader {
@@ -189,6 +209,12 @@
         usable(&state.view)
     }
 
+    /// `member` as the leader, if it is known to lead now.
+    pub fn as_leader(&self, member: &MemberId) -> Option<UsableLeader> {
+        let state = self.lock();
+        usable(&state.view).filter(|leader| state.view.confirmed && leader.member == *member)
+    }
+
     /// When the newest evidence for the leader's term was begun.
     pub fn evidence(&self) -> Option<Instant> {
         self.lock().evidence
@@ -221,11 +247,11 @@
         self.lock().commit_waiting_since
     }
 
-    /// Takes an acknowledged commit that the leader of `epoch` was sent at `sent`. It is
-    /// evidence for the term only where a replica had to receive it.
+    /// Takes an acknowledged commit that `leader` was sent at `sent`. It is evidence for
+    /// the term only where a replica had to receive it.
     pub fn record_commit(
         &self,
-        epoch: Epoch,
+        leader: &UsableLeader,
         sent: Instant,
         position: Option<LogPosition>,
         replicated: bool,
@@ -233,7 +259,7 @@
         let mut state = self.lock();
         state.commit_waiting_since = None;
         state.commits_stalled = false;
-        if state.view.epoch != epoch {
+        if !state.view.is_led_by(leader) {
             return;
         }
         let before = state.view.clone();
@@ -245,27 +271,35 @@
         self.publish(before, &state);
         drop(state);
         if let Some(position) = position {
-            self.record_leader_position(epoch, sent, position);
+            self.record_leader_position(leader, sent, position);
         }
     }
 
-    /// Takes the leader's log position from its answer to what was sent at `sent`.
-    pub fn record_leader_position(&self, epoch: Epoch, sent: Instant, position: LogPosition) {
+    /// Takes the position of the log of `leader` from its answer to what was sent at `sent`.
+    ///
+    /// It must still be the leader: evidence for the next one, of the same epoch, says
+    /// nothing of what had been acknowledged when the question was sent.
+    pub fn record_leader_position(
+        &self,
+        leader: &UsableLeader,
+        sent: Instant,
+        position: LogPosition,
+    ) {
         let mut state = self.lock();
         let leased = state.evidence.is_some_and(|at| sent < at + TERM_LEASE);
-        if state.view.epoch == epoch && state.view.confirmed && leased {
+        if state.view.is_led_by(leader) && state.view.confirmed && leased {
             state.samples.record(PositionSample {
                 position,
                 at: sent,
-                epoch,
+                epoch: leader.epoch,
             });
         }
     }
 
-    /// Takes evidence for the leader of `epoch` that another process had at `at`.
-    pub fn record_evidence(&self, epoch: Epoch, at: Instant) {
+    /// Takes evidence for the term of `leader` that another process had at `at`.
+    pub fn record_evidence(&self, leader: &UsableLeader, at: Instant) {
         let mut state = self.lock();
-        if state.view.epoch == epoch && state.view.writable_from.is_some() {
+        if state.view.is_target(leader) {
             state.evidence = state.evidence.max(Some(at));
             self.evidence_changes.send_modify(|count| *count += 1);
         }
@@ -305,10 +339,10 @@
         state.samples.record(sample);
     }
 
-    /// Notes that the leader of `epoch` acts as one.
-    pub fn confirm_leader(&self, epoch: Epoch) {
+    /// Notes that `leader` acts as one.
+    pub fn confirm_leader(&self, leader: &UsableLeader) {
         let mut state = self.lock();
-        if state.view.epoch == epoch && !state.view.confirmed {
+        if state.view.is_target(leader) && !state.view.confirmed {
             let before = state.view.clone();
             state.view.confirmed = true;
             self.publish(before, &state);
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -91,7 +91,7 @@
     if answer.outcome.is_ok()
         && let Some(position) = answer.position
     {
-        group.record_leader_position(leader.epoch, sent, position);
+        group.record_leader_position(&leader, sent, position);
     }
     connection.roll_back();
     Some(())
--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -10,10 +10,11 @@
 
 use crate::engine::Engine;
 use crate::events::millis;
+use crate::group::UsableLeader;
 use crate::leadership::fleet;
 use crate::leadership::follower::VersionedTerm;
 use crate::names::GroupName;
-use crate::ports::{CoveringBelief, GroupBelief, TermBelief};
+use crate::ports::{CoveringBelief, GroupBelief, LeaderBelief, TermBelief};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::seq::IndexedRandom;
@@ -44,11 +45,15 @@
         record: term.record,
         version: term.version,
     });
+    let leader = view.target().map(|member| LeaderBelief {
+        member: member.clone(),
+        confirmed: view.confirmed,
+        evidence_age_ms: group.evidence().map(age_ms),
+    });
     GroupBelief {
         group: name.clone(),
         epoch: view.epoch,
-        confirmed: view.confirmed,
-        evidence_age_ms: group.evidence().map(age_ms),
+        leader,
         covering,
         term,
     }
@@ -84,11 +89,20 @@
     }
     let group = engine.group(&belief.group);
     let before = |age_ms: u64| asked.checked_sub(Duration::from_millis(age_ms));
-    if belief.confirmed {
-        group.confirm_leader(belief.epoch);
-    }
-    if let Some(at) = belief.evidence_age_ms.and_then(before) {
-        group.record_evidence(belief.epoch, at);
+    if let Some(LeaderBelief {
+        member,
+        confirmed,
+        evidence_age_ms,
+    }) = belief.leader
+    {
+        let epoch = belief.epoch;
+        let leader = UsableLeader { member, epoch };
+        if confirmed {
+            group.confirm_leader(&leader);
+        }
+        if let Some(at) = evidence_age_ms.and_then(before) {
+            group.record_evidence(&leader, at);
+        }
     }
     if let Some(covering) = belief.covering
         && let Some(at) = before(covering.age_ms)
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -2,7 +2,7 @@
 
 use crate::group::Epoch;
 use crate::leadership::record::TermRecord;
-use crate::names::GroupName;
+use crate::names::{GroupName, MemberId};
 use crate::position::LogPosition;
 use async_trait::async_trait;
 use quick_error::quick_error;
@@ -16,18 +16,28 @@
 pub struct GroupBelief {
     /// The group.
     pub group: GroupName,
-    /// The epoch of its leader.
+    /// The epoch of its leadership.
     pub epoch: Epoch,
-    /// Whether the leader is known to have taken the lead.
-    pub confirmed: bool,
-    /// Age of the newest evidence for the leader's term, ms.
-    pub evidence_age_ms: Option<u64>,
+    /// Its leader. `None` while one is fenced off: what is believed of that one says
+    /// nothing of the next, although both belong to one epoch.
+    pub leader: Option<LeaderBelief>,
     /// The newest position known to cover a moment, and that moment's age.
     pub covering: Option<CoveringBelief>,
     /// The record of the leadership, if there was ever a promotion.
     pub term: Option<TermBelief>,
 }
 
+/// What a process believes of the leader of an epoch.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaderBelief {
+    /// The leader, or the member that is being promoted.
+    pub member: MemberId,
+    /// Whether it is known to have taken the lead.
+    pub confirmed: bool,
+    /// Age of the newest evidence for its term, ms.
+    pub evidence_age_ms: Option<u64>,
+}
+
 /// A position that covers a moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CoveringBelief {
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -10,7 +10,7 @@
 };
 use super::{Completion, Session};
 use crate::configuration::{Consistency, Route};
-use crate::group::{Epoch, Group};
+use crate::group::{Group, UsableLeader};
 use crate::leadership::{access, freshness};
 use crate::names::{MemberId, RequestId};
 use crate::pool::{AcquireError, MemberPool, RunError, SessionValues, Work};
@@ -264,7 +264,7 @@
         Ok(connection) => connection,
         Err(error) => return ReadOutcome::NotTaken(error),
     };
-    let epoch = leading_epoch(&job.group, &pool.member().id);
+    let leader = job.group.as_leader(&pool.member().id);
     let sent = Instant::now();
     let running = async {
         let put = connection.put_values(&job.values).await;
@@ -279,7 +279,7 @@
             return ReadOutcome::Lost("no answer in time".to_owned());
         }
     };
-    note_position(&job.group, epoch, sent, &answer);
+    note_position(&job.group, leader.as_ref(), sent, &answer);
     release(connection, answer.state);
     match answer.outcome {
         Ok(signature) => ReadOutcome::Completed(Completion {
@@ -293,17 +293,16 @@
     }
 }
 
-/// The epoch in which `member` leads, as far as is known now.
-pub(super) fn leading_epoch(group: &Group, member: &MemberId) -> Option<Epoch> {
-    let view = group.view();
-    let leads = view.confirmed && view.leader.as_ref() == Some(member);
-    leads.then_some(view.epoch)
-}
-
-/// Takes the leader's position from an answer to what was sent at `sent`.
-pub(super) fn note_position(group: &Group, epoch: Option<Epoch>, sent: Instant, answer: &Answer) {
-    if let (Some(epoch), Some(position)) = (epoch, answer.position) {
-        group.record_leader_position(epoch, sent, position);
+/// Takes the leader's position from an answer to what was sent at `sent`, when `leader`
+/// was known to lead.
+pub(super) fn note_position(
+    group: &Group,
+    leader: Option<&UsableLeader>,
+    sent: Instant,
+    answer: &Answer,
+) {
+    if let (Some(leader), Some(position)) = (leader, answer.position) {
+        group.record_leader_position(leader, sent, position);
     }
 }
 
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -1,7 +1,7 @@
 //! Transactions: opened at a member with their first statement, held there to the end.
 
 use super::limits::{RETRY_PAUSE, StatementLimits};
-use super::read::{ReadTarget, acquire_until, leading_epoch, note_position, note_refusal};
+use super::read::{ReadTarget, acquire_until, note_position, note_refusal};
 use super::trace::RequestTrace;
 use super::write::{
     Attempt, Awaited, Unanswered, acquire_failure, await_answer, await_in_time, judge_refusal,
@@ -281,7 +281,7 @@
             read_only: transaction.read_only,
             after: place.target.after,
         };
-        let epoch = leading_epoch(&transaction.group, &member);
+        let leader = transaction.group.as_leader(&member);
         let sent = Instant::now();
         let opening = async {
             let put = connection.put_values(&self.values).await;
@@ -293,7 +293,7 @@
             Ok(answer) => answer,
             Err(missing) => return Attempt::NotRun(missing.reason()),
         };
-        note_position(&transaction.group, epoch, sent, &answer);
+        note_position(&transaction.group, leader.as_ref(), sent, &answer);
         if let Err(refusal) = answer.outcome {
             trace.attempted(&member, refusal_text(&refusal));
             note_refusal(&pool, &refusal, place.target.after);
@@ -301,7 +301,7 @@
             return judge_refusal(refusal);
         }
         if let Some(leader) = &place.leader {
-            transaction.group.confirm_leader(leader.epoch);
+            transaction.group.confirm_leader(leader);
         }
         let open = OpenTransaction {
             connection,
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -186,7 +186,7 @@
         position: &Option<crate::position::LogPosition>,
     ) {
         let replicated = self.engine.sync_replicas(group.name()) > 0;
-        group.record_commit(leader.epoch, sent, *position, replicated);
+        group.record_commit(leader, sent, *position, replicated);
         self.floor.committed(group.name(), leader.epoch, *position);
     }
 }
--- a/crates/engine/tests/beliefs.rs
+++ b/crates/engine/tests/beliefs.rs
@@ -3,7 +3,9 @@
 use proptest::prelude::*;
 use rstest::rstest;
 use std::time::Duration;
-use stilequay_engine::group::{Group, PositionSample, PositionSamples, TERM_LEASE};
+use stilequay_engine::group::{
+    Epoch, Group, PositionSample, PositionSamples, TERM_LEASE, UsableLeader,
+};
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::position::LogPosition;
 use tokio::time::{Instant, advance};
@@ -12,6 +14,13 @@
     Group::new("ledger".into())
 }
 
+fn led_by(member: &str, epoch: Epoch) -> UsableLeader {
+    UsableLeader {
+        member: member.into(),
+        epoch,
+    }
+}
+
 fn record(epoch: u64, phase: TermPhase, target: Option<&str>) -> TermRecord {
     TermRecord {
         group: "ledger".into(),
@@ -60,7 +69,12 @@
     group.apply_first_leader(Some("a".into()), Some(Instant::now()));
     advance(Duration::from_secs(1)).await;
     let sent = Instant::now();
-    group.record_commit(0, sent, Some(LogPosition::new(1, 5)), replicated);
+    group.record_commit(
+        &led_by("a", 0),
+        sent,
+        Some(LogPosition::new(1, 5)),
+        replicated,
+    );
     assert_eq!(leader(&group, Duration::ZERO).as_deref(), expected);
     assert_eq!(group.covering_position(sent).is_some(), replicated);
 }
@@ -74,7 +88,12 @@
         None,
         Instant::now(),
     );
-    group.record_commit(0, Instant::now(), Some(LogPosition::new(1, 5)), true);
+    group.record_commit(
+        &led_by("a", 0),
+        Instant::now(),
+        Some(LogPosition::new(1, 5)),
+        true,
+    );
     assert_eq!(leader(&group, Duration::ZERO), None);
 }
 
@@ -106,7 +125,7 @@
     assert_eq!(writable(&group).as_deref(), Some("b"));
     // It may not have taken the lead yet: it is given writes, which it refuses, no reads.
     assert_eq!(leader(&group, Duration::from_secs(9)), None);
-    group.confirm_leader(1);
+    group.confirm_leader(&led_by("b", 1));
     assert_eq!(leader(&group, Duration::from_secs(9)).as_deref(), Some("b"));
 }
 
@@ -139,15 +158,33 @@
     group.apply_first_leader(Some("a".into()), Some(Instant::now()));
     advance(TERM_LEASE * 2).await;
     let sent = Instant::now();
-    group.record_leader_position(0, sent, LogPosition::new(1, 5));
+    group.record_leader_position(&led_by("a", 0), sent, LogPosition::new(1, 5));
+    assert_eq!(group.covering_position(sent), None);
+}
+
+/// The old leader leads on in the epoch of its fence, and may answer late.
+#[tokio::test(start_paused = true)]
+async fn a_position_told_by_the_old_leader_covers_nothing_once_another_is_chosen() {
+    let group = group();
+    group.apply_first_leader(Some("a".into()), Some(Instant::now()));
+    let fencing = record(1, TermPhase::Fencing, None);
+    group.apply_record(&fencing, None, Instant::now());
+    let old = group.as_leader(&"a".into()).expect("it leads on");
+    advance(TERM_LEASE).await;
+    let sent = Instant::now();
+    let active = record(1, TermPhase::Active, Some("b"));
+    group.apply_record(&active, Some(Instant::now()), Instant::now());
+    group.record_leader_position(&old, sent, LogPosition::new(1, 5));
     assert_eq!(group.covering_position(sent), None);
+    group.record_leader_position(&led_by("b", 1), sent, LogPosition::new(2, 6));
+    assert_eq!(group.covering_position(sent), Some(LogPosition::new(2, 6)));
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_lower_position_can_not_cover_a_later_moment() {
     let group = group();
     group.apply_first_leader(Some("a".into()), Some(Instant::now()));
-    group.record_leader_position(0, Instant::now(), LogPosition::new(1, 255));
+    group.record_leader_position(&led_by("a", 0), Instant::now(), LogPosition::new(1, 255));
     advance(Duration::from_millis(200)).await;
     let later = Instant::now();
     group.record_covering_position(later, LogPosition::new(1, 231));
--- a/crates/engine/tests/peers.rs
+++ b/crates/engine/tests/peers.rs
@@ -6,12 +6,13 @@
 use futures::{SinkExt, StreamExt};
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::peers::{TcpPeers, serve};
+use stilequay_engine::leadership::record::{TermPhase, TermRecord};
+use stilequay_engine::peers::{TcpPeers, ask, serve};
 use stilequay_engine::ports::PeerNetwork;
 use support::records::Fault;
 use support::{Client, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, seen, until};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 fn keep_writing(fleet: &Fleet, node: usize) {
@@ -87,8 +88,9 @@
     let beliefs = TcpPeers.ask(address, &groups).await.expect("an answer");
     assert_eq!(beliefs.len(), 1);
     assert_eq!((&*beliefs[0].group, beliefs[0].epoch), (GROUP, 0));
-    assert!(beliefs[0].confirmed);
-    assert!(beliefs[0].evidence_age_ms.is_some());
+    let leader = beliefs[0].leader.as_ref().expect("a leader");
+    assert!(leader.confirmed);
+    assert!(leader.evidence_age_ms.is_some());
     // What makes no sense gets no answer, and the next question does.
     let stream = TcpStream::connect(address).await.expect("connected");
     let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
@@ -99,3 +101,40 @@
     assert!(frames.next().await.is_none());
     assert!(TcpPeers.ask(address, &groups).await.is_ok());
 }
+
+fn change_of_leader(phase: TermPhase) -> TermRecord {
+    TermRecord {
+        group: Arc::from(GROUP),
+        epoch: 1,
+        phase,
+        target: (phase != TermPhase::Fencing).then(|| Arc::from("b")),
+        target_address: None,
+        previous: Some(Arc::from("a")),
+        previous_address: None,
+        holder: Arc::from("node-0"),
+    }
+}
+
+/// What a process knows of the old leader, which is being fenced off, says nothing of the
+/// target, although both belong to one epoch.
+#[tokio::test(start_paused = true)]
+async fn what_is_believed_of_the_old_leader_is_not_taken_for_the_target() {
+    let fleet = Fleet::start(2).await;
+    until_all_are_known(&fleet).await;
+    let groups = fleet
+        .nodes
+        .iter()
+        .map(|n| n.engine.group(&Arc::from(GROUP)));
+    let groups: Vec<_> = groups.collect();
+    let now = Instant::now();
+    let fencing = change_of_leader(TermPhase::Fencing);
+    groups.iter().for_each(|group| {
+        group.apply_record(&fencing, Some(now), now);
+    });
+    let promoting = change_of_leader(TermPhase::Promoting);
+    groups[1].apply_record(&promoting, None, now);
+    let before = (groups[1].view(), groups[1].evidence());
+    ask(&fleet.nodes[1].engine, &[Arc::from(GROUP)]).await;
+    assert_eq!((groups[1].view(), groups[1].evidence()), before);
+    assert!(!before.0.confirmed);
+}
