Reach the members of a group through a port, and share the set of connections

Cause: the home side named PostgreSQL types in seven files, so no second protocol could be spoken there, and its pool stood beside the engine's.

Change: ports/back_end.rs (connect, probe, send a unit, receive its answer in parts); PostgreSQL's plan, prepared names, probe and connection move to adapters/postgres/back_end/, SQL classification to adapters/postgres/ classify/. Copy refusals are queued while an answer is read, so that reading stays cancel-safe. The rule of who may use a connection and which resting one is used next is engine::pool::ConnectionSet; the home's pool keeps only what terms ask of it.

--- a/crates/daemon/src/adapters/mod.rs
+++ b/crates/daemon/src/adapters/mod.rs
@@ -3,3 +3,4 @@
 pub mod api;
 pub mod exchange;
 pub mod platform;
+pub mod postgres;
--- a/crates/daemon/src/app/home/plan.rs
+++ b/crates/daemon/src/adapters/postgres/back_end/plan.rs
@@ -87,6 +87,15 @@
 }
 
 impl UnitPlan {
+    /// Nothing to send and nothing to wait for.
+    pub fn empty() -> Self {
+        Self {
+            messages: Vec::new(),
+            steps: VecDeque::new(),
+            ends_with_sync: false,
+        }
+    }
+
     /// Plans `payload` for a connection that has `prepared`.
     ///
     /// `skipping` says that the back end ignores everything up to the next Sync,
@@ -102,11 +111,7 @@
             use_mark: prepared.use_mark(),
             prepared,
             arriving: HashSet::new(),
-            plan: Self {
-                messages: Vec::new(),
-                steps: VecDeque::new(),
-                ends_with_sync: false,
-            },
+            plan: Self::empty(),
         };
         for message in decode_messages(payload)? {
             planner.add(message);
--- a/crates/daemon/src/app/home/probe.rs
+++ b/crates/daemon/src/adapters/postgres/back_end/probe.rs
@@ -1,7 +1,7 @@
 //! The question that a home asks each member: its term, role and positions.
 
-use super::backend::BackEndError;
-use super::state::{MemberReport, Role};
+use crate::domain::member::{MemberReport, Role};
+use crate::ports::back_end::BackEndError;
 use pgwire::api::client::query::DefaultSimpleQueryHandler;
 use pgwire::api::client::result::DataRowDecoder;
 use pgwire::tokio::client::PgWireClient;
@@ -19,7 +19,8 @@
 pub async fn probe(client: &mut PgWireClient) -> Result<MemberReport, BackEndError> {
     let started = Instant::now();
     let handler = DefaultSimpleQueryHandler::new();
-    let responses = client.simple_query(handler, PROBE_QUERY).await?;
+    let responses = client.simple_query(handler, PROBE_QUERY).await;
+    let responses = responses.map_err(|error| super::lost(&error))?;
     let response = responses
         .into_iter()
         .next()
@@ -61,7 +62,8 @@
 }
 
 fn text(row: &mut DataRowDecoder<'_>) -> Result<Option<String>, BackEndError> {
-    Ok(row.next_value::<String>()?)
+    row.next_value::<String>()
+        .map_err(|error| super::lost(&error))
 }
 
 fn missing(column: &str) -> BackEndError {
--- a/crates/daemon/src/app/front/builder.rs
+++ b/crates/daemon/src/app/front/builder.rs
@@ -3,7 +3,7 @@
 use super::reply::{self, ErrorReply};
 use super::statements::{KnownStatement, StatementStore, Undo};
 use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION, Step, StepAnswer, Unit, UnitEnd};
-use crate::domain::classify::{ClassificationCache, StatementAccess};
+use crate::adapters::postgres::classify::{ClassificationCache, StatementAccess};
 use bytes::BytesMut;
 use pgwire::error::PgWireError;
 use pgwire::messages::data::{NoData, ParameterDescription};
--- a/crates/daemon/src/app/front/mod.rs
+++ b/crates/daemon/src/app/front/mod.rs
@@ -28,7 +28,7 @@
 
 pub use settings::{FrontSettingFault, FrontSettings};
 
-use crate::domain::classify::ClassificationCache;
+use crate::adapters::postgres::classify::ClassificationCache;
 use crate::ports::configuration::ConfigurationReceiver;
 use crate::ports::exchange::HomeConnector;
 use crate::ports::homes::HomeSelector;
--- a/crates/daemon/src/app/front/requests.rs
+++ b/crates/daemon/src/app/front/requests.rs
@@ -9,7 +9,7 @@
 use super::session::FLOOR_PARAMETER;
 use super::telemetry::RequestTimer;
 use super::unit::{Unit, UnitEnd, undo_all};
-use crate::domain::classify::StatementAccess;
+use crate::adapters::postgres::classify::StatementAccess;
 use crate::domain::exchange::{Access, TransactionState};
 use crate::domain::names::RequestId;
 use crate::domain::resource::SessionPolicySpec;
--- a/crates/daemon/src/app/front/retry.rs
+++ b/crates/daemon/src/app/front/retry.rs
@@ -2,7 +2,7 @@
 
 use super::settings::FrontSettings;
 use super::unit::Unit;
-use crate::domain::classify::{Repeat, StatementAccess};
+use crate::adapters::postgres::classify::{Repeat, StatementAccess};
 use crate::domain::resource::SessionPolicySpec;
 use crate::domain::verdict::{FailureKind, RequestFailure, Verdict};
 use std::sync::Arc;
--- a/crates/daemon/src/app/front/session.rs
+++ b/crates/daemon/src/app/front/session.rs
@@ -1,7 +1,7 @@
 //! What a caller's session has said and seen: its name, its floor, its marks.
 
 use super::reply::{ErrorReply, Severity};
-use crate::domain::classify::{ProxySetting, Repeat};
+use crate::adapters::postgres::classify::{ProxySetting, Repeat};
 use crate::domain::exchange::Freshness;
 use crate::domain::names::SessionName;
 use crate::domain::resource::{Consistency, SessionPolicySpec};
--- a/crates/daemon/src/app/front/startup.rs
+++ b/crates/daemon/src/app/front/startup.rs
@@ -3,7 +3,7 @@
 use super::reply::{ErrorReply, encode};
 use super::session::{FLOOR_PARAMETER, REPEAT_PARAMETER, SESSION_PARAMETER, Session};
 use super::socket::{CallerSocket, SocketError};
-use crate::domain::classify::ProxySetting;
+use crate::adapters::postgres::classify::ProxySetting;
 use crate::domain::names::{GroupName, ServiceName};
 use bytes::BytesMut;
 use pgwire::messages::cancel::CancelRequest;
--- a/crates/daemon/src/app/front/statements.rs
+++ b/crates/daemon/src/app/front/statements.rs
@@ -1,7 +1,7 @@
 //! A caller's prepared statements and portals, kept at the front so that
 //! back-end connections can be shared.
 
-use crate::domain::classify::Classification;
+use crate::adapters::postgres::classify::Classification;
 use crate::domain::exchange::PreparedStatement;
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/crates/daemon/src/app/front/telemetry.rs
+++ b/crates/daemon/src/app/front/telemetry.rs
@@ -1,7 +1,7 @@
 //! Metrics of the caller side.
 
 use super::unit::Unit;
-use crate::domain::classify::StatementAccess;
+use crate::adapters::postgres::classify::StatementAccess;
 use std::time::Instant;
 
 /// Measures one request, from its last message to its answer.
--- a/crates/daemon/src/app/front/unit.rs
+++ b/crates/daemon/src/app/front/unit.rs
@@ -1,7 +1,7 @@
 //! Units: what a caller sends up to Query, Sync or Flush.
 
 use super::statements::{StatementStore, Undo};
-use crate::domain::classify::{Classification, ProxySetting, Repeat, StatementAccess};
+use crate::adapters::postgres::classify::{Classification, ProxySetting, Repeat, StatementAccess};
 use crate::domain::exchange::PreparedStatement;
 use crate::domain::verdict::{FailureKind, RequestFailure};
 use bytes::{Bytes, BytesMut};
--- a/crates/daemon/src/app/home/answer.rs
+++ b/crates/daemon/src/app/home/answer.rs
@@ -1,8 +1,7 @@
 //! Collects a unit's answer into chunks, and holds back what tells of a commit.
 
+use crate::ports::back_end::CommandEnd;
 use bytes::BytesMut;
-use pgwire::error::PgWireResult;
-use pgwire::messages::PgWireBackendMessage;
 
 /// Size from which a chunk is forwarded.
 const CHUNK_BYTES: usize = 32 << 10;
@@ -41,10 +40,10 @@
         }
     }
 
-    /// Adds a message.
-    pub fn push(&mut self, message: &PgWireBackendMessage) -> PgWireResult<()> {
-        if let PgWireBackendMessage::CommandComplete(complete) = message {
-            self.commands.note(&complete.tag);
+    /// Adds a part, with which a command may have completed.
+    pub fn push(&mut self, payload: &[u8], command: Option<CommandEnd>) {
+        if let Some(command) = command {
+            self.commands.note(command);
         }
         let holds = self.holds_back && self.commands.completed;
         let buffer = if holds {
@@ -52,15 +51,7 @@
         } else {
             &mut self.forwardable
         };
-        message.encode(buffer)
-    }
-
-    /// Whether a message says that prepared statements are gone.
-    pub fn deallocates(&self, message: &PgWireBackendMessage) -> bool {
-        let PgWireBackendMessage::CommandComplete(complete) = message else {
-            return false;
-        };
-        complete.tag.starts_with("DEALLOCATE") || complete.tag.starts_with("DISCARD")
+        buffer.extend_from_slice(payload);
     }
 
     /// Whether there is enough to forward.
@@ -111,9 +102,9 @@
 }
 
 impl Commands {
-    fn note(&mut self, tag: &str) {
+    fn note(&mut self, command: CommandEnd) {
         self.completed = true;
-        self.committed |= matches!(tag, "COMMIT" | "COMMIT PREPARED" | "PREPARE TRANSACTION");
-        self.only_rolled_back &= tag == "ROLLBACK";
+        self.committed |= command == CommandEnd::Committed;
+        self.only_rolled_back &= command == CommandEnd::RolledBack;
     }
 }
--- a/crates/daemon/src/app/home/group.rs
+++ b/crates/daemon/src/app/home/group.rs
@@ -1,12 +1,12 @@
 //! One database group at a home: its members' pools, probes and known state.
 
-use super::backend::BackEndTarget;
 use super::pool::MemberPool;
 use super::prober::run_prober;
 use super::settings::HomeSettings;
 use super::state::{GroupState, Primary};
 use crate::domain::names::{GroupName, MemberName};
 use crate::domain::resource::{DatabaseGroupSpec, Durability, GroupMemberSpec};
+use crate::ports::back_end::{BackEnd, BackEndTarget};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +17,7 @@
 /// A group that this home serves.
 pub struct Group {
     name: GroupName,
+    back_end: Arc<dyn BackEnd>,
     settings: Arc<HomeSettings>,
     spec: Mutex<Option<Arc<DatabaseGroupSpec>>>,
     state: watch::Sender<GroupState>,
@@ -34,9 +35,14 @@
 
 impl Group {
     /// A group whose members are not probed yet.
-    pub fn new(name: GroupName, settings: Arc<HomeSettings>) -> Arc<Self> {
+    pub fn new(
+        name: GroupName,
+        back_end: Arc<dyn BackEnd>,
+        settings: Arc<HomeSettings>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             name,
+            back_end,
             settings,
             spec: Mutex::new(None),
             state: watch::Sender::new(GroupState::default()),
@@ -163,7 +169,8 @@
     }
 
     fn start_member(self: &Arc<Self>, target: BackEndTarget) -> RunningMember {
-        let pool = Arc::new(MemberPool::new(target, self.settings.clone()));
+        let back_end = Arc::clone(&self.back_end);
+        let pool = Arc::new(MemberPool::new(target, back_end, self.settings.clone()));
         let stop = CancellationToken::new();
         tokio::spawn(run_prober(self.clone(), pool.clone(), stop.clone()));
         RunningMember { pool, stop }
--- a/crates/daemon/src/app/home/mod.rs
+++ b/crates/daemon/src/app/home/mod.rs
@@ -4,15 +4,11 @@
 pub mod acquire;
 pub mod admission;
 pub mod answer;
-pub mod backend;
 pub mod confirmation;
 pub mod exchange;
 pub mod group;
 pub mod link;
-pub mod plan;
 pub mod pool;
-pub mod prepared;
-pub mod probe;
 pub mod prober;
 pub mod routing;
 pub mod runner;
@@ -25,6 +21,7 @@
 
 use crate::domain::names::GroupName;
 use crate::domain::verdict::{FailureKind, RequestFailure};
+use crate::ports::back_end::BackEnd;
 use crate::ports::configuration::ConfigurationReceiver;
 use admission::Admission;
 use exchange::serve_exchanges;
@@ -44,6 +41,8 @@
     pub zone: ZoneName,
     /// The configuration in force.
     pub configuration: ConfigurationReceiver,
+    /// How members are reached.
+    pub back_end: Arc<dyn BackEnd>,
     /// Settings.
     pub settings: HomeSettings,
 }
@@ -58,6 +57,7 @@
     node: NodeId,
     zone: ZoneName,
     configuration: ConfigurationReceiver,
+    back_end: Arc<dyn BackEnd>,
     settings: Arc<HomeSettings>,
     admission: Admission,
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
@@ -73,6 +73,7 @@
                 zone: context.zone,
                 admission: Admission::new(context.configuration.clone(), settings.clone()),
                 configuration: context.configuration,
+                back_end: context.back_end,
                 settings,
                 groups: Mutex::new(HashMap::new()),
             }),
@@ -123,7 +124,8 @@
     }
 
     fn start_group(&self, name: &GroupName) -> Arc<Group> {
-        let group = Group::new(name.clone(), self.inner.settings.clone());
+        let back_end = Arc::clone(&self.inner.back_end);
+        let group = Group::new(name.clone(), back_end, self.inner.settings.clone());
         let home = self.clone();
         tokio::spawn(run_supervisor(
             group.clone(),
--- a/crates/daemon/src/app/home/pool.rs
+++ b/crates/daemon/src/app/home/pool.rs
@@ -1,21 +1,19 @@
 //! Back-end connections to one member, shared by the callers of a home.
 
 use super::admission::{limiter_settings, overloaded};
-use super::backend::{BackEndConnection, BackEndError, BackEndTarget};
-use super::prepared::PreparedStatements;
-use super::probe::probe;
 use super::settings::HomeSettings;
 use crate::app::homes::HOMES_PER_GROUP;
 use crate::domain::names::ServiceName;
 use crate::domain::verdict::{FailureKind, RequestFailure};
+use crate::ports::back_end::{BackEnd, BackEndConnection, BackEndError, BackEndTarget};
 use futures::future::join_all;
 use std::ops::{Deref, DerefMut};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use stilequay_coordination::limit::{Limiter, Permit};
+use stilequay_coordination::limit::Permit;
 use stilequay_coordination::position::Term;
-use tokio::sync::Notify;
+use stilequay_engine::pool::{ConnectionSet, Fit, PoolConnection};
 use tokio::time::{Instant, sleep_until, timeout};
 
 /// How soon a server that had no connection left is asked again.
@@ -25,37 +23,59 @@
 /// Idle time after which connections beyond this home's share are closed.
 const EXCESS_IDLE: Duration = Duration::from_millis(500);
 
+/// A connection that runs units, bound to the term at which it was opened.
+#[derive(Debug)]
+pub struct TermConnection {
+    /// A term that the member had reported before the connection was opened. The
+    /// member's true term may only be higher, which confirmation notices.
+    pub term: Term,
+    /// Whether a unit said that it makes session state.
+    pub makes_session_state: bool,
+    /// The protocol's connection.
+    pub back_end: Box<dyn BackEndConnection>,
+}
+
+impl TermConnection {
+    /// Whether session state makes the connection unfit for other callers.
+    pub fn has_session_state(&self) -> bool {
+        self.makes_session_state || self.back_end.has_session_state()
+    }
+}
+
+impl PoolConnection for TermConnection {
+    fn is_open(&mut self) -> bool {
+        self.back_end.is_quiet()
+    }
+}
+
 /// The connections of a home to one member.
 pub struct MemberPool {
     target: BackEndTarget,
+    back_end: Arc<dyn BackEnd>,
     settings: Arc<HomeSettings>,
     /// One slot for each connection in use, shared fairly between services.
-    slots: Limiter<ServiceName>,
+    connections: ConnectionSet<TermConnection, ServiceName>,
     capacity: usize,
-    idle: Mutex<Vec<IdleConnection>>,
-    returned: Notify,
     /// Connections that are being bound to a new term, which is sooner done than
     /// opening others.
     rebinding: AtomicUsize,
 }
 
-struct IdleConnection {
-    connection: BackEndConnection,
-    since: Instant,
-}
-
 impl MemberPool {
     /// A pool without connections.
-    pub fn new(target: BackEndTarget, settings: Arc<HomeSettings>) -> Self {
+    pub fn new(
+        target: BackEndTarget,
+        back_end: Arc<dyn BackEnd>,
+        settings: Arc<HomeSettings>,
+    ) -> Self {
         let limit = target.group.connections_per_member as usize;
         let capacity = limit.saturating_sub(HOMES_PER_GROUP).max(1);
         Self {
             target,
-            slots: Limiter::new(limiter_settings(&settings, capacity)),
+            back_end,
+            connections: ConnectionSet::new(limiter_settings(&settings, capacity)),
             capacity,
             settings,
-            idle: Mutex::new(Vec::new()),
-            returned: Notify::new(),
             rebinding: AtomicUsize::new(0),
         }
     }
@@ -67,7 +87,7 @@
 
     /// Connections in use.
     pub fn in_use(&self) -> usize {
-        self.slots.load().in_use
+        self.connections.load().in_use
     }
 
     /// Whether a further unit would have to wait.
@@ -75,6 +95,12 @@
         self.in_use() >= self.capacity
     }
 
+    /// Opens a connection that is not counted, for probes.
+    pub async fn open_separately(&self) -> Result<Box<dyn BackEndConnection>, BackEndError> {
+        let limit = self.settings.connect_timeout();
+        self.back_end.connect(&self.target, limit).await
+    }
+
     /// A connection bound to `term`: an idle one, or a new one.
     ///
     /// Waits until `deadline` while all connections are in use or the server
@@ -85,7 +111,7 @@
         term: Term,
         deadline: Instant,
     ) -> Result<PooledConnection, RequestFailure> {
-        let slot = self.slots.acquire(service.clone(), deadline).await;
+        let slot = self.connections.admit_any(service.clone(), deadline).await;
         let permit = slot.map_err(|rejected| {
             let what = format!("the connections to {} are in use", self.target.member);
             overloaded(&what, rejected)
@@ -106,9 +132,17 @@
         }
     }
 
+    fn take_idle(&self, term: Term) -> Option<TermConnection> {
+        self.connections
+            .take_idle(|connection| match connection.term == term {
+                true => Fit::Exact,
+                false => Fit::None,
+            })
+    }
+
     fn pooled(
         self: &Arc<Self>,
-        connection: BackEndConnection,
+        connection: TermConnection,
         permit: Permit<ServiceName>,
     ) -> PooledConnection {
         PooledConnection {
@@ -118,21 +152,15 @@
         }
     }
 
-    async fn connect(
-        &self,
-        term: Term,
-        deadline: Instant,
-    ) -> Result<BackEndConnection, BackEndError> {
+    async fn connect(&self, term: Term, deadline: Instant) -> Result<TermConnection, BackEndError> {
         let left = deadline.saturating_duration_since(Instant::now());
         let limit = left.min(self.settings.connect_timeout());
-        let client = self.target.connect(limit).await?;
+        let back_end = self.back_end.connect(&self.target, limit).await?;
         metrics::counter!("stilequay_home_connections_opened_total").increment(1);
-        Ok(BackEndConnection {
-            member: self.target.member.clone(),
+        Ok(TermConnection {
             term,
-            prepared: PreparedStatements::new(self.settings.prepared_statements_per_connection),
-            has_session_state: false,
-            client,
+            makes_session_state: false,
+            back_end,
         })
     }
 
@@ -142,7 +170,7 @@
             return Err(self.refused());
         }
         tokio::select! {
-            () = self.returned.notified() => {}
+            () = self.connections.returned() => {}
             () = sleep_until(retry) => {}
         }
         Ok(())
@@ -177,22 +205,23 @@
     ///
     /// What runs on the connection afterwards runs at that term or a later one, as on
     /// a connection opened now, and a new connection would cost several round trips.
-    async fn rebind(&self, mut connection: BackEndConnection, term: Term, _counted: Rebinding<'_>) {
-        let asked = timeout(self.settings.late_probe(), probe(&mut connection.client)).await;
+    async fn rebind(&self, mut connection: TermConnection, term: Term, _counted: Rebinding<'_>) {
+        let asked = timeout(self.settings.late_probe(), connection.back_end.probe()).await;
         if let Ok(Ok(report)) = asked
             && report.term == term
         {
             connection.term = term;
-            self.put_idle(connection);
+            self.connections.put_idle(connection);
         }
     }
 
     /// Opens connections so that work after a change of primary finds some.
     async fn warm(&self, term: Term) {
-        while self.idle_count(term) < self.settings.warm_connections {
+        let is_of_term = |connection: &TermConnection| connection.term == term;
+        while self.connections.count_idle(is_of_term) < self.settings.warm_connections {
             let deadline = Instant::now() + self.settings.connect_timeout();
             match self.connect(term, deadline).await {
-                Ok(connection) => self.put_idle(connection),
+                Ok(connection) => self.connections.put_idle(connection),
                 Err(error) => {
                     log::debug!(member:% = self.target.member; "no warm connection: {error}");
                     return;
@@ -201,75 +230,31 @@
         }
     }
 
-    fn idle_count(&self, term: Term) -> usize {
-        let idle = self.lock_idle();
-        idle.iter()
-            .filter(|idle| idle.connection.term == term)
-            .count()
-    }
-
     /// Closes idle connections of terms before `term`.
     pub fn close_before(&self, term: Term) {
         drop(self.take_idle_before(term));
     }
 
+    fn take_idle_before(&self, term: Term) -> Vec<TermConnection> {
+        self.connections.take_all(|idle| idle.term < term)
+    }
+
     /// Closes connections that have been idle for long, and sooner those beyond
     /// this home's share, which other homes may need.
     pub fn close_expired(&self) {
         let limit = self.target.group.connections_per_member as usize;
-        let share = (limit / HOMES_PER_GROUP).max(self.settings.warm_connections);
-        let now = Instant::now();
-        let mut idle = self.lock_idle();
-        let count = idle.len();
-        let mut position = 0;
-        // The oldest come first, because connections are taken from the end.
-        idle.retain(|connection| {
-            let remaining = count - position;
-            position += 1;
-            let age = now.saturating_duration_since(connection.since);
-            let excess = remaining > share && age > EXCESS_IDLE;
-            let expired =
-                remaining > self.settings.warm_connections && age > self.settings.idle_connection();
-            !(excess || expired)
+        let warm = self.settings.warm_connections;
+        let share = (limit / HOMES_PER_GROUP).max(warm);
+        self.connections.close_idle(|idle| {
+            let excess = idle.remaining > share && idle.age > EXCESS_IDLE;
+            let expired = idle.remaining > warm && idle.age > self.settings.idle_connection();
+            excess || expired
         });
     }
 
     /// Closes one idle connection, for a probe that the server refused.
     pub fn close_one(&self) {
-        let mut idle = self.lock_idle();
-        if !idle.is_empty() {
-            idle.remove(0);
-        }
-    }
-
-    /// The connection that was used last, because the others are nearer their expiry.
-    fn take_idle(&self, term: Term) -> Option<BackEndConnection> {
-        let mut idle = self.lock_idle();
-        loop {
-            let position = idle.iter().rposition(|idle| idle.connection.term == term)?;
-            let IdleConnection { mut connection, .. } = idle.remove(position);
-            if connection.is_quiet() {
-                return Some(connection);
-            }
-        }
-    }
-
-    fn take_idle_before(&self, term: Term) -> Vec<BackEndConnection> {
-        let mut idle = self.lock_idle();
-        let earlier = idle.extract_if(.., |idle| idle.connection.term < term);
-        earlier.map(|idle| idle.connection).collect()
-    }
-
-    fn put_idle(&self, connection: BackEndConnection) {
-        self.lock_idle().push(IdleConnection {
-            connection,
-            since: Instant::now(),
-        });
-        self.returned.notify_one();
-    }
-
-    fn lock_idle(&self) -> MutexGuard<'_, Vec<IdleConnection>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+        self.connections.close_oldest();
     }
 }
 
@@ -294,7 +279,7 @@
 /// A connection in use. Dropping it closes it; only
 /// [`PooledConnection::give_back`] lets others use it.
 pub struct PooledConnection {
-    connection: BackEndConnection,
+    connection: TermConnection,
     pool: Arc<MemberPool>,
     _permit: Permit<ServiceName>,
 }
@@ -303,20 +288,20 @@
     /// Returns a connection that is idle, in no transaction, without session state
     /// and whose last answer was read to its end.
     pub fn give_back(self) {
-        self.pool.put_idle(self.connection);
+        self.pool.connections.put_idle(self.connection);
     }
 }
 
 impl Deref for PooledConnection {
-    type Target = BackEndConnection;
+    type Target = TermConnection;
 
-    fn deref(&self) -> &BackEndConnection {
+    fn deref(&self) -> &TermConnection {
         &self.connection
     }
 }
 
 impl DerefMut for PooledConnection {
-    fn deref_mut(&mut self) -> &mut BackEndConnection {
+    fn deref_mut(&mut self) -> &mut TermConnection {
         &mut self.connection
     }
 }
--- a/crates/daemon/src/app/home/prober.rs
+++ b/crates/daemon/src/app/home/prober.rs
@@ -1,11 +1,9 @@
 //! Probes one member over a connection of its own.
 
-use super::backend::BackEndError;
 use super::group::Group;
 use super::pool::MemberPool;
-use super::probe::probe;
 use super::state::MemberReport;
-use pgwire::tokio::client::PgWireClient;
+use crate::ports::back_end::{BackEndConnection, BackEndError};
 use rand::RngExt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,7 +20,7 @@
         demand: group.probe_demand(),
         group,
         pool,
-        client: None,
+        connection: None,
     };
     tokio::select! {
         () = stopped.cancelled() => {}
@@ -33,7 +31,7 @@
 struct Prober {
     group: Arc<Group>,
     pool: Arc<MemberPool>,
-    client: Option<PgWireClient>,
+    connection: Option<Box<dyn BackEndConnection>>,
     demand: watch::Receiver<usize>,
 }
 
@@ -71,18 +69,14 @@
 
     async fn ask(&mut self) -> Result<MemberReport, BackEndError> {
         let settings = self.group.settings().clone();
-        let client = match &mut self.client {
-            Some(client) => client,
+        let connection = match &mut self.connection {
+            Some(connection) => connection,
             None => {
-                let client = self
-                    .pool
-                    .target()
-                    .connect(settings.connect_timeout())
-                    .await?;
-                self.client.insert(client)
+                let connection = self.pool.open_separately().await?;
+                self.connection.insert(connection)
             }
         };
-        timeout(settings.probe_timeout(), probe(client))
+        timeout(settings.probe_timeout(), connection.probe())
             .await
             .unwrap_or(Err(BackEndError::Timeout))
     }
@@ -94,7 +88,7 @@
     }
 
     fn record_failure(&mut self, error: &BackEndError) {
-        self.client = None;
+        self.connection = None;
         if matches!(error, BackEndError::TooManyConnections) {
             self.pool.close_one();
         }
--- a/crates/daemon/src/app/home/runner.rs
+++ b/crates/daemon/src/app/home/runner.rs
@@ -122,7 +122,7 @@
     /// Runs the unit on the connection that the exchange holds. It needs no admission:
     /// those who wait for admission may be waiting for this very connection.
     async fn run_held(&mut self, mut held: HeldConnection) -> Result<FinishedUnit, RunError> {
-        if !held.connection.is_quiet() {
+        if !held.connection.back_end.is_quiet() {
             let reason = "the connection that held the transaction was lost";
             let failure = RequestFailure::not_run(FailureKind::BackEndUnreachable, reason);
             return Err(RunError::Failed(failure));
@@ -196,7 +196,7 @@
         mut held: HeldConnection,
         mut answer: UnitAnswer,
     ) -> Result<FinishedUnit, RunError> {
-        held.connection.has_session_state |= self.unit.makes_session_state;
+        held.connection.makes_session_state |= self.unit.makes_session_state;
         held.unsynced = answer.unsynced;
         let choice = held.choice.clone();
         let must_confirm = choice.as_primary && held.may_have_written && answer.may_have_committed;
@@ -305,7 +305,7 @@
     held: HeldConnection,
     transaction: TransactionState,
 ) -> Option<HeldConnection> {
-    let is_clean = transaction == TransactionState::Idle && !held.connection.has_session_state;
+    let is_clean = transaction == TransactionState::Idle && !held.connection.has_session_state();
     if !is_clean {
         return Some(held);
     }
@@ -315,7 +315,7 @@
 
 /// Asks the back end to stop what it is doing, and closes the connection.
 fn cancel_and_close(connection: PooledConnection) {
-    tokio::spawn(async move { connection.cancel().await });
+    tokio::spawn(async move { connection.back_end.cancel().await });
 }
 
 /// What to tell the front of a unit that has no whole answer.
--- a/crates/daemon/src/app/home/state.rs
+++ b/crates/daemon/src/app/home/state.rs
@@ -1,5 +1,6 @@
 //! What a home knows of a database group: the latest report of each member.
 
+pub use crate::domain::member::{MemberReport, Role};
 use crate::domain::names::MemberName;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -13,30 +14,6 @@
 /// Least time between remembered primary positions.
 const SAMPLE_DISTANCE: Duration = Duration::from_millis(50);
 
-/// Whether a member leads or follows.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Role {
-    /// Accepts writes, or believes that it does.
-    Primary,
-    /// Replays the log of a primary.
-    Replica,
-}
-
-/// A member's answer to one probe.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct MemberReport {
-    /// When the probe was sent: the report tells of some moment after it.
-    pub started: Instant,
-    /// The highest term that the member has voted for or learnt.
-    pub term: Term,
-    /// Whether the member leads.
-    pub role: Role,
-    /// End of the log that the member has stored.
-    pub received: LogPosition,
-    /// End of the log that queries at the member see.
-    pub replayed: LogPosition,
-}
-
 /// A member of a group as a home knows it.
 #[derive(Debug, Clone)]
 pub struct MemberState {
--- a/crates/daemon/src/domain/mod.rs
+++ b/crates/daemon/src/domain/mod.rs
@@ -1,11 +1,11 @@
 //! Types without input or output: what the daemon reasons about.
 
-pub mod classify;
 pub mod configuration;
 pub mod document;
 pub mod exchange;
 pub mod fields;
 pub mod in_force;
+pub mod member;
 pub mod membership;
 pub mod names;
 pub mod resource;
--- a/crates/daemon/src/ports/mod.rs
+++ b/crates/daemon/src/ports/mod.rs
@@ -1,5 +1,6 @@
 //! Traits through which the application reaches the world.
 
+pub mod back_end;
 pub mod configuration;
 pub mod exchange;
 pub mod fleet;
--- a/crates/daemon/src/run/data_path.rs
+++ b/crates/daemon/src/run/data_path.rs
@@ -2,6 +2,7 @@
 
 use super::stage::Stage;
 use crate::adapters::exchange::{self, ExchangeConnector};
+use crate::adapters::postgres::back_end::PostgresBackEnd;
 use crate::app::control::state::ConfigurationState;
 use crate::app::front::{self, FrontContext};
 use crate::app::home::{HomeContext, HomeService};
@@ -33,6 +34,9 @@
         node: settings.node.id.clone(),
         zone: settings.node.zone.clone(),
         configuration: state.receiver(),
+        back_end: Arc::new(PostgresBackEnd {
+            prepared_statements: settings.home.prepared_statements_per_connection,
+        }),
         settings: settings.home.clone(),
     });
     let connector = ExchangeConnector::new(settings.node.id.clone(), fleet.clone(), home.clone());
--- a/crates/daemon/tests/classify.rs
+++ b/crates/daemon/tests/classify.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use rstest::rstest;
-use stilequay_daemon::domain::classify::{
+use stilequay_daemon::adapters::postgres::classify::{
     ClassificationCache, MAX_PARSED_BYTES, Repeat, StatementAccess, classify,
 };
 
--- a/crates/daemon/tests/home_plan.rs
+++ b/crates/daemon/tests/home_plan.rs
@@ -13,8 +13,8 @@
 use pgwire::messages::{PgWireBackendMessage, PgWireFrontendMessage};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
-use stilequay_daemon::app::home::plan::UnitPlan;
-use stilequay_daemon::app::home::prepared::PreparedStatements;
+use stilequay_daemon::adapters::postgres::back_end::PreparedStatements;
+use stilequay_daemon::adapters::postgres::back_end::UnitPlan;
 use stilequay_daemon::domain::exchange::PreparedStatement;
 
 /// One message of a caller, about one of a few statements.
--- a/crates/daemon/tests/home_state.rs
+++ b/crates/daemon/tests/home_state.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 use std::time::Duration;
 use stilequay_coordination::position::{Floor, LogPosition, Term};
-use stilequay_daemon::app::home::probe::parse_position;
+use stilequay_daemon::adapters::postgres::back_end::parse_position;
 use stilequay_daemon::app::home::state::{GroupState, MemberReport, Primary, Role, TermCheck};
 use stilequay_daemon::domain::names::MemberName;
 use tokio::time::Instant;
--- a/crates/daemon/tests/home_support/mod.rs
+++ b/crates/daemon/tests/home_support/mod.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 use stilequay_coordination::identity::{Incarnation, NodeId};
 use stilequay_daemon::adapters::exchange::{ExchangeConnector, listen};
+use stilequay_daemon::adapters::postgres::back_end::PostgresBackEnd;
 use stilequay_daemon::app::home::{HomeContext, HomeService, HomeSettings};
 use stilequay_daemon::domain::configuration::Configuration;
 use stilequay_daemon::domain::exchange::{
@@ -268,6 +269,9 @@
         node: node.into(),
         zone: "zone-two".into(),
         configuration: configuration.subscribe(),
+        back_end: Arc::new(PostgresBackEnd {
+            prepared_statements: setup.home.prepared_statements_per_connection,
+        }),
         settings: setup.home.clone(),
     })
 }
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -7,7 +7,9 @@
 mod connection;
 mod health;
 mod member;
+mod set;
 
 pub use connection::{PooledConnection, RunError, SessionValues, Work};
 pub use health::MemberHealth;
 pub use member::{AcquireError, MemberPool, OrderError};
+pub use set::{ConnectionSet, Fit, IdleConnection, PoolConnection};
