Date a departure by the last reading of the entries without it

A process started 3.2 s after a server had said that it leaves, read the entry for the first time, and used the server for its share of the drain time from that moment: 7.06 s after the acknowledgement, 7 s allowed. The same holds after an outage of the store, during which an entry can't be read.

Ruled out: a feed that was told late (the entry was read 15 ms after the start).

Change: a departure has two moments, when it was learned of and since when others may have known of it: the beginning of the last successful reading that said nothing of it. Routing goes by the second. Where there was no reading before, the server is past its use. Who has gone for good is still judged by the first. In events a member's state is its name.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -17,24 +17,58 @@
     Replica,
 }
 
+/// When a member's departure was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Departure {
+    /// When this process learned of it.
+    pub learned: Instant,
+    /// Since when it may have been known to others: when the entries were last known to
+    /// say nothing of it. `None` where they were never read before.
+    pub earliest: Option<Instant>,
+}
+
+impl Departure {
+    /// A departure that nobody can have known of before `now`.
+    pub fn at(now: Instant) -> Self {
+        Self {
+            learned: now,
+            earliest: Some(now),
+        }
+    }
+
+    /// Whether others may have known of it for more than `limit` by now.
+    pub fn may_be_older_than(&self, limit: Duration, now: Instant) -> bool {
+        self.earliest
+            .is_none_or(|earliest| now.duration_since(earliest) > limit)
+    }
+}
+
 /// Whether a member is to get work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MemberState {
     /// It takes work.
     Ready,
     /// It has said that it is going to leave.
-    Leaving {
-        /// When this was learned.
-        #[serde(skip)]
-        since: Instant,
-    },
+    Leaving(Departure),
     /// Its entry is no longer there; it may still serve.
-    Gone {
-        /// When this was learned.
-        #[serde(skip)]
-        since: Instant,
-    },
+    Gone(Departure),
+}
+
+impl MemberState {
+    /// Its name in events.
+    pub fn name(self) -> &'static str {
+        match self {
+            MemberState::Ready => "ready",
+            MemberState::Leaving(_) => "leaving",
+            MemberState::Gone(_) => "gone",
+        }
+    }
+}
+
+impl serde::Serialize for MemberState {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(self.name())
+    }
 }
 
 /// One server of a group.
@@ -59,7 +93,7 @@
 impl Member {
     /// Whether its entry has gone.
     pub fn is_gone(&self) -> bool {
-        matches!(self.state, MemberState::Gone { .. })
+        matches!(self.state, MemberState::Gone(_))
     }
 }
 
@@ -119,8 +153,9 @@
         groups
     }
 
-    /// The directory after the entries `present`, read in whole at `now`.
-    pub fn replaced(&self, version: u64, present: Vec<Member>, now: Instant) -> Self {
+    /// The directory after the entries `present`, read in whole; what is missing has gone
+    /// by `departure`.
+    pub fn replaced(&self, version: u64, present: Vec<Member>, departure: Departure) -> Self {
         let mut next = Self {
             version,
             members: HashMap::new(),
@@ -131,14 +166,19 @@
         }
         for (id, member) in &self.members {
             if !next.members.contains_key(id) {
-                next.insert_gone(member, now);
+                next.insert_gone(member, departure);
             }
         }
         next
     }
 
     /// The directory after some entries have changed.
-    pub fn updated(&self, version: u64, changes: Vec<DirectoryChange>, now: Instant) -> Self {
+    pub fn updated(
+        &self,
+        version: u64,
+        changes: Vec<DirectoryChange>,
+        departure: Departure,
+    ) -> Self {
         let mut next = self.clone();
         next.version = version;
         for change in changes {
@@ -149,7 +189,7 @@
                 }
                 DirectoryChange::Gone(id) => {
                     if let Some(member) = self.members.get(&id) {
-                        next.insert_gone(member, now);
+                        next.insert_gone(member, departure);
                     }
                 }
             }
@@ -160,7 +200,7 @@
     /// A member that was leaving already has been so since then.
     fn keep_since(&self, mut member: Member) -> Member {
         let before = self.members.get(&member.id).map(|known| known.state);
-        if let (MemberState::Leaving { .. }, Some(known @ MemberState::Leaving { .. })) =
+        if let (MemberState::Leaving(_), Some(known @ MemberState::Leaving(_))) =
             (member.state, before)
         {
             member.state = known;
@@ -168,17 +208,18 @@
         member
     }
 
-    fn insert_gone(&mut self, member: &Arc<Member>, now: Instant) {
-        let since = match member.state {
-            MemberState::Gone { since } | MemberState::Leaving { since } => since,
-            MemberState::Ready => now,
+    fn insert_gone(&mut self, member: &Arc<Member>, departure: Departure) {
+        let now = departure.learned;
+        let departure = match member.state {
+            MemberState::Gone(known) | MemberState::Leaving(known) => known,
+            MemberState::Ready => departure,
         };
-        if now.duration_since(since) > GONE_MEMORY {
+        if now.duration_since(departure.learned) > GONE_MEMORY {
             self.members.remove(&member.id);
             return;
         }
         let gone = Member {
-            state: MemberState::Gone { since },
+            state: MemberState::Gone(departure),
             ..Member::clone(member)
         };
         self.members.insert(gone.id.clone(), Arc::new(gone));
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -52,10 +52,11 @@
 impl Surveyed {
     /// Whether it has left for good, as far as can be known.
     pub fn has_left(&self, now: Instant) -> bool {
-        let MemberState::Gone { since } = self.member.state else {
+        let MemberState::Gone(departure) = self.member.state else {
             return false;
         };
-        matches!(self.response, Response::Down(_)) && now.duration_since(since) > GONE_WAIT
+        matches!(self.response, Response::Down(_))
+            && now.duration_since(departure.learned) > GONE_WAIT
     }
 
     /// Whether it answered as a replica.
--- a/crates/engine/src/leadership/suspicion.rs
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -59,8 +59,8 @@
 /// What the traffic hints at, without a question asked.
 fn hint(engine: &Engine, group: &Group, leader: &Arc<Member>, now: Instant) -> Option<Suspicion> {
     match leader.state {
-        MemberState::Leaving { .. } => return Some(Suspicion::Leaving),
-        MemberState::Gone { since } if now.duration_since(since) > GONE_GRACE => {
+        MemberState::Leaving(_) => return Some(Suspicion::Leaving),
+        MemberState::Gone(gone) if now.duration_since(gone.learned) > GONE_GRACE => {
             return Some(Suspicion::EntryGone);
         }
         _ => {}
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -59,12 +59,13 @@
         .collect()
 }
 
-/// Whether a member in `state` must not be used any more.
+/// Whether a member in `state` must not be used any more: that it leaves may have been
+/// known for too long, also to others only.
 pub fn is_past_use(engine: &Engine, state: MemberState, now: Instant) -> bool {
     match state {
         MemberState::Ready => false,
-        MemberState::Leaving { since } | MemberState::Gone { since } => {
-            now.duration_since(since) > engine.settings().leaving_use
+        MemberState::Leaving(departure) | MemberState::Gone(departure) => {
+            departure.may_be_older_than(engine.settings().leaving_use, now)
         }
     }
 }
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::directory::{Member, MemberState, Role};
+use stilequay_engine::directory::{Departure, Member, MemberState, Role};
 use stilequay_engine::leadership::choice::{FenceSurvey, Obstacle, PreviousLeader, fencing_term};
 use stilequay_engine::leadership::survey::{Response, Surveyed};
 use stilequay_engine::ports::MemberReport;
@@ -134,7 +134,7 @@
     let members = [
         surveyed("a", MemberState::Ready, silent()),
         surveyed("b", MemberState::Ready, paused(5)),
-        surveyed("c", MemberState::Leaving { since }, paused(5)),
+        surveyed("c", MemberState::Leaving(Departure::at(since)), paused(5)),
     ];
     assert_eq!(choose_from(&members, 1), Ok("b".to_owned()));
 }
@@ -153,7 +153,7 @@
         surveyed("a", MemberState::Ready, silent()),
         surveyed("b", MemberState::Ready, paused(5)),
         surveyed("c", MemberState::Ready, paused(7)),
-        surveyed("d", MemberState::Gone { since }, down()),
+        surveyed("d", MemberState::Gone(Departure::at(since)), down()),
     ];
     assert_eq!(choose_from(&members, 1), expected);
 }
@@ -172,7 +172,7 @@
         surveyed("a", MemberState::Ready, silent()),
         surveyed("b", MemberState::Ready, paused(5)),
         surveyed("c", MemberState::Ready, paused(7)),
-        surveyed("d", MemberState::Gone { since }, down()),
+        surveyed("d", MemberState::Gone(Departure::at(since)), down()),
     ];
     let known = Some(LogPosition::new(1, known));
     assert_eq!(choose_knowing(&members, 1, known), expected);
--- a/crates/engine/tests/events.rs
+++ b/crates/engine/tests/events.rs
@@ -3,7 +3,7 @@
 use insta::assert_json_snapshot;
 use serde_json::Value;
 use std::time::Duration;
-use stilequay_engine::directory::{MemberState, Role};
+use stilequay_engine::directory::{Departure, MemberState, Role};
 use stilequay_engine::events::{
     AttemptEvent, Event, EventClass, EventLog, OutcomeEvent, RequestEvent,
 };
@@ -65,7 +65,7 @@
         Event::MemberChanged {
             member: "i-7f".into(),
             group: "ledger".into(),
-            state: MemberState::Leaving { since },
+            state: MemberState::Leaving(Departure::at(since)),
             role: Role::Primary,
             directory: 55,
         },
--- a/crates/engine/tests/leadership.rs
+++ b/crates/engine/tests/leadership.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::directory::{MemberState, Role};
+use stilequay_engine::directory::{Departure, MemberState, Role};
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::verdict::{FailureReason, Verdict};
 use support::records::Fault;
@@ -65,9 +65,7 @@
 }
 
 fn leave(fleet: &Fleet) {
-    let state = MemberState::Leaving {
-        since: Instant::now(),
-    };
+    let state = MemberState::Leaving(Departure::at(Instant::now()));
     fleet.world.change("a", |server| server.state = state);
 }
 
--- a/crates/engine/tests/pool.rs
+++ b/crates/engine/tests/pool.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::directory::{Directory, Member};
+use stilequay_engine::directory::{Departure, Directory, Member};
 use stilequay_engine::leadership::fleet::connection_share;
 use stilequay_engine::pool::{AcquireError, MemberPool, SessionValues};
 use stilequay_engine::ports::{BackEnd, BackEndConnection, Command, ConnectError};
@@ -40,7 +40,8 @@
         time,
         opened: Default::default(),
     });
-    let directory = Directory::default().replaced(1, world.entries(), Instant::now());
+    let directory =
+        Directory::default().replaced(1, world.entries(), Departure::at(Instant::now()));
     let member = directory.member("a").expect("a member").clone();
     let pool = Arc::new(MemberPool::new(member, back_end.clone()));
     (world, back_end, pool)
--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::directory::{GONE_MEMORY, MemberState};
+use stilequay_engine::directory::{Departure, GONE_MEMORY, MemberState};
 use support::history::History;
 use support::records::Fault;
 use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, OWN_DATABASE, until};
@@ -99,7 +99,9 @@
         }
         _ => {
             let since = Instant::now();
-            world.change(server, |s| s.state = MemberState::Leaving { since });
+            world.change(server, |s| {
+                s.state = MemberState::Leaving(Departure::at(since))
+            });
             sleep(lasts).await;
             world.change(server, |s| s.state = MemberState::Ready);
         }
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -16,7 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::configuration::{Configuration, Consistency, GroupSettings, Route};
-use stilequay_engine::directory::Directory;
+use stilequay_engine::directory::{Departure, Directory};
 use stilequay_engine::engine::{Engine, EngineRecords, EngineSettings};
 use stilequay_engine::leadership;
 use stilequay_engine::session::Session;
@@ -156,7 +156,7 @@
     }
 
     pub fn directory(&self) -> Directory {
-        Directory::default().replaced(1, self.world.entries(), Instant::now())
+        Directory::default().replaced(1, self.world.entries(), Departure::at(Instant::now()))
     }
 
     /// A session at one process.
@@ -175,9 +175,10 @@
     loop {
         sleep(Duration::from_millis(20)).await;
         version += 1;
-        let next = engine
-            .directory()
-            .replaced(version, world.entries(), Instant::now());
+        let next =
+            engine
+                .directory()
+                .replaced(version, world.entries(), Departure::at(Instant::now()));
         engine.set_directory(next);
     }
 }
