--- a/crates/daemon/src/adapters/postgres/caller/caller.rs
+++ b/crates/daemon/src/adapters/postgres/caller/caller.rs
@@ -1,18 +1,14 @@
 //! One authenticated caller: reads its messages and runs its units, one at a time.
 
-use super::Shared;
 use super::builder::UnitBuilder;
 use super::cancel::CancelHandle;
-use super::limits::ServicePermit;
 use super::reply::ErrorReply;
-use super::session::Session;
 use super::socket::{CallerSocket, SocketError};
 use super::statements::StatementStore;
 use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION};
-use crate::domain::exchange::{Access, TransactionState};
-use crate::domain::names::{GroupName, ServiceName};
+use crate::app::front::{AccessError, CallerSession, ServicePermit, with_return_time};
+use crate::domain::exchange::TransactionState;
 use crate::domain::verdict::{FailureKind, RequestFailure};
-use crate::ports::exchange::HomeExchange;
 use pgwire::messages::PgWireFrontendMessage;
 use std::sync::Arc;
 use tokio::time::sleep;
@@ -23,29 +19,15 @@
 /// A caller's connection after its authentication.
 pub(super) struct Caller {
     pub(super) socket: CallerSocket,
-    pub(super) shared: Arc<Shared>,
-    pub(super) service: ServiceName,
-    pub(super) group: GroupName,
-    pub(super) session: Session,
+    pub(super) session: CallerSession,
     pub(super) statements: StatementStore,
     pub(super) builder: UnitBuilder,
     pub(super) cancel: CancelHandle,
-    /// The exchange that a transaction or session state holds.
-    pub(super) held: Option<HeldExchange>,
     /// An error was answered before its Sync came: what comes until then is dropped.
     pub(super) skips_to_sync: bool,
     pub(super) _permit: ServicePermit,
 }
 
-/// An exchange that can't be shared between units.
-pub(super) struct HeldExchange {
-    pub(super) exchange: Box<dyn HomeExchange>,
-    /// What the units of the transaction in progress ask for.
-    pub(super) access: Access,
-    pub(super) transaction: TransactionState,
-    pub(super) has_session_state: bool,
-}
-
 /// How a caller's connection ends.
 pub(super) enum ConnectionEnd {
     /// The caller said so.
@@ -62,6 +44,12 @@
     }
 }
 
+impl From<AccessError> for ConnectionEnd {
+    fn from(error: AccessError) -> Self {
+        Self::Fatal(error.into())
+    }
+}
+
 impl From<SocketError> for ConnectionEnd {
     fn from(error: SocketError) -> Self {
         let sqlstate = match &error {
@@ -85,15 +73,15 @@
     pub(super) async fn serve(mut self: Box<Self>) {
         let end = self.run().await;
         match end {
-            ConnectionEnd::Terminated => Box::pin(self.terminate()).await,
+            ConnectionEnd::Terminated => Box::pin(self.session.close()).await,
             ConnectionEnd::Gone => {}
             ConnectionEnd::Fatal(reply) => {
                 log::info!(
-                    service:% = self.service, group:% = self.group, sqlstate = reply.sqlstate;
+                    service:% = self.session.service(), group:% = self.session.group(), sqlstate = reply.sqlstate;
                     "closing a caller's connection: {}", reply.message
                 );
                 // The held exchange is dropped first, so that its work is undone at once.
-                drop(self.held.take());
+                drop(self.session);
                 let message = reply.encode();
                 Box::pin(self.socket.close_with(&message)).await;
             }
@@ -122,19 +110,19 @@
     /// Waits for the caller. A transaction in progress is let go on during a
     /// planned stop, but not for ever.
     async fn next_event(&mut self) -> Event {
-        let in_transaction = self.transaction() != TransactionState::Idle;
-        let shared = Arc::clone(&self.shared);
+        let in_transaction = self.session.transaction() != TransactionState::Idle;
+        let front = Arc::clone(self.session.front());
         let stop = if in_transaction {
-            &shared.cut
+            front.cut()
         } else {
-            &shared.leaving
+            front.leaving()
         };
         tokio::select! {
             // A stop comes first: what arrives after it is answered as not run.
             biased;
             () = stop.cancelled() => Event::Leaving,
             message = self.socket.next_message() => Event::Message(message),
-            () = sleep(shared.settings.idle_in_transaction()), if in_transaction => {
+            () = sleep(front.settings().idle_in_transaction()), if in_transaction => {
                 Event::IdleInTransaction
             }
         }
@@ -153,23 +141,6 @@
             None => Ok(()),
         }
     }
-
-    /// The transaction state as the caller knows it.
-    pub(super) fn transaction(&self) -> TransactionState {
-        self.held
-            .as_ref()
-            .map_or(TransactionState::Idle, |held| held.transaction)
-    }
-
-    /// A connection that is between transactions goes back in good order; one
-    /// within a transaction is dropped, which undoes the transaction.
-    async fn terminate(&mut self) {
-        if let Some(held) = self.held.take()
-            && held.transaction == TransactionState::Idle
-        {
-            held.exchange.release().await;
-        }
-    }
 }
 
 /// What callers are told at a planned stop; it also answers whatever they send
@@ -179,6 +150,6 @@
         FailureKind::ShuttingDown,
         "terminating connection: the proxy is being stopped",
     );
-    let failure = super::retry::with_return_time(failure);
+    let failure = with_return_time(failure);
     ErrorReply::of_failure(super::reply::Severity::Fatal, &failure)
 }
--- a/crates/daemon/src/adapters/postgres/caller/connection.rs
+++ b/crates/daemon/src/adapters/postgres/caller/connection.rs
@@ -5,15 +5,13 @@
 use super::builder::{UnitBuilder, UnitLimits};
 use super::caller::Caller;
 use super::cancel::CancelHandle;
-use super::limits::ServicePermit;
+use super::parameters::FLOOR_PARAMETER;
 use super::reply::{ErrorReply, encode, parameter_status, ready_for_query};
-use super::rights;
-use super::session::FLOOR_PARAMETER;
 use super::socket::{CallerSocket, SocketError};
 use super::startup::{self, Opening, StartupError, StartupRequest};
 use super::statements::StatementStore;
-use super::telemetry::{ConnectionGauge, count_refusal};
 use super::unit::{LIMIT_EXCEEDED, PROTOCOL_VIOLATION};
+use crate::app::front::{self, CallerSession, ConnectionGauge, ServicePermit, count_refusal};
 use crate::domain::exchange::TransactionState;
 use bytes::BytesMut;
 use pgwire::messages::startup::{BackendKeyData, SecretKey};
@@ -41,14 +39,14 @@
         log::debug!("a caller left at once: {error}");
         return;
     }
-    let mut socket = CallerSocket::new(stream, &shared.settings);
-    let Some(admission) = shared.limits.admit() else {
+    let mut socket = CallerSocket::new(stream, shared.front.settings());
+    let Some(admission) = shared.front.limits().admit() else {
         return count_refusal("dropped");
     };
     let starting = Box::pin(start(&mut socket, &shared, admission.is_admitted));
     let started = tokio::select! {
-        started = timeout(shared.settings.startup_timeout(), starting) => started,
-        () = shared.leaving.cancelled() => return,
+        started = timeout(shared.front.settings().startup_timeout(), starting) => started,
+        () = shared.front.leaving().cancelled() => return,
     };
     // Each phase is boxed, so that an idle caller takes the memory of none but its own.
     match started {
@@ -72,7 +70,7 @@
         permit,
         cancel,
     } = entered;
-    let settings = &shared.settings;
+    let settings = shared.front.settings();
     let limits = UnitLimits {
         max_unit_bytes: settings.max_unit_bytes,
         max_prepared_statements: settings.max_prepared_statements,
@@ -81,12 +79,14 @@
         socket,
         builder: UnitBuilder::new(limits, Arc::clone(&shared.classifier)),
         cancel,
-        shared,
-        service: request.service,
-        group: request.group,
-        session: request.session,
+        session: CallerSession::open(
+            Arc::clone(&shared.front),
+            request.service,
+            request.group,
+            request.freshness,
+            request.repeat,
+        ),
         statements: StatementStore::default(),
-        held: None,
         skips_to_sync: false,
         _permit: permit,
     })
@@ -99,7 +99,7 @@
     shared: &Shared,
     is_admitted: bool,
 ) -> Result<Option<Entered>, StartupError> {
-    let limit = shared.settings.max_startup_bytes;
+    let limit = shared.front.settings().max_startup_bytes;
     let request = match startup::read_opening(socket, limit).await? {
         Opening::Start(request) => request,
         Opening::Cancel(request) => {
@@ -130,22 +130,27 @@
     shared: &Shared,
     request: &StartupRequest,
 ) -> Result<ServicePermit, StartupError> {
-    let configuration = rights::configuration(&shared.configuration)?;
+    let configuration = front::configuration(shared.front.configuration())?;
     let service = configuration.services.get(&request.service);
     let max_connections = service.map_or(u32::MAX, |it| it.max_connections);
-    if shared.limits.is_full(&request.service, max_connections) {
+    if shared
+        .front
+        .limits()
+        .is_full(&request.service, max_connections)
+    {
         return Err(too_many("the service").into());
     }
     authentication::authenticate(
         socket,
         request.service.as_str(),
         service.map(|it| &it.verifier),
-        shared.settings.max_startup_bytes,
+        shared.front.settings().max_startup_bytes,
     )
     .await?;
-    rights::policy_for(&configuration, &request.service, &request.group)?;
+    front::policy_for(&configuration, &request.service, &request.group)?;
     shared
-        .limits
+        .front
+        .limits()
         .enter(&request.service, max_connections)
         .ok_or_else(|| too_many("the service").into())
 }
@@ -180,7 +185,10 @@
 fn greeting(request: &StartupRequest, cancel: &CancelHandle, shared: &Shared) -> BytesMut {
     let user = request.service.as_str();
     let parameters = [
-        ("server_version", shared.settings.server_version.as_str()),
+        (
+            "server_version",
+            shared.front.settings().server_version.as_str(),
+        ),
         ("server_encoding", "UTF8"),
         ("client_encoding", "UTF8"),
         ("application_name", request.application_name.as_str()),
@@ -198,7 +206,7 @@
     for (name, value) in parameters {
         bytes.extend_from_slice(&parameter_status(name, value));
     }
-    if let Some(floor) = request.session.reported_floor() {
+    if let Some(floor) = request.freshness.reported_floor() {
         bytes.extend_from_slice(&parameter_status(FLOOR_PARAMETER, &floor.to_string()));
     }
     bytes.extend_from_slice(&encode(&BackendKeyData::new(
--- a/crates/daemon/src/adapters/postgres/caller/reply.rs
+++ b/crates/daemon/src/adapters/postgres/caller/reply.rs
@@ -1,5 +1,6 @@
 //! Messages that the proxy itself sends to callers.
 
+use crate::app::front::AccessError;
 use crate::domain::exchange::TransactionState;
 use crate::domain::verdict::{RequestFailure, Verdict};
 use bytes::BytesMut;
@@ -10,6 +11,15 @@
 use pgwire::messages::startup::ParameterStatus;
 use pgwire::messages::{Message, extendedquery};
 
+/// SQLSTATE `cannot_connect_now`.
+const CANNOT_CONNECT_NOW: &str = "57P03";
+/// SQLSTATE `invalid_catalog_name`.
+const UNKNOWN_DATABASE: &str = "3D000";
+/// SQLSTATE `insufficient_privilege`.
+const NOT_PERMITTED: &str = "42501";
+/// SQLSTATE `invalid_authorization_specification`.
+const INVALID_AUTHORIZATION: &str = "28000";
+
 /// Whether the connection outlives an error.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Severity {
@@ -70,6 +80,18 @@
     }
 }
 
+impl From<AccessError> for ErrorReply {
+    fn from(error: AccessError) -> Self {
+        let sqlstate = match &error {
+            AccessError::NotCaughtUp => CANNOT_CONNECT_NOW,
+            AccessError::UnknownService(_) => INVALID_AUTHORIZATION,
+            AccessError::UnknownGroup(_) => UNKNOWN_DATABASE,
+            AccessError::NotPermitted(..) => NOT_PERMITTED,
+        };
+        Self::fatal(sqlstate, error.to_string())
+    }
+}
+
 /// Texts of the protocol end at a zero byte.
 fn without_zero(text: &str) -> String {
     text.replace('\0', " ")
--- a/crates/daemon/src/adapters/postgres/caller/socket.rs
+++ b/crates/daemon/src/adapters/postgres/caller/socket.rs
@@ -1,7 +1,7 @@
 //! A caller's socket: whole frames in, encoded messages out.
 
-use super::settings::FrontSettings;
 use super::shape;
+use crate::app::front::FrontSettings;
 use bytes::{Buf, BytesMut};
 use pgwire::messages::{DecodeContext, PgWireFrontendMessage};
 use quick_error::quick_error;
--- a/crates/daemon/src/adapters/postgres/caller/startup.rs
+++ b/crates/daemon/src/adapters/postgres/caller/startup.rs
@@ -1,10 +1,12 @@
 //! The startup phase of a connection, up to its authentication.
 
+use super::parameters::{self, FLOOR_PARAMETER, REPEAT_PARAMETER, SESSION_PARAMETER};
 use super::reply::{ErrorReply, encode};
-use super::session::{FLOOR_PARAMETER, REPEAT_PARAMETER, SESSION_PARAMETER, Session};
 use super::socket::{CallerSocket, SocketError};
 use crate::adapters::postgres::classify::ProxySetting;
+use crate::app::front::{AccessError, SessionFreshness};
 use crate::domain::names::{GroupName, ServiceName};
+use crate::domain::statement::Repeat;
 use bytes::BytesMut;
 use pgwire::messages::cancel::CancelRequest;
 use pgwire::messages::startup::{GssEncRequest, NegotiateProtocolVersion, SslRequest, Startup};
@@ -41,7 +43,8 @@
     pub(super) service: ServiceName,
     pub(super) group: GroupName,
     pub(super) application_name: String,
-    pub(super) session: Session,
+    pub(super) freshness: SessionFreshness,
+    pub(super) repeat: Option<Repeat>,
     /// Options of the protocol that the caller asked for and does not get.
     protocol_options: Vec<String>,
     wants_newer_minor: bool,
@@ -61,6 +64,12 @@
     }
 }
 
+impl From<AccessError> for StartupError {
+    fn from(error: AccessError) -> Self {
+        Self::Refused(error.into())
+    }
+}
+
 impl From<ErrorReply> for StartupError {
     fn from(reply: ErrorReply) -> Self {
         Self::Refused(reply)
@@ -112,7 +121,8 @@
         service: ServiceName::new(user),
         group: GroupName::new(database),
         application_name: String::new(),
-        session: Session::default(),
+        freshness: SessionFreshness::default(),
+        repeat: None,
         protocol_options: Vec::new(),
         wants_newer_minor: startup.protocol_number_minor > 0,
     };
@@ -192,8 +202,7 @@
             name: name.to_owned(),
             value: value.to_owned(),
         };
-        self.session
-            .apply(&setting)
+        parameters::apply(&setting, &mut self.freshness, &mut self.repeat)
             .map_err(|reply| ErrorReply::fatal(reply.sqlstate, reply.message).into())
     }
 
--- a/crates/daemon/src/adapters/postgres/caller/unit.rs
+++ b/crates/daemon/src/adapters/postgres/caller/unit.rs
@@ -2,6 +2,7 @@
 
 use super::statements::{StatementStore, Undo};
 use crate::adapters::postgres::classify::{Classification, ProxySetting, Repeat, StatementAccess};
+use crate::app::front;
 use crate::domain::exchange::PreparedStatement;
 use crate::domain::verdict::{FailureKind, RequestFailure};
 use bytes::{Bytes, BytesMut};
@@ -89,6 +90,19 @@
         !asks_back_end && !is_plain_query
     }
 
+    /// What the application runs of it; the unit keeps its end and its steps.
+    pub(super) fn take_request(&mut self) -> front::Unit {
+        front::Unit {
+            payload: std::mem::take(&mut self.payload).into(),
+            statements: std::mem::take(&mut self.statements),
+            access: self.access,
+            makes_session_state: self.makes_session_state,
+            is_open_ended: self.end == UnitEnd::Flush,
+            repeat: self.repeat,
+            key: self.key.take(),
+        }
+    }
+
     pub(super) fn add_classification(&mut self, classification: &Classification) {
         if classification.access == StatementAccess::Write {
             self.access = StatementAccess::Write;
--- a/crates/daemon/src/adapters/postgres/classify/marks.rs
+++ b/crates/daemon/src/adapters/postgres/classify/marks.rs
@@ -1,5 +1,6 @@
 //! Marks that a caller gives in comments of the `key='value'` form.
 
+use crate::domain::statement::Repeat;
 use sqlparser::tokenizer::{Token, Whitespace};
 
 const REPEAT_KEY: &str = "stilequay_repeat";
@@ -14,26 +15,6 @@
     pub key: Option<String>,
 }
 
-/// Whether a request may run more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Repeat {
-    /// Running it twice does no harm.
-    Safe,
-    /// It must run at most once.
-    Unsafe,
-}
-
-impl Repeat {
-    /// Reads `safe` or `unsafe`.
-    pub fn parse(text: &str) -> Option<Self> {
-        match text {
-            "safe" => Some(Self::Safe),
-            "unsafe" => Some(Self::Unsafe),
-            _ => None,
-        }
-    }
-}
-
 /// Reads the marks of all comments. Where marks disagree, `unsafe` wins.
 pub(super) fn read_marks(tokens: &[Token]) -> Marks {
     let mut marks = Marks::default();
--- a/crates/daemon/src/adapters/postgres/classify/mod.rs
+++ b/crates/daemon/src/adapters/postgres/classify/mod.rs
@@ -11,8 +11,9 @@
 mod marks;
 mod statement;
 
+pub use crate::domain::statement::{Repeat, StatementAccess};
 pub use cache::ClassificationCache;
-pub use marks::{Marks, Repeat};
+pub use marks::Marks;
 
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
@@ -36,15 +37,6 @@
     pub marks: Marks,
 }
 
-/// Whether a statement may write.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StatementAccess {
-    /// Certainly only reads.
-    Read,
-    /// May write, lock or otherwise need the primary.
-    Write,
-}
-
 /// `SET stilequay.<name> = '<value>'`, which the proxy handles itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProxySetting {
--- a/crates/daemon/src/adapters/postgres/mod.rs
+++ b/crates/daemon/src/adapters/postgres/mod.rs
@@ -2,4 +2,5 @@
 //! SQL statements mean to a proxy.
 
 pub mod back_end;
+pub mod caller;
 pub mod classify;
--- a/crates/daemon/src/app/front/freshness.rs
+++ b/crates/daemon/src/app/front/freshness.rs
@@ -1,30 +1,14 @@
-//! What a caller's session has said and seen: its name, its floor, its marks.
+//! What a caller's session has said and seen of freshness: its name and its floors.
 
-use super::reply::{ErrorReply, Severity};
-use crate::adapters::postgres::classify::{ProxySetting, Repeat};
 use crate::domain::exchange::Freshness;
 use crate::domain::names::SessionName;
 use crate::domain::resource::{Consistency, SessionPolicySpec};
 use std::time::Duration;
-use stilequay_coordination::position::{Floor, LogPosition, Term};
+use stilequay_coordination::position::Floor;
 
-/// Startup parameter, setting and parameter status that carry the session's floor.
-pub(super) const FLOOR_PARAMETER: &str = "stilequay.floor";
-/// Startup parameter and setting that name the session.
-pub(super) const SESSION_PARAMETER: &str = "stilequay.session";
-/// Startup parameter and setting that mark requests as safe to repeat.
-pub(super) const REPEAT_PARAMETER: &str = "stilequay.repeat";
-
-/// SQLSTATE `invalid_parameter_value`.
-const INVALID_VALUE: &str = "22023";
-/// SQLSTATE `undefined_object`, which PostgreSQL gives for a setting that does not exist.
-const UNKNOWN_SETTING: &str = "42704";
-/// Longest session name, bytes.
-const MAX_NAME_BYTES: usize = 128;
-
-/// A caller's session.
+/// What the reads of a session must see.
 #[derive(Debug, Default)]
-pub(super) struct Session {
+pub struct SessionFreshness {
     name: Option<SessionName>,
     /// The floor that the caller brought along.
     token: Option<Floor>,
@@ -32,22 +16,26 @@
     own: Option<Floor>,
     /// A write's outcome was not known and no later write has been confirmed.
     uncertain: bool,
-    repeat: Option<Repeat>,
 }
 
-impl Session {
-    /// The name, where the caller gave one.
-    pub(super) fn name(&self) -> Option<&SessionName> {
+impl SessionFreshness {
+    /// The session's name, where the caller gave one.
+    pub fn name(&self) -> Option<&SessionName> {
         self.name.as_ref()
     }
 
-    /// Whether the session's requests may be repeated, where it said so.
-    pub(super) fn repeat(&self) -> Option<Repeat> {
-        self.repeat
+    /// Names the session, or takes its name away.
+    pub fn set_name(&mut self, name: Option<SessionName>) {
+        self.name = name;
+    }
+
+    /// Takes a floor that the caller brought along.
+    pub fn set_token(&mut self, token: Option<Floor>) {
+        self.token = token;
     }
 
     /// How fresh the session's next read must be.
-    pub(super) fn freshness(&self, policy: &SessionPolicySpec) -> Freshness {
+    pub fn required(&self, policy: &SessionPolicySpec) -> Freshness {
         match policy.consistency {
             Consistency::Strong => Freshness::Barrier,
             Consistency::Session => self.session_freshness(),
@@ -74,80 +62,18 @@
     }
 
     /// Records a confirmed write.
-    pub(super) fn record_write(&mut self, floor: Floor) {
+    pub fn record_write(&mut self, floor: Floor) {
         self.own = self.own.max(Some(floor));
         self.uncertain = false;
     }
 
     /// The floor to tell the caller.
-    pub(super) fn reported_floor(&self) -> Option<Floor> {
+    pub fn reported_floor(&self) -> Option<Floor> {
         self.own.max(self.token)
     }
 
     /// Records that a write's outcome is not known: no floor covers it.
-    pub(super) fn record_unknown_outcome(&mut self) {
+    pub fn record_unknown_outcome(&mut self) {
         self.uncertain = true;
     }
-
-    /// Applies `SET stilequay.<name>` or the startup parameter of the same name.
-    pub(super) fn apply(&mut self, setting: &ProxySetting) -> Result<(), ErrorReply> {
-        let full_name = format!("stilequay.{}", setting.name);
-        match full_name.as_str() {
-            FLOOR_PARAMETER => self.token = read_floor(&setting.value)?,
-            SESSION_PARAMETER => self.name = read_name(&setting.value)?,
-            REPEAT_PARAMETER => self.repeat = Some(read_repeat(&setting.value)?),
-            _ => {
-                return Err(error(
-                    UNKNOWN_SETTING,
-                    format!("unrecognized configuration parameter \"{full_name}\""),
-                ));
-            }
-        }
-        Ok(())
-    }
-}
-
-fn read_floor(value: &str) -> Result<Option<Floor>, ErrorReply> {
-    if value.is_empty() {
-        return Ok(None);
-    }
-    parse_floor(value)
-        .map(Some)
-        .ok_or_else(|| invalid(FLOOR_PARAMETER, "a floor as the proxy reported it"))
-}
-
-/// Reads a floor in the form in which it is displayed.
-fn parse_floor(text: &str) -> Option<Floor> {
-    let (term, position) = text.split_once(':')?;
-    Some(Floor::new(
-        Term(term.parse().ok()?),
-        LogPosition(position.parse().ok()?),
-    ))
-}
-
-fn read_name(value: &str) -> Result<Option<SessionName>, ErrorReply> {
-    if value.len() > MAX_NAME_BYTES {
-        return Err(invalid(SESSION_PARAMETER, "at most 128 bytes"));
-    }
-    Ok((!value.is_empty()).then(|| SessionName::new(value)))
-}
-
-fn read_repeat(value: &str) -> Result<Repeat, ErrorReply> {
-    Repeat::parse(value).ok_or_else(|| invalid(REPEAT_PARAMETER, "'safe' or 'unsafe'"))
-}
-
-fn invalid(name: &str, expected: &str) -> ErrorReply {
-    error(
-        INVALID_VALUE,
-        format!("invalid value for parameter \"{name}\": {expected} is expected"),
-    )
-}
-
-fn error(sqlstate: &'static str, message: String) -> ErrorReply {
-    ErrorReply {
-        severity: Severity::Error,
-        sqlstate,
-        message,
-        detail: None,
-    }
 }
--- a/crates/daemon/src/app/front/limits.rs
+++ b/crates/daemon/src/app/front/limits.rs
@@ -9,21 +9,22 @@
 const MAX_REFUSALS: usize = 64;
 
 /// Counts caller connections, of all services together and of each.
-pub(super) struct ConnectionLimits {
+pub struct ConnectionLimits {
     total: Arc<Semaphore>,
     refusals: Arc<Semaphore>,
     services: Arc<Mutex<HashMap<ServiceName, u32>>>,
 }
 
 /// A connection's place; it is free again when dropped.
-pub(super) struct Admission {
+pub struct Admission {
     /// Whether the connection may go on, or only be told that there are too many.
-    pub(super) is_admitted: bool,
+    pub is_admitted: bool,
     _permit: OwnedSemaphorePermit,
 }
 
 impl ConnectionLimits {
-    pub(super) fn new(max_connections: u32) -> Self {
+    /// No connection yet, and `max_connections` at the most.
+    pub fn new(max_connections: u32) -> Self {
         Self {
             total: Arc::new(Semaphore::new(max_connections as usize)),
             refusals: Arc::new(Semaphore::new(MAX_REFUSALS)),
@@ -33,7 +34,7 @@
 
     /// Decides on a connection that has just been accepted; `None` where it is to
     /// be closed without a word.
-    pub(super) fn admit(&self) -> Option<Admission> {
+    pub fn admit(&self) -> Option<Admission> {
         if let Ok(permit) = Arc::clone(&self.total).try_acquire_owned() {
             return Some(Admission {
                 is_admitted: true,
@@ -48,12 +49,12 @@
     }
 
     /// Whether `service` has no connection left, before the cost of authenticating.
-    pub(super) fn is_full(&self, service: &ServiceName, limit: u32) -> bool {
+    pub fn is_full(&self, service: &ServiceName, limit: u32) -> bool {
         lock(&self.services).get(service).copied().unwrap_or(0) >= limit
     }
 
     /// Counts a connection of `service` until the permit is dropped.
-    pub(super) fn enter(&self, service: &ServiceName, limit: u32) -> Option<ServicePermit> {
+    pub fn enter(&self, service: &ServiceName, limit: u32) -> Option<ServicePermit> {
         let mut services = lock(&self.services);
         let count = services.entry(service.clone()).or_insert(0);
         if *count >= limit {
@@ -68,7 +69,7 @@
 }
 
 /// One connection of a service.
-pub(super) struct ServicePermit {
+pub struct ServicePermit {
     service: ServiceName,
     services: Arc<Mutex<HashMap<ServiceName, u32>>>,
 }
--- a/crates/daemon/src/app/front/retry.rs
+++ b/crates/daemon/src/app/front/retry.rs
@@ -1,9 +1,9 @@
 //! Whether and when a failed request goes to another home.
 
+use super::session::Unit;
 use super::settings::FrontSettings;
-use super::unit::Unit;
-use crate::adapters::postgres::classify::{Repeat, StatementAccess};
 use crate::domain::resource::SessionPolicySpec;
+use crate::domain::statement::{Repeat, StatementAccess};
 use crate::domain::verdict::{FailureKind, RequestFailure, Verdict};
 use std::sync::Arc;
 use std::time::Duration;
@@ -115,7 +115,7 @@
 }
 
 /// The failure as the caller is told it: with a time to come back for what was not run.
-pub(super) fn with_return_time(mut failure: RequestFailure) -> RequestFailure {
+pub fn with_return_time(mut failure: RequestFailure) -> RequestFailure {
     let comes_back = !matches!(
         failure.kind,
         FailureKind::NotPermitted
--- a/crates/daemon/src/app/front/rights.rs
+++ b/crates/daemon/src/app/front/rights.rs
@@ -1,45 +1,58 @@
 //! What the configuration in force lets a service do.
 
-use super::reply::ErrorReply;
 use crate::domain::configuration::Configuration;
 use crate::domain::names::{GroupName, ServiceName};
 use crate::domain::resource::{ServiceSpec, SessionPolicySpec};
 use crate::ports::configuration::ConfigurationReceiver;
+use quick_error::quick_error;
 use std::sync::Arc;
 
-/// SQLSTATE `cannot_connect_now`.
-const CANNOT_CONNECT_NOW: &str = "57P03";
-/// SQLSTATE `invalid_catalog_name`.
-const UNKNOWN_DATABASE: &str = "3D000";
-/// SQLSTATE `insufficient_privilege`.
-const NOT_PERMITTED: &str = "42501";
-/// SQLSTATE `invalid_authorization_specification`.
-const INVALID_AUTHORIZATION: &str = "28000";
+quick_error! {
+    /// Why a service may not use a database.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum AccessError {
+        /// Nobody can be served yet.
+        NotCaughtUp {
+            display("the proxy has not caught up with its configuration yet")
+        }
+        /// The service is not declared any more.
+        UnknownService(service: ServiceName) {
+            display("the service \"{service}\" does not exist any more")
+        }
+        /// The database group is not declared.
+        UnknownGroup(group: GroupName) {
+            display("database \"{group}\" does not exist")
+        }
+        /// The service is not declared to use the group.
+        NotPermitted(service: ServiceName, group: GroupName) {
+            display("the service \"{service}\" may not use the database \"{group}\"")
+        }
+    }
+}
 
 /// The configuration in force, or why nobody can be served yet.
-pub(super) fn configuration(
-    receiver: &ConfigurationReceiver,
-) -> Result<Arc<Configuration>, ErrorReply> {
-    receiver.borrow().clone().ok_or_else(|| {
-        ErrorReply::fatal(
-            CANNOT_CONNECT_NOW,
-            "the proxy has not caught up with its configuration yet",
-        )
-    })
+///
+/// # Errors
+///
+/// [`AccessError::NotCaughtUp`] before the first configuration.
+pub fn configuration(receiver: &ConfigurationReceiver) -> Result<Arc<Configuration>, AccessError> {
+    let configuration = receiver.borrow().clone();
+    configuration.ok_or(AccessError::NotCaughtUp)
 }
 
-/// The session policy of a service that may use the group, or why it may not.
-pub(super) fn policy_for(
+/// The session policy of a service that may use the group.
+///
+/// # Errors
+///
+/// [`AccessError`] where it may not.
+pub fn policy_for(
     configuration: &Configuration,
     service_name: &ServiceName,
     group: &GroupName,
-) -> Result<Arc<SessionPolicySpec>, ErrorReply> {
-    let service = configuration.services.get(service_name).ok_or_else(|| {
-        ErrorReply::fatal(
-            INVALID_AUTHORIZATION,
-            format!("the service \"{service_name}\" does not exist any more"),
-        )
-    })?;
+) -> Result<Arc<SessionPolicySpec>, AccessError> {
+    let service = configuration.services.get(service_name);
+    let unknown = || AccessError::UnknownService(service_name.clone());
+    let service = service.ok_or_else(unknown)?;
     check_group(configuration, service_name, service, group)?;
     Ok(configuration.policy_of(service))
 }
@@ -49,17 +62,14 @@
     service_name: &ServiceName,
     service: &ServiceSpec,
     group: &GroupName,
-) -> Result<(), ErrorReply> {
+) -> Result<(), AccessError> {
     if !configuration.groups.contains_key(group) {
-        return Err(ErrorReply::fatal(
-            UNKNOWN_DATABASE,
-            format!("database \"{group}\" does not exist"),
-        ));
+        return Err(AccessError::UnknownGroup(group.clone()));
     }
     if !service.groups.contains(group) {
-        return Err(ErrorReply::fatal(
-            NOT_PERMITTED,
-            format!("the service \"{service_name}\" may not use the database \"{group}\""),
+        return Err(AccessError::NotPermitted(
+            service_name.clone(),
+            group.clone(),
         ));
     }
     Ok(())
--- a/crates/daemon/src/app/front/settings.rs
+++ b/crates/daemon/src/app/front/settings.rs
@@ -179,15 +179,15 @@
         faults
     }
 
-    pub(super) fn startup_timeout(&self) -> Duration {
+    pub(crate) fn startup_timeout(&self) -> Duration {
         Duration::from_millis(self.startup_timeout_millis)
     }
 
-    pub(super) fn retry_pause(&self) -> Duration {
+    pub(crate) fn retry_pause(&self) -> Duration {
         Duration::from_millis(self.retry_pause_millis)
     }
 
-    pub(super) fn retry_budget(&self) -> RetryBudgetSettings {
+    pub(crate) fn retry_budget(&self) -> RetryBudgetSettings {
         RetryBudgetSettings {
             ratio: f64::from(self.retry_percent) / 100.0,
             capacity: f64::from(self.retry_burst),
@@ -195,27 +195,27 @@
         }
     }
 
-    pub(super) fn open_timeout(&self) -> Duration {
+    pub(crate) fn open_timeout(&self) -> Duration {
         Duration::from_millis(self.open_timeout_millis)
     }
 
-    pub(super) fn home_avoidance(&self) -> Duration {
+    pub(crate) fn home_avoidance(&self) -> Duration {
         Duration::from_millis(self.home_avoidance_millis)
     }
 
-    pub(super) fn home_grace(&self) -> Duration {
+    pub(crate) fn home_grace(&self) -> Duration {
         Duration::from_millis(self.home_grace_millis)
     }
 
-    pub(super) fn write_stall(&self) -> Duration {
+    pub(crate) fn write_stall(&self) -> Duration {
         Duration::from_millis(self.write_stall_millis)
     }
 
-    pub(super) fn idle_in_transaction(&self) -> Duration {
+    pub(crate) fn idle_in_transaction(&self) -> Duration {
         Duration::from_millis(self.idle_in_transaction_millis)
     }
 
-    pub(super) fn drain(&self) -> Duration {
+    pub(crate) fn drain(&self) -> Duration {
         Duration::from_millis(self.drain_millis)
     }
 }
--- a/crates/daemon/src/app/front/telemetry.rs
+++ b/crates/daemon/src/app/front/telemetry.rs
@@ -1,7 +1,6 @@
 //! Metrics of the caller side.
 
-use super::unit::Unit;
-use crate::adapters::postgres::classify::StatementAccess;
+use crate::domain::statement::StatementAccess;
 use std::time::Instant;
 
 /// Measures one request, from its last message to its answer.
@@ -11,14 +10,10 @@
 }
 
 impl RequestTimer {
-    pub(super) fn start(unit: &Unit) -> Self {
-        let access = match unit.access {
-            StatementAccess::Read => "read",
-            StatementAccess::Write => "write",
-        };
+    pub(super) fn start(access: StatementAccess) -> Self {
         Self {
             started: Instant::now(),
-            access,
+            access: access.name(),
         }
     }
 
@@ -35,10 +30,11 @@
 }
 
 /// Counts an open caller connection until it is dropped.
-pub(super) struct ConnectionGauge(());
+pub struct ConnectionGauge(());
 
 impl ConnectionGauge {
-    pub(super) fn enter() -> Self {
+    /// Counts one more.
+    pub fn enter() -> Self {
         metrics::gauge!("stilequay_front_callers_count").increment(1.0);
         Self(())
     }
@@ -51,6 +47,6 @@
 }
 
 /// Counts a connection that was turned away.
-pub(super) fn count_refusal(reason: &'static str) {
+pub fn count_refusal(reason: &'static str) {
     metrics::counter!("stilequay_front_refused_connections_total", "reason" => reason).increment(1);
 }
--- a/crates/daemon/src/domain/mod.rs
+++ b/crates/daemon/src/domain/mod.rs
@@ -9,5 +9,6 @@
 pub mod membership;
 pub mod names;
 pub mod resource;
+pub mod statement;
 pub mod validation;
 pub mod verdict;
--- a/crates/daemon/src/run/data_path.rs
+++ b/crates/daemon/src/run/data_path.rs
@@ -3,8 +3,9 @@
 use super::stage::Stage;
 use crate::adapters::exchange::{self, ExchangeConnector};
 use crate::adapters::postgres::back_end::PostgresBackEnd;
+use crate::adapters::postgres::caller;
 use crate::app::control::state::ConfigurationState;
-use crate::app::front::{self, FrontContext};
+use crate::app::front::FrontContext;
 use crate::app::home::{HomeContext, HomeService};
 use crate::app::homes::PlacedHomes;
 use crate::ports::configuration::ConfigurationReceiver;
@@ -51,7 +52,7 @@
     front.tasks.spawn(once_in_force(
         state.receiver(),
         leaving.clone(),
-        front::serve(callers, context, leaving),
+        caller::serve(callers, context, leaving),
     ));
     let exchanges = Stage::new();
     let leaving = exchanges.leaving.clone();
--- a/crates/daemon/tests/front/proxy.rs
+++ b/crates/daemon/tests/front/proxy.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_daemon::app::front::{FrontContext, FrontSettings, serve};
+use stilequay_daemon::adapters::postgres::caller::serve;
+use stilequay_daemon::app::front::{FrontContext, FrontSettings};
 use stilequay_daemon::domain::configuration::Configuration;
 use stilequay_daemon::domain::resource::{
     DatabaseGroupSpec, Durability, Secret, ServiceSpec, SessionPolicySpec,
