Queue for connections by the rank of the route, in the set that both protocols use

Change: the limiter of coordination knows ranks: a free slot goes to the highest rank that waits, a full queue gives up the lowest. The engine's member pool is a policy over engine::pool::ConnectionSet, as the home's is; its semaphore and its own list of idle connections are gone. A session claims a connection for its database and with its route's priority.

--- a/crates/coordination/examples/fair_limits.rs
+++ b/crates/coordination/examples/fair_limits.rs
@@ -44,6 +44,7 @@
         tenant: TenantLimits {
             in_flight: SLOTS,
             queue_length: 1_000,
+            rank: 0,
         },
     });
     let end = Instant::now() + RUN_TIME;
--- a/crates/coordination/src/limit/mod.rs
+++ b/crates/coordination/src/limit/mod.rs
@@ -3,8 +3,9 @@
 //! A [`Limiter`] guards a fixed number of slots, for instance the connections
 //! that a server accepts. A tenant that asks while all slots are in use waits
 //! in a bounded queue of its own. A slot that becomes free goes to the waiting
-//! tenant that holds the fewest slots; tenants that hold equally many take
-//! turns. This is max-min fairness on the slots held, so that
+//! tenants of the highest rank, and among these to the one that holds the fewest
+//! slots; tenants that hold equally many take turns. Within a rank this is max-min
+//! fairness on the slots held, so that
 //!
 //! - a tenant that holds no slot waits for at most as many releases as there are
 //!   other waiting tenants that hold none, however long another tenant's queue is;
@@ -24,7 +25,7 @@
 //! # async fn main() {
 //! let limiter = Limiter::new(LimiterSettings {
 //!     slots: 1,
-//!     tenant: TenantLimits { in_flight: 1, queue_length: 0 },
+//!     tenant: TenantLimits { in_flight: 1, queue_length: 0, rank: 0 },
 //!     ..LimiterSettings::default()
 //! });
 //! let deadline = Instant::now() + Duration::from_secs(1);
@@ -60,6 +61,8 @@
     pub in_flight: usize,
     /// Greatest number of requests waiting; zero refuses instead of waiting.
     pub queue_length: usize,
+    /// Its rank, 0 the highest: while slots are scarce, tenants of a lower one get none.
+    pub rank: u32,
 }
 
 impl Default for TenantLimits {
@@ -67,6 +70,7 @@
         Self {
             in_flight: 64,
             queue_length: 256,
+            rank: 0,
         }
     }
 }
--- a/crates/coordination/src/limit/scheduler.rs
+++ b/crates/coordination/src/limit/scheduler.rs
@@ -64,16 +64,20 @@
     }
 }
 
-/// Order of service: the fewest slots held, then the longest since its last turn.
+/// Order of service: the highest rank, the fewest slots held, then the longest since its
+/// last turn.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Rank<T> {
+struct Place<T> {
+    rank: u32,
     in_flight: usize,
     turn: u64,
     tenant: T,
 }
 
+/// Order of giving up waiting requests: the lowest rank first, then the longest queue.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueLength<T> {
+    rank: u32,
     waiting: usize,
     tenant: T,
 }
@@ -89,7 +93,7 @@
     next_waiter: u64,
     next_turn: u64,
     tenants: BTreeMap<T, Tenant<T>>,
-    ready: BTreeSet<Rank<T>>,
+    ready: BTreeSet<Place<T>>,
     queue_lengths: BTreeSet<QueueLength<T>>,
     mean_hold_time: Option<Duration>,
 }
@@ -217,8 +221,8 @@
         self.in_use < self.settings.slots && in_flight < limits.in_flight && is_first
     }
 
-    /// Makes sure that one more request of `tenant` may wait. Where the queue of all
-    /// is full, the tenant that has most of it gives up its newest request.
+    /// Makes sure that one more request of `tenant` may wait. Where the queue of all is
+    /// full, the tenant of the lowest rank that has most of it gives up its newest request.
     fn make_room(
         &mut self,
         tenant: &T,
@@ -237,13 +241,16 @@
         if self.waiting < self.settings.queue_length {
             return Ok(None);
         }
-        match self.longest_queue() {
-            Some(longest) if self.queued(&longest) > queued + 1 => {
-                let rejected = self.reject(RejectReason::QueueFull);
-                Ok(self.evict_newest(&longest, rejected))
-            }
-            _ => Err(RejectReason::QueueFull),
-        }
+        let longest = self.queue_lengths.last().cloned();
+        let yielding = longest.filter(|longest| {
+            longest.rank > limits.rank
+                || longest.rank == limits.rank && longest.waiting > queued + 1
+        });
+        let Some(yielding) = yielding else {
+            return Err(RejectReason::QueueFull);
+        };
+        let rejected = self.reject(RejectReason::QueueFull);
+        Ok(self.evict_newest(&yielding.tenant, rejected))
     }
 
     fn enqueue(&mut self, tenant: &T, reply: Reply<T>) -> u64 {
@@ -264,7 +271,7 @@
     fn dispatch(&mut self) -> Vec<Decision<T>> {
         let mut decisions = Vec::new();
         while self.in_use < self.settings.slots {
-            let Some(tenant) = self.ready.first().map(|rank| rank.tenant.clone()) else {
+            let Some(tenant) = self.ready.first().map(|place| place.tenant.clone()) else {
                 break;
             };
             let waiter = self.update(&tenant, |state| state.queue.pop_front());
@@ -359,11 +366,11 @@
                 turn: 0,
                 queue: VecDeque::new(),
             });
-        self.ready.remove(&rank(tenant, state));
+        self.ready.remove(&place(tenant, state));
         self.queue_lengths.remove(&queue_length(tenant, state));
         let result = change(state);
         if state.is_ready() {
-            self.ready.insert(rank(tenant, state));
+            self.ready.insert(place(tenant, state));
         }
         if !state.queue.is_empty() {
             self.queue_lengths.insert(queue_length(tenant, state));
@@ -378,8 +385,9 @@
     }
 }
 
-fn rank<T: TenantKey>(tenant: &T, state: &Tenant<T>) -> Rank<T> {
-    Rank {
+fn place<T: TenantKey>(tenant: &T, state: &Tenant<T>) -> Place<T> {
+    Place {
+        rank: state.limits.rank,
         in_flight: state.in_flight,
         turn: state.turn,
         tenant: tenant.clone(),
@@ -388,6 +396,7 @@
 
 fn queue_length<T: TenantKey>(tenant: &T, state: &Tenant<T>) -> QueueLength<T> {
     QueueLength {
+        rank: state.limits.rank,
         waiting: state.queue.len(),
         tenant: tenant.clone(),
     }
--- a/crates/coordination/tests/limit.rs
+++ b/crates/coordination/tests/limit.rs
@@ -29,6 +29,7 @@
     TenantLimits {
         in_flight,
         queue_length,
+        rank: 0,
     }
 }
 
@@ -102,6 +103,57 @@
     assert!(granted(&mut small).await.is_some());
 }
 
+/// Enters the queue under `limits`.
+async fn enqueue_within(
+    limiter: &Limiter<Tenant>,
+    tenant: Tenant,
+    limits: TenantLimits,
+) -> Waiting {
+    let limiter = limiter.clone();
+    let mut waiting: Waiting = Box::pin(async move {
+        let deadline = in_a_minute();
+        limiter.acquire_within(tenant, limits, deadline).await
+    });
+    assert!(futures::poll!(&mut waiting).is_pending());
+    waiting
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_free_slot_goes_to_the_highest_rank_that_waits() {
+    let ranked = |rank| TenantLimits {
+        rank,
+        ..tenant_limits(10, 10)
+    };
+    let limiter = limiter(1, 100, ranked(0));
+    let held = limiter.acquire("holder", in_a_minute()).await.unwrap();
+    let mut low = enqueue_within(&limiter, "low", ranked(2)).await;
+    let mut high = enqueue_within(&limiter, "high", ranked(1)).await;
+    let mut also_high = enqueue_within(&limiter, "high", ranked(1)).await;
+    drop(held);
+    let first = granted(&mut high).await.expect("the highest rank");
+    assert!(granted(&mut low).await.is_none());
+    drop(first);
+    // Although its tenant had the last turn.
+    drop(granted(&mut also_high).await.expect("still a higher rank"));
+    assert!(granted(&mut low).await.is_some());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_full_queue_gives_up_the_lowest_rank() {
+    let ranked = |rank| TenantLimits {
+        rank,
+        ..tenant_limits(10, 10)
+    };
+    let limiter = limiter(1, 1, ranked(0));
+    let _held = limiter.acquire("holder", in_a_minute()).await.unwrap();
+    let low = enqueue_within(&limiter, "low", ranked(2)).await;
+    let _high = enqueue_within(&limiter, "high", ranked(1)).await;
+    assert_eq!(low.await.unwrap_err().reason, RejectReason::QueueFull);
+    // One of a lower rank finds no room.
+    let lower = limiter.acquire_within("lower", ranked(3), in_a_minute());
+    assert_eq!(lower.await.unwrap_err().reason, RejectReason::QueueFull);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_tenant_with_long_requests_holds_no_more_slots_than_the_others() {
     let limiter = limiter(4, 1_000, tenant_limits(4, 1_000));
--- a/crates/daemon/src/app/home/admission.rs
+++ b/crates/daemon/src/app/home/admission.rs
@@ -38,6 +38,7 @@
         let limits = TenantLimits {
             in_flight: self.greatest_in_flight(service)?,
             queue_length: self.settings.queued_units_per_service,
+            rank: 0,
         };
         let admission = self
             .limiter
@@ -69,6 +70,7 @@
         tenant: TenantLimits {
             in_flight: slots,
             queue_length: settings.queued_units_per_service,
+            rank: 0,
         },
     }
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -16,7 +16,6 @@
 use std::time::Duration;
 use stilequay_coordination::retry::{RetryBudget, RetryBudgetSettings};
 use tokio::sync::watch;
-use tokio::time::Instant;
 
 /// Calls that one process keeps waiting for changes: entries, configuration, records.
 const FEEDS: f64 = 3.0;
@@ -312,9 +311,8 @@
 
     /// Closes connections that have not been used for long.
     pub fn close_unused_connections(&self) {
-        let now = Instant::now();
         for pool in lock(&self.pools).values() {
-            pool.close_unused(now);
+            pool.close_unused();
         }
     }
 
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -4,7 +4,7 @@
 use crate::engine::Engine;
 use crate::group::Group;
 use crate::peers;
-use crate::pool::SessionValues;
+use crate::pool::Claim;
 use crate::ports::{Command, Control};
 use crate::position::LogPosition;
 use std::time::Duration;
@@ -80,8 +80,7 @@
     let leader = group.leased_leader(now, Duration::ZERO)?;
     let pool = engine.pool_of(&leader.member)?;
     let until = now + QUESTION_TIMEOUT;
-    let values = SessionValues::default();
-    let mut connection = pool.acquire(&values, until).await.ok()?;
+    let mut connection = pool.acquire(&Claim::own(), until).await.ok()?;
     let sent = Instant::now();
     let begin = Command::Begin {
         read_only: false,
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -1,7 +1,8 @@
 //! A connection, what sessions have left on it, and putting it into a session's state.
 
 use super::member::MemberPool;
-use crate::names::RequestId;
+use super::set::PoolConnection;
+use crate::names::{DatabaseName, RequestId};
 use crate::ports::{
     Answer, BackEndConnection, Command, Control, LinkError, MemberReport, RefusalKind,
 };
@@ -12,7 +13,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::OwnedSemaphorePermit;
+use stilequay_coordination::limit::Permit;
 use tokio::time::{Instant, timeout};
 use xxhash_rust::xxh3::xxh3_128;
 
@@ -73,8 +74,10 @@
     pub(super) fn has_values(&self, values: &SessionValues) -> bool {
         Arc::ptr_eq(&self.values, values) || self.values == *values
     }
+}
 
-    pub(super) fn is_open(&mut self) -> bool {
+impl PoolConnection for Established {
+    fn is_open(&mut self) -> bool {
         self.connection.is_open()
     }
 }
@@ -86,14 +89,14 @@
     pool: Arc<MemberPool>,
     established: Option<Established>,
     clean: bool,
-    _permit: OwnedSemaphorePermit,
+    _permit: Permit<DatabaseName>,
 }
 
 impl PooledConnection {
     pub(super) fn new(
         pool: Arc<MemberPool>,
         established: Established,
-        permit: OwnedSemaphorePermit,
+        permit: Permit<DatabaseName>,
     ) -> Self {
         Self {
             pool,
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -2,12 +2,14 @@
 
 use super::connection::{Established, PooledConnection, SessionValues};
 use super::health::MemberHealth;
+use super::set::{ConnectionSet, Fit};
 use crate::directory::Member;
+use crate::names::DatabaseName;
 use crate::ports::{BackEnd, BackEndConnection, ConnectError, Control, LinkError, MemberReport};
 use quick_error::quick_error;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use stilequay_coordination::limit::{LimiterSettings, Permit, TenantLimits};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -21,6 +23,42 @@
 const TOO_MANY_PAUSE: Duration = Duration::from_millis(250);
 /// How long an unused connection is kept.
 const IDLE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Requests of all databases that wait for a connection, at the most.
+const QUEUE_LENGTH: usize = 1_024;
+/// Requests of one database that wait, at the most.
+const DATABASE_QUEUE_LENGTH: usize = 256;
+/// Longest wait: each request has a deadline of its own before.
+const QUEUE_TIME: Duration = Duration::from_secs(60);
+
+/// For whom a connection is used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// The database that its session is for: connections are shared fairly between these.
+    pub database: DatabaseName,
+    /// Rank of its route, 0 the highest: it goes before all of a lower rank.
+    pub rank: u32,
+    /// Values to find in place, if possible.
+    pub values: SessionValues,
+}
+
+impl Claim {
+    /// A claim of the engine's own, for orders and questions.
+    pub fn own() -> Self {
+        Self {
+            database: DatabaseName::from(""),
+            rank: 0,
+            values: SessionValues::default(),
+        }
+    }
+
+    fn limits(&self) -> TenantLimits {
+        TenantLimits {
+            in_flight: usize::MAX,
+            queue_length: DATABASE_QUEUE_LENGTH,
+            rank: self.rank,
+        }
+    }
+}
 
 quick_error! {
     /// No connection could be had. Nothing has been sent.
@@ -62,17 +100,8 @@
     }
 }
 
-#[derive(Debug)]
-struct Idle {
-    established: Established,
-    since: Instant,
-}
-
 #[derive(Debug)]
 struct PoolState {
-    limit: usize,
-    idle: Vec<Idle>,
-    closed: bool,
     no_opening_until: Option<Instant>,
     health: MemberHealth,
 }
@@ -82,7 +111,7 @@
 pub struct MemberPool {
     member: Arc<Member>,
     back_end: Arc<dyn BackEnd>,
-    permits: Arc<Semaphore>,
+    connections: ConnectionSet<Established, DatabaseName>,
     state: Mutex<PoolState>,
 }
 
@@ -92,11 +121,13 @@
         Self {
             member,
             back_end,
-            permits: Arc::new(Semaphore::new(FIRST_LIMIT)),
+            connections: ConnectionSet::new(LimiterSettings {
+                slots: FIRST_LIMIT,
+                queue_length: QUEUE_LENGTH,
+                queue_time: QUEUE_TIME,
+                tenant: TenantLimits::default(),
+            }),
             state: Mutex::new(PoolState {
-                limit: FIRST_LIMIT,
-                idle: Vec::new(),
-                closed: false,
                 no_opening_until: None,
                 health: MemberHealth::new(Instant::now()),
             }),
@@ -110,20 +141,12 @@
 
     /// Connections in use.
     pub fn in_use(&self) -> usize {
-        let limit = self.lock().limit;
-        limit.saturating_sub(self.permits.available_permits())
+        self.connections.load().in_use
     }
 
     /// Bounds the connections in use. Fewer are reached as those in use come back.
     pub fn set_limit(&self, limit: usize) {
-        let mut state = self.lock();
-        if limit > state.limit {
-            self.permits.add_permits(limit - state.limit);
-            state.limit = limit;
-        } else {
-            let forgotten = self.permits.forget_permits(state.limit - limit);
-            state.limit -= forgotten;
-        }
+        self.connections.set_slots(limit);
     }
 
     /// What is known of the member.
@@ -136,22 +159,21 @@
         change(&mut self.lock().health);
     }
 
-    /// A connection, one with `values` in place if there is such a one.
+    /// A connection, one with the claim's values in place if there is such a one.
     ///
     /// # Errors
     ///
     /// [`AcquireError`] where there is none by `deadline`.
     pub async fn acquire(
         self: &Arc<Self>,
-        values: &SessionValues,
+        claim: &Claim,
         deadline: Instant,
     ) -> Result<PooledConnection, AcquireError> {
         self.check_reachable(Instant::now())?;
-        let permit = timeout_at(deadline, Arc::clone(&self.permits).acquire_owned())
-            .await
-            .map_err(|_| AcquireError::Exhausted)?
-            .map_err(|_| AcquireError::Exhausted)?;
-        if let Some(established) = self.take_idle(values) {
+        let database = claim.database.clone();
+        let admission = self.connections.admit(database, claim.limits(), deadline);
+        let permit = admission.await.map_err(|_| AcquireError::Exhausted)?;
+        if let Some(established) = self.take_idle(&claim.values) {
             return Ok(self.in_use_connection(established, permit));
         }
         self.check_opening(Instant::now())?;
@@ -167,7 +189,7 @@
     /// the member's work for it is not lost, and the connection goes to the pool.
     fn spawn_open(
         self: &Arc<Self>,
-        permit: OwnedSemaphorePermit,
+        permit: Permit<DatabaseName>,
     ) -> JoinHandle<Result<PooledConnection, AcquireError>> {
         let pool = Arc::clone(self);
         tokio::spawn(async move {
@@ -195,7 +217,7 @@
     ///
     /// [`OrderError`] tells whether the member runs.
     pub async fn order(self: &Arc<Self>, control: Control) -> Result<MemberReport, OrderError> {
-        if let Some(mut idle) = self.try_idle()
+        if let Some(mut idle) = self.try_idle().await
             && let Ok(report) = idle.control(control).await
         {
             return Ok(report);
@@ -204,72 +226,61 @@
             Ok(mut connection) => Ok(connection.control(control).await?),
             Err(ConnectError::TooManyConnections) => {
                 let until = Instant::now() + ORDER_WAIT;
-                let values = SessionValues::default();
-                let mut connection = self.acquire(&values, until).await?;
+                let mut connection = self.acquire(&Claim::own(), until).await?;
                 Ok(connection.control(control).await?)
             }
             Err(error) => Err(OrderError::Connect(error)),
         }
     }
 
-    fn try_idle(self: &Arc<Self>) -> Option<PooledConnection> {
-        let permit = Arc::clone(&self.permits).try_acquire_owned().ok()?;
+    async fn try_idle(self: &Arc<Self>) -> Option<PooledConnection> {
+        let claim = Claim::own();
+        let at_once = TenantLimits {
+            queue_length: 0,
+            ..claim.limits()
+        };
+        let until = Instant::now() + ORDER_WAIT;
+        let admission = self.connections.admit(claim.database, at_once, until);
+        let permit = admission.await.ok()?;
         let established = self.take_idle(&SessionValues::default())?;
         Some(self.in_use_connection(established, permit))
     }
 
     /// Closes unused connections, and those in use as they come back.
     pub fn close(&self) {
-        let mut state = self.lock();
-        state.closed = true;
-        state.idle.clear();
+        self.connections.close();
     }
 
     /// Closes the connections that are not in use: the member does not answer on them.
     pub fn lose_idle(&self) {
-        let mut state = self.lock();
-        state.idle.clear();
-        state.health.unreachable(Instant::now());
+        drop(self.connections.take_all(|_| true));
+        self.note(|health| health.unreachable(Instant::now()));
     }
 
     /// Closes connections that were not used for long.
-    pub fn close_unused(&self, now: Instant) {
-        let mut state = self.lock();
-        state
-            .idle
-            .retain(|idle| now.duration_since(idle.since) < IDLE_LIMIT);
+    pub fn close_unused(&self) {
+        self.connections.close_idle(|idle| idle.age >= IDLE_LIMIT);
     }
 
     pub(super) fn give_back(&self, established: Established) {
-        let mut state = self.lock();
-        if !state.closed {
-            let since = Instant::now();
-            state.idle.push(Idle { established, since });
-        }
+        self.connections.put_idle(established);
     }
 
     fn in_use_connection(
         self: &Arc<Self>,
         established: Established,
-        permit: OwnedSemaphorePermit,
+        permit: Permit<DatabaseName>,
     ) -> PooledConnection {
         PooledConnection::new(Arc::clone(self), established, permit)
     }
 
     /// The most recently used connection that is still open, with `values` if possible.
     fn take_idle(&self, values: &SessionValues) -> Option<Established> {
-        let mut state = self.lock();
-        loop {
-            let fitting = state
-                .idle
-                .iter()
-                .rposition(|idle| idle.established.has_values(values));
-            let index = fitting.or_else(|| state.idle.len().checked_sub(1))?;
-            let mut idle = state.idle.remove(index);
-            if idle.established.is_open() {
-                return Some(idle.established);
-            }
-        }
+        self.connections
+            .take_idle(|established| match established.has_values(values) {
+                true => Fit::Exact,
+                false => Fit::Usable,
+            })
     }
 
     async fn open(&self) -> Result<Established, AcquireError> {
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -11,5 +11,5 @@
 
 pub use connection::{PooledConnection, RunError, SessionValues, Work};
 pub use health::MemberHealth;
-pub use member::{AcquireError, MemberPool, OrderError};
+pub use member::{AcquireError, Claim, MemberPool, OrderError};
 pub use set::{ConnectionSet, Fit, IdleConnection, PoolConnection};
--- a/crates/engine/src/session/mod.rs
+++ b/crates/engine/src/session/mod.rs
@@ -16,7 +16,7 @@
 use crate::engine::Engine;
 use crate::events::Event;
 use crate::names::DatabaseName;
-use crate::pool::{SessionValues, Work};
+use crate::pool::{Claim, SessionValues, Work};
 use crate::statement::{Access, PreparedStatement, Reply, Request, Statement, TransactionState};
 use crate::verdict::{Failure, FailureReason};
 use bytes::Bytes;
@@ -203,6 +203,15 @@
         }
     }
 
+    /// For whom connections are used under `route`.
+    fn claim(&self, route: &Route) -> Claim {
+        Claim {
+            database: self.database.clone(),
+            rank: route.priority,
+            values: Arc::clone(&self.values),
+        }
+    }
+
     /// The route in force, bound anew for each statement outside a transaction.
     fn route(&self) -> Result<Arc<Route>, Failure> {
         let unknown = || Failure::rejected(FailureReason::UnknownDatabase);
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -13,7 +13,7 @@
 use crate::group::{Group, UsableLeader};
 use crate::leadership::{access, freshness};
 use crate::names::{MemberId, RequestId};
-use crate::pool::{AcquireError, MemberPool, RunError, SessionValues, Work};
+use crate::pool::{AcquireError, Claim, MemberPool, RunError, Work};
 use crate::ports::{Answer, Refusal, RefusalKind};
 use crate::position::LogPosition;
 use crate::routing::read_candidates;
@@ -51,7 +51,7 @@
 struct ReadJob {
     id: RequestId,
     work: Work,
-    values: SessionValues,
+    claim: Claim,
     group: Arc<Group>,
     limits: StatementLimits,
 }
@@ -85,7 +85,7 @@
         let job = ReadJob {
             id: request.id.clone(),
             work,
-            values: Arc::clone(&self.values),
+            claim: self.claim(route),
             group: Arc::clone(&group),
             limits,
         };
@@ -260,14 +260,14 @@
 async fn read_once(job: &ReadJob, target: &ReadTarget) -> ReadOutcome {
     let pool = &target.pool;
     let wait = acquire_until(&job.limits, target);
-    let mut connection = match pool.acquire(&job.values, wait).await {
+    let mut connection = match pool.acquire(&job.claim, wait).await {
         Ok(connection) => connection,
         Err(error) => return ReadOutcome::NotTaken(error),
     };
     let leader = job.group.as_leader(&pool.member().id);
     let sent = Instant::now();
     let running = async {
-        let put = connection.put_values(&job.values).await;
+        let put = connection.put_values(&job.claim.values).await;
         put.map_err(RunError::Before)?;
         connection.run_work(&job.id, &job.work, target.after).await
     };
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction.rs
@@ -270,7 +270,7 @@
         let pool = Arc::clone(&place.target.pool);
         let member = pool.member().id.clone();
         let wait = acquire_until(&limits, &place.target);
-        let mut connection = match pool.acquire(&self.values, wait).await {
+        let mut connection = match pool.acquire(&self.claim(&transaction.route), wait).await {
             Ok(connection) => connection,
             Err(error) => {
                 trace.attempted(&member, error.to_string());
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -107,7 +107,7 @@
                 return Err(Failure::not_run(FailureReason::NoLeader));
             };
             let attempt = self
-                .write_once(request, &group, &leader, &work, limits, trace)
+                .write_once(request, route, &group, &leader, &work, trace)
                 .await;
             match attempt {
                 Attempt::Decided(outcome) => return outcome,
@@ -119,16 +119,17 @@
     async fn write_once(
         &mut self,
         request: &Request,
+        route: &Route,
         group: &Group,
         leader: &UsableLeader,
         work: &Work,
-        limits: StatementLimits,
         trace: &mut RequestTrace,
     ) -> Attempt<Completion> {
+        let limits = StatementLimits::new(route, request.received);
         let Some(pool) = leader_pool(&self.engine, leader) else {
             return Attempt::NotRun(FailureReason::NoLeader);
         };
-        let mut connection = match pool.acquire(&self.values, limits.offer).await {
+        let mut connection = match pool.acquire(&self.claim(route), limits.offer).await {
             Ok(connection) => connection,
             Err(error) => {
                 trace.attempted(&leader.member, error.to_string());
--- a/crates/engine/tests/pool.rs
+++ b/crates/engine/tests/pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, Directory, Member};
 use stilequay_engine::leadership::fleet::connection_share;
-use stilequay_engine::pool::{AcquireError, MemberPool, SessionValues};
+use stilequay_engine::pool::{AcquireError, Claim, MemberPool};
 use stilequay_engine::ports::{BackEnd, BackEndConnection, Command, ConnectError};
 use support::servers::{World, WorldBackEnd};
 use tokio::time::{Instant, sleep};
@@ -58,11 +58,11 @@
 #[tokio::test(start_paused = true)]
 async fn an_opening_that_is_given_up_is_kept_for_the_next() {
     let (_world, back_end, pool) = pool(Duration::from_millis(100));
-    let values = SessionValues::default();
-    let given_up = pool.acquire(&values, soon(40)).await;
+    let claim = Claim::own();
+    let given_up = pool.acquire(&claim, soon(40)).await;
     assert_eq!(given_up.err(), Some(AcquireError::Exhausted));
     sleep(Duration::from_millis(100)).await;
-    assert!(pool.acquire(&values, soon(5)).await.is_ok());
+    assert!(pool.acquire(&claim, soon(5)).await.is_ok());
     assert_eq!(opened(&back_end), 1);
     // Nor does it count as a failure of the member.
     assert_eq!(pool.health().unreachable_since(), None);
@@ -72,12 +72,12 @@
 async fn connections_in_use_are_bounded_and_those_that_wait_are_served() {
     let (_world, back_end, pool) = pool(Duration::ZERO);
     pool.set_limit(2);
-    let values = SessionValues::default();
-    let first = pool.acquire(&values, soon(50)).await.expect("free");
-    let second = pool.acquire(&values, soon(50)).await.expect("free");
-    let third = pool.acquire(&values, soon(50)).await;
+    let claim = Claim::own();
+    let first = pool.acquire(&claim, soon(50)).await.expect("free");
+    let second = pool.acquire(&claim, soon(50)).await.expect("free");
+    let third = pool.acquire(&claim, soon(50)).await;
     assert_eq!(third.err(), Some(AcquireError::Exhausted));
-    let waiting = pool.acquire(&values, soon(500));
+    let waiting = pool.acquire(&claim, soon(500));
     let giving_back = async {
         sleep(Duration::from_millis(100)).await;
         drop(first);
@@ -91,23 +91,23 @@
 #[tokio::test(start_paused = true)]
 async fn a_connection_inside_a_transaction_is_closed_when_it_is_dropped() {
     let (_world, back_end, pool) = pool(Duration::ZERO);
-    let values = SessionValues::default();
-    let mut connection = pool.acquire(&values, soon(50)).await.expect("free");
+    let claim = Claim::own();
+    let mut connection = pool.acquire(&claim, soon(50)).await.expect("free");
     let begin = Command::Begin {
         read_only: false,
         after: None,
     };
     connection.run(&begin).await.expect("begun");
     drop(connection);
-    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    drop(pool.acquire(&claim, soon(50)).await.expect("free"));
     assert_eq!(opened(&back_end), 2);
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_rolled_back_connection_is_used_again() {
     let (_world, back_end, pool) = pool(Duration::ZERO);
-    let values = SessionValues::default();
-    let mut connection = pool.acquire(&values, soon(50)).await.expect("free");
+    let claim = Claim::own();
+    let mut connection = pool.acquire(&claim, soon(50)).await.expect("free");
     let begin = Command::Begin {
         read_only: false,
         after: None,
@@ -115,22 +115,22 @@
     connection.run(&begin).await.expect("begun");
     connection.roll_back();
     sleep(Duration::from_millis(50)).await;
-    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    drop(pool.acquire(&claim, soon(50)).await.expect("free"));
     assert_eq!(opened(&back_end), 1);
 }
 
 #[tokio::test(start_paused = true)]
 async fn connections_end_that_were_not_used_for_long() {
     let (_world, back_end, pool) = pool(Duration::ZERO);
-    let values = SessionValues::default();
-    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    let claim = Claim::own();
+    drop(pool.acquire(&claim, soon(50)).await.expect("free"));
     sleep(Duration::from_secs(1)).await;
-    pool.close_unused(Instant::now());
-    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    pool.close_unused();
+    drop(pool.acquire(&claim, soon(50)).await.expect("free"));
     assert_eq!(opened(&back_end), 1);
     sleep(Duration::from_secs(3)).await;
-    pool.close_unused(Instant::now());
-    drop(pool.acquire(&values, soon(50)).await.expect("free"));
+    pool.close_unused();
+    drop(pool.acquire(&claim, soon(50)).await.expect("free"));
     assert_eq!(opened(&back_end), 2);
 }
 
@@ -138,9 +138,9 @@
 async fn a_member_that_is_gone_is_told_at_once_after_the_first_try() {
     let (world, back_end, pool) = pool(Duration::ZERO);
     world.crash("a");
-    let values = SessionValues::default();
+    let claim = Claim::own();
     for _ in 0..5 {
-        let refused = pool.acquire(&values, soon(50)).await;
+        let refused = pool.acquire(&claim, soon(50)).await;
         assert!(matches!(refused, Err(AcquireError::Unreachable(_))));
     }
     assert_eq!(opened(&back_end), 1);
@@ -160,3 +160,35 @@
 ) {
     assert_eq!(connection_share(accepted, processes), share);
 }
+
+/// What waits for a connection is served by the rank of its route, then fairly between
+/// databases.
+#[tokio::test(start_paused = true)]
+async fn a_connection_that_comes_back_goes_to_the_highest_rank() {
+    let (_world, _back_end, pool) = pool(Duration::ZERO);
+    pool.set_limit(1);
+    let held = pool.acquire(&Claim::own(), soon(50)).await.expect("free");
+    let (sender, mut served) = tokio::sync::mpsc::unbounded_channel();
+    for (database, rank) in [("low", 2), ("low", 2), ("high", 1), ("also low", 2)] {
+        let claim = Claim {
+            database: database.into(),
+            rank,
+            values: Default::default(),
+        };
+        let (pool, sender) = (Arc::clone(&pool), sender.clone());
+        tokio::spawn(async move {
+            let connection = pool.acquire(&claim, soon(500)).await.expect("served");
+            let _ = sender.send(database);
+            sleep(Duration::from_millis(10)).await;
+            drop(connection);
+        });
+        sleep(Duration::from_millis(1)).await;
+    }
+    drop(held);
+    drop(sender);
+    let mut order = Vec::new();
+    while let Some(database) = served.recv().await {
+        order.push(database);
+    }
+    assert_eq!(order, ["high", "low", "also low", "low"]);
+}
