Refuse early in a queue that stands, use fewer connections where answers are slow

Requests were held for 336 ms before members' full pools, then refused, and came back; answers took ten times their work in the members' queues, where nothing can be put in order; reads asked one member after another and lost their place in the queue of each.

Ruled out: the processes' own processor (0.09 of 0.25 cores in use).

Change: a read waits at several members at once and keeps its place (session/offer.rs). A queue without a quick admission for 150 ms stands: then a request waits for a fifth of its objective and is told when to come back (pool/queue.rs). What is expected to wait for longer than it can is refused at once. The connections in use shrink while answers take twice as long as when least loaded, and grow while requests wait and answers are quick (pool/concurrency.rs). A member whose queue is too full for a new connection is alive; so is one that answered any statement while it was being asked.

--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -71,7 +71,7 @@
     let pool = engine.pool(member);
     match timeout(ORDER_TIMEOUT, pool.order(control)).await {
         Ok(Ok(report)) => {
-            pool.note(|health| health.heard());
+            pool.note(|health| health.heard(Instant::now()));
             Response::Report(report)
         }
         Ok(Err(error)) => failure(&error),
@@ -147,8 +147,8 @@
         OrderError::Connect(ConnectError::Refused(_) | ConnectError::WrongMember) => {
             Response::Down(reason)
         }
-        OrderError::Connect(ConnectError::TooManyConnections)
-        | OrderError::Acquire(AcquireError::Exhausted) => Response::Full,
+        OrderError::Connect(ConnectError::TooManyConnections | ConnectError::Busy)
+        | OrderError::Acquire(AcquireError::Exhausted | AcquireError::Shed(_)) => Response::Full,
         _ => Response::Silent(reason),
     }
 }
--- a/crates/engine/src/leadership/suspicion.rs
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -104,6 +104,7 @@
     leader: &Arc<Member>,
     asked_to: bool,
 ) -> Option<Suspicion> {
+    let began = Instant::now();
     for _ in 0..QUESTIONS {
         match ask(engine, leader).await {
             Response::Report(report) if report.role == Role::Replica => {
@@ -116,7 +117,10 @@
             Response::Down(_) | Response::Silent(_) => sleep(QUESTION_PAUSE).await,
         }
     }
-    Some(Suspicion::Unreachable)
+    // One that is slow to answer questions may still answer statements.
+    let heard = engine.pool(leader).health().heard_at();
+    let lives = heard.is_some_and(|at| at >= began);
+    (!lives).then_some(Suspicion::Unreachable)
 }
 
 /// Whether any replica receives what the leader has in its log. Where no replica answers,
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -154,7 +154,11 @@
         match &result {
             Ok(answer) => {
                 self.clean = answer.state == TransactionState::Idle;
-                self.note_answer(answer, now.duration_since(sent), now);
+                let latency = now.duration_since(sent);
+                self.note_answer(answer, latency, now);
+                if command.is_statement() && answer.outcome.is_ok() {
+                    self.pool.note_statement(latency);
+                }
             }
             Err(_) => self.pool.note(|health| health.unreachable(now)),
         }
--- a/crates/engine/src/pool/health.rs
+++ b/crates/engine/src/pool/health.rs
@@ -29,6 +29,7 @@
     lacks: Option<(LogPosition, Instant)>,
     applied: Option<LogPosition>,
     waiting_since: Option<Instant>,
+    heard: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -49,6 +50,7 @@
             lacks: None,
             applied: None,
             waiting_since: None,
+            heard: None,
         }
     }
 
@@ -58,11 +60,17 @@
         let before = self.expected_latency_ms(now);
         self.latency_ms = before + (latency_ms - before) * NEWEST_WEIGHT;
         self.measured = now;
-        self.heard();
+        self.heard(now);
+    }
+
+    /// When something was last heard of it.
+    pub fn heard_at(&self) -> Option<Instant> {
+        self.heard
     }
 
     /// Something was heard of it.
-    pub fn heard(&mut self) {
+    pub fn heard(&mut self, now: Instant) {
+        self.heard = Some(now);
         self.unreachable = None;
         self.waiting_since = None;
     }
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -1,7 +1,9 @@
 //! The connections to one member.
 
+use super::concurrency::Concurrency;
 use super::connection::{Established, PooledConnection, SessionValues};
 use super::health::MemberHealth;
+use super::queue::QueueDelay;
 use super::set::{ConnectionSet, Fit};
 use crate::directory::Member;
 use crate::names::DatabaseName;
@@ -9,7 +11,9 @@
 use quick_error::quick_error;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use stilequay_coordination::limit::{LimiterSettings, Permit, TenantLimits};
+use stilequay_coordination::limit::{
+    LimiterSettings, Permit, RejectReason, Rejected, TenantLimits,
+};
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -19,6 +23,8 @@
 const ORDER_WAIT: Duration = Duration::from_millis(200);
 /// Longest time in which a connection opens.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
+/// Pause before another connection is opened after the member's queue was full.
+const BUSY_PAUSE: Duration = Duration::from_millis(60);
 /// Pause before another connection is opened after the member had too many.
 const TOO_MANY_PAUSE: Duration = Duration::from_millis(250);
 /// How long an unused connection is kept.
@@ -39,6 +45,8 @@
     pub rank: u32,
     /// Values to find in place, if possible.
     pub values: SessionValues,
+    /// How long it may wait in a queue that stands.
+    pub patience: Duration,
 }
 
 impl Claim {
@@ -48,6 +56,7 @@
             database: DatabaseName::from(""),
             rank: 0,
             values: SessionValues::default(),
+            patience: QUEUE_TIME,
         }
     }
 
@@ -68,6 +77,10 @@
         Exhausted {
             display("no connection is free")
         }
+        /// Requests wait for so long that more of them would all be late.
+        Shed(retry_after: Duration) {
+            display("too many requests wait; to come back after {} ms", retry_after.as_millis())
+        }
         /// The member can't be reached.
         Unreachable(reason: String) {
             display("unreachable: {reason}")
@@ -103,6 +116,8 @@
 #[derive(Debug)]
 struct PoolState {
     no_opening_until: Option<Instant>,
+    queue: QueueDelay,
+    concurrency: Concurrency,
     health: MemberHealth,
 }
 
@@ -129,6 +144,8 @@
             }),
             state: Mutex::new(PoolState {
                 no_opening_until: None,
+                queue: QueueDelay::default(),
+                concurrency: Concurrency::new(FIRST_LIMIT, Instant::now()),
                 health: MemberHealth::new(Instant::now()),
             }),
         }
@@ -144,9 +161,31 @@
         self.connections.load().in_use
     }
 
+    /// Connections that may be in use now.
+    pub fn limit(&self) -> usize {
+        self.lock().concurrency.limit()
+    }
+
     /// Bounds the connections in use. Fewer are reached as those in use come back.
     pub fn set_limit(&self, limit: usize) {
-        self.connections.set_slots(limit);
+        let mut state = self.lock();
+        state.concurrency.set_ceiling(limit);
+        let slots = state.concurrency.limit();
+        drop(state);
+        self.connections.set_slots(slots);
+    }
+
+    /// Notes that a statement was answered after `latency`.
+    pub(super) fn note_statement(&self, latency: Duration) {
+        let waiting = self.connections.load().waiting > 0;
+        let mut state = self.lock();
+        let before = state.concurrency.limit();
+        state.concurrency.answered(latency, waiting, Instant::now());
+        let slots = state.concurrency.limit();
+        drop(state);
+        if slots != before {
+            self.connections.set_slots(slots);
+        }
     }
 
     /// What is known of the member.
@@ -170,9 +209,7 @@
         deadline: Instant,
     ) -> Result<PooledConnection, AcquireError> {
         self.check_reachable(Instant::now())?;
-        let database = claim.database.clone();
-        let admission = self.connections.admit(database, claim.limits(), deadline);
-        let permit = admission.await.map_err(|_| AcquireError::Exhausted)?;
+        let permit = self.admit(claim, deadline).await?;
         if let Some(established) = self.take_idle(&claim.values) {
             return Ok(self.in_use_connection(established, permit));
         }
@@ -185,6 +222,37 @@
         }
     }
 
+    /// Waits for the claim's turn; for no longer than its patience where the queue stands.
+    async fn admit(
+        &self,
+        claim: &Claim,
+        deadline: Instant,
+    ) -> Result<Permit<DatabaseName>, AcquireError> {
+        let began = Instant::now();
+        let stands = self.lock().queue.stands(began);
+        let until = match stands {
+            true => deadline.min(began + claim.patience),
+            false => deadline,
+        };
+        let database = claim.database.clone();
+        let admitted = self
+            .connections
+            .admit(database, claim.limits(), until)
+            .await;
+        let now = Instant::now();
+        let mut state = self.lock();
+        match admitted {
+            Ok(permit) => {
+                state.queue.admitted(now.duration_since(began), now);
+                Ok(permit)
+            }
+            Err(rejected) => {
+                state.queue.given_up(now);
+                Err(rejection(&rejected, stands))
+            }
+        }
+    }
+
     /// Opens a connection in a task of its own: where the one who asked for it gives up,
     /// the member's work for it is not lost, and the connection goes to the pool.
     fn spawn_open(
@@ -288,7 +356,9 @@
         metrics::counter!("stilequay_pool_connections_opened_total").increment(1);
         match result {
             Ok(connection) => Ok(Established::new(connection)),
-            Err(ConnectError::TooManyConnections) => Err(AcquireError::Exhausted),
+            Err(ConnectError::TooManyConnections | ConnectError::Busy) => {
+                Err(AcquireError::Exhausted)
+            }
             Err(ConnectError::WrongMember) => Err(AcquireError::WrongMember),
             Err(error) => Err(AcquireError::Unreachable(error.to_string())),
         }
@@ -313,11 +383,16 @@
         let now = Instant::now();
         let mut state = self.lock();
         match error {
-            None => state.health.heard(),
+            None => state.health.heard(now),
             Some(ConnectError::TooManyConnections) => {
-                state.health.heard();
+                state.health.heard(now);
                 state.no_opening_until = Some(now + TOO_MANY_PAUSE);
             }
+            Some(ConnectError::Busy) => {
+                state.health.heard(now);
+                state.health.busy(now);
+                state.no_opening_until = Some(now + BUSY_PAUSE);
+            }
             Some(_) => state.health.unreachable(now),
         }
     }
@@ -326,3 +401,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Whether a request that was not admitted may try again while it has time.
+fn rejection(rejected: &Rejected, queue_stands: bool) -> AcquireError {
+    let waited = matches!(
+        rejected.reason,
+        RejectReason::Deadline | RejectReason::QueueTime
+    );
+    match waited && !queue_stands {
+        true => AcquireError::Exhausted,
+        false => AcquireError::Shed(rejected.retry_after),
+    }
+}
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -4,12 +4,16 @@
 //! back. Only a connection whose last answer was read to its end and that is outside any
 //! transaction goes back; every other one is closed.
 
+mod concurrency;
 mod connection;
 mod health;
 mod member;
+mod queue;
 mod set;
 
+pub use concurrency::Concurrency;
 pub use connection::{PooledConnection, RunError, SessionValues, Work};
 pub use health::MemberHealth;
 pub use member::{AcquireError, Claim, MemberPool, OrderError};
+pub use queue::QueueDelay;
 pub use set::{ConnectionSet, Fit, IdleConnection, PoolConnection};
--- a/crates/engine/src/ports/back_end.rs
+++ b/crates/engine/src/ports/back_end.rs
@@ -64,6 +64,16 @@
     Reset,
 }
 
+impl Command {
+    /// Whether it is a caller's statement, which a member puts in its queue.
+    pub fn is_statement(&self) -> bool {
+        matches!(
+            self,
+            Command::Run { .. } | Command::Execute { .. } | Command::Commit { .. }
+        )
+    }
+}
+
 /// Orders about replication.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -147,6 +157,10 @@
         WrongMember {
             display("another member listens there")
         }
+        /// It runs, and its queue is full: even a new connection takes a place there.
+        Busy {
+            display("its queue is full")
+        }
         /// The member has all the connections that it accepts.
         TooManyConnections {
             display("too many connections")
--- a/crates/engine/src/session/limits.rs
+++ b/crates/engine/src/session/limits.rs
@@ -10,6 +10,14 @@
 /// Share of a route's time-out after which a member's answer is given up.
 const ANSWER_SHARE: f64 = 0.58;
 
+/// Share of a route's objective that a request may wait in a queue that stands.
+const QUEUE_SHARE: f64 = 0.2;
+
+/// How long a request of `route` may wait in a queue that stands.
+pub fn queue_patience(route: &Route) -> Duration {
+    route.objective.mul_f64(QUEUE_SHARE)
+}
+
 /// Moments that bound one statement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StatementLimits {
--- a/crates/engine/src/session/mod.rs
+++ b/crates/engine/src/session/mod.rs
@@ -5,6 +5,7 @@
 
 mod floor;
 mod limits;
+mod offer;
 mod read;
 mod trace;
 mod transaction;
@@ -21,6 +22,7 @@
 use crate::verdict::{Failure, FailureReason};
 use bytes::Bytes;
 use floor::SessionFloor;
+use limits::queue_patience;
 use std::collections::HashMap;
 use std::sync::Arc;
 use tokio::time::Instant;
@@ -209,6 +211,7 @@
             database: self.database.clone(),
             rank: route.priority,
             values: Arc::clone(&self.values),
+            patience: queue_patience(route),
         }
     }
 
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -3,17 +3,18 @@
 
 use super::floor::FloorRequirement;
 use super::limits::StatementLimits;
+use super::offer::{Declined, Offer, first_connection, shed_for};
 use super::trace::RequestTrace;
 use super::write::{
     leader_pool, member_failure, not_run_reason, note_unanswered, pause_or_refuse, refusal_text,
-    release,
+    release, shed,
 };
 use super::{Completion, Session};
 use crate::configuration::{Consistency, Route};
 use crate::group::{Group, UsableLeader};
 use crate::leadership::{access, freshness};
 use crate::names::{MemberId, RequestId};
-use crate::pool::{AcquireError, Claim, MemberPool, RunError, Work};
+use crate::pool::{AcquireError, Claim, MemberPool, PooledConnection, RunError, Work};
 use crate::ports::{Answer, Refusal, RefusalKind};
 use crate::position::LogPosition;
 use crate::routing::read_candidates;
@@ -26,8 +27,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until, timeout_at};
 
-/// Longest wait for a connection to a member while there are other members.
-const ACQUIRE_WAIT: Duration = Duration::from_millis(40);
 /// Least time before a second member is asked what the first has not answered.
 const HEDGE_MIN: Duration = Duration::from_millis(70);
 /// That time in multiples of the member's expected latency.
@@ -42,8 +41,8 @@
     pub pool: Arc<MemberPool>,
     /// The position asked for; `None` at a leader whose term is leased.
     pub after: Option<LogPosition>,
-    /// Whether no other member is likely to run it: its connections are worth a wait.
-    pub is_only: bool,
+    /// Whether nothing speaks against its running the read at once.
+    pub is_likely: bool,
 }
 
 /// One read's needs, the same for every member that it is sent to.
@@ -66,11 +65,19 @@
 #[derive(Debug)]
 enum ReadOutcome {
     Completed(Completion),
-    NotTaken(AcquireError),
     Refused(Refusal),
     Lost(String),
 }
 
+/// A read that no member has completed.
+#[derive(Debug)]
+enum ReadFailure {
+    /// It may be tried again, while there is time.
+    Again(Failure),
+    /// It is refused.
+    Final(Failure),
+}
+
 impl Session {
     /// Runs a read outside any transaction.
     pub(super) async fn run_read(
@@ -94,19 +101,13 @@
             let targets = self
                 .read_targets(&group, route, request.received, limits.offer, trace)
                 .await;
-            let outcome = self.run_hedged(&job, targets, trace).await;
-            let failure = match outcome {
+            match self.run_hedged(&job, targets, trace).await {
                 Ok(completion) => return Ok(completion),
-                Err(failure) => failure,
-            };
-            let retried = matches!(
-                failure.reason,
-                FailureReason::NoFreshMember | FailureReason::Overloaded | FailureReason::NoLeader
-            );
-            if !retried {
-                return Err(failure);
+                Err(ReadFailure::Final(failure)) => return Err(failure),
+                Err(ReadFailure::Again(failure)) => {
+                    pause_or_refuse(limits, failure.reason).await?;
+                }
             }
-            pause_or_refuse(limits, failure.reason).await?;
         }
     }
 
@@ -129,11 +130,10 @@
         };
         let after = Some(after);
         let candidates = read_candidates(&self.engine, group, after, Instant::now());
-        let likely = candidates.iter().filter(|c| c.is_likely).count();
         let targets = candidates.into_iter();
         targets
             .map(|candidate| ReadTarget {
-                is_only: likely == 1 && candidate.is_likely,
+                is_likely: candidate.is_likely,
                 pool: candidate.pool,
                 after,
             })
@@ -149,12 +149,14 @@
     ) -> Vec<ReadTarget> {
         let leader = access::leased_leader(&self.engine, group, staleness, until).await;
         let pool = leader.and_then(|leader| leader_pool(&self.engine, &leader));
-        let target = pool.map(|pool| ReadTarget {
-            pool,
-            after: None,
-            is_only: true,
-        });
-        target.iter().chain(target.iter()).cloned().collect()
+        let target = |is_likely| {
+            pool.clone().map(|pool| ReadTarget {
+                pool,
+                after: None,
+                is_likely,
+            })
+        };
+        target(true).into_iter().chain(target(false)).collect()
     }
 
     /// The position that a log must hold to be read by this session, or `None` where only
@@ -178,56 +180,54 @@
         }
     }
 
-    /// Sends the read to the first target; to the next one when one can't run it, or has
-    /// been silent for long.
+    /// Sends the read to the first target that has a connection; to another one when it
+    /// can't run it, or has been silent for long.
     async fn run_hedged(
         &self,
         job: &ReadJob,
-        targets: Vec<ReadTarget>,
+        mut targets: Vec<ReadTarget>,
         trace: &mut RequestTrace,
-    ) -> Result<Completion, Failure> {
-        let mut remaining = targets.into_iter();
+    ) -> Result<Completion, ReadFailure> {
         let mut running = FuturesUnordered::new();
-        let Some(first) = remaining.next() else {
-            return Err(Failure::not_run(FailureReason::NoLeader));
-        };
-        let mut hedge_at = hedge_moment(&first);
-        running.push(spawn_read(job, first));
-        loop {
+        let mut last = ReadFailure::Again(Failure::not_run(FailureReason::NoLeader));
+        let mut wants_member = true;
+        let mut hedge_at = job.limits.answer;
+        while !(running.is_empty() && targets.is_empty()) {
+            let may_hedge = !wants_member && running.len() < UNANSWERED_LIMIT;
             tokio::select! {
                 biased;
                 Some(joined) = running.next() => {
                     let Ok(result) = joined else { continue };
-                    let failure = match judge(result, trace) {
+                    match judge(result, trace) {
                         Ok(completion) => return Ok(completion),
-                        Err(failure) => failure,
-                    };
-                    if Instant::now() >= job.limits.answer {
-                        return Err(failure);
+                        Err(failure) => last = failure,
                     }
-                    match remaining.next() {
-                        Some(target) => {
+                    wants_member = true;
+                }
+                offered = first_connection(&targets, &job.claim, job.limits.offer),
+                    if wants_member && !targets.is_empty() => match offered {
+                        Ok(Offer { index, connection }) => {
+                            let target = targets.remove(index);
                             hedge_at = hedge_moment(&target);
-                            running.push(spawn_read(job, target));
+                            wants_member = false;
+                            running.push(spawn_read(job, target, connection));
                         }
-                        None if running.is_empty() => return Err(failure),
-                        None => {}
-                    }
-                }
-                () = sleep_until(hedge_at), if running.len() < UNANSWERED_LIMIT => {
+                        Err(declined) => {
+                            last = decline(&declined, trace);
+                            targets.clear();
+                        }
+                    },
+                () = sleep_until(hedge_at), if may_hedge => {
                     hedge_at = job.limits.answer;
-                    if self.engine.hedges().try_retry()
-                        && let Some(target) = remaining.next()
-                    {
-                        hedge_at = hedge_moment(&target);
-                        running.push(spawn_read(job, target));
-                    }
+                    wants_member = self.engine.hedges().try_retry();
                 }
                 () = sleep_until(job.limits.answer) => {
-                    return Err(Failure::not_run(FailureReason::AnswerTimedOut));
+                    let failure = Failure::not_run(FailureReason::AnswerTimedOut);
+                    return Err(ReadFailure::Final(failure));
                 }
             }
         }
+        Err(last)
     }
 }
 
@@ -238,32 +238,27 @@
     now + expected.mul_f64(HEDGE_LATENCIES).max(HEDGE_MIN)
 }
 
-/// Until when a connection to `target` is waited for.
-pub(super) fn acquire_until(limits: &StatementLimits, target: &ReadTarget) -> Instant {
-    match target.is_only {
-        true => limits.offer,
-        false => limits.offer.min(Instant::now() + ACQUIRE_WAIT),
-    }
-}
-
 /// Runs a read at one member in a task of its own: when another member has answered
 /// first, the connection is still read to the end of the answer and used again.
-fn spawn_read(job: &ReadJob, target: ReadTarget) -> JoinHandle<ReadResult> {
+fn spawn_read(
+    job: &ReadJob,
+    target: ReadTarget,
+    connection: PooledConnection,
+) -> JoinHandle<ReadResult> {
     let job = job.clone();
     tokio::spawn(async move {
         let member = target.pool.member().id.clone();
-        let outcome = read_once(&job, &target).await;
+        let outcome = read_once(&job, &target, connection).await;
         ReadResult { member, outcome }
     })
 }
 
-async fn read_once(job: &ReadJob, target: &ReadTarget) -> ReadOutcome {
+async fn read_once(
+    job: &ReadJob,
+    target: &ReadTarget,
+    mut connection: PooledConnection,
+) -> ReadOutcome {
     let pool = &target.pool;
-    let wait = acquire_until(&job.limits, target);
-    let mut connection = match pool.acquire(&job.claim, wait).await {
-        Ok(connection) => connection,
-        Err(error) => return ReadOutcome::NotTaken(error),
-    };
     let leader = job.group.as_leader(&pool.member().id);
     let sent = Instant::now();
     let running = async {
@@ -313,35 +308,52 @@
     }
 }
 
-fn judge(result: ReadResult, trace: &mut RequestTrace) -> Result<Completion, Failure> {
+fn judge(result: ReadResult, trace: &mut RequestTrace) -> Result<Completion, ReadFailure> {
     let member = &result.member;
     match result.outcome {
         ReadOutcome::Completed(completion) => {
             trace.attempted(member, "completed");
             Ok(completion)
         }
-        ReadOutcome::NotTaken(error) => {
-            trace.attempted(member, error.to_string());
-            let reason = match error {
-                AcquireError::Exhausted => FailureReason::Overloaded,
-                _ => FailureReason::NoFreshMember,
-            };
-            Err(Failure::not_run(reason))
-        }
         ReadOutcome::Refused(refusal) => {
             trace.attempted(member, refusal_text(&refusal));
             Err(refusal_failure(refusal))
         }
         ReadOutcome::Lost(reason) => {
             trace.attempted(member, reason);
-            Err(Failure::not_run(FailureReason::ConnectionLost))
+            let failure = Failure::not_run(FailureReason::ConnectionLost);
+            Err(ReadFailure::Final(failure))
         }
     }
 }
 
-fn refusal_failure(refusal: Refusal) -> Failure {
+fn refusal_failure(refusal: Refusal) -> ReadFailure {
     match not_run_reason(refusal.kind) {
-        Some(reason) => Failure::not_run(reason),
-        None => member_failure(refusal),
+        Some(reason @ FailureReason::ConnectionLost) => {
+            ReadFailure::Final(Failure::not_run(reason))
+        }
+        Some(reason) => ReadFailure::Again(Failure::not_run(reason)),
+        None => ReadFailure::Final(member_failure(refusal)),
     }
 }
+
+/// What becomes of a read for which no member had a connection.
+fn decline(declined: &[Declined], trace: &mut RequestTrace) -> ReadFailure {
+    for Declined { member, error } in declined {
+        trace.attempted(member, error.to_string());
+    }
+    if let Some(retry_after) = shed_for(declined) {
+        return ReadFailure::Final(shed(retry_after));
+    }
+    let crowded = |declined: &Declined| {
+        matches!(
+            declined.error,
+            AcquireError::Exhausted | AcquireError::Shed(_)
+        )
+    };
+    let reason = match declined.iter().any(crowded) {
+        true => FailureReason::Overloaded,
+        false => FailureReason::NoFreshMember,
+    };
+    ReadFailure::Again(Failure::not_run(reason))
+}
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -13,6 +13,7 @@
 use crate::statement::{Request, TransactionState};
 use crate::verdict::{Failure, FailureReason, MemberFailure};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 
 /// What came of giving a statement to a member once.
@@ -133,7 +134,7 @@
             Ok(connection) => connection,
             Err(error) => {
                 trace.attempted(&leader.member, error.to_string());
-                return Attempt::NotRun(acquire_failure(&error));
+                return acquire_failure(&error);
             }
         };
         if let Err(error) = connection.put_values(&self.values).await {
@@ -251,13 +252,22 @@
     pool.note(|health| health.unanswered(now.duration_since(sent), now));
 }
 
-pub(super) fn acquire_failure(error: &AcquireError) -> FailureReason {
+/// What becomes of a statement for which there was no connection.
+pub(super) fn acquire_failure<T>(error: &AcquireError) -> Attempt<T> {
     match error {
-        AcquireError::Exhausted => FailureReason::Overloaded,
-        AcquireError::Unreachable(_) | AcquireError::WrongMember => FailureReason::NoLeader,
+        AcquireError::Shed(retry_after) => Attempt::Decided(Err(shed(*retry_after))),
+        AcquireError::Exhausted => Attempt::NotRun(FailureReason::Overloaded),
+        AcquireError::Unreachable(_) | AcquireError::WrongMember => {
+            Attempt::NotRun(FailureReason::NoLeader)
+        }
     }
 }
 
+/// What a caller is told whose request is not to wait any longer.
+pub(super) fn shed(retry_after: Duration) -> Failure {
+    Failure::not_run(FailureReason::Overloaded).with_retry_after(retry_after)
+}
+
 /// Why a refused statement has not run; `None` where it may have.
 pub(super) fn not_run_reason(kind: RefusalKind) -> Option<FailureReason> {
     match kind {
--- a/crates/engine/tests/pool.rs
+++ b/crates/engine/tests/pool.rs
@@ -173,7 +173,7 @@
         let claim = Claim {
             database: database.into(),
             rank,
-            values: Default::default(),
+            ..Claim::own()
         };
         let (pool, sender) = (Arc::clone(&pool), sender.clone());
         tokio::spawn(async move {
