Tell late answers, reasons, gauges; one verdict and one kind of event for both protocols

Change: a late answer is told like a failure; an answer that can't be given to its caller has an event; 100 failure lines a second instead of 40; 'stilequayctl explain' tells of an unknown id what each log covers, starts, stops and lines left out. Counters carry route and reason, a histogram the stages queue and member; gauges of leases, epochs, evidence, versions and pools are read when the metrics are asked for. PostgreSQL's side uses the engine's verdict (its exchange is version 2 for that) and writes the same events, with the caller's key, in place of free text.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -13,8 +13,10 @@
 /// A line of a log, as far as this module reads it.
 #[derive(Debug, Clone, Deserialize)]
 struct Line {
+    #[serde(alias = "timestamp")]
     time: String,
-    node: String,
+    /// The event names it where several processes' parts share one log.
+    node: Option<String>,
     event: Option<EventFields>,
 }
 
@@ -22,6 +24,7 @@
 #[derive(Debug, Clone, Deserialize)]
 struct EventFields {
     event: String,
+    node: Option<String>,
     id: Option<String>,
     group: Option<String>,
     #[serde(flatten)]
@@ -41,9 +44,21 @@
 pub struct Explanation {
     requests: Vec<Entry>,
     changes: Vec<Entry>,
+    coverage: BTreeMap<String, Coverage>,
     unreadable: usize,
 }
 
+/// What the log of one process covers.
+#[derive(Debug)]
+struct Coverage {
+    first: String,
+    last: String,
+    /// Events that were left out for being over their budget.
+    suppressed: u64,
+    /// Starts and stops, and when.
+    lifecycle: Vec<String>,
+}
+
 impl Explanation {
     /// Takes the lines of one log. What stands before a line's first brace is passed over.
     ///
@@ -66,17 +81,64 @@
     }
 
     fn take(&mut self, id: &str, line: Line) {
-        let Some(event) = line.event else { return };
+        let Some(mut event) = line.event else { return };
         let entry = Entry {
             time: line.time,
-            node: line.node,
+            node: line.node.or(event.node.take()).unwrap_or_default(),
             event,
         };
-        if entry.event.event != "request" {
-            self.changes.push(entry);
-        } else if entry.event.id.as_deref() == Some(id) {
+        self.cover(&entry);
+        if entry.event.id.as_deref() == Some(id) {
             self.requests.push(entry);
+        } else if entry.event.id.is_none() {
+            self.changes.push(entry);
+        }
+    }
+
+    fn cover(&mut self, entry: &Entry) {
+        let coverage = self.coverage.entry(entry.node.clone());
+        let coverage = coverage.or_insert_with(|| Coverage {
+            first: entry.time.clone(),
+            last: entry.time.clone(),
+            suppressed: 0,
+            lifecycle: Vec::new(),
+        });
+        coverage.last.clone_from(&entry.time);
+        let suppressed = entry.event.rest.get("suppressed_before");
+        coverage.suppressed += suppressed.and_then(Value::as_u64).unwrap_or(0);
+        if entry.event.event == "lifecycle" {
+            let action = show(entry.event.rest.get("action"));
+            coverage.lifecycle.push(format!("{action} {}", entry.time));
+        }
+    }
+
+    /// Why no line may tell of a request, for people: what each process's log covers, and
+    /// how much of it was left out.
+    pub fn missing_text(&self, id: &str) -> String {
+        let mut text = String::new();
+        put_line(
+            &mut text,
+            &format!(
+                "no line tells of request {id}: it was never read by a process whose log is \
+                 here, its process ended before it was decided, or its line was left out"
+            ),
+        );
+        for (node, coverage) in &self.coverage {
+            let Coverage {
+                first,
+                last,
+                suppressed,
+                lifecycle,
+            } = coverage;
+            let lifecycle = lifecycle.join(", ");
+            put_line(
+                &mut text,
+                &format!(
+                    "  {node}: from {first} to {last}, {suppressed} lines left out; {lifecycle}"
+                ),
+            );
         }
+        text
     }
 
     /// Whether no line tells of the request.
@@ -90,6 +152,10 @@
         self.changes.sort_by(|a, b| a.time.cmp(&b.time));
         let mut text = String::new();
         for request in &self.requests {
+            if request.event.event != "request" {
+                put_change(&mut text, request);
+                continue;
+            }
             put_request(&mut text, request);
             self.put_beliefs(&mut text, request);
             self.put_changes(&mut text, request);
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -39,7 +39,7 @@
             .map_err(unreadable)?;
     }
     if explanation.is_empty() {
-        eprintln!("stilequayctl: no line tells of request {id}");
+        eprint!("stilequayctl: {}", explanation.missing_text(id));
         return Ok(ExitStatus::Refused);
     }
     print(&explanation.text())
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -36,4 +36,17 @@
 fn a_request_that_no_line_tells_of_is_told_so() {
     assert!(explain("nobody").is_empty());
     assert!(!explain("another").is_empty());
+    assert_snapshot!(explain("nobody").missing_text("nobody"));
+}
+
+/// A daemon's log, in which the events themselves name the node.
+const DAEMON: &str = r#"{"timestamp":"2026-01-01T00:00:03.000000Z","level":"INFO","target":"stilequay::event","event":{"event":"leader_changed","group":"shop","epoch":2,"leader":"s1","confirmed":true,"node":"d1"}}
+{"timestamp":"2026-01-01T00:00:05.000000Z","level":"WARN","target":"stilequay::event","event":{"event":"request","id":"77ab","database":"orders","group":"shop","statement":"write","configuration":7,"epoch":null,"evidence_age_ms":null,"after":null,"attempts":[{"member":"d2","result":"NotRun (HomeUnreachable): refused","ended_ms":4}],"outcome":{"failed":{"verdict":"not_run","reason":"home_unreachable","retry_after_ms":250}},"elapsed_ms":5,"node":"d1"}}
+"#;
+
+#[test]
+fn a_request_is_explained_from_a_daemons_log_too() {
+    let mut explanation = Explanation::default();
+    explanation.read("77ab", DAEMON.as_bytes()).expect("read");
+    assert_snapshot!(explanation.text());
 }
--- a/crates/daemon/src/app/front/dispatch.rs
+++ b/crates/daemon/src/app/front/dispatch.rs
@@ -4,6 +4,7 @@
 use super::attempt::{self, AttemptError};
 use super::retry::{RetryState, is_repeatable};
 use super::session::{CallerSession, HeldExchange, Request, RunError, UnitRun};
+use super::trace::RequestTrace;
 use crate::domain::exchange::{OpenExchange, RunUnit, UnitDone};
 use crate::domain::resource::SessionPolicySpec;
 use crate::domain::verdict::{FailureKind, RequestFailure};
@@ -45,10 +46,7 @@
             Err(AttemptError::CallerGone) => Err(RunError::CallerGone),
             // The transaction or the session state is lost with its connection. To go
             // on would run the rest of the transaction outside of it.
-            Err(AttemptError::Failed(failure)) => {
-                self.log_failure(request, &failure);
-                Err(RunError::SessionLost(failure))
-            }
+            Err(AttemptError::Failed(failure)) => Err(RunError::SessionLost(failure)),
         }
     }
 
@@ -74,6 +72,7 @@
         request: &Request,
         policy: &SessionPolicySpec,
         caller: &mut dyn CallerLink,
+        trace: &mut RequestTrace,
     ) -> Result<UnitRun, RunError> {
         let mut retries = RetryState::new(
             is_repeatable(&request.unit, self.repeat, policy),
@@ -93,15 +92,17 @@
                 match self.attempt(&home, request, caller, &retries).await {
                     Ok((done, exchange)) => {
                         self.front.health.record_success(&home);
+                        trace.attempted(&home, "completed");
                         return Ok(self.done(request, done, exchange, false));
                     }
                     Err(AttemptError::CallerGone) => return Err(RunError::CallerGone),
                     Err(AttemptError::Failed(failure)) => {
                         self.front.health.record_failure(&home, &failure);
+                        trace.attempted(&home, failure.to_string());
                         if !retries.may_retry(&failure, caller.has_passed_on()) {
                             return Err(self.failed(request, failure));
                         }
-                        self.log_retry(request, &home, &failure);
+                        metrics::counter!("stilequay_front_retries_total").increment(1);
                         last = failure;
                     }
                 }
@@ -157,14 +158,6 @@
         });
         opened.map_err(AttemptError::Failed)
     }
-
-    fn log_retry(&self, request: &Request, home: &NodeId, failure: &RequestFailure) {
-        metrics::counter!("stilequay_front_retries_total").increment(1);
-        log::info!(
-            request:% = request.id, group:% = self.group, home:% = home;
-            "trying another home: {failure}"
-        );
-    }
 }
 
 /// Waits for `work`, before which nothing of the unit has been sent, unless the caller
--- a/crates/daemon/src/app/front/mod.rs
+++ b/crates/daemon/src/app/front/mod.rs
@@ -11,6 +11,7 @@
 mod session;
 mod settings;
 mod telemetry;
+mod trace;
 
 pub use freshness::SessionFreshness;
 pub use limits::{Admission, ConnectionLimits, ServicePermit};
@@ -26,6 +27,7 @@
 use health::HomeHealth;
 use std::sync::Arc;
 use stilequay_coordination::retry::RetryBudget;
+use stilequay_engine::events::EventLog;
 use tokio_util::sync::CancellationToken;
 
 /// What the caller side works with.
@@ -38,6 +40,8 @@
     pub connector: Arc<dyn HomeConnector>,
     /// Settings, already checked.
     pub settings: FrontSettings,
+    /// The log of decisions.
+    pub events: Arc<EventLog>,
 }
 
 /// What all callers' sessions share.
@@ -49,6 +53,7 @@
     limits: ConnectionLimits,
     retry_budget: Arc<RetryBudget>,
     health: HomeHealth,
+    events: Arc<EventLog>,
     leaving: CancellationToken,
     cut: CancellationToken,
 }
@@ -65,6 +70,7 @@
             retry_budget: Arc::new(RetryBudget::new(settings.retry_budget())),
             health: HomeHealth::new(settings.home_avoidance()),
             settings,
+            events: context.events,
             leaving,
             cut: CancellationToken::new(),
         }
--- a/crates/daemon/src/app/front/session.rs
+++ b/crates/daemon/src/app/front/session.rs
@@ -4,6 +4,7 @@
 use super::freshness::SessionFreshness;
 use super::retry::with_return_time;
 use super::telemetry::RequestTimer;
+use super::trace::RequestTrace;
 use crate::domain::exchange::{Access, PreparedStatement, TransactionState};
 use crate::domain::names::{GroupName, RequestId, ServiceName};
 use crate::domain::resource::SessionPolicySpec;
@@ -140,10 +141,14 @@
     ) -> Result<UnitRun, RunError> {
         let timer = RequestTimer::start(unit.access);
         let request = self.request(unit, policy);
+        let mut trace = RequestTrace::new(self.configuration_revision());
         let outcome = match self.held.take() {
             Some(held) => self.run_held(held, &request, policy, caller).await,
-            None => self.run_shared(&request, policy, caller).await,
+            None => self.run_shared(&request, policy, caller, &mut trace).await,
         };
+        let failure = outcome.as_ref().err().and_then(RunError::failure);
+        let (service, group) = (&self.service, &self.group);
+        trace.finish(&self.front.events, &request, service, group, failure);
         timer.finish(!matches!(
             outcome,
             Err(RunError::CallerGone | RunError::SessionLost(_))
@@ -151,6 +156,11 @@
         outcome
     }
 
+    fn configuration_revision(&self) -> u64 {
+        let configuration = self.front.configuration.borrow();
+        configuration.as_ref().map_or(0, |known| known.revision.0)
+    }
+
     fn request(&self, unit: Unit, policy: &SessionPolicySpec) -> Request {
         // What follows an open-ended unit is not known yet and may write.
         let reads = unit.access == StatementAccess::Read && !unit.is_open_ended;
@@ -197,7 +207,6 @@
     /// A failed request, as the caller is told it.
     pub(super) fn failed(&mut self, request: &Request, failure: RequestFailure) -> RunError {
         let failure = with_return_time(failure);
-        self.log_failure(request, &failure);
         if failure.verdict != Verdict::NotRun && request.access == Access::Write {
             self.freshness.record_unknown_outcome();
         }
@@ -213,13 +222,13 @@
             held.exchange.release().await;
         }
     }
+}
 
-    pub(super) fn log_failure(&self, request: &Request, failure: &RequestFailure) {
-        log::warn!(
-            request:% = request.id, service:% = self.service, group:% = self.group,
-            key = request.unit.key.as_deref().unwrap_or_default(),
-            sqlstate = failure.sqlstate();
-            "request failed: {failure}"
-        );
+impl RunError {
+    fn failure(&self) -> Option<&RequestFailure> {
+        match self {
+            RunError::CallerGone => None,
+            RunError::Failed(failure) | RunError::SessionLost(failure) => Some(failure),
+        }
     }
 }
--- a/crates/daemon/src/app/home/mod.rs
+++ b/crates/daemon/src/app/home/mod.rs
@@ -30,6 +30,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use stilequay_coordination::identity::{NodeId, ZoneName};
+use stilequay_engine::events::EventLog;
 use supervisor::{configured_group, run_supervisor};
 use tokio_util::sync::CancellationToken;
 
@@ -45,6 +46,8 @@
     pub back_end: Arc<dyn BackEnd>,
     /// Settings.
     pub settings: HomeSettings,
+    /// The log of decisions.
+    pub events: Arc<EventLog>,
 }
 
 /// Serves exchanges; clones share their connections.
@@ -59,6 +62,7 @@
     configuration: ConfigurationReceiver,
     back_end: Arc<dyn BackEnd>,
     settings: Arc<HomeSettings>,
+    events: Arc<EventLog>,
     admission: Admission,
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
 }
@@ -75,6 +79,7 @@
                 configuration: context.configuration,
                 back_end: context.back_end,
                 settings,
+                events: context.events,
                 groups: Mutex::new(HashMap::new()),
             }),
         }
@@ -130,6 +135,7 @@
         tokio::spawn(run_supervisor(
             group.clone(),
             self.inner.configuration.clone(),
+            Arc::clone(&self.inner.events),
             move |group| home.retire(group),
         ));
         group
--- a/crates/daemon/src/app/home/supervisor.rs
+++ b/crates/daemon/src/app/home/supervisor.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_coordination::position::Term;
+use stilequay_engine::events::{Event, EventLog};
 use tokio::sync::watch;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -24,6 +25,7 @@
 pub async fn run_supervisor(
     group: Arc<Group>,
     mut configuration: ConfigurationReceiver,
+    events: Arc<EventLog>,
     retire: impl Fn(&Arc<Group>) -> bool,
 ) {
     let mut state = group.watch_state();
@@ -45,6 +47,7 @@
             () = configuration_change(&mut configuration) => {}
             changed = next_terms(&mut state, &terms) => {
                 prepare_pools(&group, &terms, &changed);
+                tell_primary(&group, &events);
                 terms = changed;
                 last_change = Instant::now();
             }
@@ -72,7 +75,6 @@
         if known.get(name) == Some(term) {
             continue;
         }
-        log::info!(group:% = group.name(), member:% = name, term:% = term; "member reports a term");
         if let Some(pool) = group.pool(name) {
             let term = *term;
             tokio::spawn(async move { pool.prepare_for(term).await });
@@ -80,6 +82,19 @@
     }
 }
 
+/// Tells who leads now.
+fn tell_primary(group: &Group, events: &EventLog) {
+    let state = group.watch_state();
+    let state = state.borrow();
+    let primary = state.primary();
+    events.write(&Event::LeaderChanged {
+        group: group.name().as_str().into(),
+        epoch: state.highest_term().0.into(),
+        confirmed: primary.is_some(),
+        leader: primary.map(|primary| primary.member.as_str().into()),
+    });
+}
+
 /// Closes idle connections that have expired, and those of earlier terms. The latter
 /// run nothing any more, so that closing them can wait for members to catch up.
 fn tidy_pools(group: &Group, last_change: Instant) {
--- a/crates/daemon/src/domain/exchange.rs
+++ b/crates/daemon/src/domain/exchange.rs
@@ -14,7 +14,7 @@
 use stilequay_coordination::position::Floor;
 
 /// Version of the messages; both sides must have the same one.
-pub const EXCHANGE_VERSION: u16 = 1;
+pub const EXCHANGE_VERSION: u16 = 2;
 
 /// What a front sends to a home.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/daemon/src/domain/verdict.rs
+++ b/crates/daemon/src/domain/verdict.rs
@@ -3,21 +3,9 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::time::Duration;
+use stilequay_engine::verdict::FailureReason;
 
-/// Whether a request that got no regular answer has run.
-///
-/// Produced at the place that knows, carried whole between daemons. `NotRun` is
-/// a promise: no byte of the request reached a back end, or the back end itself
-/// refused it before running it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Verdict {
-    /// The request was not run and will not be.
-    NotRun,
-    /// The request may have run, or may still run.
-    MayHaveRun,
-    /// The request has run; its answer is not available.
-    Ran,
-}
+pub use stilequay_engine::verdict::Verdict;
 
 /// Why a request got no regular answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -48,6 +36,26 @@
     Cancelled,
 }
 
+impl FailureKind {
+    /// The engine's name for it, in events.
+    pub fn reason(self) -> FailureReason {
+        match self {
+            Self::NoPrimary => FailureReason::NoLeader,
+            Self::NoFreshMember => FailureReason::NoFreshMember,
+            Self::Overloaded => FailureReason::Overloaded,
+            Self::ShuttingDown => FailureReason::ShuttingDown,
+            Self::HomeUnreachable => FailureReason::HomeUnreachable,
+            Self::BackEndUnreachable => FailureReason::ConnectionLost,
+            Self::PrimaryReplaced => FailureReason::LeaderReplaced,
+            Self::DeadlineExceeded => FailureReason::AnswerTimedOut,
+            Self::NotPermitted => FailureReason::NotPermitted,
+            Self::Unsupported => FailureReason::Unsupported,
+            Self::ProtocolViolation => FailureReason::ProtocolViolation,
+            Self::Cancelled => FailureReason::Cancelled,
+        }
+    }
+}
+
 /// A request's failure, as carried between daemons and shown to the caller.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestFailure {
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -4,8 +4,10 @@
 use log::kv::{self, Key, VisitSource};
 use log::{Level, LevelFilter, Record};
 use serde::Serialize;
+use serde_json::value::RawValue;
 use serde_json::{Map, Value};
 use std::time::SystemTime;
+use stilequay_engine::events;
 
 /// Starts logging for the whole process.
 ///
@@ -44,25 +46,32 @@
     timestamp: String,
     level: &'static str,
     target: &'a str,
-    message: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    event: Option<&'a RawValue>,
     #[serde(flatten)]
     fields: Map<String, Value>,
 }
 
 /// Keys that a record's own key-values can't have.
-const RESERVED_KEYS: [&str; 4] = ["timestamp", "level", "target", "message"];
+const RESERVED_KEYS: [&str; 5] = ["timestamp", "level", "target", "message", "event"];
 
-/// One record as a line of JSON: time, level, target, message, then the
-/// record's own key-values.
+/// One record as a line of JSON: time, level, target, message, then the record's own
+/// key-values. Events are JSON already and are put in as they are, in place of the message.
 pub fn format_line(time: SystemTime, message: &str, record: &Record) -> String {
     let mut fields = FieldReader { fields: Map::new() };
     // The reader never fails.
     let _ = record.key_values().visit(&mut fields);
+    let event: Option<&RawValue> = (record.target() == events::TARGET)
+        .then(|| serde_json::from_str(message).ok())
+        .flatten();
     let line = LogLine {
         timestamp: humantime::format_rfc3339_micros(time).to_string(),
         level: level_name(record.level()),
         target: record.target(),
-        message,
+        message: event.is_none().then_some(message),
+        event,
         fields: fields.fields,
     };
     // Texts, numbers and flags only: encoding can't fail.
--- a/crates/daemon/src/run/data_path.rs
+++ b/crates/daemon/src/run/data_path.rs
@@ -12,6 +12,7 @@
 use crate::ports::fleet::FleetReceiver;
 use crate::settings::Settings;
 use std::sync::Arc;
+use stilequay_engine::events::EventLog;
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -31,6 +32,7 @@
     callers: TcpListener,
     peer: TcpListener,
 ) -> DataPath {
+    let events = Arc::new(EventLog::of_node(settings.node.id.as_str().into()));
     let home = HomeService::new(HomeContext {
         node: settings.node.id.clone(),
         zone: settings.node.zone.clone(),
@@ -39,6 +41,7 @@
             prepared_statements: settings.home.prepared_statements_per_connection,
         }),
         settings: settings.home.clone(),
+        events: Arc::clone(&events),
     });
     let connector = ExchangeConnector::new(settings.node.id.clone(), fleet.clone(), home.clone());
     let context = FrontContext {
@@ -46,6 +49,7 @@
         homes: Arc::new(PlacedHomes::new(settings.node.zone.clone(), fleet)),
         connector: Arc::new(connector),
         settings: settings.front.clone(),
+        events,
     };
     let front = Stage::new();
     let leaving = front.leaving.clone();
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -3,6 +3,7 @@
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::OnceLock;
 use std::time::Duration;
+use stilequay_engine::telemetry::Metric;
 use tokio_util::sync::CancellationToken;
 
 /// The process's only recorder.
@@ -15,135 +16,89 @@
 /// Interval between summings-up of recorded durations.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
 
-/// What a metric is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum MetricKind {
-    /// A number that only rises.
-    Counter,
-    /// A number as it is now.
-    Gauge,
-    /// Durations by size, seconds.
-    Histogram,
-}
-
-/// A metric and what it means.
-#[derive(Debug, Clone, Copy)]
-pub struct Metric {
-    /// Its name.
-    pub name: &'static str,
-    /// What it is.
-    pub kind: MetricKind,
-    /// What it means.
-    pub help: &'static str,
-}
-
-const fn counter(name: &'static str, help: &'static str) -> Metric {
-    Metric {
-        name,
-        kind: MetricKind::Counter,
-        help,
-    }
-}
-
-const fn gauge(name: &'static str, help: &'static str) -> Metric {
-    Metric {
-        name,
-        kind: MetricKind::Gauge,
-        help,
-    }
-}
-
-const fn histogram(name: &'static str, help: &'static str) -> Metric {
-    Metric {
-        name,
-        kind: MetricKind::Histogram,
-        help,
-    }
-}
-
 /// All metrics; each has its page in docs/OPERATIONS.md.
 pub const METRICS: &[Metric] = &[
-    gauge(
+    Metric::gauge(
         "stilequay_control_caught_up",
         "1 once the configuration has been caught up with and the daemon serves.",
     ),
-    gauge(
+    Metric::gauge(
         "stilequay_control_revision",
         "Last revision of the configuration that this daemon has applied.",
     ),
-    gauge(
+    Metric::gauge(
         "stilequay_control_in_force_revision",
         "Least revision that any reporting daemon of the fleet has applied.",
     ),
-    gauge(
+    Metric::gauge(
         "stilequay_control_fleet_daemons",
         "Daemons that the fleet counts, reachable or not.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_control_source_errors_total",
         "Reads of the log of changes that failed at this daemon.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_control_list_errors_total",
         "Reads of the platform's list of machines that failed.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_control_unreadable_changes_total",
         "Changes whose content this daemon could not read.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_platform_calls_total",
         "Calls of the platform, by service, call and outcome.",
     ),
-    histogram(
+    Metric::histogram(
         "stilequay_platform_call_duration_seconds",
         "Time that calls of the platform took, by service and call.",
     ),
-    gauge(
+    Metric::gauge(
         "stilequay_platform_circuit_open",
         "1 while a service of the platform is not called for its failures, by service.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_api_requests_total",
         "Requests of operators, by HTTP status.",
     ),
-    histogram(
+    Metric::histogram(
         "stilequay_api_request_seconds",
         "Time that requests of operators took.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_api_changes_total",
         "Changes that operators asked for, by verb and outcome.",
     ),
-    gauge(
+    Metric::gauge(
         "stilequay_front_callers_count",
         "Caller connections that are open.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_front_refused_connections_total",
         "Caller connections that were turned away, by reason.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_front_requests_total",
         "Requests of callers, by access and outcome.",
     ),
-    histogram(
+    Metric::histogram(
         "stilequay_front_request_seconds",
         "Time that requests of callers took, by access.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_front_retries_total",
         "Times that a request was sent to another home.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_home_units_total",
         "Units that this home has run, by access and the member's role.",
     ),
-    histogram(
+    Metric::histogram(
         "stilequay_home_confirmation_seconds",
         "Time from a commit's answer to its confirmation by a majority.",
     ),
-    counter(
+    Metric::counter(
         "stilequay_home_connections_opened_total",
         "Connections that this home has opened to back ends.",
     ),
@@ -164,18 +119,10 @@
     if metrics::set_global_recorder(recorder).is_err() {
         log::warn!("another recorder of metrics is there: /metrics stays empty");
     }
-    METRICS.iter().for_each(describe);
+    METRICS.iter().for_each(Metric::describe);
     handle
 }
 
-fn describe(metric: &Metric) {
-    match metric.kind {
-        MetricKind::Counter => metrics::describe_counter!(metric.name, metric.help),
-        MetricKind::Gauge => metrics::describe_gauge!(metric.name, metric.help),
-        MetricKind::Histogram => metrics::describe_histogram!(metric.name, metric.help),
-    }
-}
-
 /// Sums recorded durations up from time to time until `leaving` is cancelled, so
 /// that their memory stays bounded although nobody asks for the metrics.
 pub async fn keep(leaving: CancellationToken) {
--- a/crates/daemon/tests/front/proxy.rs
+++ b/crates/daemon/tests/front/proxy.rs
@@ -67,6 +67,7 @@
             homes: homes.clone(),
             connector: Arc::new(Connector(homes.clone())),
             settings: self.settings,
+            events: Arc::default(),
         };
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
--- a/crates/daemon/tests/home_support/mod.rs
+++ b/crates/daemon/tests/home_support/mod.rs
@@ -273,6 +273,7 @@
             prepared_statements: setup.home.prepared_statements_per_connection,
         }),
         settings: setup.home.clone(),
+        events: Arc::default(),
     })
 }
 
--- a/crates/daemon/tests/log_lines.rs
+++ b/crates/daemon/tests/log_lines.rs
@@ -50,3 +50,20 @@
     let parsed: Value = serde_json::from_str(&line).expect("JSON");
     assert_eq!(parsed["message"], "the message");
 }
+
+#[test]
+fn an_event_stands_in_its_line_as_it_is() {
+    let time = SystemTime::UNIX_EPOCH;
+    let record = Record::builder()
+        .level(Level::Info)
+        .target(stilequay_engine::events::TARGET)
+        .build();
+    let line = format_line(time, r#"{"event":"request","id":"00ff"}"#, &record);
+    let parsed: Value = serde_json::from_str(&line).expect("JSON");
+    assert_eq!(parsed["event"]["id"], "00ff");
+    assert_eq!(parsed.get("message"), None);
+    // What is no JSON is told as a message.
+    let line = format_line(time, "not an event", &record);
+    let parsed: Value = serde_json::from_str(&line).expect("JSON");
+    assert_eq!(parsed["message"], "not an event");
+}
--- a/crates/engine/src/configuration.rs
+++ b/crates/engine/src/configuration.rs
@@ -16,6 +16,17 @@
     ReadYourWrites,
 }
 
+impl Consistency {
+    /// Its name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Consistency::Leader => "leader",
+            Consistency::BoundedStaleness => "bounded_staleness",
+            Consistency::ReadYourWrites => "read_your_writes",
+        }
+    }
+}
+
 /// How the sessions of one database are treated.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Route {
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -9,6 +9,7 @@
 use crate::names::{GroupName, MemberId, NodeName, ZoneName};
 use crate::pool::MemberPool;
 use crate::ports::{BackEnd, PeerNetwork, RecordStore};
+use crate::telemetry;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -288,6 +289,11 @@
         directory.member(id).map(|member| self.pool(member))
     }
 
+    /// The connections to all members that were used.
+    pub fn pools(&self) -> Vec<Arc<MemberPool>> {
+        lock(&self.pools).values().cloned().collect()
+    }
+
     /// How far the process is from its end.
     pub fn stop_phase(&self) -> StopPhase {
         *self.stop.borrow()
@@ -322,6 +328,7 @@
             let known = directory.member(id).is_some();
             if !known {
                 pool.close();
+                telemetry::forget_member(id);
             }
             known
         });
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -8,7 +8,7 @@
 use crate::directory::Role;
 use crate::group::Epoch;
 use crate::leadership::record::TermPhase;
-use crate::names::{DatabaseName, GroupName, MemberId, RequestId};
+use crate::names::{DatabaseName, GroupName, MemberId, NodeName, RequestId};
 use crate::ports::MemberReport;
 use crate::position::LogPosition;
 use crate::verdict::{FailureReason, Verdict};
@@ -26,6 +26,9 @@
 pub struct RequestEvent {
     /// The request.
     pub id: RequestId,
+    /// The caller's own key of it, where it gave one.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
     /// The database that the session is for.
     pub database: DatabaseName,
     /// The group that the route leads to.
@@ -46,6 +49,9 @@
     pub outcome: OutcomeEvent,
     /// Time from reading the request to its answer, ms.
     pub elapsed_ms: u64,
+    /// Whether that is longer than the route's objective.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub late: bool,
 }
 
 /// One member tried.
@@ -82,6 +88,11 @@
 pub enum Event {
     /// A request was decided.
     Request(RequestEvent),
+    /// An answer could not be given to its caller, who has left or does not read.
+    AnswerUndelivered {
+        /// The request.
+        id: RequestId,
+    },
     /// A caller's session was refused.
     SessionRefused {
         /// The database asked for.
@@ -183,9 +194,9 @@
 /// than ordinary successes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventClass {
-    /// A request that succeeded.
+    /// A request that succeeded in time.
     Success,
-    /// A request or session that did not.
+    /// A request that failed or was late, or a session that was refused.
     Failure,
     /// Everything else.
     Belief,
@@ -196,10 +207,11 @@
     pub fn class(&self) -> EventClass {
         match self {
             Event::Request(request) => match request.outcome {
-                OutcomeEvent::Completed => EventClass::Success,
+                OutcomeEvent::Completed if !request.late => EventClass::Success,
+                OutcomeEvent::Completed => EventClass::Failure,
                 OutcomeEvent::Failed { .. } => EventClass::Failure,
             },
-            Event::SessionRefused { .. } => EventClass::Failure,
+            Event::SessionRefused { .. } | Event::AnswerUndelivered { .. } => EventClass::Failure,
             _ => EventClass::Belief,
         }
     }
@@ -209,7 +221,7 @@
 fn budget_per_second(class: EventClass) -> f64 {
     match class {
         EventClass::Success => 2.0,
-        EventClass::Failure => 40.0,
+        EventClass::Failure => 100.0,
         EventClass::Belief => 60.0,
     }
 }
@@ -253,6 +265,8 @@
 struct WrittenEvent<'a> {
     #[serde(flatten)]
     event: &'a Event,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    node: Option<&'a str>,
     #[serde(skip_serializing_if = "is_zero")]
     suppressed_before: u64,
 }
@@ -264,6 +278,8 @@
 /// Writes events within their budgets.
 #[derive(Debug)]
 pub struct EventLog {
+    /// Told with each event where several processes' parts share one log.
+    node: Option<NodeName>,
     budgets: Mutex<[ClassBudget; 3]>,
 }
 
@@ -272,12 +288,21 @@
         let now = Instant::now();
         let classes = [EventClass::Success, EventClass::Failure, EventClass::Belief];
         Self {
+            node: None,
             budgets: Mutex::new(classes.map(|class| ClassBudget::new(class, now))),
         }
     }
 }
 
 impl EventLog {
+    /// A log whose events name `node`.
+    pub fn of_node(node: NodeName) -> Self {
+        Self {
+            node: Some(node),
+            ..Self::default()
+        }
+    }
+
     /// Writes `event` if its class has budget left.
     pub fn write(&self, event: &Event) {
         let class = event.class();
@@ -287,6 +312,7 @@
         };
         let written = WrittenEvent {
             event,
+            node: self.node.as_deref(),
             suppressed_before,
         };
         // Texts, numbers and flags only: encoding can't fail.
--- a/crates/engine/src/leadership/duty.rs
+++ b/crates/engine/src/leadership/duty.rs
@@ -183,6 +183,7 @@
         let changed = held.is_some() != lease.is_some();
         let fencing = lease.as_ref().or(held.as_ref()).map(Lease::fencing);
         *held = lease;
+        metrics::gauge!("stilequay_promotion_lease_held").set(f64::from(u8::from(held.is_some())));
         if changed {
             engine.events().write(&Event::PromotionLease {
                 held: held.is_some(),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod routing;
 pub mod session;
 pub mod statement;
+pub mod telemetry;
 pub mod verdict;
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::limit::{
-    LimiterSettings, Permit, RejectReason, Rejected, TenantLimits,
+    LimiterSettings, Load, Permit, RejectReason, Rejected, TenantLimits,
 };
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -158,7 +158,12 @@
 
     /// Connections in use.
     pub fn in_use(&self) -> usize {
-        self.connections.load().in_use
+        self.load().in_use
+    }
+
+    /// How the connections are used, and how many requests wait.
+    pub fn load(&self) -> Load {
+        self.connections.load()
     }
 
     /// Connections that may be in use now.
@@ -177,6 +182,7 @@
 
     /// Notes that a statement was answered after `latency`.
     pub(super) fn note_statement(&self, latency: Duration) {
+        metrics::histogram!("stilequay_stage_seconds", "stage" => "member").record(latency);
         let waiting = self.connections.load().waiting > 0;
         let mut state = self.lock();
         let before = state.concurrency.limit();
@@ -240,10 +246,12 @@
             .admit(database, claim.limits(), until)
             .await;
         let now = Instant::now();
+        let waited = now.duration_since(began);
+        metrics::histogram!("stilequay_stage_seconds", "stage" => "queue").record(waited);
         let mut state = self.lock();
         match admitted {
             Ok(permit) => {
-                state.queue.admitted(now.duration_since(began), now);
+                state.queue.admitted(waited, now);
                 Ok(permit)
             }
             Err(rejected) => {
--- a/crates/engine/src/session/trace.rs
+++ b/crates/engine/src/session/trace.rs
@@ -8,12 +8,16 @@
 use crate::position::LogPosition;
 use crate::session::Completion;
 use crate::statement::{Request, Statement};
-use crate::verdict::{Failure, Verdict};
+use crate::verdict::Failure;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Attempts that one event tells, at the most.
 const ATTEMPTS_TOLD: usize = 12;
 
+/// Route of statements that need no member.
+const NO_ROUTE: &str = "none";
+
 /// Gathers what decides a request.
 #[derive(Debug)]
 pub struct RequestTrace {
@@ -23,6 +27,8 @@
     received: Instant,
     configuration: u64,
     group: Option<GroupName>,
+    route: &'static str,
+    objective: Option<Duration>,
     epoch: Option<Epoch>,
     evidence_age_ms: Option<u64>,
     after: Option<LogPosition>,
@@ -39,6 +45,8 @@
             received: request.received,
             configuration: engine.configuration().map_or(0, |c| c.version),
             group: None,
+            route: NO_ROUTE,
+            objective: None,
             epoch: None,
             evidence_age_ms: None,
             after: None,
@@ -53,6 +61,8 @@
         let now = Instant::now();
         self.evidence_age_ms = group.evidence().map(|at| millis(now.duration_since(at)));
         self.group = Some(route.group.clone());
+        self.route = route.consistency.name();
+        self.objective = Some(route.objective);
     }
 
     /// The position was chosen that a member's log must hold.
@@ -74,16 +84,20 @@
     /// Writes the event and counts the request.
     pub fn finish(self, engine: &Engine, outcome: &Result<Completion, Failure>) {
         self.count(outcome);
+        let elapsed = self.received.elapsed();
+        let late = self.objective.is_some_and(|objective| elapsed > objective);
         let class = match outcome {
-            Ok(_) => EventClass::Success,
-            Err(_) => EventClass::Failure,
+            Ok(_) if !late => EventClass::Success,
+            _ => EventClass::Failure,
         };
         if !engine.events().has_budget(class) {
             return;
         }
         engine.events().write(&Event::Request(RequestEvent {
-            elapsed_ms: millis(self.received.elapsed()),
+            elapsed_ms: millis(elapsed),
+            late,
             id: self.id,
+            key: None,
             database: self.database,
             group: self.group,
             statement: self.statement,
@@ -97,17 +111,22 @@
     }
 
     fn count(&self, outcome: &Result<Completion, Failure>) {
-        let result = match outcome {
-            Ok(_) => "completed",
-            Err(failure) if failure.verdict == Verdict::NotRun => "not_run",
-            Err(_) => "may_have_run",
+        let (result, reason) = match outcome {
+            Ok(_) => ("completed", ""),
+            Err(failure) => (failure.verdict.name(), failure.reason.name()),
         };
         metrics::counter!(
-            "stilequay_requests_total", "statement" => self.statement, "outcome" => result
+            "stilequay_requests_total",
+            "statement" => self.statement,
+            "route" => self.route,
+            "outcome" => result,
+            "reason" => reason
         )
         .increment(1);
-        metrics::histogram!("stilequay_request_seconds", "statement" => self.statement)
-            .record(self.received.elapsed());
+        metrics::histogram!(
+            "stilequay_request_seconds", "statement" => self.statement, "route" => self.route
+        )
+        .record(self.received.elapsed());
     }
 }
 
--- /dev/null
+++ b/crates/engine/src/telemetry.rs
@@ -0,0 +1,192 @@
+//! Metrics: their names and what they mean. Counters and histograms are recorded where
+//! things happen; gauges are read when somebody asks for the metrics.
+
+use crate::engine::Engine;
+use tokio::time::Instant;
+
+/// What a metric is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MetricKind {
+    /// A number that only rises.
+    Counter,
+    /// A number as it is now.
+    Gauge,
+    /// Durations by size, seconds.
+    Histogram,
+}
+
+/// A metric and what it means.
+#[derive(Debug, Clone, Copy)]
+pub struct Metric {
+    /// Its name.
+    pub name: &'static str,
+    /// What it is.
+    pub kind: MetricKind,
+    /// What it means.
+    pub help: &'static str,
+}
+
+impl Metric {
+    /// A number that only rises.
+    pub const fn counter(name: &'static str, help: &'static str) -> Self {
+        let kind = MetricKind::Counter;
+        Self { name, kind, help }
+    }
+
+    /// A number as it is now.
+    pub const fn gauge(name: &'static str, help: &'static str) -> Self {
+        let kind = MetricKind::Gauge;
+        Self { name, kind, help }
+    }
+
+    /// Durations by size, seconds.
+    pub const fn histogram(name: &'static str, help: &'static str) -> Self {
+        let kind = MetricKind::Histogram;
+        Self { name, kind, help }
+    }
+
+    /// Tells the process's recorder what it means.
+    pub fn describe(&self) {
+        match self.kind {
+            MetricKind::Counter => metrics::describe_counter!(self.name, self.help),
+            MetricKind::Gauge => metrics::describe_gauge!(self.name, self.help),
+            MetricKind::Histogram => metrics::describe_histogram!(self.name, self.help),
+        }
+    }
+}
+
+/// The engine's metrics; each has a line in docs/OPERATIONS.md.
+pub const METRICS: &[Metric] = &[
+    Metric::counter(
+        "stilequay_requests_total",
+        "Statements, by statement, route (its consistency), outcome and reason.",
+    ),
+    Metric::histogram(
+        "stilequay_request_seconds",
+        "Time that statements took, by statement and route.",
+    ),
+    Metric::histogram(
+        "stilequay_stage_seconds",
+        "Time of one stage of a statement: queue (waiting for a connection) or member.",
+    ),
+    Metric::counter(
+        "stilequay_pool_connections_opened_total",
+        "Connections that were opened to members.",
+    ),
+    Metric::counter(
+        "stilequay_peer_answers_total",
+        "Answers of other processes that were asked for their beliefs.",
+    ),
+    Metric::counter(
+        "stilequay_events_suppressed_total",
+        "Events that were over their budget.",
+    ),
+    Metric::gauge(
+        "stilequay_configuration_version",
+        "Version of the configuration in use.",
+    ),
+    Metric::gauge(
+        "stilequay_directory_version",
+        "Version of the servers' entries in use.",
+    ),
+    Metric::gauge(
+        "stilequay_processes",
+        "Processes of the fleet, as far as is known.",
+    ),
+    Metric::gauge(
+        "stilequay_promotion_lease_held",
+        "1 while this process may give promotion orders.",
+    ),
+    Metric::gauge(
+        "stilequay_group_epoch",
+        "Epoch of the group's leadership, by group.",
+    ),
+    Metric::gauge(
+        "stilequay_group_leader_usable",
+        "1 while a leader may be given writes, by group.",
+    ),
+    Metric::gauge(
+        "stilequay_group_evidence_age_seconds",
+        "Age of the newest evidence for the leader's term, by group.",
+    ),
+    Metric::gauge(
+        "stilequay_pool_connections_in_use",
+        "Connections in use, by member.",
+    ),
+    Metric::gauge(
+        "stilequay_pool_connections_limit",
+        "Connections that may be in use, by member.",
+    ),
+    Metric::gauge(
+        "stilequay_pool_waiting",
+        "Statements that wait for a connection, by member.",
+    ),
+    Metric::gauge(
+        "stilequay_pool_latency_seconds",
+        "Time in which a member is expected to answer, by member.",
+    ),
+];
+
+/// Reads the gauges.
+pub fn record_gauges(engine: &Engine) {
+    let version = engine.configuration().map_or(0, |c| c.version);
+    metrics::gauge!("stilequay_configuration_version").set(version as f64);
+    let directory = engine.directory();
+    metrics::gauge!("stilequay_directory_version").set(directory.version as f64);
+    metrics::gauge!("stilequay_processes").set(engine.processes() as f64);
+    directory
+        .groups()
+        .iter()
+        .for_each(|name| record_group(engine, name));
+    engine.pools().iter().for_each(|pool| {
+        let load = pool.load();
+        let gauges = PoolGauges {
+            in_use: load.in_use,
+            limit: pool.limit(),
+            waiting: load.waiting,
+            latency_s: pool.health().expected_latency_ms(Instant::now()) / 1000.0,
+        };
+        gauges.record(&pool.member().id);
+    });
+}
+
+/// Zeroes the gauges of a member that is no longer known.
+pub fn forget_member(member: &str) {
+    PoolGauges::default().record(member);
+}
+
+/// How the connections to one member are used.
+#[derive(Debug, Default)]
+struct PoolGauges {
+    in_use: usize,
+    limit: usize,
+    waiting: usize,
+    latency_s: f64,
+}
+
+impl PoolGauges {
+    fn record(&self, member: &str) {
+        let set = |name: &'static str, value: f64| {
+            metrics::gauge!(name, "member" => member.to_owned()).set(value);
+        };
+        set("stilequay_pool_connections_in_use", self.in_use as f64);
+        set("stilequay_pool_connections_limit", self.limit as f64);
+        set("stilequay_pool_waiting", self.waiting as f64);
+        set("stilequay_pool_latency_seconds", self.latency_s);
+    }
+}
+
+fn record_group(engine: &Engine, name: &str) {
+    let group = engine.group(&name.into());
+    let now = Instant::now();
+    let view = group.view();
+    let usable = group.writable_leader(now).is_some();
+    let label = name.to_owned();
+    metrics::gauge!("stilequay_group_epoch", "group" => label.clone()).set(view.epoch as f64);
+    metrics::gauge!("stilequay_group_leader_usable", "group" => label.clone())
+        .set(f64::from(u8::from(usable)));
+    if let Some(at) = group.evidence() {
+        let age = now.duration_since(at).as_secs_f64();
+        metrics::gauge!("stilequay_group_evidence_age_seconds", "group" => label).set(age);
+    }
+}
--- a/crates/engine/src/verdict.rs
+++ b/crates/engine/src/verdict.rs
@@ -1,18 +1,32 @@
 //! What a caller is told of a request that has not succeeded.
 
 use bytes::Bytes;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::time::Duration;
 
 /// Whether a request that got no regular answer has run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
-    /// Nothing of it is kept, and nothing will be. This is a promise.
+    /// Nothing of it is kept, and nothing will be. This is a promise: no byte of it reached
+    /// a member, or the member itself refused it before running it.
     NotRun,
     /// It may have run, or may still run.
     MayHaveRun,
+    /// It has run; its answer is not available.
+    Ran,
+}
+
+impl Verdict {
+    /// Its name in metrics and events.
+    pub fn name(self) -> &'static str {
+        match self {
+            Verdict::NotRun => "not_run",
+            Verdict::MayHaveRun => "may_have_run",
+            Verdict::Ran => "ran",
+        }
+    }
 }
 
 /// Why a request has not succeeded.
@@ -45,11 +59,52 @@
     UnknownPrepared,
     /// The statement makes no sense in the session's state.
     OutOfPlace,
+    /// Another leader was seen before the outcome was confirmed.
+    LeaderReplaced,
+    /// The process that holds the group's connections can't be reached.
+    HomeUnreachable,
+    /// The group, service or right asked for does not exist.
+    NotPermitted,
+    /// The request asks for what the proxy does not do.
+    Unsupported,
+    /// The other side broke the protocol, or a message was over its limit.
+    ProtocolViolation,
+    /// The caller asked to give the request up.
+    Cancelled,
     /// The member itself failed the statement after beginning to run it.
     #[serde(serialize_with = "serialize_member_failure")]
     Member(MemberFailure),
 }
 
+impl FailureReason {
+    /// Its name in metrics; in events it is the same, but for a member's own failure, which
+    /// is told by its code.
+    pub fn name(&self) -> &'static str {
+        match self {
+            FailureReason::UnknownDatabase => "unknown_database",
+            FailureReason::NotStarted => "not_started",
+            FailureReason::NoLeader => "no_leader",
+            FailureReason::NoReplica => "no_replica",
+            FailureReason::NoFreshMember => "no_fresh_member",
+            FailureReason::Overloaded => "overloaded",
+            FailureReason::TransactionLost => "transaction_lost",
+            FailureReason::IdleTransaction => "idle_transaction",
+            FailureReason::ShuttingDown => "shutting_down",
+            FailureReason::AnswerTimedOut => "answer_timed_out",
+            FailureReason::ConnectionLost => "connection_lost",
+            FailureReason::UnknownPrepared => "unknown_prepared",
+            FailureReason::OutOfPlace => "out_of_place",
+            FailureReason::LeaderReplaced => "leader_replaced",
+            FailureReason::HomeUnreachable => "home_unreachable",
+            FailureReason::NotPermitted => "not_permitted",
+            FailureReason::Unsupported => "unsupported",
+            FailureReason::ProtocolViolation => "protocol_violation",
+            FailureReason::Cancelled => "cancelled",
+            FailureReason::Member(_) => "member",
+        }
+    }
+}
+
 /// A member's own failure of a statement, to be passed on as it came.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemberFailure {
--- a/crates/engine/tests/events.rs
+++ b/crates/engine/tests/events.rs
@@ -16,6 +16,7 @@
 fn request(outcome: OutcomeEvent) -> Event {
     Event::Request(RequestEvent {
         id: "5c0e".into(),
+        key: None,
         database: "orders".into(),
         group: Some("ledger".into()),
         statement: "write",
@@ -29,6 +30,7 @@
             ended_ms: 464,
         }],
         outcome,
+        late: false,
         elapsed_ms: 465,
     })
 }
