Model processes that stand still, and a holder that does not check its lease

The simulation gets a fault more: a process whose answers from servers and the store reach it only after it goes on. Planted: a store that lets one process believe its lease is renewed; it is found.

--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -38,7 +38,7 @@
         .clone();
     let lasts = Duration::from_millis(rng.random_range(100..3_000));
     let world = &fleet.world;
-    match rng.random_range(0..11) {
+    match rng.random_range(0..12) {
         0 => {
             world.crash(server);
             sleep(lasts).await;
@@ -90,6 +90,11 @@
             fleet.records.refuse_node(&node, false);
         }
         9 => {
+            fleet.freeze(&node, true);
+            sleep(lasts).await;
+            fleet.freeze(&node, false);
+        }
+        10 => {
             world.change(server, |s| {
                 s.apply_lag = Duration::from_millis(rng.random_range(0..2_000));
                 s.slowness = rng.random_range(1..20);
@@ -124,13 +129,26 @@
         history.counts().0 > before,
         "seed {seed}: no write after the faults"
     );
-    (history.violations(&fleet.world), history.counts())
+    let mut violations = history.violations(&fleet.world);
+    violations.extend(fallen_numbers(&fleet));
+    (violations, history.counts())
+}
+
+/// Orders whose number is lower than that of an order before.
+fn fallen_numbers(fleet: &Fleet) -> Vec<String> {
+    let orders = fleet.world.promotions();
+    let fallen = orders
+        .windows(2)
+        .filter(|pair| pair[1].fencing < pair[0].fencing);
+    fallen
+        .map(|pair| format!("an order of {:?} after one of {:?}", pair[1], pair[0]))
+        .collect()
 }
 
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn no_promise_is_broken_under_random_faults(
-    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)] seed: u64,
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
 ) {
     let (violations, (commits, reads)) = run(seed).await;
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
@@ -222,3 +240,31 @@
         "{violations:?}"
     );
 }
+
+/// A holder that does not notice the loss of its lease.
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_does_not_check_its_lease_is_found() {
+    let fleet = Fleet::start(3).await;
+    let history = Arc::new(History::default());
+    spawn_callers(&fleet, &history);
+    let lease = fleet.records.get("lease/promotion").expect("a lease");
+    let lease = String::from_utf8_lossy(&lease.value).into_owned();
+    let holder = fleet.nodes.iter().find(|node| lease.contains(&node.name));
+    let holder = holder.expect("a holder").name.clone();
+    fleet.records.pretend_renewals_to(&holder);
+    // Another process takes the lease that is not renewed.
+    sleep(Duration::from_secs(4)).await;
+    let mut fallen = Vec::new();
+    for _ in 0..12 {
+        let leader = fleet.world.leader();
+        fleet.world.crash(&leader);
+        sleep(Duration::from_secs(4)).await;
+        fleet.world.restart(&leader);
+        sleep(Duration::from_secs(2)).await;
+        fallen = fallen_numbers(&fleet);
+        if !fallen.is_empty() {
+            break;
+        }
+    }
+    assert!(!fallen.is_empty());
+}
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub mod freezer;
 pub mod history;
 pub mod peers;
 pub mod records;
@@ -159,6 +160,12 @@
         Directory::default().replaced(1, self.world.entries(), Departure::at(Instant::now()))
     }
 
+    /// Lets a process stand still, or go on.
+    pub fn freeze(&self, node: &str, frozen: bool) {
+        self.records.freezer.set(node, frozen);
+        self.world.freezer.set(node, frozen);
+    }
+
     /// A session at one process.
     pub fn session(&self, node: usize, database: &str) -> Client {
         Client::open(&self.nodes[node].engine, database)
--- a/crates/engine/tests/support/records.rs
+++ b/crates/engine/tests/support/records.rs
@@ -1,5 +1,6 @@
 //! A store of records in memory, with the faults that the platform's store has.
 
+use super::freezer::Freezer;
 use async_trait::async_trait;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashSet};
@@ -33,6 +34,7 @@
     /// What some processes are shown in place of what is there: a planted mistake.
     past: Option<(BTreeMap<String, Record>, u64)>,
     shown_past: HashSet<String>,
+    pretended: HashSet<String>,
     refused_nodes: HashSet<String>,
     calls: u64,
 }
@@ -42,6 +44,7 @@
 pub struct MemoryRecords {
     state: Mutex<State>,
     changes: watch::Sender<u64>,
+    pub freezer: Freezer,
 }
 
 impl MemoryRecords {
@@ -49,6 +52,7 @@
         Arc::new(Self {
             state: Mutex::default(),
             changes: watch::Sender::new(0),
+            freezer: Freezer::default(),
         })
     }
 
@@ -71,6 +75,13 @@
         state.shown_past.insert(node.to_owned());
     }
 
+    /// Lets one process believe that its lease is renewed, whoever has taken it: as if it
+    /// did not check it. No such store may be built upon.
+    pub fn pretend_renewals_to(&self, node: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.pretended.insert(node.to_owned());
+    }
+
     /// Turns one process away, or serves it again.
     pub fn refuse_node(&self, node: &str, refused: bool) {
         let mut state = self.state.lock().unwrap();
@@ -97,6 +108,21 @@
 }
 
 impl NodeRecords {
+    /// What a reading shows to this process.
+    fn shown(&self) -> (BTreeMap<String, Record>, u64) {
+        let state = self.store.state.lock().unwrap();
+        let present = (state.rows.clone(), state.version);
+        match state.shown_past.contains(&self.node) {
+            true => state.past.clone().unwrap_or(present),
+            false => present,
+        }
+    }
+
+    fn is_pretended(&self) -> bool {
+        let state = self.store.state.lock().unwrap();
+        state.pretended.contains(&self.node)
+    }
+
     /// Lets a call take its time, and fail as the present fault says.
     async fn enter(&self) -> Result<Fault, RecordStoreError> {
         sleep(CALL_TIME).await;
@@ -121,12 +147,8 @@
 impl RecordStore for NodeRecords {
     async fn read(&self, prefix: &str) -> Result<RecordChanges, RecordStoreError> {
         self.enter().await?;
-        let state = self.store.state.lock().unwrap();
-        let present = (state.rows.clone(), state.version);
-        let shown = match state.shown_past.contains(&self.node) {
-            true => state.past.clone().unwrap_or(present),
-            false => present,
-        };
+        let shown = self.shown();
+        self.store.freezer.pass(&self.node).await;
         Ok(RecordChanges {
             written: shown
                 .0
@@ -162,6 +184,9 @@
         value: Bytes,
     ) -> Result<PutOutcome, RecordStoreError> {
         let fault = self.enter().await?;
+        if key.starts_with("lease/") && self.is_pretended() {
+            return Ok(PutOutcome::Stored(expected + 1));
+        }
         let version = {
             let mut state = self.store.state.lock().unwrap();
             let present = state.rows.get(key).map_or(0, |row| row.version);
@@ -179,6 +204,7 @@
             version
         };
         self.store.changes.send_replace(version);
+        self.store.freezer.pass(&self.node).await;
         match fault {
             Fault::LosingAnswers => Err(RecordStoreError::Unknown("lost".to_owned())),
             _ => Ok(PutOutcome::Stored(version)),
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -219,6 +219,24 @@
 #[async_trait]
 impl BackEndConnection for WorldConnection {
     async fn run(&mut self, command: &Command) -> Result<Answer, LinkError> {
+        let answer = self.run_at_server(command).await;
+        self.world.freezer.pass(&self.node).await;
+        answer
+    }
+
+    async fn control(&mut self, control: Control) -> Result<MemberReport, LinkError> {
+        let report = self.control_server(control).await;
+        self.world.freezer.pass(&self.node).await;
+        report
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.world.glimpse(&self.server).running
+    }
+}
+
+impl WorldConnection {
+    async fn run_at_server(&mut self, command: &Command) -> Result<Answer, LinkError> {
         sleep(ROUND_TRIP).await;
         let server = self.reach().await?;
         match command {
@@ -288,7 +306,7 @@
         }
     }
 
-    async fn control(&mut self, control: Control) -> Result<MemberReport, LinkError> {
+    async fn control_server(&mut self, control: Control) -> Result<MemberReport, LinkError> {
         sleep(ROUND_TRIP).await;
         let server = self.reach().await?;
         if server.busy {
@@ -315,10 +333,6 @@
             paused_for: server.paused_for,
         })
     }
-
-    fn is_open(&mut self) -> bool {
-        self.world.glimpse(&self.server).running
-    }
 }
 
 /// A place at the server called `name`: `None` where its queue is full.
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -2,6 +2,7 @@
 
 use super::network::Network;
 use super::{Glimpse, ReadLog, Server, Slots};
+use crate::support::freezer::Freezer;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -23,6 +24,8 @@
     pub(super) reads: Mutex<HashMap<String, ReadLog>>,
     /// Entries that are left out of the directory: a planted mistake.
     pub hidden: Mutex<HashSet<String>>,
+    /// Processes that stand still.
+    pub freezer: Freezer,
     /// Places of each server; without limit where there are none.
     slots: Mutex<HashMap<String, Arc<Slots>>>,
 }
@@ -63,6 +66,7 @@
             reads: Mutex::default(),
             hidden: Mutex::default(),
             slots: Mutex::default(),
+            freezer: Freezer::default(),
         })
     }
 
