Weigh members by one sum for both protocols

Change: engine::routing::MemberCost adds up what speaks against a member; the home's router uses it in place of an order of its own (saturated, zone, in use).

--- a/crates/daemon/src/app/home/routing.rs
+++ b/crates/daemon/src/app/home/routing.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use stilequay_coordination::identity::ZoneName;
 use stilequay_coordination::position::{Floor, Term};
+use stilequay_engine::routing::MemberCost;
 use tokio::time::{Instant, timeout_at};
 
 /// When a caller should come back while a group has no primary.
@@ -16,6 +17,9 @@
 /// A replica that is behind by more than this many waits is not waited for.
 const HOPELESS_LAG_IN_WAITS: u32 = 4;
 
+/// Time in which any member is expected to answer: latencies are not measured here.
+const MEMBER_LATENCY_MS: f64 = 5.0;
+
 /// The member that is to run a unit.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
@@ -245,7 +249,8 @@
         let fit = state.members().iter().filter(|(name, member)| {
             takes_new_work(name, member, excluded) && is_replica_at(member, term) && is_fit(name)
         });
-        let (name, _) = fit.min_by_key(|(name, member)| self.cost(name, member))?;
+        let costs = fit.map(|(name, member)| (self.cost_ms(name, member), name));
+        let (_, name) = costs.min_by(|(one, _), (other, _)| one.total_cmp(other))?;
         Some(Choice {
             member: name.clone(),
             term,
@@ -267,13 +272,18 @@
         })
     }
 
-    /// Members with a connection to spare first, then those in the home's zone, then
-    /// those with fewer connections in use.
-    fn cost(&self, name: &MemberName, member: &MemberState) -> (bool, bool, usize) {
+    /// What speaks against a member that is fresh enough: no connection to spare, another
+    /// zone, connections in use.
+    fn cost_ms(&self, name: &MemberName, member: &MemberState) -> f64 {
         let pool = self.group.pool(name);
-        let in_use = pool.as_ref().map_or(0, |pool| pool.in_use());
-        let is_saturated = pool.is_some_and(|pool| pool.is_saturated());
-        (is_saturated, member.zone != *self.own_zone, in_use)
+        let cost = MemberCost {
+            latency_ms: MEMBER_LATENCY_MS,
+            in_use: pool.as_ref().map_or(0, |pool| pool.in_use()),
+            is_remote: member.zone != *self.own_zone,
+            is_doubtful: pool.is_some_and(|pool| pool.is_saturated()),
+            ..MemberCost::default()
+        };
+        cost.total_ms()
     }
 
     async fn wait_for_state<T>(&self, choose: impl FnMut(&GroupState) -> Option<T>) -> Option<T> {
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -1,4 +1,5 @@
-//! Which member is to run a read.
+//! Which member is to run a read: what speaks against each is added up in milliseconds of
+//! latency, whatever protocol it speaks.
 
 use crate::directory::MemberState;
 use crate::engine::Engine;
@@ -21,6 +22,50 @@
 /// A member that did not answer.
 const UNREACHABLE_MS: f64 = 100_000.0;
 
+/// What speaks for and against one member.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct MemberCost {
+    /// Time in which it is expected to answer one statement while unloaded, ms.
+    pub latency_ms: f64,
+    /// Connections in use here.
+    pub in_use: usize,
+    /// It is in another zone.
+    pub is_remote: bool,
+    /// It leads.
+    pub is_leader: bool,
+    /// It may refuse: it is crowded, or lacks what has to be seen.
+    pub is_doubtful: bool,
+    /// It is leaving.
+    pub is_leaving: bool,
+    /// It did not answer lately.
+    pub is_unreachable: bool,
+}
+
+impl MemberCost {
+    /// The sum, ms; the lowest is the best.
+    ///
+    /// ```
+    /// use stilequay_engine::routing::MemberCost;
+    /// let near = MemberCost { latency_ms: 15.0, ..MemberCost::default() };
+    /// let far = MemberCost { is_remote: true, ..near };
+    /// let crowded = MemberCost { is_doubtful: true, ..near };
+    /// assert!(near.total_ms() < far.total_ms());
+    /// assert!(far.total_ms() < crowded.total_ms());
+    /// ```
+    pub fn total_ms(&self) -> f64 {
+        let waiting = 1.0 + self.in_use as f64 * IN_USE_SHARE;
+        let extra = [
+            (self.is_remote, OTHER_ZONE_MS),
+            (self.is_leader, LEADER_MS),
+            (self.is_doubtful, DOUBTFUL_MS),
+            (self.is_leaving, LEAVING_MS),
+            (self.is_unreachable, UNREACHABLE_MS),
+        ];
+        let extra = extra.iter().filter(|(applies, _)| *applies);
+        self.latency_ms * waiting + extra.map(|(_, ms)| ms).sum::<f64>()
+    }
+}
+
 /// A member that may run a read.
 #[derive(Debug, Clone)]
 pub struct ReadCandidate {
@@ -79,21 +124,15 @@
     now: Instant,
 ) -> f64 {
     let health = pool.health();
-    let waiting = 1.0 + pool.in_use() as f64 * IN_USE_SHARE;
-    let mut cost = health.expected_latency_ms(now) * waiting;
-    let mut add = |condition: bool, extra: f64| {
-        if condition {
-            cost += extra;
-        }
+    let lacks = after.is_some_and(|position| health.is_lagging(position, now));
+    let cost = MemberCost {
+        latency_ms: health.expected_latency_ms(now),
+        in_use: pool.in_use(),
+        is_remote: pool.member().zone != engine.settings().zone,
+        is_leader,
+        is_doubtful: lacks || health.is_busy(now),
+        is_leaving: state != MemberState::Ready,
+        is_unreachable: health.is_unreachable(now),
     };
-    add(pool.member().zone != engine.settings().zone, OTHER_ZONE_MS);
-    add(is_leader, LEADER_MS);
-    add(health.is_busy(now), DOUBTFUL_MS);
-    add(
-        after.is_some_and(|position| health.is_lagging(position, now)),
-        DOUBTFUL_MS,
-    );
-    add(state != MemberState::Ready, LEAVING_MS);
-    add(health.is_unreachable(now), UNREACHABLE_MS);
-    cost
+    cost.total_ms()
 }
