--- a/crates/bench/src/demo.rs
+++ b/crates/bench/src/demo.rs
@@ -7,6 +7,7 @@
 use stilequay_bench::launch::LaunchError;
 use stilequay_daemon::logging;
 use stilequay_daemon::settings::{LogLevel, LogSettings};
+use stilequay_engine::events;
 
 /// Exit code: the check found a violation, or something failed.
 const FAILURE: u8 = 1;
@@ -33,7 +34,8 @@
     };
     let settings = LogSettings {
         level: LogLevel::Error,
-        ..LogSettings::default()
+        // What became of requests that failed.
+        targets: [(events::TARGET.to_owned(), LogLevel::Warn)].into(),
     };
     if let Err(error) = logging::start(&settings) {
         eprintln!("stilequay-demo: {error}");
