Learn configuration and members from other processes while the store does not tell them

Cause: a process that the store turned away followed only leaderships through the others; documents and members stayed as they were.

Where a feed fails, a few processes are asked for what is newer than what this one knows; ages of departures only grow on the way; nothing older is taken, and a feed that is behind what was learned is passed over. Frames between processes may have 4 MB.

Tests: over TCP and in memory, both directions.

--- a/crates/engine/src/configuration.rs
+++ b/crates/engine/src/configuration.rs
@@ -1,12 +1,13 @@
 //! The configuration that an operator has declared, as a whole.
 
 use crate::names::{DatabaseName, GroupName};
+use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 /// How fresh a session's reads are.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Consistency {
     /// Reads see every commit that was acknowledged before them, of any session.
     Leader,
@@ -28,7 +29,7 @@
 }
 
 /// How the sessions of one database are treated.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The group that runs the statements.
     pub group: GroupName,
@@ -45,7 +46,7 @@
 }
 
 /// What holds for one group.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GroupSettings {
     /// Connections that one member accepts from all callers together.
     pub member_connections: usize,
@@ -54,7 +55,7 @@
 }
 
 /// A configuration as of one version.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Configuration {
     /// Rises with each change.
     pub version: u64,
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 /// Role that a member says it has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// It leads.
--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -4,6 +4,7 @@
 //! records of leaderships, and for evidence that a leader's term goes on, which the
 //! commits that pass through them bring. Nobody is asked while the store answers.
 
+pub mod declared;
 mod tcp;
 
 pub use tcp::{TcpPeers, serve};
--- a/crates/engine/src/peers/tcp.rs
+++ b/crates/engine/src/peers/tcp.rs
@@ -1,9 +1,9 @@
 //! Questions over TCP: one frame asks, one answers, and the connection ends.
 
-use super::beliefs;
+use super::{beliefs, declared};
 use crate::engine::Engine;
 use crate::names::GroupName;
-use crate::ports::{GroupBelief, PeerError, PeerNetwork};
+use crate::ports::{DeclaredState, DeclaredVersions, GroupBelief, PeerError, PeerNetwork};
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -16,7 +16,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Greatest length of a frame.
-const MAX_FRAME_BYTES: usize = 1 << 20;
+const MAX_FRAME_BYTES: usize = 4 << 20;
 /// Groups that one question may name.
 const MAX_GROUPS: usize = 1_000;
 /// Longest wait for a question, and for the other side to take the answer.
@@ -26,14 +26,18 @@
 
 /// A question.
 #[derive(Debug, Serialize, Deserialize)]
-struct Question {
-    groups: Vec<GroupName>,
+enum Question {
+    /// What is believed of these groups.
+    Beliefs(Vec<GroupName>),
+    /// What was declared after these versions.
+    Declared(DeclaredVersions),
 }
 
 /// An answer.
 #[derive(Debug, Serialize, Deserialize)]
-struct Answer {
-    beliefs: Vec<GroupBelief>,
+enum Answer {
+    Beliefs(Vec<GroupBelief>),
+    Declared(DeclaredState),
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
@@ -47,6 +51,27 @@
 #[derive(Debug, Default)]
 pub struct TcpPeers;
 
+/// Asks one question over a connection of its own.
+async fn exchange(peer: SocketAddr, question: &Question) -> Result<Answer, PeerError> {
+    let unreachable = |error: std::io::Error| PeerError::Unreachable(error.to_string());
+    let stream = TcpStream::connect(peer).await.map_err(unreachable)?;
+    let mut frames = framed(stream);
+    // Texts and numbers only: encoding can't fail.
+    let encoded = rmp_serde::to_vec(question).unwrap_or_default();
+    frames
+        .send(Bytes::from(encoded))
+        .await
+        .map_err(unreachable)?;
+    let frame = frames.next().await;
+    let frame = frame.ok_or_else(|| PeerError::Unreachable("broke off".to_owned()))?;
+    let frame = frame.map_err(unreachable)?;
+    rmp_serde::from_slice(&frame).map_err(|error| PeerError::Protocol(error.to_string()))
+}
+
+fn another_answer() -> PeerError {
+    PeerError::Protocol("the answer is to another question".to_owned())
+}
+
 #[async_trait]
 impl PeerNetwork for TcpPeers {
     async fn ask(
@@ -54,24 +79,21 @@
         peer: SocketAddr,
         groups: &[GroupName],
     ) -> Result<Vec<GroupBelief>, PeerError> {
-        let unreachable = |error: std::io::Error| PeerError::Unreachable(error.to_string());
-        let stream = TcpStream::connect(peer).await.map_err(unreachable)?;
-        let mut frames = framed(stream);
-        let question = Question {
-            groups: groups.to_vec(),
-        };
-        // Texts only: encoding can't fail.
-        let encoded = rmp_serde::to_vec(&question).unwrap_or_default();
-        frames
-            .send(Bytes::from(encoded))
-            .await
-            .map_err(unreachable)?;
-        let frame = frames.next().await;
-        let frame = frame.ok_or_else(|| PeerError::Unreachable("broke off".to_owned()))?;
-        let frame = frame.map_err(unreachable)?;
-        let answer: Result<Answer, _> = rmp_serde::from_slice(&frame);
-        let answer = answer.map_err(|error| PeerError::Protocol(error.to_string()))?;
-        Ok(answer.beliefs)
+        match exchange(peer, &Question::Beliefs(groups.to_vec())).await? {
+            Answer::Beliefs(beliefs) => Ok(beliefs),
+            Answer::Declared(_) => Err(another_answer()),
+        }
+    }
+
+    async fn ask_declared(
+        &self,
+        peer: SocketAddr,
+        known: DeclaredVersions,
+    ) -> Result<DeclaredState, PeerError> {
+        match exchange(peer, &Question::Declared(known)).await? {
+            Answer::Declared(state) => Ok(state),
+            Answer::Beliefs(_) => Err(another_answer()),
+        }
     }
 }
 
@@ -94,20 +116,21 @@
 async fn answer(engine: &Engine, stream: TcpStream) -> Option<()> {
     let mut frames = framed(stream);
     let frame = frames.next().await?.ok()?;
-    let question: Question = rmp_serde::from_slice(&frame).ok()?;
-    if question.groups.len() > MAX_GROUPS {
-        return None;
-    }
-    // A group that the directory does not name is not made for a question's sake.
-    let known = engine.directory().groups();
-    let groups: Vec<GroupName> = question
-        .groups
-        .into_iter()
-        .filter(|g| known.contains(g))
-        .collect();
-    let answer = Answer {
-        beliefs: beliefs(engine, &groups),
+    let answer = match rmp_serde::from_slice(&frame).ok()? {
+        Question::Beliefs(groups) => Answer::Beliefs(known_beliefs(engine, groups)?),
+        Question::Declared(versions) => Answer::Declared(declared::newer(engine, versions)),
     };
     let encoded = rmp_serde::to_vec(&answer).unwrap_or_default();
     frames.send(Bytes::from(encoded)).await.ok()
 }
+
+/// Beliefs about those of `groups` that the directory names: none is made for a question's
+/// sake.
+fn known_beliefs(engine: &Engine, groups: Vec<GroupName>) -> Option<Vec<GroupBelief>> {
+    if groups.len() > MAX_GROUPS {
+        return None;
+    }
+    let known = engine.directory().groups();
+    let named = groups.into_iter().filter(|group| known.contains(group));
+    Some(beliefs(engine, &named.collect::<Vec<GroupName>>()))
+}
--- a/crates/engine/src/ports/mod.rs
+++ b/crates/engine/src/ports/mod.rs
@@ -9,6 +9,9 @@
     Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError, MemberReport,
     Refusal, RefusalKind,
 };
-pub use peers::{CoveringBelief, GroupBelief, LeaderBelief, PeerError, PeerNetwork, TermBelief};
+pub use peers::{
+    CoveringBelief, DeclaredDeparture, DeclaredDirectory, DeclaredMember, DeclaredState,
+    DeclaredVersions, GroupBelief, LeaderBelief, PeerError, PeerNetwork, TermBelief,
+};
 pub use promoter::{PromoteError, Promoter, PromotionOrder};
 pub use record_store::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -1,8 +1,10 @@
 //! Questions to other processes of the fleet.
 
+use crate::configuration::Configuration;
+use crate::directory::Role;
 use crate::group::Epoch;
 use crate::leadership::record::TermRecord;
-use crate::names::{GroupName, MemberId};
+use crate::names::{GroupName, MemberId, ZoneName};
 use crate::position::LogPosition;
 use async_trait::async_trait;
 use quick_error::quick_error;
@@ -56,6 +58,64 @@
     pub version: u64,
 }
 
+/// Versions of what operators and servers have declared, as one process knows them; zero
+/// where it knows nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeclaredVersions {
+    /// Of the configuration.
+    pub configuration: u64,
+    /// Of the directory of members.
+    pub directory: u64,
+}
+
+/// What a process knows that is newer than it was asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeclaredState {
+    /// The configuration.
+    pub configuration: Option<Configuration>,
+    /// The members.
+    pub directory: Option<DeclaredDirectory>,
+}
+
+/// All members, as of one version of their entries.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeclaredDirectory {
+    /// The version.
+    pub version: u64,
+    /// The members, gone ones included.
+    pub members: Vec<DeclaredMember>,
+}
+
+/// A member, on its way to another process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeclaredMember {
+    /// Its identity.
+    pub id: MemberId,
+    /// Its group.
+    pub group: GroupName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// The role that it told last.
+    pub role: Role,
+    /// Statements that it runs at a time.
+    pub slots: usize,
+    /// Set where it leaves or has left.
+    pub departure: Option<DeclaredDeparture>,
+}
+
+/// A member's departure, in ages at the time of the answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DeclaredDeparture {
+    /// Its entry has gone.
+    pub gone: bool,
+    /// Since it was learned of, ms.
+    pub learned_age_ms: u64,
+    /// Since it may have been known to others, ms; `None` where that is not known.
+    pub earliest_age_ms: Option<u64>,
+}
+
 quick_error! {
     /// A process did not answer.
     #[derive(Debug, Clone, PartialEq, Eq)]
@@ -80,4 +140,12 @@
         peer: SocketAddr,
         groups: &[GroupName],
     ) -> Result<Vec<GroupBelief>, PeerError>;
+
+    /// What the process at `peer` knows of configuration and members that is newer than
+    /// `known`.
+    async fn ask_declared(
+        &self,
+        peer: SocketAddr,
+        known: DeclaredVersions,
+    ) -> Result<DeclaredState, PeerError>;
 }
--- a/crates/engine/tests/peers.rs
+++ b/crates/engine/tests/peers.rs
@@ -6,8 +6,10 @@
 use futures::{SinkExt, StreamExt};
 use std::sync::Arc;
 use std::time::Duration;
+use stilequay_engine::directory::{Departure, MemberState};
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
-use stilequay_engine::peers::{TcpPeers, ask, serve};
+use stilequay_engine::peers::{TcpPeers, ask, declared, serve};
+use stilequay_engine::ports::DeclaredVersions;
 use stilequay_engine::ports::PeerNetwork;
 use support::records::Fault;
 use support::{Client, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, seen, until};
@@ -83,7 +85,7 @@
     let engine = Arc::clone(&fleet.nodes[0].engine);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    tokio::spawn(serve(engine, listener));
+    tokio::spawn(serve(Arc::clone(&engine), listener));
     let groups = [Arc::from(GROUP), Arc::from("unknown")];
     let beliefs = TcpPeers.ask(address, &groups).await.expect("an answer");
     assert_eq!(beliefs.len(), 1);
@@ -91,6 +93,18 @@
     let leader = beliefs[0].leader.as_ref().expect("a leader");
     assert!(leader.confirmed);
     assert!(leader.evidence_age_ms.is_some());
+    let nothing = DeclaredVersions {
+        configuration: 0,
+        directory: 0,
+    };
+    let state = TcpPeers.ask_declared(address, nothing).await;
+    let state = state.expect("an answer");
+    let expected = engine.configuration().expect("one");
+    assert_eq!(state.configuration.as_ref(), Some(expected.as_ref()));
+    assert_eq!(state.directory.expect("members").members.len(), 3);
+    let all = declared::known_versions(&engine);
+    let state = TcpPeers.ask_declared(address, all).await;
+    assert!(state.expect("an answer").configuration.is_none());
     // What makes no sense gets no answer, and the next question does.
     let stream = TcpStream::connect(address).await.expect("connected");
     let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
@@ -138,3 +152,38 @@
     assert_eq!((groups[1].view(), groups[1].evidence()), before);
     assert!(!before.0.confirmed);
 }
+
+/// A process that the store turns away takes newer documents and members from others, and
+/// never older ones.
+#[tokio::test(start_paused = true)]
+async fn what_was_declared_is_learned_from_other_processes() {
+    let fleet = Fleet::start(2).await;
+    until_all_are_known(&fleet).await;
+    let [knowing, cut] = [&fleet.nodes[0].engine, &fleet.nodes[1].engine];
+    let mut newer = knowing.configuration().expect("one").as_ref().clone();
+    newer.version += 5;
+    newer.transaction_idle = None;
+    assert!(knowing.set_configuration(newer.clone()));
+    let now = Instant::now();
+    let leaving = Departure {
+        learned: now,
+        earliest: now.checked_sub(Duration::from_millis(700)),
+    };
+    let state = MemberState::Leaving(leaving);
+    fleet.world.change("c", |server| server.state = state);
+    let known = || cut.directory().member("c").map(|member| member.state);
+    let entries = fleet.world.entries();
+    let version = cut.directory().version + 1_000_000;
+    knowing.set_directory(knowing.directory().replaced(version, entries, leaving));
+    declared::ask(cut).await;
+    assert_eq!(cut.configuration().as_deref(), Some(&newer));
+    assert_eq!(cut.directory().version, version);
+    let Some(MemberState::Leaving(told)) = known() else {
+        panic!("{:?}", known());
+    };
+    assert!(told.earliest <= leaving.earliest && told.earliest.is_some());
+    // Asked the other way round, nothing older is taken.
+    let before = knowing.directory().version;
+    declared::ask(knowing).await;
+    assert_eq!(knowing.directory().version, before);
+}
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -8,7 +8,10 @@
 use stilequay_engine::engine::Engine;
 use stilequay_engine::names::GroupName;
 use stilequay_engine::peers::beliefs;
-use stilequay_engine::ports::{GroupBelief, PeerError, PeerNetwork};
+use stilequay_engine::peers::declared::newer;
+use stilequay_engine::ports::{
+    DeclaredState, DeclaredVersions, GroupBelief, PeerError, PeerNetwork,
+};
 use tokio::time::sleep;
 
 /// Time for a question or an answer.
@@ -35,6 +38,15 @@
             .insert(address, Arc::downgrade(engine));
     }
 
+    async fn reach(&self, peer: SocketAddr) -> Result<Arc<Engine>, PeerError> {
+        sleep(ONE_WAY).await;
+        let engines = self.engines.lock().unwrap();
+        let engine = engines.get(&peer).and_then(Weak::upgrade);
+        let away = *self.away.lock().unwrap();
+        let engine = engine.filter(|_| !away);
+        engine.ok_or_else(|| PeerError::Unreachable("away".to_owned()))
+    }
+
     /// Lets no process reach another.
     pub fn set_away(&self, away: bool) {
         *self.away.lock().unwrap() = away;
@@ -48,18 +60,20 @@
         peer: SocketAddr,
         groups: &[GroupName],
     ) -> Result<Vec<GroupBelief>, PeerError> {
-        sleep(ONE_WAY).await;
-        let engine = self
-            .engines
-            .lock()
-            .unwrap()
-            .get(&peer)
-            .and_then(Weak::upgrade);
-        let away = *self.away.lock().unwrap();
-        let engine = engine.filter(|_| !away);
-        let engine = engine.ok_or_else(|| PeerError::Unreachable("away".to_owned()))?;
+        let engine = self.reach(peer).await?;
         let answer = beliefs(&engine, groups);
         sleep(ONE_WAY).await;
         Ok(answer)
     }
+
+    async fn ask_declared(
+        &self,
+        peer: SocketAddr,
+        known: DeclaredVersions,
+    ) -> Result<DeclaredState, PeerError> {
+        let engine = self.reach(peer).await?;
+        let answer = newer(&engine, known);
+        sleep(ONE_WAY).await;
+        Ok(answer)
+    }
 }
