--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -16,8 +16,10 @@
 pub mod record;
 mod report;
 pub mod roster;
+mod settling;
 pub mod survey;
 pub mod suspicion;
+mod telling;
 mod watcher;
 
 use crate::engine::Engine;
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -14,15 +14,14 @@
 //! A promotion that was begun is never taken back, but completed: a replica that was
 //! paused in vain would have to be resumed, and a late order to resume breaks a fence.
 
-use super::choice::{FenceSurvey, Obstacle, PreviousLeader, fencing_term};
+use super::choice::{FenceSurvey, PreviousLeader, fencing_term};
 use super::duty::Duty;
 use super::follower::VersionedTerm;
 use super::record::{TermPhase, TermRecord};
 use super::roster;
-use super::survey::{self, Patience, Response, Surveyed};
+use super::survey::{self, Patience};
 use crate::directory::{Member, Role};
 use crate::engine::Engine;
-use crate::events::Event;
 use crate::group::{TERM_LEASE, TERM_LEASE_MARGIN};
 use crate::names::{GroupName, MemberId};
 use crate::ports::{Control, PromoteError, Promoter, PromotionOrder, PutOutcome, RecordStoreError};
@@ -42,10 +41,6 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(900);
 /// Time after which a target that does not take the lead is given up.
 const TARGET_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Pause between two looks at the members that are to follow a new leader.
-const SETTLING_PAUSE: Duration = Duration::from_millis(400);
-/// Such looks, at the most.
-const SETTLING_ROUNDS: usize = 12;
 /// Pause after the store gave no answer.
 const STORE_PAUSE: Duration = Duration::from_millis(80);
 
@@ -242,66 +237,6 @@
         report.is_some_and(|report| report.role == Role::Primary)
     }
 
-    /// Brings the other members to follow the new leader, in a task of its own.
-    ///
-    /// A promotion ends the pause of every replica that hears of it. One that has not
-    /// heard is resumed only once the old leader is known to lead no more: until then it
-    /// could receive from it, and so let it acknowledge commits.
-    fn settle_others(&self, target: &MemberId) {
-        let this = self.clone();
-        let target = target.clone();
-        tokio::spawn(async move {
-            for _ in 0..SETTLING_ROUNDS {
-                if this.duty.check().is_none() || this.settle_once(&target).await {
-                    return;
-                }
-                sleep(SETTLING_PAUSE).await;
-            }
-        });
-    }
-
-    /// Returns whether nothing is left to do.
-    async fn settle_once(&self, target: &MemberId) -> bool {
-        let patience = Patience::WHOLE;
-        let asked = survey::survey(&self.engine, &self.group, |_| Control::Status, patience).await;
-        let leader = asked.iter().find(|known| known.member.id == *target);
-        let Some(leader) = leader.and_then(|known| known.response.report()) else {
-            return false;
-        };
-        let others = || asked.iter().filter(|known| known.member.id != *target);
-        let mut settled = true;
-        for known in others() {
-            let report = known.response.report();
-            if report.is_some_and(|report| report.role == Role::Primary) {
-                settled = false;
-                self.give(&known.member, Control::Demote(leader.term)).await;
-            }
-        }
-        let unknown = others().any(|known| matches!(known.response, Response::Silent(_)));
-        if !settled || unknown {
-            return false;
-        }
-        for known in others() {
-            let report = known.response.report();
-            if report.is_some_and(|report| report.paused_for > 0) {
-                self.give(&known.member, Control::Resume).await;
-            }
-        }
-        true
-    }
-
-    /// Gives an order after the promotion, if the lease is still held.
-    async fn give(&self, member: &Arc<Member>, control: Control) {
-        let (Some(term), true) = (
-            self.engine.terms().known(&self.group),
-            self.duty.check().is_some(),
-        ) else {
-            return;
-        };
-        let response = survey::order(&self.engine, member, control).await;
-        self.tell_response(&term.record, "settle", &member.id, &response);
-    }
-
     async fn advance(
         &self,
         term: &VersionedTerm,
@@ -377,55 +312,8 @@
             .ok_or(PromotionError::Superseded)
     }
 
-    fn check_duty(&self) -> Result<(), PromotionError> {
+    pub(super) fn check_duty(&self) -> Result<(), PromotionError> {
         let held = self.duty.check();
         held.map(|_| ()).ok_or(PromotionError::LeaseLost)
     }
-
-    fn tell_fence(&self, record: &TermRecord, members: &[Surveyed]) {
-        for surveyed in members {
-            let id = &surveyed.member.id;
-            self.tell_response(record, "fence", id, &surveyed.response);
-        }
-    }
-
-    fn tell_obstacle(&self, record: &TermRecord, obstacle: &Obstacle) {
-        self.tell(record, "choose", None, None, format!("{obstacle:?}"));
-    }
-
-    fn tell_response(
-        &self,
-        record: &TermRecord,
-        step: &'static str,
-        member: &MemberId,
-        response: &Response,
-    ) {
-        let text = match response {
-            Response::Report(_) => String::new(),
-            Response::Down(reason) => format!("down: {reason}"),
-            Response::Declined(reason) => format!("declined: {reason}"),
-            Response::Silent(reason) => format!("silent: {reason}"),
-        };
-        let report = response.report().copied();
-        self.tell(record, step, Some(member.clone()), report, text);
-    }
-
-    fn tell(
-        &self,
-        record: &TermRecord,
-        step: &'static str,
-        member: Option<MemberId>,
-        report: Option<crate::ports::MemberReport>,
-        result: String,
-    ) {
-        self.engine.events().write(&Event::PromotionStep {
-            group: self.group.clone(),
-            epoch: record.epoch,
-            phase: record.phase,
-            step,
-            member,
-            report,
-            result,
-        });
-    }
 }
--- /dev/null
+++ b/crates/engine/src/leadership/settling.rs
@@ -0,0 +1,77 @@
+//! After a promotion: the other members are brought to follow the new leader.
+
+use super::promotion::Promotion;
+use super::survey::{self, Patience, Response};
+use crate::directory::{Member, Role};
+use crate::names::MemberId;
+use crate::ports::Control;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Pause between two looks at the members that are to follow a new leader.
+const SETTLING_PAUSE: Duration = Duration::from_millis(400);
+/// Such looks, at the most.
+const SETTLING_ROUNDS: usize = 12;
+
+impl Promotion {
+    /// Brings the other members to follow the new leader, in a task of its own.
+    ///
+    /// A promotion ends the pause of every replica that hears of it. One that has not
+    /// heard is resumed only once the old leader is known to lead no more: until then it
+    /// could receive from it, and so let it acknowledge commits.
+    pub(super) fn settle_others(&self, target: &MemberId) {
+        let this = self.clone();
+        let target = target.clone();
+        tokio::spawn(async move {
+            for _ in 0..SETTLING_ROUNDS {
+                if this.duty.check().is_none() || this.settle_once(&target).await {
+                    return;
+                }
+                sleep(SETTLING_PAUSE).await;
+            }
+        });
+    }
+
+    /// Returns whether nothing is left to do.
+    async fn settle_once(&self, target: &MemberId) -> bool {
+        let patience = Patience::WHOLE;
+        let asked = survey::survey(&self.engine, &self.group, |_| Control::Status, patience).await;
+        let leader = asked.iter().find(|known| known.member.id == *target);
+        let Some(leader) = leader.and_then(|known| known.response.report()) else {
+            return false;
+        };
+        let others = || asked.iter().filter(|known| known.member.id != *target);
+        let mut settled = true;
+        for known in others() {
+            let report = known.response.report();
+            if report.is_some_and(|report| report.role == Role::Primary) {
+                settled = false;
+                self.give(&known.member, Control::Demote(leader.term)).await;
+            }
+        }
+        let unknown = others().any(|known| matches!(known.response, Response::Silent(_)));
+        if !settled || unknown {
+            return false;
+        }
+        for known in others() {
+            let report = known.response.report();
+            if report.is_some_and(|report| report.paused_for > 0) {
+                self.give(&known.member, Control::Resume).await;
+            }
+        }
+        true
+    }
+
+    /// Gives an order after the promotion, if the lease is still held.
+    async fn give(&self, member: &Arc<Member>, control: Control) {
+        let (Some(term), true) = (
+            self.engine.terms().known(&self.group),
+            self.duty.check().is_some(),
+        ) else {
+            return;
+        };
+        let response = survey::order(&self.engine, member, control).await;
+        self.tell_response(&term.record, "settle", &member.id, &response);
+    }
+}
--- a/crates/engine/src/session/transaction.rs
+++ b/crates/engine/src/session/transaction/mod.rs
@@ -1,19 +1,15 @@
 //! Transactions: opened at a member with their first statement, held there to the end.
 
+mod opening;
+
 use super::limits::{RETRY_PAUSE, StatementLimits};
-use super::offer::{Declined, Offer, first_connection, shed_for};
-use super::read::{ReadTarget, note_position, note_refusal};
 use super::trace::RequestTrace;
-use super::write::{
-    Attempt, Awaited, Unanswered, await_answer, await_in_time, judge_refusal, leader_pool,
-    member_failure, pause_or_refuse, refusal_text, shed,
-};
+use super::write::{Awaited, await_answer, await_in_time, member_failure, refusal_text};
 use super::{Completion, Session};
 use crate::configuration::Route;
 use crate::group::{Group, UsableLeader};
-use crate::leadership::access;
 use crate::names::RequestId;
-use crate::pool::{AcquireError, Claim, PooledConnection, RunError, SessionValues, Work};
+use crate::pool::{PooledConnection, RunError, SessionValues, Work};
 use crate::ports::{Answer, Command, Refusal, RefusalKind};
 use crate::statement::{Access, Request, TransactionState};
 use crate::verdict::{Failure, FailureReason};
@@ -52,21 +48,6 @@
     wrote: bool,
 }
 
-/// Members where a transaction may be opened, the best first.
-#[derive(Default)]
-struct Places {
-    targets: Vec<ReadTarget>,
-    /// The leader, where only it will do.
-    leader: Option<UsableLeader>,
-}
-
-/// A member chosen for a transaction, and the connection to it.
-struct Place {
-    target: ReadTarget,
-    leader: Option<UsableLeader>,
-    connection: PooledConnection,
-}
-
 impl Transaction {
     /// What the caller is told of its state.
     pub(super) fn state(&self) -> TransactionState {
@@ -188,87 +169,6 @@
         }
     }
 
-    /// Opens the transaction at a member and runs its first statement there. Until that
-    /// has completed nothing can be kept, so another member may be tried.
-    async fn open_with(
-        &self,
-        transaction: &mut Transaction,
-        request: &Request,
-        access: Access,
-        work: Option<Work>,
-        trace: &mut RequestTrace,
-    ) -> Result<Completion, Failure> {
-        let limits = StatementLimits::new(&transaction.route, request.received);
-        let claim = self.claim(&transaction.route);
-        loop {
-            let mut places = self.places(transaction, limits, trace).await;
-            let mut reason = FailureReason::NoLeader;
-            while !places.targets.is_empty() && Instant::now() < limits.offer {
-                let offered = first_connection(&places.targets, &claim, limits.offer).await;
-                let Offer { index, connection } = match offered {
-                    Ok(offer) => offer,
-                    Err(declined) => {
-                        reason = declined_reason(&declined, trace)?;
-                        break;
-                    }
-                };
-                let place = Place {
-                    target: places.targets.remove(index),
-                    leader: places.leader.clone(),
-                    connection,
-                };
-                let first = FirstStatement {
-                    request,
-                    access,
-                    work: work.as_ref(),
-                    limits,
-                };
-                match open_at(transaction, place, &claim, first, trace).await {
-                    Attempt::Decided(outcome) => return outcome,
-                    Attempt::NotRun(latest) => reason = latest,
-                }
-            }
-            pause_or_refuse(limits, reason).await?;
-        }
-    }
-
-    /// Members where the transaction may be opened, the best first.
-    async fn places(
-        &self,
-        transaction: &Transaction,
-        limits: StatementLimits,
-        trace: &mut RequestTrace,
-    ) -> Places {
-        let (route, group) = (&transaction.route, &transaction.group);
-        if transaction.read_only {
-            let targets = self
-                .read_targets(group, route, transaction.began, limits.offer, trace)
-                .await;
-            return Places {
-                targets,
-                leader: None,
-            };
-        }
-        let until = limits.offer;
-        let Some(writable) = access::writable_leader(group, until).await else {
-            return Places::default();
-        };
-        let leased = access::leased_leader(&self.engine, group, route.max_staleness, until).await;
-        let leader = leased.filter(|leader| *leader == writable);
-        let pool = leader
-            .as_ref()
-            .and_then(|leader| leader_pool(&self.engine, leader));
-        let target = pool.map(|pool| ReadTarget {
-            pool,
-            after: None,
-            is_likely: true,
-        });
-        Places {
-            targets: target.into_iter().collect(),
-            leader,
-        }
-    }
-
     async fn commit(
         &mut self,
         request: &Request,
@@ -314,125 +214,6 @@
     }
 }
 
-/// The first statement of a transaction, with which it is opened.
-struct FirstStatement<'a> {
-    request: &'a Request,
-    access: Access,
-    /// None where there is nothing to run before the commit.
-    work: Option<&'a Work>,
-    limits: StatementLimits,
-}
-
-/// Why no member could be had, or the refusal where more waiting makes no sense.
-fn declined_reason(
-    declined: &[Declined],
-    trace: &mut RequestTrace,
-) -> Result<FailureReason, Failure> {
-    for Declined { member, error } in declined {
-        trace.attempted(member, error.to_string());
-    }
-    if let Some(retry_after) = shed_for(declined) {
-        return Err(shed(retry_after));
-    }
-    let crowded = declined
-        .iter()
-        .any(|declined| matches!(declined.error, AcquireError::Exhausted));
-    Ok(match crowded {
-        true => FailureReason::Overloaded,
-        false => FailureReason::NoLeader,
-    })
-}
-
-/// Opens the transaction at a member and runs its first statement there.
-async fn open_at(
-    transaction: &mut Transaction,
-    place: Place,
-    claim: &Claim,
-    first: FirstStatement<'_>,
-    trace: &mut RequestTrace,
-) -> Attempt<Completion> {
-    let Place {
-        target,
-        leader,
-        mut connection,
-    } = place;
-    let pool = Arc::clone(&target.pool);
-    let member = pool.member().id.clone();
-    let begin = Command::Begin {
-        read_only: transaction.read_only,
-        after: target.after,
-    };
-    let known = transaction.group.as_leader(&member);
-    let sent = Instant::now();
-    let opening = async {
-        let put = connection.put_values(&claim.values).await;
-        put.map_err(RunError::Before)?;
-        connection.run(&begin).await.map_err(RunError::Before)
-    };
-    let awaited = await_in_time(opening, first.limits.offer).await;
-    let answer = match awaited.told(&pool, sent, trace) {
-        Ok(answer) => answer,
-        Err(missing) => return Attempt::NotRun(missing.reason()),
-    };
-    note_position(&transaction.group, known.as_ref(), sent, &answer);
-    if let Err(refusal) = answer.outcome {
-        trace.attempted(&member, refusal_text(&refusal));
-        note_refusal(&pool, &refusal, target.after);
-        super::write::release(connection, answer.state);
-        return judge_refusal(refusal);
-    }
-    if let Some(leader) = &leader {
-        transaction.group.confirm_leader(leader);
-    }
-    let open = OpenTransaction {
-        connection,
-        leader,
-        wrote: false,
-    };
-    let Some(work) = first.work else {
-        transaction.stage = Stage::Open(open);
-        return Attempt::Decided(Ok(Completion::default()));
-    };
-    first_statement(transaction, open, work, &first, trace).await
-}
-
-/// Runs the first statement of a transaction that has just been opened.
-async fn first_statement(
-    transaction: &mut Transaction,
-    mut open: OpenTransaction,
-    work: &Work,
-    first: &FirstStatement<'_>,
-    trace: &mut RequestTrace,
-) -> Attempt<Completion> {
-    let member = open.connection.pool().member().id.clone();
-    let sent = Instant::now();
-    let running = open.connection.run_work(&first.request.id, work, None);
-    let awaited = await_in_time(running, first.limits.answer).await;
-    let answer = match awaited.told(open.connection.pool(), sent, trace) {
-        Ok(answer) => answer,
-        Err(Unanswered::TimedOut) => {
-            return Attempt::Decided(Err(Failure::not_run(FailureReason::TransactionLost)));
-        }
-        Err(missing) => return Attempt::NotRun(missing.reason()),
-    };
-    match answer.outcome {
-        Ok(signature) => {
-            trace.attempted(&member, "completed");
-            open.wrote = first.access == Access::Write;
-            transaction.stage = Stage::Open(open);
-            Attempt::Decided(Ok(Completion {
-                rows: answer.rows,
-                signature: Some(signature),
-            }))
-        }
-        Err(refusal) => {
-            trace.attempted(&member, refusal_text(&refusal));
-            open.connection.roll_back();
-            judge_refusal(refusal)
-        }
-    }
-}
-
 /// Runs a later statement of an open transaction.
 async fn run_at_place(
     transaction: &mut Transaction,
