--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -108,10 +108,10 @@
         }
     }
 
-    fn refuse(&self, kind: RefusalKind, code: &'static str) -> Answer {
+    fn refuse(&self, kind: RefusalKind) -> Answer {
         let refusal = Refusal {
             kind,
-            code: Bytes::from_static(code.as_bytes()),
+            code: Bytes::from(format!("{kind:?}")),
             text: Bytes::new(),
         };
         self.answer(Vec::new(), Err(refusal))
@@ -140,7 +140,7 @@
         let server = self.reach().await?;
         let place = enter(&self.world, &self.server).await;
         let Some(place) = place.filter(|_| !server.busy) else {
-            return Ok(self.refuse(RefusalKind::Busy, "BUSY"));
+            return Ok(self.refuse(RefusalKind::Busy));
         };
         sleep(WORK * server.slowness).await;
         drop(place);
@@ -164,12 +164,10 @@
             return Ok(self.answer(rows, Ok(Bytes::from(format!("signed-{id}")))));
         }
         if server.role != Role::Primary {
-            return Ok(self.refuse(RefusalKind::NotLeader, "READONLY"));
+            return Ok(self.refuse(RefusalKind::NotLeader));
         }
         match &mut self.transaction {
-            Some(transaction) if transaction.read_only => {
-                Ok(self.refuse(RefusalKind::NotLeader, "READONLY"))
-            }
+            Some(transaction) if transaction.read_only => Ok(self.refuse(RefusalKind::NotLeader)),
             Some(transaction) => {
                 transaction.writes.push(id.to_owned());
                 Ok(self.complete(format!("signed-{id}")))
@@ -242,10 +240,10 @@
         match command {
             Command::Begin { read_only, after } => {
                 if !read_only && server.role != Role::Primary {
-                    return Ok(self.refuse(RefusalKind::NotLeader, "READONLY"));
+                    return Ok(self.refuse(RefusalKind::NotLeader));
                 }
                 if self.lacks(after) {
-                    return Ok(self.refuse(RefusalKind::Lagging, "LAGGING"));
+                    return Ok(self.refuse(RefusalKind::Lagging));
                 }
                 self.transaction = Some(WorldTransaction {
                     read_only: *read_only,
@@ -256,7 +254,7 @@
             Command::Commit { id } => {
                 let writes = self.transaction.take().map_or(Vec::new(), |t| t.writes);
                 if !writes.is_empty() && server.role != Role::Primary {
-                    return Ok(self.refuse(RefusalKind::NotLeader, "READONLY"));
+                    return Ok(self.refuse(RefusalKind::NotLeader));
                 }
                 self.commit_entries(writes, id).await
             }
@@ -266,7 +264,7 @@
             }
             Command::Run { id, text, after } => {
                 if self.lacks(after) {
-                    return Ok(self.refuse(RefusalKind::Lagging, "LAGGING"));
+                    return Ok(self.refuse(RefusalKind::Lagging));
                 }
                 self.run_text(id, text).await
             }
@@ -277,10 +275,10 @@
                 after,
             } => {
                 if self.lacks(after) {
-                    return Ok(self.refuse(RefusalKind::Lagging, "LAGGING"));
+                    return Ok(self.refuse(RefusalKind::Lagging));
                 }
                 let Some(shape) = self.prepared.get(name).cloned() else {
-                    return Ok(self.refuse(RefusalKind::UnknownPrepared, "NOSTMT"));
+                    return Ok(self.refuse(RefusalKind::UnknownPrepared));
                 };
                 let text = [shape.as_ref(), b" ", arguments.as_ref()].concat();
                 self.run_text(id, &text).await
@@ -310,9 +308,9 @@
         sleep(ROUND_TRIP).await;
         let server = self.reach().await?;
         if server.busy {
-            return Err(LinkError::Refused("BUSY".to_owned()));
+            return Err(LinkError::Refused("its queue is full".to_owned()));
         }
-        let refused = || LinkError::Refused("MALFORMED".to_owned());
+        let refused = || LinkError::Refused("no such order".to_owned());
         match control {
             Control::Status => {}
             Control::Pause(term) if term > server.term => {
