Forget long gone members with any change of the entries

Cause, by reading: a feed brings changes only, and members that had gone were dropped with a whole reading. In a fleet that runs for long a gone server that says nothing would have kept every fence of its group incomplete, and the roster would have named it for ever.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -210,9 +210,18 @@
                 }
             }
         }
+        next.forget_long_gone(departure.learned);
         next
     }
 
+    /// Drops members whose entries went away so long ago that nobody waits for them.
+    fn forget_long_gone(&mut self, now: Instant) {
+        self.members.retain(|_, member| match member.state {
+            MemberState::Gone(known) => now.duration_since(known.learned) <= GONE_MEMORY,
+            _ => true,
+        });
+    }
+
     /// A member that was leaving already has been so since then.
     fn keep_since(&self, mut member: Member) -> Member {
         let before = self.members.get(&member.id).map(|known| known.state);
--- a/crates/engine/tests/departures.rs
+++ b/crates/engine/tests/departures.rs
@@ -5,7 +5,9 @@
 use rstest::rstest;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::directory::{Departure, Directory, DirectoryChange, Member, MemberState};
+use stilequay_engine::directory::{
+    Departure, Directory, DirectoryChange, GONE_MEMORY, Member, MemberState,
+};
 use stilequay_engine::routing::is_past_use;
 use support::Fleet;
 use tokio::time::{Instant, advance};
@@ -74,3 +76,18 @@
     let replaced = directory.replaced(3, Vec::new(), later);
     assert_eq!(state(&replaced), Some(MemberState::Gone(first)));
 }
+
+/// A server that is gone for good must not hold up changes of leader for ever.
+#[tokio::test(start_paused = true)]
+async fn what_has_gone_long_ago_is_forgotten_with_the_next_change() {
+    let now = Departure::at(Instant::now());
+    let directory = Directory::default().replaced(1, vec![member(MemberState::Ready)], now);
+    let gone = DirectoryChange::Gone(Arc::from("a"));
+    let directory = directory.updated(2, vec![gone], now);
+    advance(GONE_MEMORY).await;
+    let directory = directory.updated(3, Vec::new(), Departure::at(Instant::now()));
+    assert!(directory.member("a").is_some());
+    advance(Duration::from_secs(1)).await;
+    let directory = directory.updated(4, Vec::new(), Departure::at(Instant::now()));
+    assert!(directory.member("a").is_none());
+}
