--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -57,6 +57,25 @@
     suppressed: u64,
     /// Starts and stops, and when.
     lifecycle: Vec<String>,
+    /// Sessions that were refused, by reason: what their callers wanted to ask has no line.
+    refused_sessions: BTreeMap<String, u64>,
+}
+
+impl Coverage {
+    fn text(&self) -> String {
+        let refused = self.refused_sessions.iter();
+        let refused: Vec<String> = refused
+            .map(|(reason, count)| format!("{reason} {count}"))
+            .collect();
+        format!(
+            "from {} to {}, {} lines left out; {}; sessions refused: {}",
+            self.first,
+            self.last,
+            self.suppressed,
+            self.lifecycle.join(", "),
+            refused.join(", "),
+        )
+    }
 }
 
 impl Explanation {
@@ -102,13 +121,24 @@
             last: entry.time.clone(),
             suppressed: 0,
             lifecycle: Vec::new(),
+            refused_sessions: BTreeMap::new(),
         });
         coverage.last.clone_from(&entry.time);
         let suppressed = entry.event.rest.get("suppressed_before");
         coverage.suppressed += suppressed.and_then(Value::as_u64).unwrap_or(0);
-        if entry.event.event == "lifecycle" {
-            let action = show(entry.event.rest.get("action"));
-            coverage.lifecycle.push(format!("{action} {}", entry.time));
+        let field = |name: &str| show(entry.event.rest.get(name));
+        match entry.event.event.as_str() {
+            "lifecycle" => {
+                let action = field("action");
+                coverage.lifecycle.push(format!("{action} {}", entry.time));
+            }
+            "session_refused" => {
+                *coverage
+                    .refused_sessions
+                    .entry(field("reason"))
+                    .or_default() += 1;
+            }
+            _ => {}
         }
     }
 
@@ -120,23 +150,12 @@
             &mut text,
             &format!(
                 "no line tells of request {id}: it was never read by a process whose log is \
-                 here, its process ended before it was decided, or its line was left out"
+                 here, its process ended before it was decided, its session was refused, or its \
+                 line was left out"
             ),
         );
         for (node, coverage) in &self.coverage {
-            let Coverage {
-                first,
-                last,
-                suppressed,
-                lifecycle,
-            } = coverage;
-            let lifecycle = lifecycle.join(", ");
-            put_line(
-                &mut text,
-                &format!(
-                    "  {node}: from {first} to {last}, {suppressed} lines left out; {lifecycle}"
-                ),
-            );
+            put_line(&mut text, &format!("  {node}: {}", coverage.text()));
         }
         text
     }
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -16,6 +16,8 @@
 
 const FRONT_2: &str = r#"{"time":"2026-01-01T00:00:04.500Z","level":"info","node":"front-2","event":{"event":"leader_suspected","group":"ledger","epoch":1,"leader":"i-7f","evidence":"unreachable","since_ms":104}}
 {"time":"2026-01-01T00:00:05.100Z","level":"warn","node":"front-2","event":{"event":"request","id":"5c0e","database":"orders","group":"ledger","statement":"read","configuration":7,"epoch":1,"evidence_age_ms":20,"after":{"term":3,"number":7},"attempts":[{"member":"i-7f","result":"lagging","ended_ms":4},{"member":"i-80","result":"completed","ended_ms":9}],"outcome":"completed","elapsed_ms":9}}
+{"time":"2026-01-01T00:00:06.000Z","level":"info","node":"front-2","event":{"event":"lifecycle","action":"stop","detail":"within 6000 ms"}}
+{"time":"2026-01-01T00:00:06.200Z","level":"warn","node":"front-2","event":{"event":"session_refused","database":"orders","reason":"shutting_down","configuration":7,"suppressed_before":4}}
 {broken
 "#;
 
