Judge declined members in one place, encode a roster once

Reading back: reads and transactions each told the members that had declined, looked for a time to come back and named the reason, alike but for the word where none could be reached. offer::why_declined does it for both. The roster that was just written was encoded a second time to be remembered.

--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -145,16 +145,9 @@
     }
 
     /// Takes a record other than a leadership's that this process has just written.
-    pub fn note_other(&self, key: &str, value: &impl serde::Serialize, version: u64) {
-        let value = rmp_serde::to_vec_named(value).unwrap_or_default().into();
-        let key = key.to_owned();
-        let record = Record {
-            key: key.clone(),
-            value,
-            version,
-        };
+    pub fn note_other(&self, record: Record) {
         self.others.send_modify(|others| {
-            others.insert(key, record);
+            others.insert(record.key.clone(), record);
         });
     }
 
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -12,6 +12,7 @@
 use crate::engine::Engine;
 use crate::names::{GroupName, MemberId, ZoneName};
 use crate::ports::{PutOutcome, Record, RecordStoreError};
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -92,11 +93,15 @@
         return Ok(());
     }
     // Texts and numbers only: encoding can't fail.
-    let value = rmp_serde::to_vec_named(&current).unwrap_or_default();
+    let value: Bytes = rmp_serde::to_vec_named(&current).unwrap_or_default().into();
     let version = known.map_or(0, |known| known.version);
-    let put = engine.terms().store().put_if(&key, version, value.into());
+    let put = engine.terms().store().put_if(&key, version, value.clone());
     if let PutOutcome::Stored(version) = put.await? {
-        engine.terms().note_other(&key, &current, version);
+        engine.terms().note_other(Record {
+            key,
+            value,
+            version,
+        });
     }
     Ok(())
 }
--- a/crates/engine/src/session/offer.rs
+++ b/crates/engine/src/session/offer.rs
@@ -1,8 +1,11 @@
 //! Getting a connection to whichever of several members has one first.
 
 use super::read::ReadTarget;
+use super::trace::RequestTrace;
+use super::write::shed;
 use crate::names::MemberId;
 use crate::pool::{AcquireError, Claim, PooledConnection};
+use crate::verdict::{Failure, FailureReason};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use std::time::Duration;
@@ -69,8 +72,34 @@
     }
 }
 
+/// Why no member had a connection, `unreachable` where none could be reached: a request may
+/// then try again. Each is told in `trace`.
+///
+/// # Errors
+///
+/// The refusal, where more waiting makes no sense.
+pub(super) fn why_declined(
+    declined: &[Declined],
+    unreachable: FailureReason,
+    trace: &mut RequestTrace,
+) -> Result<FailureReason, Failure> {
+    for Declined { member, error } in declined {
+        trace.attempted(member, error.to_string());
+    }
+    if let Some(retry_after) = shed_for(declined) {
+        return Err(shed(retry_after));
+    }
+    let crowded = declined
+        .iter()
+        .any(|declined| matches!(declined.error, AcquireError::Exhausted));
+    Ok(match crowded {
+        true => FailureReason::Overloaded,
+        false => unreachable,
+    })
+}
+
 /// When to come back, where members could be reached and all of these were too crowded.
-pub(super) fn shed_for(declined: &[Declined]) -> Option<Duration> {
+fn shed_for(declined: &[Declined]) -> Option<Duration> {
     let mut soonest = None;
     for declined in declined {
         match declined.error {
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -3,18 +3,18 @@
 
 use super::floor::FloorRequirement;
 use super::limits::StatementLimits;
-use super::offer::{Declined, Offer, first_connection, shed_for};
+use super::offer::{Declined, Offer, first_connection, why_declined};
 use super::trace::RequestTrace;
 use super::write::{
     leader_pool, member_failure, not_run_reason, note_unanswered, pause_or_refuse, refusal_text,
-    release, shed,
+    release,
 };
 use super::{Completion, Session};
 use crate::configuration::{Consistency, Route};
 use crate::group::{Group, UsableLeader};
 use crate::leadership::{access, freshness};
 use crate::names::{MemberId, RequestId};
-use crate::pool::{AcquireError, Claim, MemberPool, PooledConnection, RunError, Work};
+use crate::pool::{Claim, MemberPool, PooledConnection, RunError, Work};
 use crate::ports::{Answer, Refusal, RefusalKind};
 use crate::position::LogPosition;
 use crate::routing::read_candidates;
@@ -339,21 +339,8 @@
 
 /// What becomes of a read for which no member had a connection.
 fn decline(declined: &[Declined], trace: &mut RequestTrace) -> ReadFailure {
-    for Declined { member, error } in declined {
-        trace.attempted(member, error.to_string());
+    match why_declined(declined, FailureReason::NoFreshMember, trace) {
+        Ok(reason) => ReadFailure::Again(Failure::not_run(reason)),
+        Err(failure) => ReadFailure::Final(failure),
     }
-    if let Some(retry_after) = shed_for(declined) {
-        return ReadFailure::Final(shed(retry_after));
-    }
-    let crowded = |declined: &Declined| {
-        matches!(
-            declined.error,
-            AcquireError::Exhausted | AcquireError::Shed(_)
-        )
-    };
-    let reason = match declined.iter().any(crowded) {
-        true => FailureReason::Overloaded,
-        false => FailureReason::NoFreshMember,
-    };
-    ReadFailure::Again(Failure::not_run(reason))
 }
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -3,15 +3,15 @@
 use super::{OpenTransaction, Stage, Transaction};
 use crate::group::UsableLeader;
 use crate::leadership::access;
-use crate::pool::{AcquireError, Claim, PooledConnection, RunError, Work};
+use crate::pool::{Claim, PooledConnection, RunError, Work};
 use crate::ports::Command;
 use crate::session::limits::StatementLimits;
-use crate::session::offer::{Declined, Offer, first_connection, shed_for};
+use crate::session::offer::{Offer, first_connection, why_declined};
 use crate::session::read::{ReadTarget, note_position, note_refusal};
 use crate::session::trace::RequestTrace;
 use crate::session::write::{
     Attempt, Unanswered, await_in_time, judge_refusal, leader_pool, pause_or_refuse, refusal_text,
-    release, shed,
+    release,
 };
 use crate::session::{Completion, Session};
 use crate::statement::{Access, Request};
@@ -55,7 +55,7 @@
                 let Offer { index, connection } = match offered {
                     Ok(offer) => offer,
                     Err(declined) => {
-                        reason = declined_reason(&declined, trace)?;
+                        reason = why_declined(&declined, FailureReason::NoLeader, trace)?;
                         break;
                     }
                 };
@@ -126,26 +126,6 @@
     limits: StatementLimits,
 }
 
-/// Why no member could be had, or the refusal where more waiting makes no sense.
-fn declined_reason(
-    declined: &[Declined],
-    trace: &mut RequestTrace,
-) -> Result<FailureReason, Failure> {
-    for Declined { member, error } in declined {
-        trace.attempted(member, error.to_string());
-    }
-    if let Some(retry_after) = shed_for(declined) {
-        return Err(shed(retry_after));
-    }
-    let crowded = declined
-        .iter()
-        .any(|declined| matches!(declined.error, AcquireError::Exhausted));
-    Ok(match crowded {
-        true => FailureReason::Overloaded,
-        false => FailureReason::NoLeader,
-    })
-}
-
 /// Opens the transaction at a member and runs its first statement there.
 async fn open_at(
     transaction: &mut Transaction,
