--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -4,7 +4,9 @@
 use crate::directory::{Directory, Member};
 use crate::events::{Event, EventLog};
 use crate::group::Group;
-use crate::leadership::fleet::connection_share;
+use crate::home::following::Following;
+use crate::home::{Homes, RemoteBackEnd, placement};
+use crate::leadership::fleet::{connection_share, home_share};
 use crate::leadership::follower::TermFollower;
 use crate::names::{GroupName, MemberId, NodeName, ZoneName};
 use crate::pool::MemberPool;
@@ -91,6 +93,9 @@
     directory: watch::Sender<Arc<Directory>>,
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
     pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
+    remote_pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
+    homes: Arc<Homes>,
+    following: Following,
     terms: TermFollower,
     lease_records: Arc<dyn RecordStore>,
     stop: watch::Sender<StopPhase>,
@@ -107,10 +112,14 @@
         records: EngineRecords,
         peers: Arc<dyn PeerNetwork>,
     ) -> Arc<Self> {
+        let homes = Homes::new(settings.node.clone(), Arc::clone(&peers));
         Arc::new(Self {
             settings,
             back_end,
             peers,
+            remote_pools: Mutex::default(),
+            homes: Arc::new(homes),
+            following: Following::default(),
             configuration: watch::Sender::new(None),
             directory: watch::Sender::new(Arc::default()),
             groups: Mutex::default(),
@@ -183,6 +192,11 @@
         taken
     }
 
+    /// Tells of changes of the configuration.
+    pub fn subscribe_configuration(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
+        self.configuration.subscribe()
+    }
+
     /// The directory of members.
     pub fn directory(&self) -> Arc<Directory> {
         self.directory.borrow().clone()
@@ -230,6 +244,19 @@
         self.configuration.borrow().is_some() && self.directory.borrow().members().next().is_some()
     }
 
+    /// Resolves once a session can be served.
+    pub async fn started(&self) {
+        let mut configuration = self.configuration.subscribe();
+        let mut directory = self.directory.subscribe();
+        while !self.is_started() {
+            // The senders live as long as this does.
+            tokio::select! {
+                _ = configuration.changed() => {}
+                _ = directory.changed() => {}
+            }
+        }
+    }
+
     /// The group called `name`; made when first asked for.
     pub fn group(&self, name: &GroupName) -> Arc<Group> {
         let mut groups = lock(&self.groups);
@@ -269,20 +296,87 @@
         self.processes.load(Ordering::Relaxed)
     }
 
+    /// How this process follows the store.
+    pub fn following(&self) -> &Following {
+        &self.following
+    }
+
+    /// The homes of the members.
+    pub fn homes(&self) -> &Arc<Homes> {
+        &self.homes
+    }
+
     fn divide_connections(&self) {
         for pool in lock(&self.pools).values() {
-            pool.set_limit(self.connection_share(&pool.member().group));
+            pool.set_limit(self.connection_share(pool.member()));
         }
     }
 
-    fn connection_share(&self, group: &str) -> usize {
+    /// Connections that `member` accepts from all processes together.
+    fn accepted_connections(&self, member: &Member) -> usize {
         let configuration = self.configuration.borrow();
-        let settings = configuration.as_ref().and_then(|c| c.groups.get(group));
-        let accepted = settings.map_or(FIRST_MEMBER_CONNECTIONS, |s| s.member_connections);
-        connection_share(accepted, self.processes.load(Ordering::Relaxed))
+        let settings = configuration.as_ref();
+        let settings = settings.and_then(|c| c.groups.get(&member.group));
+        settings.map_or(FIRST_MEMBER_CONNECTIONS, |s| s.member_connections)
+    }
+
+    fn connection_share(&self, member: &Member) -> usize {
+        let accepted = self.accepted_connections(member);
+        let processes = self.processes();
+        if placement::suffices_for_all(accepted, processes) {
+            return connection_share(accepted, processes);
+        }
+        match self.homes.is_candidate(member) {
+            true => home_share(accepted),
+            false => placement::LEAST_SHARE,
+        }
     }
 
-    /// The connections to `member`.
+    /// Whether this process runs its sessions' statements at `member` over connections of
+    /// its own: it is one of its homes, or the fleet is so small that it needs none.
+    pub fn connects_itself(&self, member: &Member) -> bool {
+        let accepted = self.accepted_connections(member);
+        placement::suffices_for_all(accepted, self.processes()) || self.homes.is_home(member)
+    }
+
+    /// Whether this process may have connections to the member called `id`, so that its
+    /// traffic tells whether the member answers.
+    pub fn watches(&self, id: &str) -> bool {
+        let directory = self.directory();
+        let member = directory.member(id);
+        member.is_none_or(|member| self.connects_itself(member) || self.homes.is_candidate(member))
+    }
+
+    /// Processes that watch each member of `group`.
+    pub fn watchers(&self, group: &str) -> usize {
+        let directory = self.directory();
+        let members = directory.members_of(group);
+        let accepted = members
+            .first()
+            .map(|member| self.accepted_connections(member));
+        let processes = self.processes();
+        match accepted.is_none_or(|a| placement::suffices_for_all(a, processes)) {
+            true => processes,
+            false => placement::HOMES,
+        }
+    }
+
+    /// What sessions reach `member` with.
+    pub fn session_pool(&self, member: &Arc<Member>) -> Arc<MemberPool> {
+        if self.connects_itself(member) {
+            return self.pool(member);
+        }
+        let mut pools = lock(&self.remote_pools);
+        let pool = pools.entry(member.id.clone()).or_insert_with(|| {
+            let back_end = RemoteBackEnd::new(Arc::clone(&self.homes), Arc::clone(&self.back_end));
+            Arc::new(MemberPool::remote(Arc::clone(member), Arc::new(back_end)))
+        });
+        Arc::clone(pool)
+    }
+
+    /// This process's own connections to `member`: its sessions' where it
+    /// [connects itself](Self::connects_itself), those of others if it is a home, and for
+    /// orders.
     pub fn pool(&self, member: &Arc<Member>) -> Arc<MemberPool> {
         let mut pools = lock(&self.pools);
         if let Some(pool) = pools.get(&member.id) {
@@ -290,7 +384,7 @@
         }
         let pool = MemberPool::new(Arc::clone(member), Arc::clone(&self.back_end));
         let pool = Arc::new(pool);
-        pool.set_limit(self.connection_share(&member.group));
+        pool.set_limit(self.connection_share(member));
         pools.insert(member.id.clone(), Arc::clone(&pool));
         pool
     }
@@ -329,15 +423,18 @@
 
     /// Closes connections that have not been used for long.
     pub fn close_unused_connections(&self) {
-        for pool in lock(&self.pools).values() {
-            pool.close_unused();
+        for pools in [&self.pools, &self.remote_pools] {
+            lock(pools).values().for_each(|pool| pool.close_unused());
         }
     }
 
     fn close_pools_except(&self, directory: &Directory) {
+        let is_known = |id: &str| directory.member(id).is_some();
+        self.homes.retain_members(is_known);
+        lock(&self.remote_pools).retain(|id, _| is_known(id));
         let mut pools = lock(&self.pools);
         pools.retain(|id, pool| {
-            let known = directory.member(id).is_some();
+            let known = is_known(id);
             if !known {
                 pool.close();
                 telemetry::forget_member(id);
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -317,6 +317,14 @@
         (newest.epoch == state.view.epoch).then_some(newest)
     }
 
+    /// What another process is told of the positions that cover moments, oldest first.
+    pub fn coverings_to_tell(&self) -> Vec<PositionSample> {
+        let state = self.lock();
+        let mut told = state.samples.to_tell();
+        told.retain(|sample| sample.epoch == state.view.epoch);
+        told
+    }
+
     /// Takes a position that is said to cover what was acknowledged before `at`.
     ///
     /// One lower than a position that covers an earlier moment can't cover a later one:
--- a/crates/engine/src/group/samples.rs
+++ b/crates/engine/src/group/samples.rs
@@ -19,6 +19,9 @@
 
 /// Least time between two samples that are kept.
 const SPACING: Duration = Duration::from_millis(60);
+/// The same for samples that are told to other processes, and how many these are.
+const TOLD_SPACING: Duration = Duration::from_millis(300);
+const TOLD: usize = 10;
 /// Greatest number of samples kept: more than any staleness that routes allow needs.
 const CAPACITY: usize = 96;
 
@@ -51,6 +54,25 @@
         }
     }
 
+    /// Samples for another process, oldest first: the newest, and earlier ones of its epoch
+    /// at least [`TOLD_SPACING`] apart.
+    pub fn to_tell(&self) -> Vec<PositionSample> {
+        let Some(newest) = self.newest else {
+            return Vec::new();
+        };
+        let mut told = vec![newest];
+        for sample in self.kept.iter().rev() {
+            let earlier = told
+                .last()
+                .is_some_and(|last| sample.at + TOLD_SPACING <= last.at);
+            if earlier && sample.epoch == newest.epoch && told.len() < TOLD {
+                told.push(*sample);
+            }
+        }
+        told.reverse();
+        told
+    }
+
     /// The sample that covers the latest moment.
     pub fn newest(&self) -> Option<PositionSample> {
         self.newest
--- /dev/null
+++ b/crates/engine/src/home/frame.rs
@@ -0,0 +1,209 @@
+//! What goes over a link between a process and a home.
+
+use crate::names::{DatabaseName, GroupName, MemberId, RequestId};
+use crate::ports::{Answer, DeclaredState, DeclaredVersions, GroupBelief, Record};
+use crate::position::LogPosition;
+use crate::statement::{Access, PreparedStatement};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// One question and its answer, on one link.
+pub type ExchangeId = u64;
+/// What runs on one of the member's connections without a pause in which another may use
+/// it: a single statement, or a transaction. Counted on each link.
+pub type UnitId = u64;
+
+/// To a home.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum ToHome {
+    /// Run a command.
+    Run(Box<RunRequest>),
+    /// Nobody waits for the unit any more: roll back what is open.
+    Close(UnitId),
+    /// Tell what is believed of a group.
+    Ask {
+        /// The question.
+        exchange: ExchangeId,
+        /// The group.
+        group: GroupName,
+        /// What is to be recent.
+        wanted: Wanted,
+    },
+    /// Tell what is newer.
+    Follow {
+        /// The question.
+        exchange: ExchangeId,
+        /// Than this.
+        known: FollowedVersions,
+        /// How long to wait for it.
+        wait: Duration,
+    },
+    /// Say something.
+    Ping,
+}
+
+/// What a process needs to be recent in a home's belief.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Wanted {
+    /// Evidence for the leader's term.
+    Evidence,
+    /// The same, from the store if need be, asked of its keeper.
+    StoreEvidence,
+    /// A position that covers a recent moment.
+    Position,
+}
+
+/// A command and for whom it is run.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct RunRequest {
+    /// The unit: a new number begins one.
+    pub unit: UnitId,
+    /// The question.
+    pub exchange: ExchangeId,
+    /// The member that is to run it.
+    pub member: MemberId,
+    /// The session's database.
+    pub database: DatabaseName,
+    /// The route's rank.
+    pub rank: u32,
+    /// How long it may wait in a queue that stands.
+    pub patience: Duration,
+    /// How long it may wait for a connection at all.
+    pub wait: Duration,
+    /// The session's values.
+    pub values: BTreeMap<Bytes, Bytes>,
+    /// The command.
+    pub command: HomeCommand,
+}
+
+/// A command as a home gets it: whole, so that any connection will do.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HomeCommand {
+    /// Opens a transaction.
+    Begin {
+        /// It is not going to write.
+        read_only: bool,
+        /// What the member's log must hold.
+        after: Option<LogPosition>,
+    },
+    /// Commits.
+    Commit {
+        /// The caller's request.
+        id: RequestId,
+    },
+    /// Rolls back.
+    Rollback,
+    /// Runs a text.
+    Run {
+        /// The caller's request.
+        id: RequestId,
+        /// The whole text.
+        text: Bytes,
+        /// Whether it can change data.
+        access: Access,
+        /// What the member's log must hold.
+        after: Option<LogPosition>,
+    },
+    /// Runs a prepared statement.
+    Execute {
+        /// The caller's request.
+        id: RequestId,
+        /// The statement.
+        prepared: PreparedStatement,
+        /// The caller's arguments unchanged.
+        arguments: Bytes,
+        /// What the member's log must hold.
+        after: Option<LogPosition>,
+    },
+}
+
+/// Versions of what processes follow at the store; zero where nothing is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FollowedVersions {
+    /// What operators and servers declare.
+    pub declared: DeclaredVersions,
+    /// The fleet's records.
+    pub records: u64,
+}
+
+/// What a process that follows the store knows that is newer.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct News {
+    /// Since when something may have changed that it does not know; `None` where it has
+    /// never heard of the store. Counted when the answer is made.
+    pub age: Option<Duration>,
+    /// What operators and servers declare.
+    pub declared: DeclaredState,
+    /// The fleet's records that have changed.
+    pub records: Vec<Record>,
+    /// The version as of which these are.
+    pub records_version: u64,
+}
+
+/// From a home.
+#[derive(Debug, Serialize, Deserialize)]
+pub enum FromHome {
+    /// What came of a command.
+    Ran {
+        /// The question.
+        exchange: ExchangeId,
+        /// What came of it.
+        outcome: HomeOutcome,
+    },
+    /// What is believed.
+    Beliefs {
+        /// The question.
+        exchange: ExchangeId,
+        /// The beliefs; none where the group is not known.
+        beliefs: Vec<GroupBelief>,
+    },
+    /// What is newer.
+    News {
+        /// The question.
+        exchange: ExchangeId,
+        /// The news.
+        news: Box<News>,
+    },
+    /// Something is said.
+    Pong,
+    /// The home is going to stop: units that begin later go elsewhere.
+    Leaving,
+}
+
+/// What came of a command at a home.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HomeOutcome {
+    /// The member answered.
+    Answered(Answer),
+    /// It was not sent to the member.
+    NotSent(NotSent),
+    /// The connection failed after it had been sent.
+    Lost(String),
+}
+
+/// Why a command was not sent to the member.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NotSent {
+    /// No connection was free in time.
+    Exhausted,
+    /// Requests wait for so long that more of them would all be late.
+    Shed {
+        /// When to come back.
+        retry_after: Duration,
+    },
+    /// The member can't be reached, or must not be used any more.
+    Unreachable(String),
+}
+
+/// A frame's bytes.
+pub fn encode<T: Serialize>(frame: &T) -> Bytes {
+    // Texts, numbers and bytes only: encoding can't fail.
+    rmp_serde::to_vec(frame).unwrap_or_default().into()
+}
+
+/// Reads a frame; `None` where it makes no sense.
+pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a Bytes) -> Option<T> {
+    rmp_serde::from_slice(bytes).ok()
+}
--- /dev/null
+++ b/crates/engine/src/home/link.rs
@@ -0,0 +1,367 @@
+//! Links from this process to homes: one to each, shared by all sessions.
+
+use super::frame::{
+    ExchangeId, FollowedVersions, FromHome, HomeOutcome, News, RunRequest, ToHome, UnitId, Wanted,
+    decode, encode,
+};
+use crate::names::GroupName;
+use crate::ports::{GroupBelief, PeerLink, PeerNetwork};
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// Longest time in which a link opens.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(350);
+/// How long a request waits for a link that is being opened, before it goes elsewhere.
+const OPEN_PATIENCE: Duration = Duration::from_millis(60);
+/// First pause before a link that could not be opened is tried again, and the longest.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+const RETRY_PAUSE_MAX: Duration = Duration::from_millis(1_600);
+/// Pause before a home that is going to stop is tried again.
+const LEAVING_PAUSE: Duration = Duration::from_secs(2);
+/// How long other links are preferred to one whose far end knows too little.
+const DISTRUST: Duration = Duration::from_millis(700);
+/// Interval in which a link is looked after.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Silence after which a home that owes an answer is pinged.
+const PING_AFTER: Duration = Duration::from_millis(80);
+/// Silence after a ping with which the home counts as lost for the time being.
+const SUSPECT_AFTER: Duration = Duration::from_millis(200);
+/// Silence after a ping that ends the link.
+const LOST_AFTER: Duration = Duration::from_secs(3);
+/// How long a link is kept that nothing is asked on.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// What a home owes.
+#[derive(Debug)]
+enum Waiter {
+    Run(oneshot::Sender<HomeOutcome>),
+    Ask(oneshot::Sender<Vec<GroupBelief>>),
+    Follow(oneshot::Sender<News>),
+}
+
+#[derive(Debug)]
+struct LinkState {
+    next: u64,
+    waiters: HashMap<ExchangeId, Waiter>,
+    heard: Instant,
+    pinged: Option<Instant>,
+    used: Instant,
+    leaving: bool,
+    distrusted_until: Option<Instant>,
+    closed: bool,
+}
+
+/// An open link.
+#[derive(Debug)]
+pub struct Link {
+    tx: mpsc::Sender<Bytes>,
+    state: Mutex<LinkState>,
+}
+
+impl Link {
+    /// Takes an open link into use, and reads what comes over it in a task of its own.
+    fn spawn(link: PeerLink) -> Arc<Self> {
+        let now = Instant::now();
+        let opened = Arc::new(Self {
+            tx: link.tx,
+            state: Mutex::new(LinkState {
+                next: 1,
+                waiters: HashMap::new(),
+                heard: now,
+                pinged: None,
+                used: now,
+                leaving: false,
+                distrusted_until: None,
+                closed: false,
+            }),
+        });
+        let reading = Arc::clone(&opened);
+        tokio::spawn(async move {
+            tokio::select! {
+                () = reading.read(link.rx) => {}
+                () = reading.look_after() => {}
+            }
+            let mut state = reading.lock();
+            state.closed = true;
+            // Whoever waits learns that the link has ended.
+            state.waiters.clear();
+        });
+        opened
+    }
+
+    /// Whether the home is expected to answer.
+    pub fn is_usable(&self) -> bool {
+        let state = self.lock();
+        let now = Instant::now();
+        let distrusted = state.distrusted_until.is_some_and(|until| now < until);
+        !state.leaving && !distrusted && state.is_alive(now)
+    }
+
+    /// Whether what was begun here may go on here.
+    pub fn is_open(&self) -> bool {
+        !self.lock().closed
+    }
+
+    fn is_leaving(&self) -> bool {
+        self.lock().leaving
+    }
+
+    /// A number for a unit that begins now.
+    pub fn begin_unit(&self) -> UnitId {
+        self.lock().next_number()
+    }
+
+    /// Sends a command; `None` where it was not sent. What is returned resolves with an
+    /// error where the link ends first.
+    pub fn run(&self, mut request: RunRequest) -> Option<oneshot::Receiver<HomeOutcome>> {
+        let (tx, rx) = oneshot::channel();
+        request.exchange = self.register(Waiter::Run(tx));
+        let exchange = request.exchange;
+        let sent = self.send(&ToHome::Run(Box::new(request)));
+        if !sent {
+            self.lock().waiters.remove(&exchange);
+        }
+        sent.then_some(rx)
+    }
+
+    /// Tells that nobody waits for `unit` any more.
+    pub fn close_unit(&self, unit: UnitId) {
+        self.send(&ToHome::Close(unit));
+    }
+
+    /// Asks what is believed of `group`; `None` where the link ends first.
+    pub async fn ask(&self, group: &GroupName, wanted: Wanted) -> Option<Vec<GroupBelief>> {
+        let (tx, rx) = oneshot::channel();
+        let exchange = self.register(Waiter::Ask(tx));
+        let question = ToHome::Ask {
+            exchange,
+            group: group.clone(),
+            wanted,
+        };
+        match self.send(&question) {
+            true => rx.await.ok(),
+            false => None,
+        }
+    }
+
+    /// Asks for what is newer than `known`, waiting there for up to `wait`; `None` where the
+    /// link ends first.
+    pub async fn follow(&self, known: FollowedVersions, wait: Duration) -> Option<News> {
+        let (tx, rx) = oneshot::channel();
+        let exchange = self.register(Waiter::Follow(tx));
+        let question = ToHome::Follow {
+            exchange,
+            known,
+            wait,
+        };
+        match self.send(&question) {
+            true => rx.await.ok(),
+            false => None,
+        }
+    }
+
+    /// Prefers other links for a while: what is told here is not good enough.
+    pub fn distrust(&self) {
+        let until = Instant::now() + DISTRUST;
+        self.lock().distrusted_until = Some(until);
+    }
+
+    fn register(&self, waiter: Waiter) -> ExchangeId {
+        let mut state = self.lock();
+        let now = Instant::now();
+        if state.waiters.is_empty() {
+            // Silence counts from the first question.
+            state.heard = now;
+        }
+        state.used = now;
+        let exchange = state.next_number();
+        state.waiters.insert(exchange, waiter);
+        exchange
+    }
+
+    fn send(&self, frame: &ToHome) -> bool {
+        !self.lock().closed && self.tx.try_send(encode(frame)).is_ok()
+    }
+
+    /// Reads until the link ends, or says what makes no sense.
+    async fn read(&self, mut rx: mpsc::Receiver<Bytes>) {
+        while let Some(bytes) = rx.recv().await {
+            let Some(frame) = decode::<FromHome>(&bytes) else {
+                log::warn!("a home said what makes no sense; the link is closed");
+                return;
+            };
+            self.take(frame);
+        }
+    }
+
+    fn take(&self, frame: FromHome) {
+        let mut state = self.lock();
+        state.heard = Instant::now();
+        state.pinged = None;
+        match frame {
+            FromHome::Pong => {}
+            FromHome::Leaving => state.leaving = true,
+            FromHome::Ran { exchange, outcome } => {
+                if let Some(Waiter::Run(waiter)) = state.waiters.remove(&exchange) {
+                    // Nobody may be waiting any more.
+                    let _ = waiter.send(outcome);
+                }
+            }
+            FromHome::Beliefs { exchange, beliefs } => {
+                if let Some(Waiter::Ask(waiter)) = state.waiters.remove(&exchange) {
+                    let _ = waiter.send(beliefs);
+                }
+            }
+            FromHome::News { exchange, news } => {
+                if let Some(Waiter::Follow(waiter)) = state.waiters.remove(&exchange) {
+                    let _ = waiter.send(*news);
+                }
+            }
+        }
+    }
+
+    /// Pings a home that owes an answer and is silent; returns where the link is to end.
+    async fn look_after(&self) {
+        loop {
+            sleep(LOOK_INTERVAL).await;
+            let now = Instant::now();
+            let mut state = self.lock();
+            state.drop_abandoned();
+            let owes = !state.waiters.is_empty();
+            if !owes && now.duration_since(state.used) > IDLE_LIMIT {
+                return;
+            }
+            if state.pinged.is_some_and(|at| now >= at + LOST_AFTER) {
+                return;
+            }
+            if owes && state.pinged.is_none() && now >= state.heard + PING_AFTER {
+                state.pinged = Some(now);
+                drop(state);
+                self.send(&ToHome::Ping);
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LinkState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl LinkState {
+    fn next_number(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    fn is_alive(&self, now: Instant) -> bool {
+        let suspect = self.pinged.is_some_and(|at| now >= at + SUSPECT_AFTER);
+        !self.closed && !suspect
+    }
+
+    fn drop_abandoned(&mut self) {
+        self.waiters.retain(|_, waiter| match waiter {
+            Waiter::Run(waiter) => !waiter.is_closed(),
+            Waiter::Ask(waiter) => !waiter.is_closed(),
+            Waiter::Follow(waiter) => !waiter.is_closed(),
+        });
+    }
+}
+
+/// How far a link to one process has come.
+#[derive(Debug, Clone)]
+enum Place {
+    Opening,
+    Open(Arc<Link>),
+    Failed { until: Instant, pause: Duration },
+}
+
+/// Links to all homes that this process uses.
+#[derive(Debug)]
+pub struct Links {
+    network: Arc<dyn PeerNetwork>,
+    places: Arc<Mutex<HashMap<SocketAddr, Place>>>,
+    changes: watch::Sender<u64>,
+}
+
+impl Links {
+    /// No link yet.
+    pub fn new(network: Arc<dyn PeerNetwork>) -> Self {
+        Self {
+            network,
+            places: Arc::default(),
+            changes: watch::Sender::new(0),
+        }
+    }
+
+    /// The first usable link to one of `addresses`, in their order. Links that are not open
+    /// are opened, and waited for a moment.
+    pub async fn first_usable(&self, addresses: &[SocketAddr]) -> Option<Arc<Link>> {
+        let mut changes = self.changes.subscribe();
+        let until = Instant::now() + OPEN_PATIENCE;
+        loop {
+            changes.mark_unchanged();
+            let mut opening = false;
+            for address in addresses {
+                match self.look_at(*address) {
+                    Place::Open(link) if link.is_usable() => return Some(link),
+                    Place::Opening => opening = true,
+                    Place::Open(_) | Place::Failed { .. } => {}
+                }
+            }
+            if !opening || timeout_at(until, changes.changed()).await.is_err() {
+                return None;
+            }
+        }
+    }
+
+    /// The place of `address`; a link is opened where there is none and it is time.
+    fn look_at(&self, address: SocketAddr) -> Place {
+        let now = Instant::now();
+        let mut places = lock(&self.places);
+        let known = places.get(&address).cloned();
+        let pause = match known {
+            None => RETRY_PAUSE,
+            Some(Place::Open(link)) if !link.is_open() => RETRY_PAUSE,
+            Some(Place::Failed { until, pause }) if now >= until => pause,
+            Some(Place::Open(link)) if link.is_leaving() => {
+                // What was begun there goes on there.
+                let until = now + LEAVING_PAUSE;
+                let pause = RETRY_PAUSE;
+                places.insert(address, Place::Failed { until, pause });
+                return Place::Failed { until, pause };
+            }
+            Some(place) => return place,
+        };
+        places.insert(address, Place::Opening);
+        drop(places);
+        self.spawn_open(address, pause);
+        Place::Opening
+    }
+
+    fn spawn_open(&self, address: SocketAddr, pause: Duration) {
+        let network = Arc::clone(&self.network);
+        let places = Arc::clone(&self.places);
+        let changes = self.changes.clone();
+        tokio::spawn(async move {
+            let opened = timeout(OPEN_TIMEOUT, network.link(address)).await;
+            let place = match opened {
+                Ok(Ok(link)) => Place::Open(Link::spawn(link)),
+                _ => Place::Failed {
+                    until: Instant::now() + pause,
+                    pause: (pause * 2).min(RETRY_PAUSE_MAX),
+                },
+            };
+            lock(&places).insert(address, place);
+            changes.send_modify(|count| *count += 1);
+        });
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/engine/src/home/mod.rs
@@ -0,0 +1,106 @@
+//! Homes: the processes that hold the connections to a member for the whole fleet.
+//!
+//! A member accepts a bounded number of connections. While that is enough for every process
+//! of the fleet to hold a few, each connects by itself. In a larger fleet a few processes
+//! near the member hold them, its homes; the others forward their statements there over one
+//! link to each home. So a member's whole load passes a few places, which know it and put it
+//! in order, and what a process costs its members does not grow with the fleet.
+//!
+//! What a home decides is only whose turn it is. Where a statement goes, how fresh its
+//! member must be and what its caller is told stay with the process that took it, on
+//! evidence of its own clock:
+//!
+//! | what happens to a forwarded statement | what its process takes it for |
+//! | --- | --- |
+//! | no home was reached, or its link's queue is full | not run |
+//! | the home had no connection in time, or could not reach the member | not run |
+//! | the link ended, or nothing was heard, after it was sent | may have run |
+//! | the member's connection failed after it was sent there | may have run |
+//! | a home ends while a transaction is open there | the transaction is lost |
+//!
+//! Two processes that disagree on who is home each have their statements run by another
+//! one: the member sees more connections, and no promise depends on it.
+
+pub mod following;
+mod frame;
+mod link;
+pub mod placement;
+mod remote;
+mod serve;
+
+pub use placement::Homes;
+pub use remote::RemoteBackEnd;
+pub use serve::serve;
+
+use crate::engine::Engine;
+use crate::group::Group;
+use crate::peers;
+use crate::ports::GroupBelief;
+use frame::Wanted;
+use std::time::Duration;
+use tokio::time::{Instant, timeout};
+
+/// Longest wait for what a home knows of a group.
+const ASK_TIMEOUT: Duration = Duration::from_millis(80);
+
+/// Asks a home of the leader of `group` for evidence of its term, which the commits of the
+/// whole fleet bring it; returns whether one has answered. Homes themselves, and processes
+/// of a small fleet, ask nobody.
+pub async fn ask_for_evidence(engine: &Engine, group: &Group) -> bool {
+    ask(engine, group, Wanted::Evidence).await
+}
+
+/// As [`ask_for_evidence`], for a position that covers a recent moment.
+pub async fn ask_for_position(engine: &Engine, group: &Group) -> bool {
+    ask(engine, group, Wanted::Position).await
+}
+
+/// Asks the keeper of the evidence of `group`, which reads the store for the whole fleet;
+/// returns whether that has brought any. The keeper itself asks nobody.
+pub async fn ask_keeper(engine: &Engine, group: &Group) -> bool {
+    let groups = engine.directory().groups().len();
+    let block = placement::block_of(group.name(), groups);
+    let asked = Instant::now();
+    let answered = timeout(ASK_TIMEOUT, async {
+        let link = engine.homes().choose_keeper(block).await?;
+        let beliefs = link.ask(group.name(), Wanted::StoreEvidence).await;
+        Some((link, beliefs?))
+    });
+    let Ok(Some((link, beliefs))) = answered.await else {
+        return false;
+    };
+    take(engine, beliefs, asked);
+    let brought = group
+        .leased_leader(Instant::now(), Duration::ZERO)
+        .is_some();
+    if !brought {
+        link.distrust();
+    }
+    brought
+}
+
+async fn ask(engine: &Engine, group: &Group, wanted: Wanted) -> bool {
+    let leader = group.view().leader;
+    let directory = engine.directory();
+    let member = leader.and_then(|leader| directory.member(&leader).cloned());
+    let Some(member) = member.filter(|member| !engine.connects_itself(member)) else {
+        return false;
+    };
+    let asked = Instant::now();
+    let answered = timeout(ASK_TIMEOUT, async {
+        let link = engine.homes().choose(&member).await?;
+        link.ask(group.name(), wanted).await
+    });
+    let Ok(Some(beliefs)) = answered.await else {
+        return false;
+    };
+    take(engine, beliefs, asked);
+    true
+}
+
+fn take(engine: &Engine, beliefs: Vec<GroupBelief>, asked: Instant) {
+    metrics::counter!("stilequay_peer_answers_total").increment(1);
+    beliefs
+        .into_iter()
+        .for_each(|belief| peers::take(engine, belief, asked));
+}
--- /dev/null
+++ b/crates/engine/src/home/remote.rs
@@ -0,0 +1,287 @@
+//! Connections to a member by way of its homes.
+
+use super::frame::{HomeCommand, HomeOutcome, NotSent, RunRequest, UnitId};
+use super::link::Link;
+use super::placement::{Homes, LEAST_SHARE};
+use crate::directory::Member;
+use crate::names::MemberId;
+use crate::ports::{
+    Admission, Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError,
+    MemberReport, Refusal, RefusalKind,
+};
+use crate::statement::{PreparedStatement, TransactionState};
+use async_trait::async_trait;
+use bytes::Bytes;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+
+/// Reaches one member through its homes; by itself, with few connections, while none of
+/// these can be reached.
+#[derive(Debug)]
+pub struct RemoteBackEnd {
+    homes: Arc<Homes>,
+    direct: Arc<dyn BackEnd>,
+    direct_connections: Arc<Semaphore>,
+}
+
+impl RemoteBackEnd {
+    /// By way of `homes`, or by `direct`.
+    pub fn new(homes: Arc<Homes>, direct: Arc<dyn BackEnd>) -> Self {
+        Self {
+            homes,
+            direct,
+            direct_connections: Arc::new(Semaphore::new(LEAST_SHARE)),
+        }
+    }
+}
+
+#[async_trait]
+impl BackEnd for RemoteBackEnd {
+    async fn connect(&self, member: &Member) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+        if let Some(link) = self.homes.choose(member).await {
+            let connection = RemoteConnection::new(link, member.id.clone());
+            return Ok(Box::new(connection));
+        }
+        let permits = Arc::clone(&self.direct_connections);
+        let permit = permits.try_acquire_owned();
+        let permit = permit.map_err(|_| ConnectError::TooManyConnections)?;
+        let connection = self.direct.connect(member).await?;
+        Ok(Box::new(DirectConnection {
+            connection,
+            _permit: permit,
+        }))
+    }
+}
+
+/// One of the few connections of a process that reaches no home.
+#[derive(Debug)]
+struct DirectConnection {
+    connection: Box<dyn BackEndConnection>,
+    _permit: OwnedSemaphorePermit,
+}
+
+#[async_trait]
+impl BackEndConnection for DirectConnection {
+    async fn run(&mut self, command: &Command) -> Result<Answer, LinkError> {
+        self.connection.run(command).await
+    }
+
+    async fn control(&mut self, control: Control) -> Result<MemberReport, LinkError> {
+        self.connection.control(control).await
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.connection.is_open()
+    }
+}
+
+/// A connection that exists here only: what a session has set and prepared on it goes along
+/// with each command, and a home runs each unit on whichever connection is free.
+#[derive(Debug)]
+struct RemoteConnection {
+    link: Arc<Link>,
+    member: MemberId,
+    admission: Admission,
+    values: BTreeMap<Bytes, Bytes>,
+    prepared: HashMap<Bytes, PreparedStatement>,
+    /// The unit that is open at the home.
+    unit: Option<UnitId>,
+    state: TransactionState,
+}
+
+impl RemoteConnection {
+    fn new(link: Arc<Link>, member: MemberId) -> Self {
+        Self {
+            link,
+            member,
+            admission: Admission::default(),
+            values: BTreeMap::new(),
+            prepared: HashMap::new(),
+            unit: None,
+            state: TransactionState::Idle,
+        }
+    }
+
+    /// Answers what needs no member; else what a home is to run.
+    fn command(&mut self, command: &Command) -> Result<HomeCommand, Answer> {
+        match command {
+            Command::Set { name, value } => {
+                self.values.insert(name.clone(), value.clone());
+                Err(self.done())
+            }
+            Command::Prepare { name, prepared } => {
+                self.prepared.insert(name.clone(), prepared.clone());
+                Err(self.done())
+            }
+            Command::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+                Err(self.done())
+            }
+            Command::Rollback if self.unit.is_none() => Err(self.done()),
+            Command::Rollback => Ok(HomeCommand::Rollback),
+            Command::Begin { read_only, after } => Ok(HomeCommand::Begin {
+                read_only: *read_only,
+                after: *after,
+            }),
+            Command::Commit { id } => Ok(HomeCommand::Commit { id: id.clone() }),
+            Command::Run {
+                id,
+                text,
+                access,
+                after,
+            } => Ok(HomeCommand::Run {
+                id: id.clone(),
+                text: text.clone(),
+                access: *access,
+                after: *after,
+            }),
+            Command::Execute {
+                id,
+                name,
+                arguments,
+                after,
+            } => {
+                let Some(prepared) = self.prepared.get(name).cloned() else {
+                    return Err(self.refused(RefusalKind::UnknownPrepared, "not prepared"));
+                };
+                Ok(HomeCommand::Execute {
+                    id: id.clone(),
+                    prepared,
+                    arguments: arguments.clone(),
+                    after: *after,
+                })
+            }
+        }
+    }
+
+    fn request(&self, unit: UnitId, command: HomeCommand) -> RunRequest {
+        let wait = self.admission.until;
+        RunRequest {
+            unit,
+            exchange: 0,
+            member: self.member.clone(),
+            database: self.admission.database.clone(),
+            rank: self.admission.rank,
+            patience: self.admission.patience,
+            wait: wait.saturating_duration_since(Instant::now()),
+            values: self.values.clone(),
+            command,
+        }
+    }
+
+    /// Takes what came of a command that was sent.
+    fn take(&mut self, outcome: HomeOutcome) -> Result<Answer, LinkError> {
+        match outcome {
+            HomeOutcome::Answered(answer) => {
+                self.state = answer.state;
+                if answer.state == TransactionState::Idle {
+                    self.unit = None;
+                }
+                Ok(answer)
+            }
+            HomeOutcome::NotSent(reason) => {
+                self.unit = None;
+                Ok(self.not_sent(reason))
+            }
+            HomeOutcome::Lost(reason) => Err(LinkError::Closed(reason)),
+        }
+    }
+
+    fn not_sent(&self, reason: NotSent) -> Answer {
+        match reason {
+            NotSent::Exhausted => {
+                self.refused(RefusalKind::Busy, "no connection is free at the home")
+            }
+            NotSent::Shed { retry_after } => {
+                self.refused(RefusalKind::Shed(retry_after), "too many requests wait")
+            }
+            NotSent::Unreachable(reason) => self.refused(RefusalKind::Unreachable, &reason),
+        }
+    }
+
+    fn done(&self) -> Answer {
+        Answer {
+            rows: Vec::new(),
+            outcome: Ok(Bytes::new()),
+            state: self.state,
+            position: None,
+        }
+    }
+
+    fn refused(&self, kind: RefusalKind, text: &str) -> Answer {
+        let code: &[u8] = match kind {
+            RefusalKind::Busy => b"HOME_FULL",
+            RefusalKind::Shed(_) => b"HOME_SHED",
+            _ => b"HOME_UNREACHABLE",
+        };
+        let refusal = Refusal {
+            kind,
+            code: Bytes::from_static(code),
+            text: Bytes::copy_from_slice(text.as_bytes()),
+        };
+        Answer {
+            outcome: Err(refusal),
+            ..self.done()
+        }
+    }
+}
+
+#[async_trait]
+impl BackEndConnection for RemoteConnection {
+    async fn run(&mut self, command: &Command) -> Result<Answer, LinkError> {
+        let command = match self.command(command) {
+            Ok(command) => command,
+            Err(answered) => return Ok(answered),
+        };
+        let begins = self.unit.is_none();
+        let unit = match self.unit {
+            Some(unit) => unit,
+            None => self.link.begin_unit(),
+        };
+        let Some(answer) = self.link.run(self.request(unit, command)) else {
+            return match begins {
+                true => {
+                    Ok(self.refused(RefusalKind::Unreachable, "the link to the home has ended"))
+                }
+                false => Err(LinkError::Closed(
+                    "the link to the home has ended".to_owned(),
+                )),
+            };
+        };
+        // From here on a call that is dropped leaves the unit to be closed.
+        self.unit = Some(unit);
+        metrics::counter!("stilequay_home_forwarded_total").increment(1);
+        match answer.await {
+            Ok(outcome) => self.take(outcome),
+            Err(_) => Err(LinkError::Closed("the link to the home ended".to_owned())),
+        }
+    }
+
+    async fn control(&mut self, _: Control) -> Result<MemberReport, LinkError> {
+        Err(LinkError::Refused(
+            "orders do not go through homes".to_owned(),
+        ))
+    }
+
+    fn is_open(&mut self) -> bool {
+        match self.unit {
+            Some(_) => self.link.is_open(),
+            None => self.link.is_usable(),
+        }
+    }
+
+    fn admit(&mut self, admission: Admission) {
+        self.admission = admission;
+    }
+}
+
+impl Drop for RemoteConnection {
+    fn drop(&mut self) {
+        if let Some(unit) = self.unit {
+            self.link.close_unit(unit);
+        }
+    }
+}
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -2,12 +2,15 @@
 
 use crate::engine::Engine;
 use crate::group::{Epoch, Group, UsableLeader};
+use crate::home::{self, following};
 use crate::peers;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// Pause before the store is asked again for evidence.
 const EVIDENCE_PAUSE: Duration = Duration::from_millis(40);
+/// Age of the newest evidence from which on a process may be cut off.
+const CUT_OFF_EVIDENCE: Duration = Duration::from_secs(1);
 /// Wait for the store before other processes are asked.
 const STORE_PATIENCE: Duration = Duration::from_millis(20);
 
@@ -56,18 +59,42 @@
     }
 }
 
-/// Asks the store for evidence, and other processes where it does not answer soon; where
-/// neither has brought any, waits a moment.
+/// Whether this process has heard neither of the leader nor of the store for so long that it
+/// is not likely to learn of a leader soon.
+pub fn is_cut_off(engine: &Engine, group: &Group, now: Instant) -> bool {
+    let older = |at: Option<Instant>, age| at.is_none_or(|at| now > at + age);
+    older(group.evidence(), CUT_OFF_EVIDENCE)
+        && older(
+            engine.following().known_as_of(),
+            following::age_limit(engine),
+        )
+}
+
+/// Asks a home of the leader for evidence, then the store, and other processes where it does
+/// not answer soon; where none has brought any, waits a moment.
 async fn refresh(engine: &Engine, group: &Group, staleness: Duration) {
+    if home::ask_for_evidence(engine, group).await
+        && group.leased_leader(Instant::now(), staleness).is_some()
+    {
+        return;
+    }
+    renew_evidence(engine, group).await;
+    if group.leased_leader(Instant::now(), staleness).is_none() {
+        sleep(EVIDENCE_PAUSE).await;
+    }
+}
+
+/// Asks the keeper of the group's evidence, then the store, then other processes.
+pub async fn renew_evidence(engine: &Engine, group: &Group) {
+    if home::ask_keeper(engine, group).await {
+        return;
+    }
     // A failure is told by the task that follows the records.
     let store = engine.terms().refresh(engine, group, Instant::now());
     let answered = timeout(STORE_PATIENCE, store).await;
     if !matches!(answered, Ok(Ok(()))) {
         peers::ask(engine, std::slice::from_ref(group.name())).await;
     }
-    if group.leased_leader(Instant::now(), staleness).is_none() {
-        sleep(EVIDENCE_PAUSE).await;
-    }
 }
 
 /// Resolves once the leadership of `epoch` is over: another leader is chosen.
--- a/crates/engine/src/leadership/duty.rs
+++ b/crates/engine/src/leadership/duty.rs
@@ -30,7 +30,7 @@
 /// Processes that always pursue the lease.
 const CANDIDATES: usize = 5;
 /// Interval in which a candidate looks at the lease of another.
-const POLL_INTERVAL: Duration = Duration::from_millis(350);
+const POLL_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Interval in which any other process asks itself whether it is to pursue it.
 const BYSTANDER_PAUSE: Duration = Duration::from_millis(300);
 /// How long a suspicion makes a process pursue it.
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -4,6 +4,8 @@
 //! share of each follows from their number.
 
 use crate::engine::Engine;
+use crate::home::placement::{HOMES, LEAST_SHARE, Peer};
+use crate::names::{NodeName, ZoneName};
 use crate::ports::Record;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -22,8 +24,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Connections of a member that are left to orders and to processes not counted yet.
 const RESERVED: usize = 6;
-/// Least number of connections of one process to a member.
-const LEAST_SHARE: usize = 2;
 /// Greatest number: more than one process needs would only wait in the member's queue.
 const GREATEST_SHARE: usize = 6;
 
@@ -32,6 +32,9 @@
 struct NodeRecord {
     /// Where it answers other processes.
     address: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default)]
+    zone: Option<ZoneName>,
     /// Differs between two writings.
     nonce: u64,
 }
@@ -50,12 +53,16 @@
 }
 
 /// This process's place among all in an order that is the same everywhere; zero is first.
-/// A process that does not know the fleet yet counts itself first.
+/// A process that is not registered yet counts itself last.
 pub fn rank(engine: &Engine) -> usize {
     let order = |name: &str| (xxh3_64(name.as_bytes()), name.to_owned());
     let own = order(&engine.settings().node);
     let others = engine.terms().subscribe_others();
     let records = others.borrow();
+    let key = format!("{KEY_PREFIX}{}", engine.settings().node);
+    if !records.contains_key(&key) {
+        return usize::MAX;
+    }
     let names = records
         .keys()
         .filter_map(|key| key.strip_prefix(KEY_PREFIX));
@@ -68,6 +75,12 @@
     share.clamp(LEAST_SHARE, GREATEST_SHARE)
 }
 
+/// Connections that one home may use of a member that accepts `accepted`.
+pub fn home_share(accepted: usize) -> usize {
+    let share = accepted.saturating_sub(RESERVED) / HOMES;
+    share.max(LEAST_SHARE)
+}
+
 /// Keeps this process's record.
 pub async fn register(engine: &Engine) {
     let key = format!("{KEY_PREFIX}{}", engine.settings().node);
@@ -76,6 +89,7 @@
         let version = others.borrow().get(&key).map_or(0, |known| known.version);
         let record = NodeRecord {
             address: engine.settings().peer_address,
+            zone: Some(engine.settings().zone.clone()),
             nonce: rand::random(),
         };
         let value = rmp_serde::to_vec_named(&record).unwrap_or_default();
@@ -93,6 +107,8 @@
     let mut seen = HashMap::new();
     loop {
         let processes = count(&records.borrow_and_update(), &mut seen, Instant::now());
+        let homes = home_peers(engine, &records.borrow(), &seen);
+        engine.homes().set_fleet(homes);
         engine.set_processes(processes);
         if records.changed().await.is_err() {
             return;
@@ -100,6 +116,33 @@
     }
 }
 
+/// The processes that can be homes, this one included, in an order that is always the same.
+fn home_peers(
+    engine: &Engine,
+    records: &HashMap<String, Record>,
+    seen: &HashMap<String, (u64, Instant)>,
+) -> Vec<Peer> {
+    let own = engine.settings().peer_address.map(|address| Peer {
+        node: engine.settings().node.clone(),
+        address,
+        zone: engine.settings().zone.clone(),
+    });
+    let others = seen.keys().filter_map(|key| {
+        let node = NodeName::from(key.strip_prefix(KEY_PREFIX)?);
+        let value = &records.get(key)?.value;
+        let record: NodeRecord = rmp_serde::from_slice(value).ok()?;
+        Some(Peer {
+            node,
+            address: record.address?,
+            zone: record.zone?,
+        })
+    });
+    let others = others.filter(|peer| peer.node != engine.settings().node);
+    let mut peers: Vec<Peer> = others.chain(own).collect();
+    peers.sort_by(|left, right| left.node.cmp(&right.node));
+    peers
+}
+
 /// Counts the processes whose record has changed lately; `seen` remembers when.
 fn count(
     records: &HashMap<String, Record>,
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -6,6 +6,7 @@
 use crate::engine::Engine;
 use crate::events::{DependencyMonitor, Event};
 use crate::group::Group;
+use crate::home::following::Feed;
 use crate::names::{GroupName, MemberId};
 use crate::peers;
 use crate::ports::{Record, RecordChanges, RecordStore, RecordStoreError};
@@ -31,6 +32,17 @@
     pub version: u64,
 }
 
+impl VersionedTerm {
+    /// The record as the store has it.
+    fn to_record(&self) -> Record {
+        Record {
+            key: TermRecord::key(&self.record.group),
+            value: self.record.encode(),
+            version: self.version,
+        }
+    }
+}
+
 /// Reads and watches records.
 #[derive(Debug)]
 pub struct TermFollower {
@@ -39,6 +51,7 @@
     known: Mutex<HashMap<GroupName, VersionedTerm>>,
     has_read: AtomicBool,
     others: tokio::sync::watch::Sender<HashMap<String, Record>>,
+    version: tokio::sync::watch::Sender<u64>,
 }
 
 impl TermFollower {
@@ -50,6 +63,7 @@
             known: Mutex::default(),
             has_read: AtomicBool::new(false),
             others: tokio::sync::watch::Sender::new(HashMap::new()),
+            version: tokio::sync::watch::Sender::new(0),
         }
     }
 
@@ -105,6 +119,9 @@
         let mut version = None;
         let mut dependency = DependencyMonitor::new("term_records");
         loop {
+            if engine.following().until_direct().await {
+                version = None;
+            }
             let begun = Instant::now();
             let result = match version {
                 None => self.records.read("").await,
@@ -121,6 +138,8 @@
                         self.apply_first_leaders(engine, &groups, begun);
                     }
                     version = Some(changes.version);
+                    self.advance(changes.version);
+                    engine.following().heard(Feed::Records, Instant::now());
                 }
                 Err(RecordStoreError::HistoryGone) => version = None,
                 Err(error) => {
@@ -132,6 +151,39 @@
         }
     }
 
+    /// The store's version as of which the records are known.
+    pub fn version(&self) -> u64 {
+        *self.version.borrow()
+    }
+
+    /// Tells of later versions.
+    pub fn subscribe_version(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.version.subscribe()
+    }
+
+    /// The records that were written after `version`, as far as they are known.
+    pub fn records_after(&self, version: u64) -> Vec<Record> {
+        let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        let terms = known.values().map(|term| term.to_record());
+        let others = self.others.borrow();
+        let all = terms.chain(others.values().cloned());
+        all.filter(|record| record.version > version).collect()
+    }
+
+    /// Takes changes that another process has learned from the store.
+    pub fn take_changes(&self, engine: &Engine, changes: &RecordChanges) {
+        self.apply(engine, changes, None);
+        self.advance(changes.version);
+    }
+
+    fn advance(&self, version: u64) {
+        self.version.send_if_modified(|known| {
+            let later = *known < version;
+            *known = version.max(*known);
+            later
+        });
+    }
+
     /// Takes one record that this process has just written or read.
     pub fn apply_one(&self, engine: &Engine, term: VersionedTerm, begun: Option<Instant>) {
         if !self.keep(&term) {
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -3,6 +3,7 @@
 use super::survey::{self, Patience, Surveyed};
 use crate::engine::Engine;
 use crate::group::Group;
+use crate::home;
 use crate::peers;
 use crate::pool::Claim;
 use crate::ports::{Command, Control};
@@ -29,6 +30,12 @@
     if let Some(position) = group.covering_position(moment) {
         return Some(position);
     }
+    // A home of the leader sees the whole fleet's commits.
+    if home::ask_for_position(engine, group).await
+        && let Some(position) = group.covering_position(moment)
+    {
+        return Some(position);
+    }
     let leader_until = until.min(Instant::now() + QUESTION_TIMEOUT);
     let _ = timeout_at(leader_until, ask_leader(engine, group)).await;
     if let Some(position) = group.covering_position(moment) {
@@ -78,10 +85,11 @@
 
 /// Opens a transaction at the leader and ends it at once: its answer tells the position
 /// of the log and takes none of the member's slots. A member that does not lead refuses.
-async fn ask_leader(engine: &Engine, group: &Group) -> Option<()> {
+pub(crate) async fn ask_leader(engine: &Engine, group: &Group) -> Option<()> {
     let now = Instant::now();
     let leader = group.leased_leader(now, Duration::ZERO)?;
-    let pool = engine.pool_of(&leader.member)?;
+    let directory = engine.directory();
+    let pool = engine.session_pool(directory.member(&leader.member)?);
     let until = now + QUESTION_TIMEOUT;
     let mut connection = pool.acquire(&Claim::own(), until).await.ok()?;
     let sent = Instant::now();
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -24,6 +24,7 @@
 
 use crate::engine::Engine;
 use crate::group::Group;
+use crate::home::following;
 use crate::ports::Promoter;
 use duty::Duty;
 use std::sync::Arc;
@@ -44,6 +45,7 @@
         fleet::register(&engine),
         roster::keep(&engine, &duty),
         fleet::follow(&engine),
+        following::follow(&engine),
         follow_directory(&engine),
     );
 }
@@ -60,7 +62,9 @@
 async fn learn_first_leaders(engine: &Engine) {
     let mut directory = engine.subscribe_directory();
     loop {
-        while let Some(group) = group_without_leader(engine) {
+        while let Some(group) = group_without_leader(engine)
+            && engine.following().is_direct()
+        {
             // A failure is told by the task that follows the records.
             let _ = engine.terms().refresh(engine, &group, Instant::now()).await;
             sleep(FIRST_LEADER_PAUSE).await;
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -99,7 +99,7 @@
         let reporters = self.reporters(group.name(), view.epoch);
         let asked_to = holds_duty && reporters > 0;
         let verified = suspicion::verified_suspicion(&self.engine, group, &view, asked_to).await;
-        let needed = REPORTERS_NEEDED.max(self.engine.processes().div_ceil(3));
+        let needed = REPORTERS_NEEDED.max(self.engine.watchers(group.name()).div_ceil(3));
         let outvoted = reporters >= needed;
         let suspicion = verified.or(outvoted.then_some(Suspicion::Unreachable));
         let (Some(suspicion), Some(leader)) = (suspicion, view.leader) else {
@@ -121,13 +121,13 @@
         self.engine.events().write(&Event::LeaderSuspected {
             group: group.name().clone(),
             epoch: view.epoch,
-            leader,
+            leader: leader.clone(),
             evidence: suspicion.name(),
             since_ms: millis(began.elapsed()),
         });
         if self.duty.check().is_some() {
             self.promote(group.name()).await;
-        } else {
+        } else if self.engine.watches(&leader) {
             self.duty.want();
             self.report(group.name(), view.epoch, suspicion).await;
             sleep(REPORTED_PAUSE).await;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod events;
 pub mod group;
+pub mod home;
 pub mod leadership;
 pub mod names;
 pub mod peers;
--- a/crates/engine/src/peers/declared.rs
+++ b/crates/engine/src/peers/declared.rs
@@ -77,7 +77,7 @@
 
 /// Takes what another process knew when it was asked at `asked`: ages only grow on the way,
 /// so a departure is taken to be older than it is, never younger.
-fn take(engine: &Engine, state: DeclaredState, asked: Instant) {
+pub(crate) fn take(engine: &Engine, state: DeclaredState, asked: Instant) {
     if let Some(configuration) = state.configuration {
         engine.set_configuration(configuration);
     }
--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -38,7 +38,8 @@
     let now = Instant::now();
     let age_ms = |at: Instant| millis(now.duration_since(at)) + 1;
     let view = group.view();
-    let covering = group.newest_covering().map(|sample| CoveringBelief {
+    let covering = group.coverings_to_tell().into_iter();
+    let covering = covering.map(|sample| CoveringBelief {
         position: sample.position,
         age_ms: age_ms(sample.at),
     });
@@ -55,7 +56,7 @@
         group: name.clone(),
         epoch: view.epoch,
         leader,
-        covering,
+        covering: covering.collect(),
         term,
     }
 }
@@ -83,7 +84,7 @@
 }
 
 /// Takes what another process believed when it was asked at `asked`.
-fn take(engine: &Engine, belief: GroupBelief, asked: Instant) {
+pub(crate) fn take(engine: &Engine, belief: GroupBelief, asked: Instant) {
     if let Some(TermBelief { record, version }) = belief.term {
         let term = VersionedTerm { record, version };
         engine.terms().apply_one(engine, term, None);
@@ -105,10 +106,11 @@
             group.record_evidence(&leader, at);
         }
     }
-    if let Some(covering) = belief.covering
-        && let Some(at) = before(covering.age_ms)
-        && group.view().epoch == belief.epoch
-    {
-        group.record_covering_position(at, covering.position);
+    for covering in belief.covering {
+        if let Some(at) = before(covering.age_ms)
+            && group.view().epoch == belief.epoch
+        {
+            group.record_covering_position(at, covering.position);
+        }
     }
 }
--- a/crates/engine/src/peers/tcp.rs
+++ b/crates/engine/src/peers/tcp.rs
@@ -2,8 +2,11 @@
 
 use super::{beliefs, declared};
 use crate::engine::Engine;
+use crate::home;
 use crate::names::GroupName;
-use crate::ports::{DeclaredState, DeclaredVersions, GroupBelief, PeerError, PeerNetwork};
+use crate::ports::{
+    DeclaredState, DeclaredVersions, GroupBelief, PeerError, PeerLink, PeerNetwork,
+};
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -12,6 +15,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -21,6 +25,8 @@
 const MAX_GROUPS: usize = 1_000;
 /// Longest wait for a question, and for the other side to take the answer.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
+/// Frames of a link that wait on one side.
+const LINK_QUEUE: usize = 2_048;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -31,6 +37,8 @@
     Beliefs(Vec<GroupName>),
     /// What was declared after these versions.
     Declared(DeclaredVersions),
+    /// The connection becomes a link.
+    Link,
 }
 
 /// An answer.
@@ -95,6 +103,49 @@
             Answer::Beliefs(_) => Err(another_answer()),
         }
     }
+
+    async fn link(&self, peer: SocketAddr) -> Result<PeerLink, PeerError> {
+        let unreachable = |error: std::io::Error| PeerError::Unreachable(error.to_string());
+        let stream = TcpStream::connect(peer).await.map_err(unreachable)?;
+        stream.set_nodelay(true).map_err(unreachable)?;
+        let mut frames = framed(stream);
+        let encoded = rmp_serde::to_vec(&Question::Link).unwrap_or_default();
+        frames
+            .send(Bytes::from(encoded))
+            .await
+            .map_err(unreachable)?;
+        Ok(spawn_link(frames))
+    }
+}
+
+/// Passes frames between the connection and the link that is returned, until one ends.
+fn spawn_link(frames: Framed<TcpStream, LengthDelimitedCodec>) -> PeerLink {
+    let (tx, mut outgoing) = mpsc::channel::<Bytes>(LINK_QUEUE);
+    let (incoming, rx) = mpsc::channel::<Bytes>(LINK_QUEUE);
+    tokio::spawn(async move {
+        let (mut sink, mut stream) = frames.split();
+        let write = async {
+            while let Some(frame) = outgoing.recv().await {
+                sink.feed(frame).await.ok()?;
+                while let Ok(frame) = outgoing.try_recv() {
+                    sink.feed(frame).await.ok()?;
+                }
+                sink.flush().await.ok()?;
+            }
+            Some(())
+        };
+        let read = async {
+            while let Some(Ok(frame)) = stream.next().await {
+                incoming.send(frame.freeze()).await.ok()?;
+            }
+            Some(())
+        };
+        tokio::select! {
+            _ = write => {}
+            _ = read => {}
+        }
+    });
+    PeerLink { tx, rx }
 }
 
 /// Answers questions until the process ends.
@@ -107,21 +158,37 @@
         let engine = Arc::clone(&engine);
         tokio::spawn(async move {
             // Who breaks off gets no answer.
-            let _ = timeout(QUESTION_TIMEOUT, answer(&engine, stream)).await;
+            let Ok(Some(Asked::Link(link))) =
+                timeout(QUESTION_TIMEOUT, answer(&engine, stream)).await
+            else {
+                return;
+            };
+            home::serve(engine, link).await;
         });
     }
 }
 
+/// What came of a connection.
+enum Asked {
+    /// Its question was answered.
+    Answered,
+    /// It is a link from here on.
+    Link(PeerLink),
+}
+
 /// Answers one question; what makes no sense ends the connection.
-async fn answer(engine: &Engine, stream: TcpStream) -> Option<()> {
+async fn answer(engine: &Engine, stream: TcpStream) -> Option<Asked> {
+    stream.set_nodelay(true).ok()?;
     let mut frames = framed(stream);
     let frame = frames.next().await?.ok()?;
     let answer = match rmp_serde::from_slice(&frame).ok()? {
         Question::Beliefs(groups) => Answer::Beliefs(known_beliefs(engine, groups)?),
         Question::Declared(versions) => Answer::Declared(declared::newer(engine, versions)),
+        Question::Link => return Some(Asked::Link(spawn_link(frames))),
     };
     let encoded = rmp_serde::to_vec(&answer).unwrap_or_default();
-    frames.send(Bytes::from(encoded)).await.ok()
+    frames.send(Bytes::from(encoded)).await.ok()?;
+    Some(Asked::Answered)
 }
 
 /// Beliefs about those of `groups` that the directory names: none is made for a question's
--- a/crates/engine/src/pool/concurrency.rs
+++ b/crates/engine/src/pool/concurrency.rs
@@ -11,6 +11,8 @@
 
 /// Fewest connections in use: one can rest inside a transaction.
 const LEAST: f64 = 2.0;
+/// The same as a share of what is allowed: of many, more can rest.
+const LEAST_SHARE: f64 = 0.25;
 /// Weight of the newest answer in the mean time to answer.
 const NEWEST_WEIGHT: f64 = 0.15;
 /// For how long the least mean is remembered, at least; at most twice as long.
@@ -89,7 +91,9 @@
         let pause = Duration::from_secs_f64(mean_ms / 1000.0);
         if now.duration_since(self.decreased) >= pause {
             self.decreased = now;
-            self.limit = (self.limit * DECREASE).max(LEAST.min(self.ceiling as f64));
+            let ceiling = self.ceiling as f64;
+            let least = LEAST.max(ceiling * LEAST_SHARE).min(ceiling);
+            self.limit = (self.limit * DECREASE).max(least);
         }
     }
 
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -4,10 +4,10 @@
 use super::set::PoolConnection;
 use crate::names::{DatabaseName, RequestId};
 use crate::ports::{
-    Answer, BackEndConnection, Command, Control, LinkError, MemberReport, RefusalKind,
+    Admission, Answer, BackEndConnection, Command, Control, LinkError, MemberReport, RefusalKind,
 };
 use crate::position::LogPosition;
-use crate::statement::{PreparedStatement, TransactionState};
+use crate::statement::{Access, PreparedStatement, TransactionState};
 use bytes::Bytes;
 use quick_error::quick_error;
 use std::collections::{BTreeMap, HashSet};
@@ -29,7 +29,12 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Work {
     /// A text.
-    Text(Bytes),
+    Text {
+        /// The whole of it.
+        text: Bytes,
+        /// Whether running it can change data.
+        access: Access,
+    },
     /// A prepared statement with its arguments.
     Prepared {
         /// The statement.
@@ -106,6 +111,13 @@
         }
     }
 
+    /// Tells the connection for whom it is used next.
+    pub(super) fn admit(&mut self, admission: Admission) {
+        if let Some(established) = &mut self.established {
+            established.connection.admit(admission);
+        }
+    }
+
     /// The pool that it belongs to.
     pub fn pool(&self) -> &Arc<MemberPool> {
         &self.pool
@@ -160,6 +172,8 @@
                     self.pool.note_statement(latency);
                 }
             }
+            // The next statement may go through another home.
+            Err(_) if self.pool.is_remote() => {}
             Err(_) => self.pool.note(|health| health.unreachable(now)),
         }
         result
@@ -218,9 +232,10 @@
     ) -> Result<Command, RunError> {
         let id = id.clone();
         match work {
-            Work::Text(text) => Ok(Command::Run {
+            Work::Text { text, access } => Ok(Command::Run {
                 id,
                 text: text.clone(),
+                access: *access,
                 after,
             }),
             Work::Prepared {
@@ -273,8 +288,10 @@
             if let Some(position) = answer.position {
                 health.applied(position);
             }
-            if matches!(&answer.outcome, Err(refusal) if refusal.kind == RefusalKind::Busy) {
-                health.busy(now);
+            match answer.outcome.as_ref().err().map(|refusal| refusal.kind) {
+                Some(RefusalKind::Busy | RefusalKind::Shed(_)) => health.busy(now),
+                Some(RefusalKind::Unreachable) => health.unreachable(now),
+                _ => {}
             }
         });
     }
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -7,7 +7,9 @@
 use super::set::{ConnectionSet, Fit};
 use crate::directory::Member;
 use crate::names::DatabaseName;
-use crate::ports::{BackEnd, BackEndConnection, ConnectError, Control, LinkError, MemberReport};
+use crate::ports::{
+    Admission, BackEnd, BackEndConnection, ConnectError, Control, LinkError, MemberReport,
+};
 use quick_error::quick_error;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -19,6 +21,8 @@
 
 /// Connections to one member that are in use at a time, before the fleet is known.
 const FIRST_LIMIT: usize = 3;
+/// Statements of one process that go through a member's homes at a time: these bound them.
+const REMOTE_LIMIT: usize = 256;
 /// Wait for a connection in use where a member accepts no other one.
 const ORDER_WAIT: Duration = Duration::from_millis(200);
 /// Longest time in which a connection opens.
@@ -60,6 +64,15 @@
         }
     }
 
+    fn admission(&self, until: Instant) -> Admission {
+        Admission {
+            database: self.database.clone(),
+            rank: self.rank,
+            patience: self.patience,
+            until,
+        }
+    }
+
     fn limits(&self) -> TenantLimits {
         TenantLimits {
             in_flight: usize::MAX,
@@ -126,6 +139,7 @@
 pub struct MemberPool {
     member: Arc<Member>,
     back_end: Arc<dyn BackEnd>,
+    remote: bool,
     connections: ConnectionSet<Established, DatabaseName>,
     state: Mutex<PoolState>,
 }
@@ -133,11 +147,26 @@
 impl MemberPool {
     /// A pool without connections.
     pub fn new(member: Arc<Member>, back_end: Arc<dyn BackEnd>) -> Self {
+        Self::with_limit(member, back_end, FIRST_LIMIT, false)
+    }
+
+    /// A pool of connections by way of the member's homes, which bound their number.
+    pub fn remote(member: Arc<Member>, back_end: Arc<dyn BackEnd>) -> Self {
+        Self::with_limit(member, back_end, REMOTE_LIMIT, true)
+    }
+
+    fn with_limit(
+        member: Arc<Member>,
+        back_end: Arc<dyn BackEnd>,
+        limit: usize,
+        remote: bool,
+    ) -> Self {
         Self {
             member,
             back_end,
+            remote,
             connections: ConnectionSet::new(LimiterSettings {
-                slots: FIRST_LIMIT,
+                slots: limit,
                 queue_length: QUEUE_LENGTH,
                 queue_time: QUEUE_TIME,
                 tenant: TenantLimits::default(),
@@ -145,7 +174,7 @@
             state: Mutex::new(PoolState {
                 no_opening_until: None,
                 queue: QueueDelay::default(),
-                concurrency: Concurrency::new(FIRST_LIMIT, Instant::now()),
+                concurrency: Concurrency::new(limit, Instant::now()),
                 health: MemberHealth::new(Instant::now()),
             }),
         }
@@ -156,6 +185,11 @@
         &self.member
     }
 
+    /// Whether its connections go by way of the member's homes.
+    pub fn is_remote(&self) -> bool {
+        self.remote
+    }
+
     /// Connections in use.
     pub fn in_use(&self) -> usize {
         self.load().in_use
@@ -183,6 +217,9 @@
     /// Notes that a statement was answered after `latency`.
     pub(super) fn note_statement(&self, latency: Duration) {
         metrics::histogram!("stilequay_stage_seconds", "stage" => "member").record(latency);
+        if self.remote {
+            return;
+        }
         let waiting = self.connections.load().waiting > 0;
         let mut state = self.lock();
         let before = state.concurrency.limit();
@@ -213,6 +250,16 @@
         self: &Arc<Self>,
         claim: &Claim,
         deadline: Instant,
+    ) -> Result<PooledConnection, AcquireError> {
+        let mut connection = self.acquire_any(claim, deadline).await?;
+        connection.admit(claim.admission(deadline));
+        Ok(connection)
+    }
+
+    async fn acquire_any(
+        self: &Arc<Self>,
+        claim: &Claim,
+        deadline: Instant,
     ) -> Result<PooledConnection, AcquireError> {
         self.check_reachable(Instant::now())?;
         let permit = self.admit(claim, deadline).await?;
--- a/crates/engine/src/ports/back_end.rs
+++ b/crates/engine/src/ports/back_end.rs
@@ -1,13 +1,15 @@
 //! Connections to members.
 
 use crate::directory::{Member, Role};
-use crate::names::RequestId;
+use crate::names::{DatabaseName, RequestId};
 use crate::position::{LogPosition, Term};
-use crate::statement::{PreparedStatement, TransactionState};
+use crate::statement::{Access, PreparedStatement, TransactionState};
 use async_trait::async_trait;
 use bytes::Bytes;
 use quick_error::quick_error;
 use std::fmt::Debug;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// What a connection is asked to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -32,6 +34,8 @@
         id: RequestId,
         /// The whole text.
         text: Bytes,
+        /// Whether it can change data.
+        access: Access,
         /// What the member's log must hold, else it refuses.
         after: Option<LogPosition>,
     },
@@ -89,7 +93,7 @@
 }
 
 /// A member's answer to a command.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Answer {
     /// Rows, byte for byte.
     pub rows: Vec<Bytes>,
@@ -102,7 +106,7 @@
 }
 
 /// Why a member did not complete a command.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Refusal {
     /// What kind of refusal it is.
     pub kind: RefusalKind,
@@ -113,7 +117,7 @@
 }
 
 /// Kinds of refusal.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalKind {
     /// Its queue is full. Not run.
@@ -124,6 +128,11 @@
     Lagging,
     /// It does not lead. Not run.
     NotLeader,
+    /// So many requests wait before it that another would be late; when to come back. Not
+    /// run.
+    Shed(Duration),
+    /// Whoever was to pass it on could not reach the member. Not run.
+    Unreachable,
     /// Anything else. May have run.
     Failed,
 }
@@ -194,6 +203,30 @@
     async fn connect(&self, member: &Member) -> Result<Box<dyn BackEndConnection>, ConnectError>;
 }
 
+/// For whom a connection is used next, for those who put the fleet's requests in order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Admission {
+    /// The session's database.
+    pub database: DatabaseName,
+    /// The route's rank; 0 is the highest.
+    pub rank: u32,
+    /// How long a request may wait in a queue that stands.
+    pub patience: Duration,
+    /// Until when a request may wait at all.
+    pub until: Instant,
+}
+
+impl Default for Admission {
+    fn default() -> Self {
+        Self {
+            database: DatabaseName::from(""),
+            rank: 0,
+            patience: Duration::ZERO,
+            until: Instant::now(),
+        }
+    }
+}
+
 /// One connection. A call that is dropped before it ends leaves the connection unusable;
 /// whoever drops it must drop the connection too.
 #[async_trait]
@@ -204,4 +237,6 @@
     async fn control(&mut self, control: Control) -> Result<MemberReport, LinkError>;
     /// Whether the far end has neither closed it nor said anything unasked.
     fn is_open(&mut self) -> bool;
+    /// Takes for whom it is used next. A connection of this process's own needs not know.
+    fn admit(&mut self, _admission: Admission) {}
 }
--- a/crates/engine/src/ports/mod.rs
+++ b/crates/engine/src/ports/mod.rs
@@ -6,12 +6,12 @@
 mod record_store;
 
 pub use back_end::{
-    Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError, MemberReport,
-    Refusal, RefusalKind,
+    Admission, Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError,
+    MemberReport, Refusal, RefusalKind,
 };
 pub use peers::{
     CoveringBelief, DeclaredDeparture, DeclaredDirectory, DeclaredMember, DeclaredState,
-    DeclaredVersions, GroupBelief, LeaderBelief, PeerError, PeerNetwork, TermBelief,
+    DeclaredVersions, GroupBelief, LeaderBelief, PeerError, PeerLink, PeerNetwork, TermBelief,
 };
 pub use promoter::{PromoteError, Promoter, PromotionOrder};
 pub use record_store::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -7,10 +7,12 @@
 use crate::names::{GroupName, MemberId, ZoneName};
 use crate::position::LogPosition;
 use async_trait::async_trait;
+use bytes::Bytes;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 use std::fmt::Debug;
 use std::net::SocketAddr;
+use tokio::sync::mpsc;
 
 /// What a process believes of one group. Ages are counted when the answer is made: whoever
 /// asked takes them from before the question was sent, so they only grow on the way.
@@ -23,8 +25,8 @@
     /// Its leader. `None` while one is fenced off: what is believed of that one says
     /// nothing of the next, although both belong to one epoch.
     pub leader: Option<LeaderBelief>,
-    /// The newest position known to cover a moment, and that moment's age.
-    pub covering: Option<CoveringBelief>,
+    /// Positions known to cover moments, and the ages of these; oldest first.
+    pub covering: Vec<CoveringBelief>,
     /// The record of the leadership, if there was ever a promotion.
     pub term: Option<TermBelief>,
 }
@@ -131,6 +133,16 @@
     }
 }
 
+/// A link between two processes: frames both ways, in order. It ends where one side drops
+/// it or can't be reached any more.
+#[derive(Debug)]
+pub struct PeerLink {
+    /// Frames to the other side.
+    pub tx: mpsc::Sender<Bytes>,
+    /// Frames from there.
+    pub rx: mpsc::Receiver<Bytes>,
+}
+
 /// Asks other processes.
 #[async_trait]
 pub trait PeerNetwork: Debug + Send + Sync + 'static {
@@ -148,4 +160,7 @@
         peer: SocketAddr,
         known: DeclaredVersions,
     ) -> Result<DeclaredState, PeerError>;
+
+    /// Opens a link to the process at `peer`, which [serves](crate::home::serve) it.
+    async fn link(&self, peer: SocketAddr) -> Result<PeerLink, PeerError>;
 }
--- a/crates/engine/src/ports/record_store.rs
+++ b/crates/engine/src/ports/record_store.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 /// A record as the store has it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Record {
     /// Its key.
     pub key: String,
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -88,7 +88,7 @@
         .iter()
         .filter(|member| !is_past_use(engine, member.state, now))
         .map(|member| {
-            let pool = engine.pool(member);
+            let pool = engine.session_pool(member);
             let is_leader = leader.as_ref() == Some(&member.id);
             let cost = cost_ms(engine, &pool, member.state, is_leader, after, now);
             (cost, pool)
--- a/crates/engine/src/session/limits.rs
+++ b/crates/engine/src/session/limits.rs
@@ -10,6 +10,9 @@
 /// Share of a route's time-out after which a member's answer is given up.
 const ANSWER_SHARE: f64 = 0.58;
 
+/// Share of a route's objective for which a request is held while this process is cut off
+/// from whoever could tell it of a leader: another process may serve it.
+const CUT_OFF_SHARE: f64 = 0.2;
 /// Share of a route's objective that a request may wait in a queue that stands.
 const QUEUE_SHARE: f64 = 0.2;
 
@@ -36,6 +39,15 @@
             answer: at(ANSWER_SHARE),
         }
     }
+
+    /// The limits where no leader, nor how far its log has come, is to be learned of soon.
+    pub fn while_cut_off(self, route: &Route, received: Instant) -> Self {
+        let held = received + route.objective.mul_f64(CUT_OFF_SHARE);
+        Self {
+            offer: self.offer.min(held),
+            ..self
+        }
+    }
 }
 
 /// Pause before a member is asked again that could not take a statement.
--- a/crates/engine/src/session/mod.rs
+++ b/crates/engine/src/session/mod.rs
@@ -16,6 +16,8 @@
 use crate::configuration::Route;
 use crate::engine::Engine;
 use crate::events::Event;
+use crate::group::Group;
+use crate::leadership::access;
 use crate::names::DatabaseName;
 use crate::pool::{Claim, SessionValues, Work};
 use crate::statement::{Access, PreparedStatement, Reply, Request, Statement, TransactionState};
@@ -130,14 +132,8 @@
             Statement::Begin { read_only } => self.begin(*read_only, request.received),
             Statement::Commit => self.end(request, true, trace).await,
             Statement::Rollback => self.end(request, false, trace).await,
-            Statement::Read { text } => {
-                let work = Work::Text(text.clone());
-                self.run(request, Access::Read, work, trace).await
-            }
-            Statement::Write { text } => {
-                let work = Work::Text(text.clone());
-                self.run(request, Access::Write, work, trace).await
-            }
+            Statement::Read { text } => self.run_text(request, Access::Read, text, trace).await,
+            Statement::Write { text } => self.run_text(request, Access::Write, text, trace).await,
             Statement::Execute { name, arguments } => {
                 let prepared = self.prepared.get(name).cloned();
                 let unknown = || Failure::rejected(FailureReason::UnknownPrepared);
@@ -153,6 +149,18 @@
         }
     }
 
+    async fn run_text(
+        &mut self,
+        request: &Request,
+        access: Access,
+        text: &Bytes,
+        trace: &mut RequestTrace,
+    ) -> Result<Completion, Failure> {
+        let text = text.clone();
+        let work = Work::Text { text, access };
+        self.run(request, access, work, trace).await
+    }
+
     async fn run(
         &mut self,
         request: &Request,
@@ -205,6 +213,15 @@
         }
     }
 
+    /// The limits of a statement of `route` that was read at `received`.
+    fn limits(&self, route: &Route, group: &Group, received: Instant) -> StatementLimits {
+        let limits = StatementLimits::new(route, received);
+        match access::is_cut_off(&self.engine, group, received) {
+            true => limits.while_cut_off(route, received),
+            false => limits,
+        }
+    }
+
     /// For whom connections are used under `route`.
     fn claim(&self, route: &Route) -> Claim {
         Claim {
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -7,7 +7,7 @@
 use super::trace::RequestTrace;
 use super::write::{
     leader_pool, member_failure, not_run_reason, note_unanswered, pause_or_refuse, refusal_text,
-    release,
+    release, shed,
 };
 use super::{Completion, Session};
 use crate::configuration::{Consistency, Route};
@@ -87,8 +87,8 @@
         work: Work,
         trace: &mut RequestTrace,
     ) -> Result<Completion, Failure> {
-        let limits = StatementLimits::new(route, request.received);
         let group = self.engine.group(&route.group);
+        let limits = self.limits(route, &group, request.received);
         let job = ReadJob {
             id: request.id.clone(),
             work,
@@ -328,6 +328,9 @@
 }
 
 fn refusal_failure(refusal: Refusal) -> ReadFailure {
+    if let RefusalKind::Shed(retry_after) = refusal.kind {
+        return ReadFailure::Final(shed(retry_after));
+    }
     match not_run_reason(refusal.kind) {
         Some(reason @ FailureReason::ConnectionLost) => {
             ReadFailure::Final(Failure::not_run(reason))
--- a/crates/engine/src/session/transaction/mod.rs
+++ b/crates/engine/src/session/transaction/mod.rs
@@ -183,7 +183,7 @@
             return Err(Failure::not_run(FailureReason::NoReplica));
         }
         let sent = Instant::now();
-        if open.wrote {
+        if open.wrote && !open.connection.pool().is_remote() {
             transaction.group.record_commit_sent(sent);
         }
         let awaited = run_commit(transaction, &mut open, &request.id, limits).await;
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -45,7 +45,7 @@
         work: Option<Work>,
         trace: &mut RequestTrace,
     ) -> Result<Completion, Failure> {
-        let limits = StatementLimits::new(&transaction.route, request.received);
+        let limits = self.limits(&transaction.route, &transaction.group, request.received);
         let claim = self.claim(&transaction.route);
         loop {
             let mut places = self.places(transaction, limits, trace).await;
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -98,8 +98,8 @@
         work: Work,
         trace: &mut RequestTrace,
     ) -> Result<Completion, Failure> {
-        let limits = StatementLimits::new(route, request.received);
         let group = self.engine.group(&route.group);
+        let limits = self.limits(route, &group, request.received);
         loop {
             if group.commits_stalled() {
                 return Err(Failure::not_run(FailureReason::NoReplica));
@@ -142,7 +142,9 @@
             return Attempt::NotRun(FailureReason::ConnectionLost);
         }
         let sent = Instant::now();
-        group.record_commit_sent(sent);
+        if !pool.is_remote() {
+            group.record_commit_sent(sent);
+        }
         let running = connection.run_work(&request.id, work, None);
         let awaited = await_answer(running, group, leader, limits.answer).await;
         self.judge_write(awaited, connection, group, leader, sent, trace)
@@ -198,7 +200,7 @@
     let directory = engine.directory();
     let member = directory.member(&leader.member)?;
     let past_use = is_past_use(engine, member.state, Instant::now());
-    (!past_use).then(|| engine.pool(member))
+    (!past_use).then(|| engine.session_pool(member))
 }
 
 /// Waits for an answer until `until`, or until another leader is chosen.
@@ -275,11 +277,16 @@
         RefusalKind::NotLeader => Some(FailureReason::NoLeader),
         RefusalKind::Lagging => Some(FailureReason::NoFreshMember),
         RefusalKind::UnknownPrepared => Some(FailureReason::ConnectionLost),
+        RefusalKind::Shed(_) => Some(FailureReason::Overloaded),
+        RefusalKind::Unreachable => Some(FailureReason::NoLeader),
         RefusalKind::Failed => None,
     }
 }
 
 pub(super) fn judge_refusal<T>(refusal: Refusal) -> Attempt<T> {
+    if let RefusalKind::Shed(retry_after) = refusal.kind {
+        return Attempt::Decided(Err(shed(retry_after)));
+    }
     match not_run_reason(refusal.kind) {
         Some(reason) => Attempt::NotRun(reason),
         None => Attempt::Decided(Err(member_failure(refusal))),
--- a/crates/engine/src/statement.rs
+++ b/crates/engine/src/statement.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 /// Whether a statement can change data.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Access {
     /// It only reads.
@@ -66,7 +66,7 @@
 }
 
 /// A statement that was prepared: equal ones can share a name on a connection.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, serde::Serialize, serde::Deserialize)]
 pub struct PreparedStatement {
     /// Whether running it can change data.
     pub access: Access,
@@ -86,7 +86,7 @@
 }
 
 /// Where a session or connection stands between two statements.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub enum TransactionState {
     /// No transaction is open.
     Idle,
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -100,9 +100,9 @@
         let world = World::new(&["a", "b", "c"]);
         let records = MemoryRecords::new();
         let mut fleet = Self {
+            peers: MemoryPeers::new(&world),
             world,
             records,
-            peers: Arc::default(),
             nodes: Vec::new(),
         };
         for index in 0..nodes {
@@ -135,7 +135,12 @@
             shared: self.records.for_node(name),
             leases: self.records.for_node(name),
         };
-        let engine = Engine::new(settings, Arc::new(back_end), records, self.peers.clone());
+        let engine = Engine::new(
+            settings,
+            Arc::new(back_end),
+            records,
+            self.peers.for_node(name),
+        );
         self.peers.join(name, &engine);
         engine.set_configuration(configuration(1));
         engine.set_directory(self.directory());
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -1,33 +1,105 @@
 //! Processes that reach one another in memory.
 
+use super::servers::World;
 use async_trait::async_trait;
-use std::collections::HashMap;
+use bytes::Bytes;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 use stilequay_engine::engine::Engine;
+use stilequay_engine::home;
 use stilequay_engine::names::GroupName;
 use stilequay_engine::peers::beliefs;
 use stilequay_engine::peers::declared::newer;
 use stilequay_engine::ports::{
-    DeclaredState, DeclaredVersions, GroupBelief, PeerError, PeerNetwork,
+    DeclaredState, DeclaredVersions, GroupBelief, PeerError, PeerLink, PeerNetwork,
 };
+use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 /// Time for a question or an answer.
 const ONE_WAY: Duration = Duration::from_millis(1);
 
+/// Frames of a link that wait on one side.
+const LINK_QUEUE: usize = 2_048;
+
 /// All processes, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct MemoryPeers {
+    world: Arc<World>,
     engines: Mutex<HashMap<SocketAddr, Weak<Engine>>>,
     away: Mutex<bool>,
+    killed: watch::Sender<HashSet<String>>,
+}
+
+/// The other processes as one of them reaches them.
+#[derive(Debug)]
+pub struct NodePeers {
+    peers: Arc<MemoryPeers>,
+    node: String,
 }
 
 impl MemoryPeers {
+    pub fn new(world: &Arc<World>) -> Arc<Self> {
+        Arc::new(Self {
+            world: Arc::clone(world),
+            engines: Mutex::default(),
+            away: Mutex::default(),
+            killed: watch::Sender::new(HashSet::new()),
+        })
+    }
+
+    pub fn for_node(self: &Arc<Self>, node: &str) -> Arc<NodePeers> {
+        Arc::new(NodePeers {
+            peers: Arc::clone(self),
+            node: node.to_owned(),
+        })
+    }
+
+    /// Ends all links of a process; it answers nobody any more.
+    pub fn kill(&self, node: &str) {
+        let address = Self::address_of(node);
+        self.engines.lock().unwrap().remove(&address);
+        self.killed.send_modify(|killed| {
+            killed.insert(node.to_owned());
+        });
+    }
+
+    /// Passes frames on from one process to another, after a moment, while both live and
+    /// the way between them is open; a process that stands still neither sends nor reads.
+    async fn carry(
+        self: Arc<Self>,
+        (from, to): (String, String),
+        mut rx: mpsc::Receiver<Bytes>,
+        tx: mpsc::Sender<Bytes>,
+    ) {
+        let mut killed = self.killed.subscribe();
+        loop {
+            let frame = tokio::select! {
+                frame = rx.recv() => frame,
+                _ = killed.wait_for(|k| k.contains(&from) || k.contains(&to)) => return,
+            };
+            let Some(frame) = frame else { return };
+            sleep(ONE_WAY).await;
+            self.world.freezer.pass(&from).await;
+            self.world.freezer.pass(&to).await;
+            // What a cut holds up is lost.
+            let away = *self.away.lock().unwrap();
+            let arrives = !away && self.world.network.reaches(&from, &to);
+            if arrives && tx.send(frame).await.is_err() {
+                return;
+            }
+        }
+    }
+
     pub fn address_of(node: &str) -> SocketAddr {
-        let last = node.bytes().last().unwrap_or(0);
-        SocketAddr::from(([10, 1, 0, last], 7440))
+        let number: u16 = node
+            .rsplit('-')
+            .next()
+            .and_then(|number| number.parse().ok())
+            .unwrap_or(0);
+        SocketAddr::from(([10, 1, 0, 1], 10_000 + number))
     }
 
     pub fn join(&self, node: &str, engine: &Arc<Engine>) {
@@ -54,13 +126,13 @@
 }
 
 #[async_trait]
-impl PeerNetwork for MemoryPeers {
+impl PeerNetwork for NodePeers {
     async fn ask(
         &self,
         peer: SocketAddr,
         groups: &[GroupName],
     ) -> Result<Vec<GroupBelief>, PeerError> {
-        let engine = self.reach(peer).await?;
+        let engine = self.peers.reach(peer).await?;
         let answer = beliefs(&engine, groups);
         sleep(ONE_WAY).await;
         Ok(answer)
@@ -71,9 +143,34 @@
         peer: SocketAddr,
         known: DeclaredVersions,
     ) -> Result<DeclaredState, PeerError> {
-        let engine = self.reach(peer).await?;
+        let engine = self.peers.reach(peer).await?;
         let answer = newer(&engine, known);
         sleep(ONE_WAY).await;
         Ok(answer)
     }
+
+    async fn link(&self, peer: SocketAddr) -> Result<PeerLink, PeerError> {
+        let engine = self.peers.reach(peer).await?;
+        let there = engine.settings().node.to_string();
+        if !self.peers.world.network.reaches(&self.node, &there) {
+            std::future::pending::<()>().await;
+        }
+        let (to_there, from_here) = mpsc::channel(LINK_QUEUE);
+        let (to_peer, peer_rx) = mpsc::channel(LINK_QUEUE);
+        let (to_here, from_there) = mpsc::channel(LINK_QUEUE);
+        let (peer_tx, from_peer) = mpsc::channel(LINK_QUEUE);
+        let out = (self.node.clone(), there.clone());
+        let back = (there, self.node.clone());
+        tokio::spawn(Arc::clone(&self.peers).carry(out, from_here, to_peer));
+        tokio::spawn(Arc::clone(&self.peers).carry(back, from_peer, to_here));
+        let link = PeerLink {
+            tx: peer_tx,
+            rx: peer_rx,
+        };
+        tokio::spawn(home::serve(engine, link));
+        Ok(PeerLink {
+            tx: to_there,
+            rx: from_there,
+        })
+    }
 }
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -262,7 +262,9 @@
                 self.transaction = None;
                 Ok(self.complete(String::new()))
             }
-            Command::Run { id, text, after } => {
+            Command::Run {
+                id, text, after, ..
+            } => {
                 if self.lacks(after) {
                     return Ok(self.refuse(RefusalKind::Lagging));
                 }
