--- /dev/null
+++ b/crates/engine/tests/homes.rs
@@ -0,0 +1,420 @@
+//! Fleets of more processes than a member accepts connections from: homes, and following
+//! the store by way of other processes.
+
+mod support;
+
+use rstest::rstest;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::directory::Member;
+use stilequay_engine::engine::StopPhase;
+use stilequay_engine::home::placement::{
+    CANDIDATES, HOMES, Peer, block_of, rank, suffices_for_all,
+};
+use stilequay_engine::statement::{Access, Reply};
+use stilequay_engine::verdict::Verdict;
+use support::history::History;
+use support::{
+    BOUNDED_DATABASE, Client, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, configuration, seen,
+    until,
+};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Processes of a fleet for which 34 connections of a member do not suffice.
+const LARGE: usize = 20;
+
+async fn large_fleet() -> Fleet {
+    let fleet = Fleet::start(LARGE).await;
+    until(|| {
+        fleet
+            .nodes
+            .iter()
+            .all(|node| node.engine.processes() == LARGE)
+    })
+    .await;
+    until(|| {
+        fleet
+            .nodes
+            .iter()
+            .all(|node| node.engine.homes().fleet().len() == LARGE)
+    })
+    .await;
+    // Connections that were opened before the fleet was known have ended.
+    sleep(Duration::from_secs(3)).await;
+    fleet
+}
+
+fn member(fleet: &Fleet, name: &str) -> Arc<Member> {
+    let directory = fleet.nodes[0].engine.directory();
+    Arc::clone(directory.member(name).expect("a member"))
+}
+
+/// The processes that hold the connections to `name`, by their place in the fleet.
+fn homes_of(fleet: &Fleet, name: &str) -> Vec<usize> {
+    let member = member(fleet, name);
+    let candidates = fleet.nodes[0].engine.homes().candidates(&member);
+    let homes = candidates.iter().take(HOMES);
+    let place = |peer: &Peer| fleet.nodes.iter().position(|node| *node.name == *peer.node);
+    homes.map(|peer| place(peer).expect("a process")).collect()
+}
+
+/// A process that holds no connection to any member.
+fn bystander(fleet: &Fleet) -> usize {
+    let taken: HashSet<usize> = ["a", "b", "c"]
+        .iter()
+        .flat_map(|name| homes_of(fleet, name))
+        .collect();
+    (0..LARGE).find(|node| !taken.contains(node)).expect("one")
+}
+
+fn verdict(reply: &Reply) -> Option<Verdict> {
+    reply.outcome.as_ref().err().map(|failure| failure.verdict)
+}
+
+#[rstest]
+#[case::six_before_sixteen(16, 6, true)]
+#[case::eight_before_sixteen(16, 8, true)]
+#[case::nine_before_sixteen(16, 9, false)]
+#[case::ninety_before_sixty_three(63, 90, false)]
+#[case::the_target(100, 6_100, false)]
+fn connections_suffice_by_arithmetic(
+    #[case] accepted: usize,
+    #[case] processes: usize,
+    #[case] suffices: bool,
+) {
+    assert_eq!(suffices_for_all(accepted, processes), suffices);
+}
+
+fn peers(count: usize) -> Vec<Peer> {
+    let peer = |index: usize| Peer {
+        node: Arc::from(format!("node-{index}")),
+        address: SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(index).expect("small"))),
+        zone: Arc::from(format!("zone-{}", ["a", "b", "c"][index % 3])),
+    };
+    (0..count).map(peer).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn homes_are_near_their_member_and_change_little_with_the_fleet() {
+    let fleet = Fleet::start(1).await;
+    let member = member(&fleet, "a");
+    let all = peers(90);
+    let ranked = rank(&all, &member);
+    assert_eq!(ranked.len(), CANDIDATES);
+    assert!(ranked.iter().all(|peer| peer.zone == member.zone));
+    // Who is not among the candidates may leave unnoticed.
+    let others: Vec<Peer> = all
+        .iter()
+        .filter(|p| !ranked.contains(p))
+        .cloned()
+        .collect();
+    for gone in &others {
+        let left: Vec<Peer> = all.iter().filter(|p| *p != gone).cloned().collect();
+        assert_eq!(rank(&left, &member), ranked);
+    }
+    // Where the first is gone the second follows.
+    let left: Vec<Peer> = all.iter().filter(|p| **p != ranked[0]).cloned().collect();
+    assert_eq!(rank(&left, &member)[..CANDIDATES - 1], ranked[1..]);
+    assert!(rank(&[], &member).is_empty());
+    let blocks: HashSet<usize> = (0..9_500)
+        .map(|group| block_of(&format!("group-{group}"), 9_500))
+        .collect();
+    assert_eq!(blocks.len(), 9_500_usize.div_ceil(64));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_large_fleet_is_served_through_a_few_connections() {
+    let fleet = large_fleet().await;
+    let homes: HashSet<usize> = ["a", "b", "c"]
+        .iter()
+        .flat_map(|name| homes_of(&fleet, name))
+        .collect();
+    for node in 0..LARGE {
+        let mut own = fleet.session(node, OWN_DATABASE);
+        assert!(own.write("x 1").await.outcome.is_ok());
+        assert!(own.read("x").await.outcome.is_ok());
+        let mut leader = fleet.session(node, LEADER_DATABASE);
+        assert_eq!(seen(&leader.read("x").await).0, "a");
+        let engine = &fleet.nodes[node].engine;
+        let connected = engine.pools().iter().any(|pool| pool.load().in_use > 0);
+        assert!(!connected || homes.contains(&node));
+        if !homes.contains(&node) {
+            let directory = engine.directory();
+            let members = directory.members();
+            assert!(
+                members
+                    .into_iter()
+                    .all(|m| engine.session_pool(m).is_remote())
+            );
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn sessions_keep_their_values_statements_and_transactions_at_a_home() {
+    let fleet = large_fleet().await;
+    let node = bystander(&fleet);
+    let mut first = fleet.session(node, LEADER_DATABASE);
+    let mut second = fleet.session(node, LEADER_DATABASE);
+    for (client, value) in [(&mut first, "one"), (&mut second, "two")] {
+        assert!(client.set("colour", value).await.outcome.is_ok());
+        let prepared = client
+            .prepare("s", Access::Read, &format!("shape-{value}"))
+            .await;
+        assert!(prepared.outcome.is_ok());
+    }
+    for _ in 0..3 {
+        for (client, value) in [(&mut first, "one"), (&mut second, "two")] {
+            let reply = client.execute("s", "x").await;
+            assert_eq!(seen(&reply).0, "a");
+            let told = format!(" colour={value}");
+            assert_eq!(reply.rows[1..], [support::bytes(&told)]);
+        }
+    }
+    // What is written in a transaction is seen by nobody before its commit.
+    let before = fleet.world.server("a").log.len();
+    assert!(first.begin(false).await.outcome.is_ok());
+    assert!(first.write("x 1").await.outcome.is_ok());
+    assert!(first.set("colour", "three").await.outcome.is_ok());
+    assert!(first.write("x 2").await.outcome.is_ok());
+    assert_eq!(fleet.world.server("a").log.len(), before);
+    assert!(second.write("x 3").await.outcome.is_ok());
+    assert!(first.commit().await.outcome.is_ok());
+    let after = fleet.world.server("a").log.len();
+    assert!(after > before + 1);
+    // One that is rolled back, and one whose caller goes, leave nothing behind.
+    assert!(first.begin(false).await.outcome.is_ok());
+    assert!(first.write("x 4").await.outcome.is_ok());
+    assert!(first.rollback().await.outcome.is_ok());
+    assert!(second.begin(false).await.outcome.is_ok());
+    assert!(second.write("x 5").await.outcome.is_ok());
+    drop(second);
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(fleet.world.server("a").log.len(), after);
+    assert!(first.write("x 6").await.outcome.is_ok());
+}
+
+/// What becomes of a home while it runs a write.
+#[derive(Debug, Clone, Copy)]
+enum Loss {
+    Killed,
+    Frozen,
+    Cut,
+}
+
+/// A write that was forwarded to a home that is lost gets no promise, and is not repeated.
+#[rstest]
+#[case::killed(Loss::Killed)]
+#[case::frozen(Loss::Frozen)]
+#[case::cut_off(Loss::Cut)]
+#[tokio::test(start_paused = true)]
+async fn a_write_at_a_home_that_is_lost_may_have_run(#[case] loss: Loss) {
+    let mut fleet = large_fleet().await;
+    let node = bystander(&fleet);
+    let homes = homes_of(&fleet, "a");
+    let name = fleet.nodes[node].name.clone();
+    let mut client = fleet.session(node, OWN_DATABASE);
+    assert!(client.write("x 0").await.outcome.is_ok());
+    let before = fleet.world.server("a").log.len();
+    fleet.world.change("a", |server| server.slowness = 50);
+    let writing = tokio::spawn(async move {
+        let reply = client.write("x 1").await;
+        (client, reply)
+    });
+    sleep(Duration::from_millis(100)).await;
+    for home in homes {
+        let home_name = fleet.nodes[home].name.clone();
+        match loss {
+            Loss::Killed => fleet.kill(home),
+            Loss::Frozen => fleet.freeze(&home_name, true),
+            Loss::Cut => fleet.network().cut(&name, &home_name),
+        }
+    }
+    let (mut client, reply) = writing.await.expect("the write ends");
+    assert_eq!(verdict(&reply), Some(Verdict::MayHaveRun), "{reply:?}");
+    fleet.world.change("a", |server| server.slowness = 1);
+    // Others hold the connections now.
+    let served = async {
+        while client.write("x 2").await.outcome.is_err() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let served = timeout(Duration::from_secs(2), served).await;
+    served.expect("a write is acknowledged");
+    let log = fleet.world.server("a").log;
+    let ids: HashSet<&String> = log.iter().map(|entry| &entry.1).collect();
+    assert_eq!(ids.len(), log.len(), "a write took effect twice");
+    assert!(log.len() > before);
+}
+
+/// A home that is going to stop serves on what it has begun, and gets nothing new.
+#[tokio::test(start_paused = true)]
+async fn a_home_that_stops_hands_its_place_over() {
+    let fleet = large_fleet().await;
+    let node = bystander(&fleet);
+    let mut open = fleet.session(node, OWN_DATABASE);
+    assert!(open.begin(false).await.outcome.is_ok());
+    assert!(open.write("x 1").await.outcome.is_ok());
+    for home in homes_of(&fleet, "a") {
+        fleet.nodes[home].engine.advance_stop(StopPhase::Leaving);
+    }
+    sleep(Duration::from_millis(50)).await;
+    let mut other = fleet.session(node, OWN_DATABASE);
+    let began = Instant::now();
+    assert!(other.write("x 2").await.outcome.is_ok());
+    assert!(began.elapsed() < Duration::from_millis(200));
+    assert!(open.commit().await.outcome.is_ok());
+}
+
+/// With every other process out of reach, one connects by itself.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_reaches_no_home_connects_itself() {
+    let fleet = large_fleet().await;
+    let node = bystander(&fleet);
+    let name = fleet.nodes[node].name.clone();
+    let others = fleet.nodes.iter().filter(|other| other.name != name);
+    others.for_each(|other| fleet.network().cut(&name, &other.name));
+    let mut client = fleet.session(node, OWN_DATABASE);
+    let served = async {
+        while client.write("x 1").await.outcome.is_err() {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(Duration::from_secs(3), served)
+        .await
+        .expect("a write is acknowledged");
+}
+
+/// Requests of the highest rank go first at a home, whichever process they come from.
+#[tokio::test(start_paused = true)]
+async fn a_home_knows_the_load_of_the_whole_fleet() {
+    let fleet = large_fleet().await;
+    fleet.world.limit_slots(3, 24);
+    fleet.world.change("a", |server| server.slowness = 10);
+    let callers = fleet.nodes.iter().flat_map(|node| {
+        (0..3).map(|_| {
+            let mut client = Client::open(&node.engine, LEADER_DATABASE);
+            tokio::spawn(async move {
+                let mut served = 0;
+                for _ in 0..10 {
+                    served += usize::from(client.read("x").await.outcome.is_ok());
+                }
+                served
+            })
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut served = 0;
+    for caller in callers {
+        served += caller.await.expect("it ends");
+    }
+    assert!(served > 0);
+    // What the member could not take never reached it: its queue was not filled.
+    let in_use = |node: usize| {
+        let engine = &fleet.nodes[node].engine;
+        let pool = engine.pool(&member(&fleet, "a"));
+        pool.limit()
+    };
+    let limits: usize = homes_of(&fleet, "a").into_iter().map(in_use).sum();
+    assert!(limits <= 28, "{limits}");
+}
+
+/// Most of a large fleet asks the store nothing, and knows of changes all the same.
+#[tokio::test(start_paused = true)]
+async fn a_large_fleet_follows_the_store_through_a_few() {
+    let mut fleet = large_fleet().await;
+    let direct = |fleet: &Fleet| -> Vec<usize> {
+        let nodes = fleet.nodes.iter().enumerate();
+        let direct = nodes.filter(|(_, node)| node.engine.following().is_direct());
+        direct.map(|(index, _)| index).collect()
+    };
+    until(|| direct(&fleet).len() == 2).await;
+    let followers = direct(&fleet);
+    let mut newer = configuration(1);
+    newer.version = 7;
+    for node in &followers {
+        fleet.nodes[*node].engine.set_configuration(newer.clone());
+    }
+    let known = |fleet: &Fleet, version| {
+        let versions = fleet.nodes.iter().map(|node| node.engine.configuration());
+        versions.flatten().filter(|c| c.version == version).count()
+    };
+    let began = Instant::now();
+    until(|| known(&fleet, 7) == LARGE).await;
+    assert!(began.elapsed() < Duration::from_millis(100));
+    // A change of leader is known everywhere: the homes have noticed the loss.
+    let history = Arc::new(History::default());
+    let node = bystander(&fleet);
+    history.spawn_caller(&fleet.nodes[node].engine, OWN_DATABASE, 0);
+    sleep(Duration::from_secs(1)).await;
+    fleet.world.crash("a");
+    until(|| {
+        let mut views = fleet
+            .nodes
+            .iter()
+            .map(|n| n.engine.group(&Arc::from(GROUP)).view());
+        views.all(|view| view.epoch == 1 && view.confirmed)
+    })
+    .await;
+    // Where those that follow are lost, the others go to the store themselves.
+    for node in &followers {
+        fleet.kill(*node);
+    }
+    let others = LARGE - followers.len();
+    until(|| {
+        direct(&fleet)
+            .iter()
+            .filter(|n| !followers.contains(n))
+            .count()
+            == others
+    })
+    .await;
+}
+
+/// Followers that are cut off from the store are not followed for long.
+#[tokio::test(start_paused = true)]
+async fn a_follower_that_the_store_turns_away_is_not_followed() {
+    let fleet = large_fleet().await;
+    let is_direct = |node: usize| fleet.nodes[node].engine.following().is_direct();
+    until(|| (0..LARGE).filter(|node| is_direct(*node)).count() == 2).await;
+    let followers: Vec<usize> = (0..LARGE).filter(|node| is_direct(*node)).collect();
+    for node in &followers {
+        let name = &fleet.nodes[*node].name;
+        fleet.records.refuse_node(name, true);
+    }
+    let began = Instant::now();
+    until(|| (0..LARGE).all(is_direct)).await;
+    assert!(began.elapsed() < Duration::from_secs(4));
+}
+
+/// A home that stood still, and wakes with what it believed before, breaks no promise while
+/// the leader is replaced.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_home_that_wakes_breaks_no_promise(#[values(0, 1)] which: usize) {
+    let fleet = large_fleet().await;
+    let history = Arc::new(History::default());
+    let node = bystander(&fleet);
+    for (index, database) in [LEADER_DATABASE, OWN_DATABASE, BOUNDED_DATABASE]
+        .iter()
+        .enumerate()
+    {
+        history.spawn_caller(&fleet.nodes[node].engine, database, index);
+        let other = homes_of(&fleet, "b")[0];
+        history.spawn_caller(&fleet.nodes[other].engine, database, index + 3);
+    }
+    sleep(Duration::from_secs(1)).await;
+    let home = fleet.nodes[homes_of(&fleet, "a")[which]].name.clone();
+    fleet.freeze(&home, true);
+    fleet.world.crash("a");
+    until(|| !fleet.world.promotions().is_empty()).await;
+    sleep(Duration::from_secs(2)).await;
+    fleet.freeze(&home, false);
+    fleet.world.restart("a");
+    sleep(Duration::from_secs(2)).await;
+    assert_eq!(history.violations(&fleet.world), Vec::<String>::new());
+    let (commits, reads) = history.counts();
+    assert!(commits > 20 && reads > 20, "{commits} {reads}");
+}
--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, GONE_MEMORY, MemberState};
 use support::history::History;
@@ -29,6 +30,9 @@
     }
 }
 
+/// Processes of a fleet in which homes hold the connections.
+const LARGE: usize = 20;
+
 /// Brings one fault about, for a while.
 async fn strike(fleet: &Fleet, rng: &mut StdRng) {
     let server = SERVERS[rng.random_range(0..SERVERS.len())];
@@ -38,7 +42,7 @@
         .clone();
     let lasts = Duration::from_millis(rng.random_range(100..3_000));
     let world = &fleet.world;
-    match rng.random_range(0..12) {
+    match rng.random_range(0..13) {
         0 => {
             world.crash(server);
             sleep(lasts).await;
@@ -102,6 +106,11 @@
             sleep(lasts).await;
             world.change(server, |s| s.slowness = 1);
         }
+        11 => {
+            let other = rng.random_range(0..fleet.nodes.len());
+            fleet.network().cut(&node, &fleet.nodes[other].name);
+            sleep(lasts).await;
+        }
         _ => {
             let since = Instant::now();
             world.change(server, |s| {
@@ -114,9 +123,9 @@
     fleet.network().heal();
 }
 
-async fn run(seed: u64) -> (Vec<String>, (usize, usize)) {
+async fn run(seed: u64, processes: usize) -> (Vec<String>, (usize, usize)) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let fleet = Fleet::start(3).await;
+    let fleet = Fleet::start(processes).await;
     let history = Arc::new(History::default());
     spawn_callers(&fleet, &history);
     for _ in 0..FAULTS {
@@ -150,7 +159,7 @@
 async fn no_promise_is_broken_under_random_faults(
     #[values(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20)] seed: u64,
 ) {
-    let (violations, (commits, reads)) = run(seed).await;
+    let (violations, (commits, reads)) = run(seed, 3).await;
     assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
     assert!(
         commits > 100 && reads > 100,
@@ -158,6 +167,62 @@
     );
 }
 
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn no_promise_is_broken_in_a_large_fleet(#[values(1, 2, 3, 4)] seed: u64) {
+    let (violations, (commits, reads)) = run(seed, LARGE).await;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    assert!(
+        commits > 400 && reads > 400,
+        "seed {seed}: {commits} {reads}"
+    );
+}
+
+/// A link that delivers commands twice, as one would that repeats what was not answered.
+#[tokio::test(start_paused = true)]
+async fn a_forwarded_write_that_is_repeated_is_found() {
+    let fleet = Fleet::start(LARGE).await;
+    let history = Arc::new(History::default());
+    fleet.peers.repeats_frames.store(true, Ordering::Relaxed);
+    spawn_callers(&fleet, &history);
+    sleep(Duration::from_secs(5)).await;
+    let violations = history.violations(&fleet.world);
+    assert!(
+        violations.iter().any(|v| v.contains("twice")),
+        "{violations:?}"
+    );
+}
+
+/// Evidence that a keeper tells the whole fleet, from a store that shows it the past.
+#[tokio::test(start_paused = true)]
+async fn evidence_of_a_keeper_that_is_shown_the_past_is_found() {
+    let fleet = Fleet::start(LARGE).await;
+    let history = Arc::new(History::default());
+    spawn_callers(&fleet, &history);
+    sleep(Duration::from_secs(2)).await;
+    let holder = fleet.records.get("lease/promotion").expect("a lease");
+    let holder = String::from_utf8_lossy(&holder.value).into_owned();
+    // All but the holder believe the store of a moment ago, and stay with the old leader.
+    let others = fleet
+        .nodes
+        .iter()
+        .filter(|node| !holder.contains(&node.name));
+    others.for_each(|node| fleet.records.show_past_to(&node.name));
+    let holder = fleet.nodes.iter().find(|node| holder.contains(&node.name));
+    fleet.network().cut(&holder.expect("a holder").name, "a");
+    fleet.world.change("a", |server| server.deaf = true);
+    ["b", "c"]
+        .iter()
+        .for_each(|replica| fleet.network().cut("a", replica));
+    until(|| !fleet.world.promotions().is_empty()).await;
+    sleep(Duration::from_secs(4)).await;
+    let violations = history.violations(&fleet.world);
+    assert!(
+        violations.iter().any(|v| v.starts_with("stale")),
+        "{violations:?}"
+    );
+}
+
 /// Cuts all processes from the leader but one, which does not hold the lease; returns it.
 fn cut_all_but_one(fleet: &Fleet) -> String {
     let lease = fleet.records.get("lease/promotion").expect("a lease");
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -19,6 +19,7 @@
 use stilequay_engine::configuration::{Configuration, Consistency, GroupSettings, Route};
 use stilequay_engine::directory::{Departure, Directory};
 use stilequay_engine::engine::{Engine, EngineRecords, EngineSettings};
+use stilequay_engine::home::following::Feed;
 use stilequay_engine::leadership;
 use stilequay_engine::session::Session;
 use stilequay_engine::statement::{Access, PreparedStatement, Reply, Request, Statement};
@@ -171,6 +172,12 @@
         self.world.freezer.set(node, frozen);
     }
 
+    /// Ends one process at once, with its links.
+    pub fn kill(&mut self, node: usize) {
+        self.peers.kill(&self.nodes[node].name);
+        self.nodes[node].kill();
+    }
+
     /// A session at one process.
     pub fn session(&self, node: usize, database: &str) -> Client {
         Client::open(&self.nodes[node].engine, database)
@@ -187,6 +194,12 @@
     loop {
         sleep(Duration::from_millis(20)).await;
         version += 1;
+        if !engine.following().is_direct() {
+            continue;
+        }
+        let now = Instant::now();
+        engine.following().heard(Feed::Configuration, now);
+        engine.following().heard(Feed::Directory, now);
         let next =
             engine
                 .directory()
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 use stilequay_engine::engine::Engine;
@@ -21,6 +22,8 @@
 /// Time for a question or an answer.
 const ONE_WAY: Duration = Duration::from_millis(1);
 
+/// When a frame comes again on a link that repeats them.
+const REPEATED_AFTER: Duration = Duration::from_millis(60);
 /// Frames of a link that wait on one side.
 const LINK_QUEUE: usize = 2_048;
 
@@ -31,6 +34,8 @@
     engines: Mutex<HashMap<SocketAddr, Weak<Engine>>>,
     away: Mutex<bool>,
     killed: watch::Sender<HashSet<String>>,
+    /// Delivers each frame of a link once more a moment later: a planted mistake.
+    pub repeats_frames: AtomicBool,
 }
 
 /// The other processes as one of them reaches them.
@@ -47,6 +52,7 @@
             engines: Mutex::default(),
             away: Mutex::default(),
             killed: watch::Sender::new(HashSet::new()),
+            repeats_frames: AtomicBool::default(),
         })
     }
 
@@ -87,9 +93,16 @@
             // What a cut holds up is lost.
             let away = *self.away.lock().unwrap();
             let arrives = !away && self.world.network.reaches(&from, &to);
-            if arrives && tx.send(frame).await.is_err() {
+            if arrives && tx.send(frame.clone()).await.is_err() {
                 return;
             }
+            if self.repeats_frames.load(Ordering::Relaxed) {
+                let tx = tx.clone();
+                tokio::spawn(async move {
+                    sleep(REPEATED_AFTER).await;
+                    let _ = tx.send(frame).await;
+                });
+            }
         }
     }
 
