Take entries that lapsed with the store for expected back, ask less at a start

Entries were taken for gone at once: their servers got no reads and a leader was replaced 2.6 s later. And a fleet that starts as a whole woke every feed of every process with each record written. Change: MemberState::Lapsed, set where a feed returns after a failure, for 2.3 s; told to other processes; a server at the same address ends it. Feeds for entries and documents wait up to 0.8 s for the fleet to know itself.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -25,6 +25,10 @@
     /// Since when it may have been known to others: when the entries were last known to
     /// say nothing of it. `None` where they were never read before.
     pub earliest: Option<Instant>,
+    /// Until when a missing entry is expected back: entries lapse while the store is away,
+    /// and those of servers that live are written again soon after its return. `None`
+    /// where the store was there.
+    pub lapsed_until: Option<Instant>,
 }
 
 impl Departure {
@@ -33,9 +37,24 @@
         Self {
             learned: now,
             earliest: Some(now),
+            lapsed_until: None,
         }
     }
 
+    /// The same, of entries that may have lapsed because the store was away until
+    /// `returned`.
+    pub fn lapsing(self, returned: Option<Instant>) -> Self {
+        Self {
+            lapsed_until: returned.map(|returned| returned + LAPSE_GRACE),
+            ..self
+        }
+    }
+
+    /// Whether the entry is still expected back.
+    pub fn is_lapse(&self, now: Instant) -> bool {
+        self.lapsed_until.is_some_and(|until| now < until)
+    }
+
     /// Whether others may have known of it for more than `limit` by now.
     pub fn may_be_older_than(&self, limit: Duration, now: Instant) -> bool {
         self.earliest
@@ -43,6 +62,10 @@
     }
 }
 
+/// Time after the store's return within which the entries of servers that live are back:
+/// about two seconds, and a little for this process to hear of it.
+pub const LAPSE_GRACE: Duration = Duration::from_millis(2_300);
+
 /// Whether a member is to get work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum MemberState {
@@ -50,6 +73,9 @@
     Ready,
     /// It has said that it is going to leave.
     Leaving(Departure),
+    /// Its entry is not there because the store was away, and is expected back: it is used
+    /// as before.
+    Lapsed(Departure),
     /// Its entry is no longer there; it may still serve.
     Gone(Departure),
 }
@@ -60,11 +86,19 @@
         match self {
             MemberState::Ready => "ready",
             MemberState::Leaving(_) => "leaving",
+            MemberState::Lapsed(_) => "lapsed",
             MemberState::Gone(_) => "gone",
         }
     }
 }
 
+impl MemberState {
+    /// Whether nothing is known against its use.
+    pub fn takes_work(&self) -> bool {
+        matches!(self, MemberState::Ready | MemberState::Lapsed(_))
+    }
+}
+
 impl serde::Serialize for MemberState {
     fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         serializer.serialize_str(self.name())
@@ -91,6 +125,11 @@
 }
 
 impl Member {
+    /// Whether its entry is there.
+    pub fn has_entry(&self) -> bool {
+        matches!(self.state, MemberState::Ready | MemberState::Leaving(_))
+    }
+
     /// Whether its entry has gone.
     pub fn is_gone(&self) -> bool {
         matches!(self.state, MemberState::Gone(_))
@@ -129,13 +168,13 @@
         address: Option<SocketAddr>,
     ) -> Option<&Arc<Member>> {
         let known = self.members.get(id);
-        if known.is_some_and(|member| !member.is_gone()) {
+        if known.is_some_and(|member| member.has_entry()) {
             return known;
         }
         let address = known.map(|member| member.address).or(address);
         let successor = self.members.values().find(|member| {
             let in_place = Some(member.address) == address && &*member.group == group;
-            in_place && member.role == Role::Primary && !member.is_gone()
+            in_place && member.role == Role::Primary && member.has_entry()
         });
         successor.or(known)
     }
@@ -233,12 +272,51 @@
         member
     }
 
+    /// Whether another server's entry stands for the address of `member`.
+    fn is_replaced(&self, member: &Member) -> bool {
+        let mut others = self.members.values();
+        others.any(|other| {
+            other.id != member.id && other.address == member.address && other.has_entry()
+        })
+    }
+
+    /// The directory without the lapses that have lasted too long by `now`: those members
+    /// have gone. `None` where there are none.
+    pub fn after_lapses(&self, now: Instant) -> Option<Self> {
+        let over = |member: &&Arc<Member>| match member.state {
+            MemberState::Lapsed(departure) => !departure.is_lapse(now),
+            _ => false,
+        };
+        let over: Vec<Arc<Member>> = self.members.values().filter(over).cloned().collect();
+        if over.is_empty() {
+            return None;
+        }
+        let mut next = self.clone();
+        for member in over {
+            next.insert_gone(&member, Departure::at(now));
+        }
+        Some(next)
+    }
+
     fn insert_gone(&mut self, member: &Arc<Member>, departure: Departure) {
         let now = departure.learned;
         let departure = match member.state {
             MemberState::Gone(known) | MemberState::Leaving(known) => known,
+            MemberState::Lapsed(known) if known.is_lapse(now) => known,
+            MemberState::Lapsed(known) => Departure {
+                lapsed_until: None,
+                ..known
+            },
             MemberState::Ready => departure,
         };
+        if departure.is_lapse(now) && !self.is_replaced(member) {
+            let lapsed = Member {
+                state: MemberState::Lapsed(departure),
+                ..Member::clone(member)
+            };
+            self.members.insert(lapsed.id.clone(), Arc::new(lapsed));
+            return;
+        }
         if now.duration_since(departure.learned) > GONE_MEMORY {
             self.members.remove(&member.id);
             return;
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 use stilequay_coordination::retry::{RetryBudget, RetryBudgetSettings};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// Calls that one process keeps waiting for changes: entries, configuration, records.
 const FEEDS: f64 = 3.0;
@@ -227,6 +228,13 @@
         self.directory.send_replace(Arc::new(directory));
     }
 
+    /// Takes members for gone whose entries have lapsed for too long.
+    pub fn end_lapses(&self) {
+        if let Some(next) = self.directory().after_lapses(Instant::now()) {
+            self.set_directory(next);
+        }
+    }
+
     /// Takes `members` into the directory, those of them whose entries it does not know.
     pub fn remember_members(&self, members: Vec<Member>) {
         self.directory.send_if_modified(|directory| {
--- a/crates/engine/src/home/following.rs
+++ b/crates/engine/src/home/following.rs
@@ -15,7 +15,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Processes that may follow the store themselves, each.
@@ -28,6 +28,8 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// What the knowledge of a follower may be older than one of its waits at the store.
 const AGE_MARGIN: Duration = Duration::from_millis(600);
+/// Time after the start within which a fleet that starts as a whole comes to know itself.
+const SETTLING: Duration = Duration::from_millis(800);
 /// Pause after nobody told anything, and of a process that follows by itself.
 const PAUSE: Duration = Duration::from_millis(250);
 
@@ -49,6 +51,7 @@
 #[derive(Debug)]
 pub struct Following {
     direct: watch::Sender<bool>,
+    began: Instant,
     heard: Mutex<[Option<Instant>; FEEDS]>,
 }
 
@@ -56,6 +59,7 @@
     fn default() -> Self {
         Self {
             direct: watch::Sender::new(true),
+            began: Instant::now(),
             heard: Mutex::default(),
         }
     }
@@ -68,13 +72,19 @@
     }
 
     /// Returns once this process is to follow the store itself; whether it had to wait, so
-    /// that what it knew of the store before is old.
-    pub async fn until_direct(&self) -> bool {
+    /// that what it knew of the store before is old. What is `known` already may wait a
+    /// moment after the start, until the fleet is known too.
+    pub async fn until_direct(&self, known: bool) -> bool {
+        let mut direct = self.direct.subscribe();
+        // The sender lives as long as this does.
+        if known {
+            let indirect = direct.wait_for(|direct| !*direct);
+            let _ = timeout_at(self.began + SETTLING, indirect).await;
+        }
         if self.is_direct() {
             return false;
         }
-        // The sender lives as long as this does.
-        let _ = self.direct.subscribe().wait_for(|direct| *direct).await;
+        let _ = direct.wait_for(|direct| *direct).await;
         true
     }
 
@@ -176,6 +186,12 @@
     Ok(())
 }
 
+/// Whether this process has not heard of the store for longer than it should, at `now`.
+pub fn is_out_of_date(engine: &Engine, now: Instant) -> bool {
+    let as_of = engine.following().known_as_of();
+    as_of.is_none_or(|at| now > at + age_limit(engine))
+}
+
 /// Greatest age of what a process that follows the store knows of it, while it is told.
 pub fn age_limit(engine: &Engine) -> Duration {
     engine.feed_wait() + AGE_MARGIN
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -62,12 +62,9 @@
 /// Whether this process has heard neither of the leader nor of the store for so long that it
 /// is not likely to learn of a leader soon.
 pub fn is_cut_off(engine: &Engine, group: &Group, now: Instant) -> bool {
-    let older = |at: Option<Instant>, age| at.is_none_or(|at| now > at + age);
-    older(group.evidence(), CUT_OFF_EVIDENCE)
-        && older(
-            engine.following().known_as_of(),
-            following::age_limit(engine),
-        )
+    let evidence = group.evidence();
+    let is_old = evidence.is_none_or(|at| now > at + CUT_OFF_EVIDENCE);
+    is_old && following::is_out_of_date(engine, now)
 }
 
 /// Asks a home of the leader for evidence, then the store, and other processes where it does
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -7,7 +7,7 @@
 //! any case.
 
 use super::survey::{Response, Surveyed};
-use crate::directory::{Member, MemberState, Role};
+use crate::directory::{Member, Role};
 use crate::names::MemberId;
 use crate::position::{LogPosition, Term};
 use std::net::SocketAddr;
@@ -87,7 +87,7 @@
 
     fn staying_previous(&self) -> Option<MemberId> {
         let mut old = self.members.iter().filter(|m| self.is_previous(m));
-        let staying = old.find(|m| m.member.state == MemberState::Ready)?;
+        let staying = old.find(|m| m.member.state.takes_work())?;
         Some(staying.member.id.clone())
     }
 
@@ -139,7 +139,7 @@
     fn best_other(&self) -> Option<(MemberId, LogPosition)> {
         let candidates = self.members.iter().filter_map(|member| {
             let report = member.response.report()?;
-            let stays = member.member.state == MemberState::Ready;
+            let stays = member.member.state.takes_work();
             let eligible = report.role == Role::Replica && !self.is_previous(member);
             let rank = (report.received, stays);
             eligible.then(|| (rank, member.member.id.clone()))
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -119,7 +119,7 @@
         let mut version = None;
         let mut dependency = DependencyMonitor::new("term_records");
         loop {
-            if engine.following().until_direct().await {
+            if engine.following().until_direct(false).await {
                 version = None;
             }
             let begun = Instant::now();
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -31,6 +31,8 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
+/// Interval in which lapsed entries are looked at.
+const LAPSE_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause before the store is asked again who leads a group that was never promoted.
 const FIRST_LEADER_PAUSE: Duration = Duration::from_millis(100);
 
@@ -47,9 +49,18 @@
         fleet::follow(&engine),
         following::follow(&engine),
         follow_directory(&engine),
+        end_lapses(&engine),
     );
 }
 
+/// Looks for entries that were expected back and have not come.
+async fn end_lapses(engine: &Engine) {
+    loop {
+        sleep(LAPSE_INTERVAL).await;
+        engine.end_lapses();
+    }
+}
+
 /// A leader may come back under another name.
 async fn follow_directory(engine: &Engine) {
     let mut directory = engine.subscribe_directory();
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -137,6 +137,7 @@
     let departure = Departure {
         learned: Instant::now(),
         earliest: None,
+        lapsed_until: None,
     };
     let members = roster.members.into_iter().map(|known| Member {
         id: known.id,
--- a/crates/engine/src/peers/declared.rs
+++ b/crates/engine/src/peers/declared.rs
@@ -35,8 +35,10 @@
 
 fn declare(directory: &Directory, now: Instant) -> DeclaredDirectory {
     let age_ms = |at: Instant| millis(now.saturating_duration_since(at));
+    let left_ms = |until: Instant| millis(until.saturating_duration_since(now));
     let departure = |gone: bool, departure: Departure| DeclaredDeparture {
         gone,
+        lapsed_left_ms: departure.lapsed_until.map(left_ms),
         learned_age_ms: age_ms(departure.learned),
         earliest_age_ms: departure.earliest.map(age_ms),
     };
@@ -50,7 +52,7 @@
         departure: match member.state {
             MemberState::Ready => None,
             MemberState::Leaving(known) => Some(departure(false, known)),
-            MemberState::Gone(known) => Some(departure(true, known)),
+            MemberState::Lapsed(known) | MemberState::Gone(known) => Some(departure(true, known)),
         },
     });
     DeclaredDirectory {
@@ -116,9 +118,13 @@
     let departure = Departure {
         learned: before(declared.learned_age_ms).unwrap_or(asked),
         earliest: declared.earliest_age_ms.and_then(before),
+        lapsed_until: declared
+            .lapsed_left_ms
+            .map(|left_ms| asked + Duration::from_millis(left_ms)),
     };
-    match declared.gone {
-        true => MemberState::Gone(departure),
-        false => MemberState::Leaving(departure),
+    match (declared.gone, departure.lapsed_until) {
+        (true, Some(_)) => MemberState::Lapsed(departure),
+        (true, None) => MemberState::Gone(departure),
+        (false, _) => MemberState::Leaving(departure),
     }
 }
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -112,6 +112,8 @@
 pub struct DeclaredDeparture {
     /// Its entry has gone.
     pub gone: bool,
+    /// For how long its entry is still expected back, ms, where it has lapsed.
+    pub lapsed_left_ms: Option<u64>,
     /// Since it was learned of, ms.
     pub learned_age_ms: u64,
     /// Since it may have been known to others, ms; `None` where that is not known.
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -108,7 +108,7 @@
 /// known for too long, also to others only.
 pub fn is_past_use(engine: &Engine, state: MemberState, now: Instant) -> bool {
     match state {
-        MemberState::Ready => false,
+        MemberState::Ready | MemberState::Lapsed(_) => false,
         MemberState::Leaving(departure) | MemberState::Gone(departure) => {
             departure.may_be_older_than(engine.settings().leaving_use, now)
         }
@@ -131,7 +131,7 @@
         is_remote: pool.member().zone != engine.settings().zone,
         is_leader,
         is_doubtful: lacks || health.is_busy(now),
-        is_leaving: state != MemberState::Ready,
+        is_leaving: !state.takes_work(),
         is_unreachable: health.is_unreachable(now),
     };
     cost.total_ms()
--- a/crates/engine/tests/departures.rs
+++ b/crates/engine/tests/departures.rs
@@ -34,6 +34,7 @@
     let departure = Departure {
         learned: Instant::now(),
         earliest: unseen_ms.map(|_| before),
+        lapsed_until: None,
     };
     advance(Duration::from_millis(waited_ms)).await;
     let engine = &fleet.nodes[0].engine;
@@ -91,3 +92,84 @@
     let directory = directory.updated(4, Vec::new(), Departure::at(Instant::now()));
     assert!(directory.member("a").is_none());
 }
+
+/// What becomes of the entry of a server after it went away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Then {
+    Stays,
+    ComesBack,
+    IsReplacedAtItsAddress,
+}
+
+/// Where an entry stands some time after the store is back, where it was away.
+#[rstest]
+#[case::the_store_was_there(None, Then::Stays, 0, "gone")]
+#[case::just_back(Some(0), Then::Stays, 0, "lapsed")]
+#[case::within_two_seconds(Some(0), Then::Stays, 1_900, "lapsed")]
+#[case::missing_after_that(Some(0), Then::Stays, 2_500, "gone")]
+#[case::learned_late(Some(1_500), Then::Stays, 1_000, "gone")]
+#[case::long_after_the_return(Some(3_000), Then::Stays, 0, "gone")]
+#[case::alive(Some(0), Then::ComesBack, 1_500, "ready")]
+#[case::back_late(Some(0), Then::ComesBack, 4_000, "ready")]
+#[case::replaced(Some(0), Then::IsReplacedAtItsAddress, 300, "gone")]
+#[tokio::test(start_paused = true)]
+async fn an_entry_that_lapsed_with_the_store_is_expected_back(
+    #[case] back_for_ms: Option<u64>,
+    #[case] then: Then,
+    #[case] later_ms: u64,
+    #[case] expected: &str,
+) {
+    let fleet = Fleet::start(1).await;
+    let engine = &fleet.nodes[0].engine;
+    let start = Departure::at(Instant::now());
+    let directory = Directory::default().replaced(1, vec![member(MemberState::Ready)], start);
+    let returned = Instant::now();
+    advance(Duration::from_millis(back_for_ms.unwrap_or(0))).await;
+    let departure = Departure::at(Instant::now()).lapsing(back_for_ms.map(|_| returned));
+    let mut directory = directory.replaced(2, Vec::new(), departure);
+    let lapsed = directory.member("a").map(|member| member.state);
+    if lapsed.is_some_and(|state| state.takes_work()) {
+        // It is used as before, starts no promotion and dates no departure.
+        assert!(!is_past_use(engine, lapsed.expect("one"), Instant::now()));
+        assert!(!directory.member("a").expect("one").is_gone());
+    }
+    advance(Duration::from_millis(later_ms)).await;
+    let now = Instant::now();
+    let present = match then {
+        Then::Stays => None,
+        Then::ComesBack => Some(member(MemberState::Ready)),
+        Then::IsReplacedAtItsAddress => Some(Member {
+            id: "b".into(),
+            ..member(MemberState::Ready)
+        }),
+    };
+    if let Some(present) = present {
+        let departure = Departure::at(now).lapsing(Some(returned));
+        directory = directory.replaced(3, vec![present], departure);
+    }
+    let directory = directory.after_lapses(now).unwrap_or(directory);
+    assert_eq!(directory.member("a").expect("one").state.name(), expected);
+}
+
+/// Others learn that an entry has lapsed, and for how long it is still expected back.
+#[tokio::test(start_paused = true)]
+async fn a_lapse_is_told_to_other_processes() {
+    let fleet = Fleet::start(2).await;
+    let engines = [&fleet.nodes[0].engine, &fleet.nodes[1].engine];
+    let until_known = || engines.iter().all(|engine| engine.processes() == 2);
+    support::until(until_known).await;
+    let now = Instant::now();
+    let departure = Departure::at(now).lapsing(Some(now));
+    let entries = fleet.world.entries().into_iter();
+    let present = entries.filter(|member| &*member.id != "c");
+    let version = engines[1].directory().version + 1_000_000;
+    let directory = engines[0].directory();
+    engines[0].set_directory(directory.replaced(version, present.collect(), departure));
+    fleet.world.hidden.lock().unwrap().insert("c".to_owned());
+    stilequay_engine::peers::declared::ask(engines[1]).await;
+    let state = engines[1]
+        .directory()
+        .member("c")
+        .map(|member| member.state);
+    assert_eq!(state.expect("one").name(), "lapsed");
+}
--- a/crates/engine/tests/peers.rs
+++ b/crates/engine/tests/peers.rs
@@ -168,6 +168,7 @@
     let leaving = Departure {
         learned: now,
         earliest: now.checked_sub(Duration::from_millis(700)),
+        lapsed_until: None,
     };
     let state = MemberState::Leaving(leaving);
     fleet.world.change("c", |server| server.state = state);
