Weigh a member's slots too where a fleet decides on homes

Change: processes connect by themselves where connections suffice and there are at most six for each slot; a home uses at most ten connections for each slot.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -5,8 +5,9 @@
 use crate::events::{Event, EventLog};
 use crate::group::Group;
 use crate::home::following::Following;
+use crate::home::placement::Capacity;
 use crate::home::{Homes, RemoteBackEnd, placement};
-use crate::leadership::fleet::{connection_share, home_share};
+use crate::leadership::fleet::connection_share;
 use crate::leadership::follower::TermFollower;
 use crate::names::{GroupName, MemberId, NodeName, ZoneName};
 use crate::pool::MemberPool;
@@ -320,22 +321,25 @@
         }
     }
 
-    /// Connections that `member` accepts from all processes together.
-    fn accepted_connections(&self, member: &Member) -> usize {
+    /// What `member` offers all processes together.
+    fn capacity(&self, member: &Member) -> Capacity {
         let configuration = self.configuration.borrow();
         let settings = configuration.as_ref();
         let settings = settings.and_then(|c| c.groups.get(&member.group));
-        settings.map_or(FIRST_MEMBER_CONNECTIONS, |s| s.member_connections)
+        Capacity {
+            connections: settings.map_or(FIRST_MEMBER_CONNECTIONS, |s| s.member_connections),
+            slots: Some(member.slots).filter(|slots| *slots > 0),
+        }
     }
 
     fn connection_share(&self, member: &Member) -> usize {
-        let accepted = self.accepted_connections(member);
+        let capacity = self.capacity(member);
         let processes = self.processes();
-        if placement::suffices_for_all(accepted, processes) {
-            return connection_share(accepted, processes);
+        if capacity.suffices_for(processes) {
+            return connection_share(capacity.connections, processes);
         }
         match self.homes.is_candidate(member) {
-            true => home_share(accepted),
+            true => capacity.home_share(),
             false => placement::LEAST_SHARE,
         }
     }
@@ -343,8 +347,7 @@
     /// Whether this process runs its sessions' statements at `member` over connections of
     /// its own: it is one of its homes, or the fleet is so small that it needs none.
     pub fn connects_itself(&self, member: &Member) -> bool {
-        let accepted = self.accepted_connections(member);
-        placement::suffices_for_all(accepted, self.processes()) || self.homes.is_home(member)
+        self.capacity(member).suffices_for(self.processes()) || self.homes.is_home(member)
     }
 
     /// Whether this process may have connections to the member called `id`, so that its
@@ -359,11 +362,9 @@
     pub fn watchers(&self, group: &str) -> usize {
         let directory = self.directory();
         let members = directory.members_of(group);
-        let accepted = members
-            .first()
-            .map(|member| self.accepted_connections(member));
+        let capacity = members.first().map(|member| self.capacity(member));
         let processes = self.processes();
-        match accepted.is_none_or(|a| placement::suffices_for_all(a, processes)) {
+        match capacity.is_none_or(|capacity| capacity.suffices_for(processes)) {
             true => processes,
             false => placement::HOMES,
         }
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -18,10 +18,46 @@
 /// a transaction.
 pub const LEAST_SHARE: usize = 2;
 
-/// Whether each of `processes` can hold connections of its own to a member that accepts
-/// `accepted`.
-pub fn suffices_for_all(accepted: usize, processes: usize) -> bool {
-    processes.saturating_mul(LEAST_SHARE) <= accepted
+/// Processes that connect to a member by themselves for each statement that it runs at a
+/// time, at the most. More would fill its queue with what none of them knows of the others,
+/// and each new connection takes a place there too.
+const PROCESSES_PER_SLOT: usize = 6;
+/// Connections that one home uses for each statement that the member runs at a time, at the
+/// most: some rest inside transactions.
+const HOME_CONNECTIONS_PER_SLOT: usize = 10;
+/// Connections of a member that are left to orders and to processes not counted yet.
+pub const RESERVED: usize = 6;
+
+/// What a member offers all processes together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Capacity {
+    /// Connections that it accepts.
+    pub connections: usize,
+    /// Statements that it runs at a time; `None` where it has not told.
+    pub slots: Option<usize>,
+}
+
+impl Capacity {
+    /// Whether each of `processes` can hold connections of its own.
+    ///
+    /// ```
+    /// use stilequay_engine::home::placement::Capacity;
+    /// let member = Capacity { connections: 34, slots: Some(3) };
+    /// assert!(member.suffices_for(6));
+    /// assert!(!member.suffices_for(67));
+    /// ```
+    pub fn suffices_for(self, processes: usize) -> bool {
+        let connections = processes.saturating_mul(LEAST_SHARE) <= self.connections;
+        let slots = self.slots.map(|slots| slots * PROCESSES_PER_SLOT);
+        connections && slots.is_none_or(|most| processes <= most)
+    }
+
+    /// Connections that one home may use.
+    pub fn home_share(self) -> usize {
+        let share = self.connections.saturating_sub(RESERVED) / HOMES;
+        let most = self.slots.map(|slots| slots * HOME_CONNECTIONS_PER_SLOT);
+        share.min(most.unwrap_or(usize::MAX)).max(LEAST_SHARE)
+    }
 }
 
 /// Groups whose evidence one process keeps: the store tells it of all of them in one call.
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -4,7 +4,7 @@
 //! share of each follows from their number.
 
 use crate::engine::Engine;
-use crate::home::placement::{HOMES, LEAST_SHARE, Peer};
+use crate::home::placement::{LEAST_SHARE, Peer, RESERVED};
 use crate::names::{NodeName, ZoneName};
 use crate::ports::Record;
 use serde::{Deserialize, Serialize};
@@ -22,8 +22,6 @@
 const RECORD_LIFE: Duration = Duration::from_secs(400);
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
-/// Connections of a member that are left to orders and to processes not counted yet.
-const RESERVED: usize = 6;
 /// Greatest number: more than one process needs would only wait in the member's queue.
 const GREATEST_SHARE: usize = 6;
 
@@ -75,12 +73,6 @@
     share.clamp(LEAST_SHARE, GREATEST_SHARE)
 }
 
-/// Connections that one home may use of a member that accepts `accepted`.
-pub fn home_share(accepted: usize) -> usize {
-    let share = accepted.saturating_sub(RESERVED) / HOMES;
-    share.max(LEAST_SHARE)
-}
-
 /// Keeps this process's record.
 pub async fn register(engine: &Engine) {
     let key = format!("{KEY_PREFIX}{}", engine.settings().node);
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -10,9 +10,7 @@
 use std::time::Duration;
 use stilequay_engine::directory::Member;
 use stilequay_engine::engine::StopPhase;
-use stilequay_engine::home::placement::{
-    CANDIDATES, HOMES, Peer, block_of, rank, suffices_for_all,
-};
+use stilequay_engine::home::placement::{CANDIDATES, Capacity, HOMES, Peer, block_of, rank};
 use stilequay_engine::statement::{Access, Reply};
 use stilequay_engine::verdict::Verdict;
 use support::history::History;
@@ -74,17 +72,33 @@
 }
 
 #[rstest]
-#[case::six_before_sixteen(16, 6, true)]
-#[case::eight_before_sixteen(16, 8, true)]
-#[case::nine_before_sixteen(16, 9, false)]
-#[case::ninety_before_sixty_three(63, 90, false)]
-#[case::the_target(100, 6_100, false)]
+#[case::six(16, Some(2), 6, true)]
+#[case::eight(32, Some(2), 8, true)]
+#[case::nine_with_few_connections(16, Some(2), 9, false)]
+#[case::ninety(63, Some(3), 90, false)]
+#[case::many_connections_and_few_slots(225, Some(3), 68, false)]
+#[case::slots_that_are_not_told(225, None, 68, true)]
+#[case::the_target(100, Some(8), 6_100, false)]
 fn connections_suffice_by_arithmetic(
-    #[case] accepted: usize,
+    #[case] connections: usize,
+    #[case] slots: Option<usize>,
     #[case] processes: usize,
     #[case] suffices: bool,
 ) {
-    assert_eq!(suffices_for_all(accepted, processes), suffices);
+    let capacity = Capacity { connections, slots };
+    assert_eq!(capacity.suffices_for(processes), suffices);
+}
+
+#[rstest]
+#[case::a_share_of_few(63, Some(3), 28)]
+#[case::no_more_than_the_slots_need(225, Some(3), 30)]
+#[case::never_less_than_two(7, Some(3), 2)]
+fn a_home_has_its_share(
+    #[case] connections: usize,
+    #[case] slots: Option<usize>,
+    #[case] share: usize,
+) {
+    assert_eq!(Capacity { connections, slots }.home_share(), share);
 }
 
 fn peers(count: usize) -> Vec<Peer> {
