Give links, homes and following a place each; tell what a home did with a statement

Cause: one folder held four concerns; from a request's id at the process that took it there was no way to what its home did. Change: link/ (frames and the client side), home/ (placement, remote connections, units), following.rs and serving.rs; no behaviour. Measured: engine and platform tests; a_standing_queue_refuses_early::case_2 failed once in the whole run and in 0 of 40 repeats; being traced.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,8 +3,8 @@
 use crate::configuration::{Configuration, Route};
 use crate::directory::{Directory, Member};
 use crate::events::{Event, EventLog};
+use crate::following::Following;
 use crate::group::Group;
-use crate::home::following::Following;
 use crate::home::placement::Capacity;
 use crate::home::{Homes, RemoteBackEnd, placement};
 use crate::leadership::fleet::connection_share;
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -102,6 +102,20 @@
         /// Version of the configuration.
         configuration: u64,
     },
+    /// A statement that another process has forwarded was not sent to its member, was lost
+    /// there, or took long.
+    Forwarded {
+        /// The request.
+        id: RequestId,
+        /// The member.
+        member: MemberId,
+        /// `not_sent`, `lost` or `late`.
+        result: &'static str,
+        /// Why.
+        reason: String,
+        /// Time for which it was here, ms.
+        elapsed_ms: u64,
+    },
     /// A configuration was taken into use.
     ConfigurationTaken {
         /// Its version.
@@ -211,7 +225,9 @@
                 OutcomeEvent::Completed => EventClass::Failure,
                 OutcomeEvent::Failed { .. } => EventClass::Failure,
             },
-            Event::SessionRefused { .. } | Event::AnswerUndelivered { .. } => EventClass::Failure,
+            Event::SessionRefused { .. }
+            | Event::AnswerUndelivered { .. }
+            | Event::Forwarded { .. } => EventClass::Failure,
             _ => EventClass::Belief,
         }
     }
--- a/crates/engine/src/home/following.rs
+++ b/crates/engine/src/following.rs
@@ -1,14 +1,14 @@
-//! Following the store by way of another process.
+//! Following the store, or another process that does.
 //!
 //! In a small fleet every process follows the store itself. In a larger one the first few of
 //! each zone do, and the others ask one of these for what is newer than what they know: so
 //! what the store is asked does not grow with the fleet. A process goes back to the store
 //! whenever none of them tells it, within the time in which it has to know.
 
-use super::frame::{FollowedVersions, News};
-use super::placement::Peer;
 use crate::engine::Engine;
 use crate::events::{DependencyMonitor, millis};
+use crate::home::placement::Peer;
+use crate::link::frame::{FollowedVersions, News};
 use crate::peers::declared;
 use crate::ports::{Record, RecordChanges};
 use std::net::SocketAddr;
--- a/crates/engine/src/home/mod.rs
+++ b/crates/engine/src/home/mod.rs
@@ -21,22 +21,18 @@
 //! Two processes that disagree on who is home each have their statements run by another
 //! one: the member sees more connections, and no promise depends on it.
 
-pub mod following;
-mod frame;
-mod link;
 pub mod placement;
 mod remote;
-mod serve;
+pub mod unit;
 
 pub use placement::Homes;
 pub use remote::RemoteBackEnd;
-pub use serve::serve;
 
 use crate::engine::Engine;
 use crate::group::Group;
+use crate::link::frame::Wanted;
 use crate::peers;
 use crate::ports::GroupBelief;
-use frame::Wanted;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -1,7 +1,7 @@
 //! Which processes are the homes of a member.
 
-use super::link::{Link, Links};
 use crate::directory::Member;
+use crate::link::{Link, Links};
 use crate::names::{MemberId, NodeName, ZoneName};
 use crate::ports::PeerNetwork;
 use std::collections::HashMap;
--- a/crates/engine/src/home/remote.rs
+++ b/crates/engine/src/home/remote.rs
@@ -1,9 +1,9 @@
 //! Connections to a member by way of its homes.
 
-use super::frame::{HomeCommand, HomeOutcome, NotSent, RunRequest, UnitId};
-use super::link::Link;
 use super::placement::{Homes, LEAST_SHARE};
 use crate::directory::Member;
+use crate::link::Link;
+use crate::link::frame::{HomeCommand, HomeOutcome, NotSent, RunRequest, UnitId};
 use crate::names::MemberId;
 use crate::ports::{
     Admission, Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError,
--- /dev/null
+++ b/crates/engine/src/home/unit.rs
@@ -0,0 +1,191 @@
+//! A unit at a home: a single statement, or a transaction, on one of the connections that
+//! the home holds.
+
+use crate::directory::Member;
+use crate::engine::Engine;
+use crate::group::{Group, UsableLeader};
+use crate::link::frame::{HomeCommand, HomeOutcome, NotSent, RunRequest};
+use crate::pool::{AcquireError, Claim, MemberPool, PooledConnection, RunError, Work};
+use crate::ports::{Answer, Command};
+use crate::routing::is_past_use;
+use crate::statement::Access;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep};
+
+/// How long a command goes on for which nobody waits any more: most are answered soon, and
+/// the connection stays good.
+const ABANDONED_WAIT: Duration = Duration::from_millis(400);
+
+/// A unit on its connection.
+#[derive(Debug)]
+pub struct Unit {
+    group: Arc<Group>,
+    pool: Arc<MemberPool>,
+    connection: PooledConnection,
+    replicated: bool,
+    wrote: bool,
+    has_begun: bool,
+}
+
+impl Unit {
+    /// Waits for the turn of the unit that begins with `request`.
+    ///
+    /// # Errors
+    ///
+    /// [`NotSent`] where there is no connection in time.
+    pub async fn open(engine: &Engine, request: &RunRequest) -> Result<Self, NotSent> {
+        let now = Instant::now();
+        let pool = usable_pool(engine, &request.member, now)?;
+        let group = engine.group(&pool.member().group);
+        let claim = Claim {
+            database: request.database.clone(),
+            rank: request.rank,
+            values: Arc::new(request.values.clone()),
+            patience: request.patience,
+        };
+        let acquired = pool.acquire(&claim, now + request.wait).await;
+        let connection = acquired.map_err(|error| match error {
+            AcquireError::Exhausted => NotSent::Exhausted,
+            AcquireError::Shed(retry_after) => NotSent::Shed { retry_after },
+            error => NotSent::Unreachable(error.to_string()),
+        })?;
+        Ok(Self {
+            replicated: engine.sync_replicas(group.name()) > 0,
+            group,
+            pool,
+            connection,
+            wrote: false,
+            has_begun: false,
+        })
+    }
+
+    /// Ends it where nobody waits for it any more.
+    pub fn roll_back(self) {
+        self.connection.roll_back();
+    }
+
+    /// Runs a command; for a moment only where nobody waits for it any more. `None` where
+    /// it was given up.
+    pub async fn run_for(
+        &mut self,
+        request: RunRequest,
+        rx: &mut mpsc::Receiver<RunRequest>,
+    ) -> Option<HomeOutcome> {
+        let mut running = std::pin::pin!(self.run(request));
+        tokio::select! {
+            outcome = &mut running => return Some(outcome),
+            None = rx.recv() => {}
+        }
+        tokio::select! {
+            outcome = &mut running => Some(outcome),
+            () = sleep(ABANDONED_WAIT) => None,
+        }
+    }
+
+    async fn run(&mut self, request: RunRequest) -> HomeOutcome {
+        let values = Arc::new(request.values);
+        if let Err(error) = self.connection.put_values(&values).await {
+            return self.failed_before(error.to_string());
+        }
+        let leader = self.group.as_leader(&self.pool.member().id);
+        let sent = Instant::now();
+        let commits = self.is_commit(&request.command);
+        if commits && leader.is_some() {
+            self.group.record_commit_sent(sent);
+        }
+        match self.run_command(request.command).await {
+            Ok(answer) => {
+                self.has_begun = true;
+                self.learn(leader.as_ref(), sent, commits, &answer);
+                HomeOutcome::Answered(answer)
+            }
+            Err(RunError::Before(error)) => self.failed_before(error.to_string()),
+            Err(RunError::After(error)) => HomeOutcome::Lost(error.to_string()),
+        }
+    }
+
+    /// The connection failed before a command was sent on it. In a transaction, what was
+    /// done before is lost with it.
+    fn failed_before(&self, reason: String) -> HomeOutcome {
+        match self.has_begun {
+            true => HomeOutcome::Lost(reason),
+            false => HomeOutcome::NotSent(NotSent::Unreachable(reason)),
+        }
+    }
+
+    async fn run_command(&mut self, command: HomeCommand) -> Result<Answer, RunError> {
+        let connection = &mut self.connection;
+        let after_sent = RunError::After;
+        match command {
+            HomeCommand::Begin { read_only, after } => {
+                let begin = Command::Begin { read_only, after };
+                connection.run(&begin).await.map_err(after_sent)
+            }
+            HomeCommand::Commit { id } => {
+                let commit = Command::Commit { id };
+                connection.run(&commit).await.map_err(after_sent)
+            }
+            HomeCommand::Rollback => connection.run(&Command::Rollback).await.map_err(after_sent),
+            HomeCommand::Run {
+                id,
+                text,
+                access,
+                after,
+            } => {
+                self.wrote |= access == Access::Write;
+                let work = Work::Text { text, access };
+                connection.run_work(&id, &work, after).await
+            }
+            HomeCommand::Execute {
+                id,
+                prepared,
+                arguments,
+                after,
+            } => {
+                self.wrote |= prepared.access == Access::Write;
+                let work = Work::Prepared {
+                    prepared,
+                    arguments,
+                };
+                connection.run_work(&id, &work, after).await
+            }
+        }
+    }
+
+    /// Whether the answer to `command` acknowledges a commit that writes.
+    fn is_commit(&self, command: &HomeCommand) -> bool {
+        match command {
+            HomeCommand::Begin { .. } | HomeCommand::Rollback => false,
+            HomeCommand::Commit { .. } => self.wrote,
+            HomeCommand::Run { access, .. } => !self.has_begun && *access == Access::Write,
+            HomeCommand::Execute { prepared, .. } => {
+                !self.has_begun && prepared.access == Access::Write
+            }
+        }
+    }
+
+    /// Takes what an answer tells of the leader: the evidence of the whole fleet's commits
+    /// comes together here.
+    fn learn(&self, leader: Option<&UsableLeader>, sent: Instant, commits: bool, answer: &Answer) {
+        let Some(leader) = leader else { return };
+        if commits && answer.outcome.is_ok() {
+            self.group
+                .record_commit(leader, sent, answer.position, self.replicated);
+        } else if let Some(position) = answer.position {
+            self.group.record_leader_position(leader, sent, position);
+        }
+    }
+}
+
+fn usable_pool(engine: &Engine, member: &str, now: Instant) -> Result<Arc<MemberPool>, NotSent> {
+    let directory = engine.directory();
+    let known = directory.member(member);
+    let unknown = || NotSent::Unreachable("the member is not known here".to_owned());
+    let member: &Arc<Member> = known.ok_or_else(unknown)?;
+    if is_past_use(engine, member.state, now) {
+        return Err(NotSent::Unreachable("the member is leaving".to_owned()));
+    }
+    Ok(engine.pool(member))
+}
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -1,8 +1,9 @@
 //! Waiting for a leader that may be used.
 
 use crate::engine::Engine;
+use crate::following;
 use crate::group::{Epoch, Group, UsableLeader};
-use crate::home::{self, following};
+use crate::home;
 use crate::peers;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -23,8 +23,8 @@
 mod watcher;
 
 use crate::engine::Engine;
+use crate::following;
 use crate::group::Group;
-use crate::home::following;
 use crate::ports::Promoter;
 use duty::Duty;
 use std::sync::Arc;
--- a/crates/engine/src/home/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -1,4 +1,4 @@
-//! What goes over a link between a process and a home.
+//! What goes over a link: to the process that serves it, and back.
 
 use crate::names::{DatabaseName, GroupName, MemberId, RequestId};
 use crate::ports::{Answer, DeclaredState, DeclaredVersions, GroupBelief, Record};
@@ -142,6 +142,18 @@
     pub records_version: u64,
 }
 
+impl HomeCommand {
+    /// The caller's request, where it is one.
+    pub fn id(&self) -> Option<&RequestId> {
+        match self {
+            HomeCommand::Begin { .. } | HomeCommand::Rollback => None,
+            HomeCommand::Commit { id }
+            | HomeCommand::Run { id, .. }
+            | HomeCommand::Execute { id, .. } => Some(id),
+        }
+    }
+}
+
 /// From a home.
 #[derive(Debug, Serialize, Deserialize)]
 pub enum FromHome {
--- /dev/null
+++ b/crates/engine/src/link/mod.rs
@@ -0,0 +1,7 @@
+//! Links between processes of the fleet: one to each process that is asked often, shared by
+//! all that ask it. [`serving`](crate::serving) is the other side.
+
+mod client;
+pub mod frame;
+
+pub use client::{Link, Links};
--- a/crates/engine/src/peers/tcp.rs
+++ b/crates/engine/src/peers/tcp.rs
@@ -2,11 +2,11 @@
 
 use super::{beliefs, declared};
 use crate::engine::Engine;
-use crate::home;
 use crate::names::GroupName;
 use crate::ports::{
     DeclaredState, DeclaredVersions, GroupBelief, PeerError, PeerLink, PeerNetwork,
 };
+use crate::serving;
 use async_trait::async_trait;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -163,7 +163,7 @@
             else {
                 return;
             };
-            home::serve(engine, link).await;
+            serving::serve(engine, link).await;
         });
     }
 }
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -163,6 +163,6 @@
         known: DeclaredVersions,
     ) -> Result<DeclaredState, PeerError>;
 
-    /// Opens a link to the process at `peer`, which [serves](crate::home::serve) it.
+    /// Opens a link to the process at `peer`, which [serves](crate::serving::serve) it.
     async fn link(&self, peer: SocketAddr) -> Result<PeerLink, PeerError>;
 }
--- /dev/null
+++ b/crates/engine/src/serving.rs
@@ -0,0 +1,236 @@
+//! The other side of a link: answers what its process asks, and runs what it forwards.
+
+use crate::engine::{Engine, StopPhase};
+use crate::events::{Event, millis};
+use crate::following;
+use crate::group::Group;
+use crate::home::unit::Unit;
+use crate::leadership::access::renew_evidence;
+use crate::leadership::freshness;
+use crate::link::frame::{
+    FromHome, HomeOutcome, RunRequest, ToHome, UnitId, Wanted, decode, encode,
+};
+use crate::names::{GroupName, MemberId, RequestId};
+use crate::peers::beliefs;
+use crate::ports::{GroupBelief, PeerLink};
+use crate::statement::TransactionState;
+use bytes::Bytes;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+/// Commands of one unit that may wait: each is answered before the next comes.
+const UNIT_QUEUE: usize = 4;
+/// Silence after which the other side of a link counts as gone.
+const SILENCE_LIMIT: Duration = Duration::from_secs(60);
+/// Age of evidence that is told as it is; older evidence is renewed first.
+const EVIDENCE_AGE: Duration = Duration::from_millis(280);
+/// Age of the moment that a position covers which is told as it is.
+const POSITION_AGE: Duration = Duration::from_millis(800);
+/// Longest time for which a question for news waits.
+const NEWS_WAIT_MAX: Duration = Duration::from_secs(10);
+/// Longest wait for something more recent.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(60);
+
+/// Time after which a forwarded statement counts as late here.
+const LATE: Duration = Duration::from_millis(200);
+
+/// A forwarded statement, as events tell of it.
+struct Forwarded {
+    id: Option<RequestId>,
+    member: MemberId,
+}
+
+impl Forwarded {
+    fn of(request: &RunRequest) -> Self {
+        Self {
+            id: request.command.id().cloned(),
+            member: request.member.clone(),
+        }
+    }
+}
+
+/// What the tasks of one link share.
+#[derive(Debug, Clone)]
+struct LinkTask {
+    engine: Arc<Engine>,
+    tx: mpsc::Sender<Bytes>,
+}
+
+/// Serves one link until it ends.
+pub async fn serve(engine: Arc<Engine>, link: PeerLink) {
+    let PeerLink { tx, mut rx } = link;
+    let task = LinkTask { engine, tx };
+    let mut units: HashMap<UnitId, mpsc::Sender<RunRequest>> = HashMap::new();
+    let mut stop = task.engine.subscribe_stop();
+    let mut leaving = false;
+    loop {
+        if !leaving && *stop.borrow_and_update() > StopPhase::Serving {
+            leaving = true;
+            task.tell(&FromHome::Leaving).await;
+        }
+        let frame = tokio::select! {
+            frame = timeout(SILENCE_LIMIT, rx.recv()) => frame,
+            Ok(()) = stop.changed() => continue,
+        };
+        let Ok(Some(frame)) = frame else { return };
+        match decode::<ToHome>(&frame) {
+            Some(ToHome::Run(request)) => {
+                units.retain(|_, unit| !unit.is_closed());
+                task.hand_over(&mut units, *request);
+            }
+            Some(ToHome::Close(unit)) => {
+                units.remove(&unit);
+            }
+            Some(ToHome::Ask {
+                exchange,
+                group,
+                wanted,
+            }) => {
+                let task = task.clone();
+                tokio::spawn(async move {
+                    let beliefs = task.believe(group, wanted).await;
+                    task.tell(&FromHome::Beliefs { exchange, beliefs }).await;
+                });
+            }
+            Some(ToHome::Follow {
+                exchange,
+                known,
+                wait,
+            }) => {
+                let task = task.clone();
+                tokio::spawn(async move {
+                    let wait = wait.min(NEWS_WAIT_MAX);
+                    let news = Box::new(following::news(&task.engine, known, wait).await);
+                    task.tell(&FromHome::News { exchange, news }).await;
+                });
+            }
+            Some(ToHome::Ping) => task.tell(&FromHome::Pong).await,
+            None => {
+                log::warn!("a process said what makes no sense; its link is closed");
+                return;
+            }
+        }
+    }
+}
+
+impl LinkTask {
+    async fn tell(&self, frame: &FromHome) {
+        // Where the link has ended there is nobody to tell.
+        let _ = self.tx.send(encode(frame)).await;
+    }
+
+    /// Writes what became of a forwarded statement where that explains a failure.
+    fn note(&self, told: &Forwarded, outcome: &HomeOutcome, began: Instant) {
+        let elapsed = began.elapsed();
+        let (result, reason) = match outcome {
+            HomeOutcome::Answered(_) if elapsed < LATE => return,
+            HomeOutcome::Answered(_) => ("late", String::new()),
+            HomeOutcome::NotSent(reason) => ("not_sent", format!("{reason:?}")),
+            HomeOutcome::Lost(reason) => ("lost", reason.clone()),
+        };
+        let Some(id) = told.id.clone() else { return };
+        self.engine.events().write(&Event::Forwarded {
+            id,
+            member: told.member.clone(),
+            result,
+            reason,
+            elapsed_ms: millis(elapsed),
+        });
+    }
+
+    /// Gives a command to its unit's task; a new unit gets one.
+    fn hand_over(
+        &self,
+        units: &mut HashMap<UnitId, mpsc::Sender<RunRequest>>,
+        request: RunRequest,
+    ) {
+        if let Some(unit) = units.get(&request.unit) {
+            // A unit has one command at a time: its queue has room.
+            let _ = unit.try_send(request);
+            return;
+        }
+        let (tx, rx) = mpsc::channel(UNIT_QUEUE);
+        units.insert(request.unit, tx);
+        let task = self.clone();
+        tokio::spawn(async move { task.run_unit(request, rx).await });
+    }
+
+    /// Runs a unit from its first command to its end on one connection.
+    async fn run_unit(&self, first: RunRequest, mut rx: mpsc::Receiver<RunRequest>) {
+        metrics::counter!("stilequay_home_units_total").increment(1);
+        let exchange = first.exchange;
+        let began = Instant::now();
+        let told = Forwarded::of(&first);
+        let acquired = tokio::select! {
+            acquired = Unit::open(&self.engine, &first) => acquired,
+            // Nobody waits any more.
+            None = rx.recv() => return,
+        };
+        let mut unit = match acquired {
+            Ok(unit) => unit,
+            Err(reason) => {
+                let outcome = HomeOutcome::NotSent(reason);
+                self.note(&told, &outcome, began);
+                self.tell(&FromHome::Ran { exchange, outcome }).await;
+                return;
+            }
+        };
+        let mut request = first;
+        loop {
+            let exchange = request.exchange;
+            let (told, began) = (Forwarded::of(&request), Instant::now());
+            let Some(outcome) = unit.run_for(request, &mut rx).await else {
+                return;
+            };
+            self.note(&told, &outcome, began);
+            let goes_on = matches!(
+                &outcome,
+                HomeOutcome::Answered(answer) if answer.state != TransactionState::Idle
+            );
+            if !goes_on {
+                // Another unit may have the connection before the answer is read.
+                drop(unit);
+                self.tell(&FromHome::Ran { exchange, outcome }).await;
+                return;
+            }
+            self.tell(&FromHome::Ran { exchange, outcome }).await;
+            let Some(next) = rx.recv().await else {
+                unit.roll_back();
+                return;
+            };
+            request = next;
+        }
+    }
+
+    /// What this process believes of `group`, after a look at what is wanted.
+    async fn believe(&self, group: GroupName, wanted: Wanted) -> Vec<GroupBelief> {
+        if !self.engine.directory().groups().contains(&group) {
+            return Vec::new();
+        }
+        let known = self.engine.group(&group);
+        // What can't be renewed in time is told as it is.
+        let _ = timeout(RENEWAL_TIMEOUT, self.renew(&known, wanted)).await;
+        beliefs(&self.engine, &[group])
+    }
+
+    async fn renew(&self, group: &Group, wanted: Wanted) {
+        let now = Instant::now();
+        let is_recent = |at: Option<Instant>, age| at.is_some_and(|at| now < at + age);
+        if !is_recent(group.evidence(), EVIDENCE_AGE) {
+            match wanted {
+                // A failure is told by the task that follows the records.
+                Wanted::StoreEvidence => {
+                    let _ = self.engine.terms().refresh(&self.engine, group, now).await;
+                }
+                Wanted::Evidence | Wanted::Position => renew_evidence(&self.engine, group).await,
+            }
+        }
+        let covered = group.newest_covering().map(|sample| sample.at);
+        if wanted == Wanted::Position && !is_recent(covered, POSITION_AGE) {
+            freshness::ask_leader(&self.engine, group).await;
+        }
+    }
+}
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -73,6 +73,18 @@
         "stilequay_pool_connections_opened_total",
         "Connections that were opened to members.",
     ),
+    Metric::counter(
+        "stilequay_home_forwarded_total",
+        "Commands that were forwarded to homes.",
+    ),
+    Metric::counter(
+        "stilequay_home_units_total",
+        "Statements and transactions that were run here for other processes.",
+    ),
+    Metric::gauge(
+        "stilequay_follows_store",
+        "1 while this process follows the store itself, 0 while it learns from another.",
+    ),
     Metric::counter(
         "stilequay_peer_answers_total",
         "Answers of other processes that were asked for their beliefs.",
@@ -134,6 +146,8 @@
     let directory = engine.directory();
     metrics::gauge!("stilequay_directory_version").set(directory.version as f64);
     metrics::gauge!("stilequay_processes").set(engine.processes() as f64);
+    let follows = u8::from(engine.following().is_direct());
+    metrics::gauge!("stilequay_follows_store").set(f64::from(follows));
     directory
         .groups()
         .iter()
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -19,7 +19,7 @@
 use stilequay_engine::configuration::{Configuration, Consistency, GroupSettings, Route};
 use stilequay_engine::directory::{Departure, Directory};
 use stilequay_engine::engine::{Engine, EngineRecords, EngineSettings};
-use stilequay_engine::home::following::Feed;
+use stilequay_engine::following::Feed;
 use stilequay_engine::leadership;
 use stilequay_engine::session::Session;
 use stilequay_engine::statement::{Access, PreparedStatement, Reply, Request, Statement};
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -9,13 +9,13 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 use stilequay_engine::engine::Engine;
-use stilequay_engine::home;
 use stilequay_engine::names::GroupName;
 use stilequay_engine::peers::beliefs;
 use stilequay_engine::peers::declared::newer;
 use stilequay_engine::ports::{
     DeclaredState, DeclaredVersions, GroupBelief, PeerError, PeerLink, PeerNetwork,
 };
+use stilequay_engine::serving;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
@@ -180,7 +180,7 @@
             tx: peer_tx,
             rx: peer_rx,
         };
-        tokio::spawn(home::serve(engine, link));
+        tokio::spawn(serving::serve(engine, link));
         Ok(PeerLink {
             tx: to_there,
             rx: from_there,
