--- a/crates/engine/src/home/remote.rs
+++ b/crates/engine/src/home/remote.rs
@@ -77,6 +77,15 @@
     }
 }
 
+/// What becomes of a command.
+#[derive(Debug)]
+enum Plan {
+    /// It is answered here: no member is needed for it.
+    Answer(Answer),
+    /// A home is to run it.
+    Forward(HomeCommand),
+}
+
 /// A connection that exists here only: what a session has set and prepared on it goes along
 /// with each command, and a home runs each unit on whichever connection is free.
 #[derive(Debug)]
@@ -105,34 +114,34 @@
     }
 
     /// Answers what needs no member; else what a home is to run.
-    fn command(&mut self, command: &Command) -> Result<HomeCommand, Answer> {
+    fn plan(&mut self, command: &Command) -> Plan {
         match command {
             Command::Set { name, value } => {
                 self.values.insert(name.clone(), value.clone());
-                Err(self.done())
+                Plan::Answer(self.done())
             }
             Command::Prepare { name, prepared } => {
                 self.prepared.insert(name.clone(), prepared.clone());
-                Err(self.done())
+                Plan::Answer(self.done())
             }
             Command::Reset => {
                 self.values.clear();
                 self.prepared.clear();
-                Err(self.done())
+                Plan::Answer(self.done())
             }
-            Command::Rollback if self.unit.is_none() => Err(self.done()),
-            Command::Rollback => Ok(HomeCommand::Rollback),
-            Command::Begin { read_only, after } => Ok(HomeCommand::Begin {
+            Command::Rollback if self.unit.is_none() => Plan::Answer(self.done()),
+            Command::Rollback => Plan::Forward(HomeCommand::Rollback),
+            Command::Begin { read_only, after } => Plan::Forward(HomeCommand::Begin {
                 read_only: *read_only,
                 after: *after,
             }),
-            Command::Commit { id } => Ok(HomeCommand::Commit { id: id.clone() }),
+            Command::Commit { id } => Plan::Forward(HomeCommand::Commit { id: id.clone() }),
             Command::Run {
                 id,
                 text,
                 access,
                 after,
-            } => Ok(HomeCommand::Run {
+            } => Plan::Forward(HomeCommand::Run {
                 id: id.clone(),
                 text: text.clone(),
                 access: *access,
@@ -145,9 +154,10 @@
                 after,
             } => {
                 let Some(prepared) = self.prepared.get(name).cloned() else {
-                    return Err(self.refused(RefusalKind::UnknownPrepared, "not prepared"));
+                    let refused = self.refused(RefusalKind::UnknownPrepared, "not prepared");
+                    return Plan::Answer(refused);
                 };
-                Ok(HomeCommand::Execute {
+                Plan::Forward(HomeCommand::Execute {
                     id: id.clone(),
                     prepared,
                     arguments: arguments.clone(),
@@ -232,9 +242,9 @@
 #[async_trait]
 impl BackEndConnection for RemoteConnection {
     async fn run(&mut self, command: &Command) -> Result<Answer, LinkError> {
-        let command = match self.command(command) {
-            Ok(command) => command,
-            Err(answered) => return Ok(answered),
+        let command = match self.plan(command) {
+            Plan::Forward(command) => command,
+            Plan::Answer(answer) => return Ok(answer),
         };
         let begins = self.unit.is_none();
         let unit = match self.unit {
