Refuse a request that waits once the queue stands

Change: whoever waits looks each 30 ms, from its patience on, and is refused with the time to come back that the limiter tells.

--- a/crates/coordination/src/limit/mod.rs
+++ b/crates/coordination/src/limit/mod.rs
@@ -193,6 +193,12 @@
         self.deliver(decisions);
     }
 
+    /// When a request that gives up its place now is to come back: once what waits would be
+    /// through.
+    pub fn retry_after(&self) -> Duration {
+        self.lock().reject(RejectReason::Deadline).retry_after
+    }
+
     /// How the limiter is used now.
     pub fn load(&self) -> Load {
         self.lock().load()
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -17,7 +17,7 @@
     LimiterSettings, Load, Permit, RejectReason, Rejected, TenantLimits,
 };
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 /// Connections to one member that are in use at a time, before the fleet is known.
 const FIRST_LIMIT: usize = 3;
@@ -33,6 +33,8 @@
 const TOO_MANY_PAUSE: Duration = Duration::from_millis(250);
 /// How long an unused connection is kept.
 const IDLE_LIMIT: Duration = Duration::from_millis(2_000);
+/// Interval in which a request that waits looks whether the queue stands by now.
+const LOOK_INTERVAL: Duration = Duration::from_millis(30);
 /// Requests of all databases that wait for a connection, at the most.
 const QUEUE_LENGTH: usize = 1_024;
 /// Requests of one database that wait, at the most.
@@ -275,37 +277,39 @@
         }
     }
 
-    /// Waits for the claim's turn; for no longer than its patience where the queue stands.
+    /// Waits for the claim's turn; for no longer than its patience where the queue stands,
+    /// be it before or after the wait began.
     async fn admit(
         &self,
         claim: &Claim,
         deadline: Instant,
     ) -> Result<Permit<DatabaseName>, AcquireError> {
         let began = Instant::now();
-        let stands = self.lock().queue.stands(began);
-        let until = match stands {
-            true => deadline.min(began + claim.patience),
-            false => deadline,
-        };
         let database = claim.database.clone();
-        let admitted = self
-            .connections
-            .admit(database, claim.limits(), until)
-            .await;
+        let admission = self.connections.admit(database, claim.limits(), deadline);
+        let mut admission = std::pin::pin!(admission);
+        let mut look_at = began + claim.patience;
+        let admitted = loop {
+            tokio::select! {
+                biased;
+                admitted = &mut admission => break admitted.map_err(|r| rejection(&r)),
+                () = sleep_until(look_at), if look_at < deadline => {
+                    if self.lock().queue.stands(Instant::now()) {
+                        break Err(AcquireError::Shed(self.connections.retry_after()));
+                    }
+                    look_at += LOOK_INTERVAL;
+                }
+            }
+        };
         let now = Instant::now();
         let waited = now.duration_since(began);
         metrics::histogram!("stilequay_stage_seconds", "stage" => "queue").record(waited);
         let mut state = self.lock();
-        match admitted {
-            Ok(permit) => {
-                state.queue.admitted(waited, now);
-                Ok(permit)
-            }
-            Err(rejected) => {
-                state.queue.given_up(now);
-                Err(rejection(&rejected, stands))
-            }
+        match &admitted {
+            Ok(_) => state.queue.admitted(waited, now),
+            Err(_) => state.queue.given_up(now),
         }
+        admitted
     }
 
     /// Opens a connection in a task of its own: where the one who asked for it gives up,
@@ -458,13 +462,9 @@
 }
 
 /// Whether a request that was not admitted may try again while it has time.
-fn rejection(rejected: &Rejected, queue_stands: bool) -> AcquireError {
-    let waited = matches!(
-        rejected.reason,
-        RejectReason::Deadline | RejectReason::QueueTime
-    );
-    match waited && !queue_stands {
-        true => AcquireError::Exhausted,
-        false => AcquireError::Shed(rejected.retry_after),
+fn rejection(rejected: &Rejected) -> AcquireError {
+    match rejected.reason {
+        RejectReason::Deadline | RejectReason::QueueTime => AcquireError::Exhausted,
+        _ => AcquireError::Shed(rejected.retry_after),
     }
 }
--- a/crates/engine/src/pool/set.rs
+++ b/crates/engine/src/pool/set.rs
@@ -85,6 +85,11 @@
         self.slots.load()
     }
 
+    /// When a request that waits no longer is to come back.
+    pub fn retry_after(&self) -> Duration {
+        self.slots.retry_after()
+    }
+
     /// Waits for the tenant's turn to use a connection.
     ///
     /// # Errors
