--- a/crates/engine/src/group/samples.rs
+++ b/crates/engine/src/group/samples.rs
@@ -55,7 +55,7 @@
     }
 
     /// Samples for another process, oldest first: the newest, and earlier ones of its epoch
-    /// at least [`TOLD_SPACING`] apart.
+    /// some time apart.
     pub fn to_tell(&self) -> Vec<PositionSample> {
         let Some(newest) = self.newest else {
             return Vec::new();
