Rank the keepers of evidence once, not with each question

Cause: read back: choose_keeper hashed and sorted the whole fleet before it looked into the table that was to spare it, with every question for evidence; candidates() beside it looks first. Change: keepers(), of the same shape. Two impl blocks of MemberState become one. Behaviour is the same.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -90,9 +90,7 @@
             MemberState::Gone(_) => "gone",
         }
     }
-}
 
-impl MemberState {
     /// Whether nothing is known against its use.
     pub fn takes_work(&self) -> bool {
         matches!(self, MemberState::Ready | MemberState::Lapsed(_))
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -176,19 +176,21 @@
         self.is_among(&self.candidates(member))
     }
 
+    /// The candidates for keeping the evidence of `block`, the keeper first.
+    fn keepers(&self, block: usize) -> Arc<[Peer]> {
+        let mut ranking = self.lock();
+        if let Some(known) = ranking.keepers.get(&block) {
+            return Arc::clone(known);
+        }
+        let keepers: Arc<[Peer]> = rank_keepers(&ranking.fleet, block).into();
+        ranking.keepers.insert(block, Arc::clone(&keepers));
+        keepers
+    }
+
     /// A link to the process that keeps the evidence of `block`, or to the one that follows
     /// it; `None` where that is this process, or none is reached.
     pub async fn choose_keeper(&self, block: usize) -> Option<Arc<Link>> {
-        let keepers = {
-            let mut ranking = self.lock();
-            let ranked = rank_keepers(&ranking.fleet, block);
-            Arc::clone(
-                ranking
-                    .keepers
-                    .entry(block)
-                    .or_insert_with(|| ranked.into()),
-            )
-        };
+        let keepers = self.keepers(block);
         if keepers.first().is_none_or(|first| first.node == self.own) {
             return None;
         }
