Tell changes by version, resume feeds, and leave records alone at a restart

Change: entries and configuration are told by what has changed; who goes back to the store goes on from the version that it was told; a record of an earlier life that still holds is left alone; a large fleet asks the followers of other zones before the store, and the store with growing pauses. Candidates are weighed by the cores that their machines grant.

--- a/crates/engine/src/configuration.rs
+++ b/crates/engine/src/configuration.rs
@@ -66,3 +66,85 @@
     /// Longest rest inside a transaction.
     pub transaction_idle: Option<Duration>,
 }
+
+/// What sets one version of the configuration apart from an earlier one.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigurationChanges {
+    /// The version that the changes are to be applied to.
+    pub from: u64,
+    /// The version that comes of it.
+    pub version: u64,
+    /// Routes that are new or different.
+    pub routes: HashMap<DatabaseName, Arc<Route>>,
+    /// Routes that are no longer there.
+    pub removed_routes: Vec<DatabaseName>,
+    /// Groups that are new or different.
+    pub groups: HashMap<GroupName, GroupSettings>,
+    /// Groups that are no longer there.
+    pub removed_groups: Vec<GroupName>,
+    /// Longest rest inside a transaction.
+    pub transaction_idle: Option<Duration>,
+}
+
+impl Configuration {
+    /// What has changed since `earlier`.
+    ///
+    /// ```
+    /// use stilequay_engine::configuration::Configuration;
+    /// let earlier = Configuration { version: 1, ..Default::default() };
+    /// let later = Configuration { version: 4, ..Default::default() };
+    /// let changes = later.changes_since(&earlier);
+    /// assert_eq!(earlier.with(changes), Some(later));
+    /// ```
+    pub fn changes_since(&self, earlier: &Self) -> ConfigurationChanges {
+        ConfigurationChanges {
+            from: earlier.version,
+            version: self.version,
+            routes: differing(&self.routes, &earlier.routes),
+            removed_routes: missing(&self.routes, &earlier.routes),
+            groups: differing(&self.groups, &earlier.groups),
+            removed_groups: missing(&self.groups, &earlier.groups),
+            transaction_idle: self.transaction_idle,
+        }
+    }
+
+    /// This configuration with `changes`; `None` where they are of another version.
+    pub fn with(&self, changes: ConfigurationChanges) -> Option<Self> {
+        if changes.from != self.version {
+            return None;
+        }
+        let mut next = self.clone();
+        next.version = changes.version;
+        next.transaction_idle = changes.transaction_idle;
+        changes.removed_routes.iter().for_each(|database| {
+            next.routes.remove(database);
+        });
+        changes.removed_groups.iter().for_each(|group| {
+            next.groups.remove(group);
+        });
+        next.routes.extend(changes.routes);
+        next.groups.extend(changes.groups);
+        Some(next)
+    }
+}
+
+/// The entries of `later` that `earlier` has not, or has otherwise.
+fn differing<V: Clone + PartialEq>(
+    later: &HashMap<Arc<str>, V>,
+    earlier: &HashMap<Arc<str>, V>,
+) -> HashMap<Arc<str>, V> {
+    let entries = later.iter();
+    let differing = entries.filter(|(name, value)| earlier.get(*name) != Some(*value));
+    differing
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// The names in `earlier` that `later` has not.
+fn missing<V>(later: &HashMap<Arc<str>, V>, earlier: &HashMap<Arc<str>, V>) -> Vec<Arc<str>> {
+    let names = earlier.keys();
+    names
+        .filter(|name| !later.contains_key(*name))
+        .cloned()
+        .collect()
+}
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -142,6 +142,11 @@
     members: HashMap<MemberId, Arc<Member>>,
     /// The same by group; made anew after each change.
     groups: BTreeMap<GroupName, Vec<Arc<Member>>>,
+    /// The version with which this process learned of each member's last change.
+    changed: HashMap<MemberId, u64>,
+    /// The newest version of a change that is forgotten: what came after an older version
+    /// can't be told.
+    forgotten: u64,
 }
 
 /// How long an entry that went away is remembered.
@@ -183,6 +188,15 @@
         self.members.values()
     }
 
+    /// The members that have changed after `version`; `None` where some of these changes
+    /// are forgotten.
+    pub fn changed_after(&self, version: u64) -> Option<impl Iterator<Item = &Arc<Member>>> {
+        let changed = self.changed.iter();
+        let changed = changed.filter(move |(_, changed)| **changed > version);
+        let members = changed.filter_map(|(id, _)| self.members.get(id));
+        (version >= self.forgotten).then_some(members)
+    }
+
     /// The groups that have members.
     pub fn groups(&self) -> Vec<GroupName> {
         self.groups.keys().cloned().collect()
@@ -229,20 +243,56 @@
     pub fn replaced(&self, version: u64, present: Vec<Member>, departure: Departure) -> Self {
         let mut next = Self {
             version,
+            forgotten: self.forgotten,
             ..Self::default()
         };
         for member in present {
-            let member = self.keep_since(member);
-            next.members.insert(member.id.clone(), Arc::new(member));
+            next.insert(self.keep_since(member));
         }
         for (id, member) in &self.members {
             if !next.members.contains_key(id) {
                 next.insert_gone(member, departure);
             }
         }
+        next.keep_changes_of(self);
+        next.grouped()
+    }
+
+    /// The directory as of `version`, where `changed` are all that have changed since.
+    pub fn merged(&self, version: u64, changed: Vec<Member>, now: Instant) -> Self {
+        let mut next = self.clone();
+        next.version = version;
+        for member in changed {
+            next.insert(self.keep_since(member));
+        }
+        next.forget_long_gone(now);
         next.grouped()
     }
 
+    /// Takes a member as this version tells of it.
+    fn insert(&mut self, member: Member) {
+        self.changed.insert(member.id.clone(), self.version);
+        self.members.insert(member.id.clone(), Arc::new(member));
+    }
+
+    /// Drops a member that nobody waits for any more.
+    fn forget(&mut self, id: &str) {
+        self.members.remove(id);
+        let changed = self.changed.remove(id);
+        self.forgotten = self.forgotten.max(changed.unwrap_or(self.version));
+    }
+
+    /// Members that are the same as `before` have not changed with this version.
+    fn keep_changes_of(&mut self, before: &Self) {
+        for (id, changed) in &mut self.changed {
+            if before.members.get(id) == self.members.get(id)
+                && let Some(earlier) = before.changed.get(id)
+            {
+                *changed = *earlier;
+            }
+        }
+    }
+
     /// The directory after some entries have changed.
     pub fn updated(
         &self,
@@ -254,10 +304,7 @@
         next.version = version;
         for change in changes {
             match change {
-                DirectoryChange::Present(member) => {
-                    let member = self.keep_since(member);
-                    next.members.insert(member.id.clone(), Arc::new(member));
-                }
+                DirectoryChange::Present(member) => next.insert(self.keep_since(member)),
                 DirectoryChange::Gone(id) => {
                     if let Some(member) = self.members.get(&id) {
                         next.insert_gone(member, departure);
@@ -271,10 +318,14 @@
 
     /// Drops members whose entries went away so long ago that nobody waits for them.
     fn forget_long_gone(&mut self, now: Instant) {
-        self.members.retain(|_, member| match member.state {
-            MemberState::Gone(known) => now.duration_since(known.learned) <= GONE_MEMORY,
-            _ => true,
-        });
+        let is_past = |member: &Member| match member.state {
+            MemberState::Gone(known) => now.duration_since(known.learned) > GONE_MEMORY,
+            _ => false,
+        };
+        let members = self.members.values();
+        let past = members.filter(|member| is_past(member));
+        let past: Vec<MemberId> = past.map(|member| member.id.clone()).collect();
+        past.iter().for_each(|id| self.forget(id));
     }
 
     /// A member that was leaving already has been so since then.
@@ -330,18 +381,18 @@
                 state: MemberState::Lapsed(departure),
                 ..Member::clone(member)
             };
-            self.members.insert(lapsed.id.clone(), Arc::new(lapsed));
+            self.insert(lapsed);
             return;
         }
         if now.duration_since(departure.learned) > GONE_MEMORY {
-            self.members.remove(&member.id);
+            self.forget(&member.id);
             return;
         }
         let gone = Member {
             state: MemberState::Gone(departure),
             ..Member::clone(member)
         };
-        self.members.insert(gone.id.clone(), Arc::new(gone));
+        self.insert(gone);
     }
 }
 
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,7 +13,7 @@
 use crate::pool::MemberPool;
 use crate::ports::{BackEnd, PeerNetwork, RecordStore};
 use crate::telemetry;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -32,6 +32,9 @@
 const FEED_WAIT_MAX_S: f64 = 20.0;
 /// Processes assumed before the fleet is known.
 const FIRST_PROCESSES: usize = 9;
+/// Configurations that are remembered, to tell others what has changed since: changes come
+/// some sixteen a second at the most, and others ask at least once a second.
+const RECENT_CONFIGURATIONS: usize = 16;
 /// Connections that a member is assumed to accept before the configuration is known.
 const FIRST_MEMBER_CONNECTIONS: usize = 30;
 
@@ -51,6 +54,8 @@
     pub zone: ZoneName,
     /// Where this process answers others.
     pub peer_address: Option<SocketAddr>,
+    /// Cores that it may use: its share of the work that processes do for one another.
+    pub weight: f64,
     /// Time within which a change in the store must be learned of, also where the call that
     /// was to tell it is never answered.
     pub contact: Duration,
@@ -92,6 +97,8 @@
     back_end: Arc<dyn BackEnd>,
     peers: Arc<dyn PeerNetwork>,
     configuration: watch::Sender<Option<Arc<Configuration>>>,
+    /// The configurations used last, the newest at the end.
+    recent_configurations: Mutex<VecDeque<Arc<Configuration>>>,
     directory: watch::Sender<Arc<Directory>>,
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
     pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
@@ -123,6 +130,7 @@
             homes: Arc::new(homes),
             following: Following::default(),
             configuration: watch::Sender::new(None),
+            recent_configurations: Mutex::default(),
             directory: watch::Sender::new(Arc::default()),
             groups: Mutex::default(),
             pools: Mutex::default(),
@@ -179,14 +187,16 @@
     pub fn set_configuration(&self, configuration: Configuration) -> bool {
         let version = configuration.version;
         let routes = configuration.routes.len();
+        let configuration = Arc::new(configuration);
         let taken = self.configuration.send_if_modified(|current| {
             let later = current.as_ref().is_none_or(|known| known.version < version);
             if later {
-                *current = Some(Arc::new(configuration));
+                *current = Some(Arc::clone(&configuration));
             }
             later
         });
         if taken {
+            self.remember_configuration(configuration);
             self.divide_connections();
             self.events
                 .write(&Event::ConfigurationTaken { version, routes });
@@ -194,6 +204,21 @@
         taken
     }
 
+    fn remember_configuration(&self, configuration: Arc<Configuration>) {
+        let mut recent = lock(&self.recent_configurations);
+        recent.push_back(configuration);
+        if recent.len() > RECENT_CONFIGURATIONS {
+            recent.pop_front();
+        }
+    }
+
+    /// The configuration of `version`, if it was used lately.
+    pub fn recent_configuration(&self, version: u64) -> Option<Arc<Configuration>> {
+        let recent = lock(&self.recent_configurations);
+        let mut recent = recent.iter();
+        recent.find(|known| known.version == version).cloned()
+    }
+
     /// Tells of changes of the configuration.
     pub fn subscribe_configuration(&self) -> watch::Receiver<Option<Arc<Configuration>>> {
         self.configuration.subscribe()
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -7,8 +7,7 @@
 
 use crate::engine::Engine;
 use crate::events::{DependencyMonitor, millis};
-use crate::home::placement::Peer;
-use crate::link::frame::{FollowedVersions, News};
+use crate::link::frame::{FeedVersions, FollowedVersions, News};
 use crate::peers::declared;
 use crate::ports::{Record, RecordChanges};
 use std::net::SocketAddr;
@@ -16,12 +15,9 @@
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Processes that may follow the store themselves, each.
 const DIRECT_FLEET: usize = 16;
-/// Processes of each zone that follow it in a larger fleet.
-const FOLLOWERS: usize = 2;
 /// How long one question waits for news.
 const NEWS_WAIT: Duration = Duration::from_millis(900);
 /// What an answer may take longer than that.
@@ -32,6 +28,19 @@
 const SETTLING: Duration = Duration::from_millis(800);
 /// Pause after nobody told anything, and of a process that follows by itself.
 const PAUSE: Duration = Duration::from_millis(250);
+/// Pause after an answer with changes, before the store is asked for more, while the whole
+/// fleet may be starting: each change wakes every process that follows the store.
+const SETTLING_PAUSE: Duration = Duration::from_millis(120);
+/// The same in a large fleet that knows itself: changes that come close together are told by
+/// one call. Well below the time in which a change must be known.
+const FEED_PAUSE: Duration = Duration::from_millis(25);
+
+/// Pause before the store is asked again after a failure; a random part of as much is added.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// How often that pause doubles while the store goes on failing, at the most.
+const MAX_DOUBLINGS: u32 = 6;
+/// Longest pause, as a share of the time within which a change must be known.
+const RETRY_CONTACT_SHARE: f64 = 0.15;
 
 /// What is followed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,12 +56,22 @@
 /// Number of [`Feed`]s.
 const FEEDS: usize = 3;
 
+/// How far one feed is known.
+#[derive(Debug, Clone, Copy, Default)]
+struct FeedState {
+    /// As of when the store had told everything.
+    heard: Option<Instant>,
+    /// The store's version as of which everything is known; zero where nothing is. Whoever
+    /// begins to follow the store goes on from here, as long as it remembers that far back.
+    version: u64,
+}
+
 /// Whether this process follows the store itself, and how recent what it knows is.
 #[derive(Debug)]
 pub struct Following {
     direct: watch::Sender<bool>,
     began: Instant,
-    heard: Mutex<[Option<Instant>; FEEDS]>,
+    feeds: Mutex<[FeedState; FEEDS]>,
 }
 
 impl Default for Following {
@@ -60,7 +79,7 @@
         Self {
             direct: watch::Sender::new(true),
             began: Instant::now(),
-            heard: Mutex::default(),
+            feeds: Mutex::default(),
         }
     }
 }
@@ -88,16 +107,45 @@
         true
     }
 
-    /// Notes that the store has told everything that `feed` holds, as of `at`.
-    pub fn heard(&self, feed: Feed, at: Instant) {
-        let heard = &mut self.lock()[feed as usize];
-        *heard = (*heard).max(Some(at));
+    /// Notes that everything that `feed` holds is known as of `at`, and as of `version` of the
+    /// store, and has been taken.
+    pub fn heard(&self, feed: Feed, at: Instant, version: u64) {
+        let state = &mut self.lock()[feed as usize];
+        state.heard = state.heard.max(Some(at));
+        state.version = state.version.max(version);
     }
 
     /// Since when something may have changed that this process does not know.
     pub fn known_as_of(&self) -> Option<Instant> {
-        let heard = *self.lock();
-        heard.into_iter().min().flatten()
+        let feeds = *self.lock();
+        feeds.into_iter().map(|feed| feed.heard).min().flatten()
+    }
+
+    /// The version from which on the store is to be asked for changes of `feed`; `None`
+    /// where it has to be read in whole.
+    pub fn resume_from(&self, feed: Feed) -> Option<u64> {
+        Some(self.lock()[feed as usize].version).filter(|version| *version > 0)
+    }
+
+    fn versions(&self) -> FeedVersions {
+        let feeds = *self.lock();
+        FeedVersions {
+            configuration: feeds[Feed::Configuration as usize].version,
+            directory: feeds[Feed::Directory as usize].version,
+            records: feeds[Feed::Records as usize].version,
+        }
+    }
+
+    /// How long to wait after an answer with changes, in a fleet of `processes`, before the
+    /// store is asked for more.
+    pub fn pause_after_changes(&self, processes: usize) -> Duration {
+        if self.began.elapsed() < SETTLING {
+            SETTLING_PAUSE
+        } else if processes <= DIRECT_FLEET {
+            Duration::ZERO
+        } else {
+            FEED_PAUSE
+        }
     }
 
     fn set_direct(&self, direct: bool) {
@@ -108,60 +156,80 @@
         });
     }
 
-    fn lock(&self) -> MutexGuard<'_, [Option<Instant>; FEEDS]> {
-        self.heard.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, [FeedState; FEEDS]> {
+        self.feeds.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// The processes of `zone` that follow the store themselves.
-fn followers(fleet: &[Peer], zone: &str) -> Vec<Peer> {
-    let mut peers: Vec<&Peer> = fleet.iter().filter(|peer| &*peer.zone == zone).collect();
-    peers.sort_by_key(|peer| xxh3_64(peer.node.as_bytes()));
-    peers.into_iter().take(FOLLOWERS).cloned().collect()
-}
-
-/// Where this process learns from; `None` where it follows the store itself.
-fn sources(engine: &Engine) -> Option<Vec<SocketAddr>> {
-    let fleet = engine.homes().fleet();
-    let settings = engine.settings();
-    if fleet.len() <= DIRECT_FLEET {
-        return None;
-    }
-    let mut followers = followers(&fleet, &settings.zone);
-    if followers.iter().any(|peer| peer.node == settings.node) {
-        return None;
-    }
-    if xxh3_64(settings.node.as_bytes()) % 2 == 1 {
-        followers.reverse();
-    }
-    Some(followers.into_iter().map(|peer| peer.address).collect())
+/// Whether the fleet is so large that most of it follows the store through a few.
+pub fn follows_others(engine: &Engine) -> bool {
+    engine.homes().fleet_len() > DIRECT_FLEET
 }
 
 /// Learns from other processes, where there are some to learn from, until the process ends.
 pub async fn follow(engine: &Engine) {
-    let following = engine.following();
     let mut dependency = DependencyMonitor::new("followers");
     loop {
-        let Some(sources) = sources(engine) else {
-            following.set_direct(true);
+        if !follows_others(engine) {
+            engine.following().set_direct(true);
             sleep(PAUSE).await;
             continue;
-        };
-        match learn(engine, &sources).await {
-            Ok(()) => {
-                dependency.note(engine.events(), None);
-                following.set_direct(false);
-            }
-            Err(reason) => {
-                dependency.note(engine.events(), Some(reason));
-                following.set_direct(true);
-                sleep(PAUSE).await;
-            }
         }
+        match engine.homes().followers(&engine.settings().zone) {
+            Some(near) => follow_near(engine, &near, &mut dependency).await,
+            None => follow_store(engine).await,
+        }
+    }
+}
+
+/// One round of a process that follows the store for others: while the store turns it away,
+/// those of other zones may know more.
+async fn follow_store(engine: &Engine) {
+    engine.following().set_direct(true);
+    if is_out_of_date(engine, Instant::now()) {
+        // That the store does not answer is told by the tasks that ask it.
+        let _ = learn(engine, &elsewhere(engine)).await;
+    }
+    sleep(PAUSE).await;
+}
+
+/// One round of any other process: it asks those of its zone that follow the store, then
+/// those of others, and goes to the store itself where none of them knows enough.
+async fn follow_near(engine: &Engine, near: &[SocketAddr], dependency: &mut DependencyMonitor) {
+    let following = engine.following();
+    let mut learned = learn(engine, near).await;
+    if learned.is_err() {
+        learned = learn(engine, &elsewhere(engine)).await;
+    }
+    following.set_direct(learned.is_err());
+    let failed = learned.is_err();
+    dependency.note(engine.events(), learned.err());
+    if failed {
+        sleep(PAUSE).await;
     }
 }
 
+fn elsewhere(engine: &Engine) -> Vec<SocketAddr> {
+    engine.homes().followers_elsewhere(&engine.settings().zone)
+}
+
+/// How long to wait before the store is asked again after it has failed `failures` times in
+/// a row. In a large fleet the wait grows: what is refused costs the store too.
+pub fn retry_pause(engine: &Engine, failures: u32) -> Duration {
+    let doublings = match engine.processes() > DIRECT_FLEET {
+        true => failures.saturating_sub(1).min(MAX_DOUBLINGS),
+        false => 0,
+    };
+    let longest = engine.settings().contact.mul_f64(RETRY_CONTACT_SHARE);
+    let pause = (RETRY_PAUSE * 2_u32.pow(doublings)).min(longest.max(RETRY_PAUSE));
+    pause.mul_f64(1.0 + rand::random::<f64>())
+}
+
 /// Asks the first process of `sources` that answers for news, and takes them.
+///
+/// # Errors
+///
+/// The reason why nothing recent was learned.
 async fn learn(engine: &Engine, sources: &[SocketAddr]) -> Result<(), String> {
     let link = engine.homes().links().first_usable(sources).await;
     let link = link.ok_or("no process of the zone that follows the store is reached")?;
@@ -172,12 +240,13 @@
         link.distrust();
         return Err("no news in time".to_owned());
     };
-    let age = news.age;
+    let (age, versions) = (news.age, news.feeds);
     take(engine, news, asked);
     if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
-        [Feed::Configuration, Feed::Directory, Feed::Records]
-            .into_iter()
-            .for_each(|feed| engine.following().heard(feed, at));
+        let following = engine.following();
+        following.heard(Feed::Configuration, at, versions.configuration);
+        following.heard(Feed::Directory, at, versions.directory);
+        following.heard(Feed::Records, at, versions.records);
     }
     if age.is_none_or(|age| age > age_limit(engine)) {
         link.distrust();
@@ -242,7 +311,11 @@
 
 fn news_now(engine: &Engine, known: FollowedVersions) -> News {
     let now = Instant::now();
-    let as_of = engine.following().known_as_of();
+    // Before what is known is gathered: it must hold no less than these tell.
+    let (as_of, feeds) = (
+        engine.following().known_as_of(),
+        engine.following().versions(),
+    );
     let records_version = engine.terms().version();
     let records: Vec<Record> = match records_version > known.records {
         true => engine.terms().records_after(known.records),
@@ -250,6 +323,7 @@
     };
     News {
         age: as_of.map(|at| Duration::from_millis(millis(now.duration_since(at)) + 1)),
+        feeds,
         declared: declared::newer(engine, known.declared),
         records,
         records_version,
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -4,7 +4,7 @@
 use crate::link::{Link, Links};
 use crate::names::{MemberId, NodeName, ZoneName};
 use crate::ports::PeerNetwork;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,6 +27,10 @@
 const HOME_CONNECTIONS_PER_SLOT: usize = 10;
 /// Connections of a member that are left to orders and to processes not counted yet.
 pub const RESERVED: usize = 6;
+/// Processes of each zone that follow the store for the others, in a large fleet.
+const FOLLOWERS: usize = 2;
+/// Least weight of a process: one that tells less, or nothing that makes sense, has this.
+const LEAST_WEIGHT: f64 = 0.01;
 
 /// What a member offers all processes together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,7 +75,7 @@
 }
 
 /// A process of the fleet.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Peer {
     /// Its name.
     pub node: NodeName,
@@ -79,28 +83,61 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: ZoneName,
+    /// Its share of work for others: cores that it may use.
+    pub weight: f64,
+}
+
+/// Where `peer` stands among the candidates for `task`; the lowest comes first. A process of
+/// twice the weight comes first twice as often, and one that joins or leaves changes the
+/// order of no others (weighted rendezvous hashing).
+fn rendezvous(task: &[u8], peer: &Peer) -> f64 {
+    let hash = xxh3_64(&[task, b"/", peer.node.as_bytes()].concat());
+    // The upper 53 bits fit a float's fraction; above zero and up to one.
+    let uniform = ((hash >> 11) + 1) as f64 / (1_u64 << 53) as f64;
+    -uniform.ln() / peer.weight.max(LEAST_WEIGHT)
+}
+
+/// The first `count` of `peers` for `task`.
+fn first_of<'a>(
+    peers: impl Iterator<Item = &'a Peer>,
+    task: &[u8],
+    count: usize,
+) -> impl Iterator<Item = &'a Peer> {
+    let mut ranked: Vec<(f64, &Peer)> = peers.map(|peer| (rendezvous(task, peer), peer)).collect();
+    ranked.sort_by(|(left, _), (right, _)| left.total_cmp(right));
+    ranked.into_iter().take(count).map(|(_, peer)| peer)
 }
 
 /// The candidates for keeping the evidence of one block of groups among `fleet`.
 fn rank_keepers(fleet: &[Peer], block: usize) -> Vec<Peer> {
-    let weight = |peer: &Peer| xxh3_64(format!("{block}/{}", peer.node).as_bytes());
-    let mut ranked: Vec<&Peer> = fleet.iter().collect();
-    ranked.sort_by_key(|peer| weight(peer));
-    ranked.into_iter().take(HOMES).cloned().collect()
+    let task = format!("keeper/{block}");
+    let first = first_of(fleet.iter(), task.as_bytes(), HOMES);
+    first.cloned().collect()
+}
+
+/// The processes of `zone` among `fleet` that follow the store.
+fn rank_followers(fleet: &[Peer], zone: &str) -> Vec<Peer> {
+    let inside = fleet.iter().filter(|peer| &*peer.zone == zone);
+    first_of(inside, b"follower", FOLLOWERS).cloned().collect()
 }
 
 /// The candidates for `member` among `fleet`, the homes first. Processes of the member's
-/// zone come before others; among equals the order differs from member to member, and a
-/// process that joins or leaves moves none of the others.
+/// zone come first, but for the last candidate: a cut that takes the whole zone must leave
+/// one that watches the member from outside.
 pub fn rank(fleet: &[Peer], member: &Member) -> Vec<Peer> {
-    let weight = |peer: &Peer| {
-        let name = [member.id.as_bytes(), b"/", peer.node.as_bytes()].concat();
-        (peer.zone != member.zone, xxh3_64(&name))
+    let task = member.id.as_bytes();
+    let (inside, outside): (Vec<&Peer>, Vec<&Peer>) =
+        fleet.iter().partition(|peer| peer.zone == member.zone);
+    let inside = first_of(inside.into_iter(), task, CANDIDATES);
+    let inside: Vec<&Peer> = inside.collect();
+    let outside = first_of(outside.into_iter(), task, CANDIDATES);
+    let outside: Vec<&Peer> = outside.collect();
+    let near = match outside.is_empty() {
+        true => CANDIDATES,
+        false => CANDIDATES - 1,
     };
-    let mut ranked: Vec<_> = fleet.iter().map(|peer| (weight(peer), peer)).collect();
-    ranked.sort_by_key(|(weight, _)| *weight);
-    let first = ranked.into_iter().take(CANDIDATES);
-    first.map(|(_, peer)| peer.clone()).collect()
+    let ranked = inside.into_iter().take(near).chain(outside);
+    ranked.take(CANDIDATES).cloned().collect()
 }
 
 #[derive(Debug, Default)]
@@ -108,6 +145,19 @@
     fleet: Vec<Peer>,
     candidates: HashMap<MemberId, Arc<[Peer]>>,
     keepers: HashMap<usize, Arc<[Peer]>>,
+    followers: HashMap<ZoneName, Arc<[Peer]>>,
+}
+
+impl Ranking {
+    /// The processes that follow the store for `zone`.
+    fn followers_of(&mut self, zone: &ZoneName) -> Arc<[Peer]> {
+        if let Some(known) = self.followers.get(zone) {
+            return Arc::clone(known);
+        }
+        let followers: Arc<[Peer]> = rank_followers(&self.fleet, zone).into();
+        self.followers.insert(zone.clone(), Arc::clone(&followers));
+        followers
+    }
 }
 
 /// The homes of all members, and the links to them.
@@ -134,6 +184,7 @@
         if ranking.fleet != fleet {
             ranking.candidates.clear();
             ranking.keepers.clear();
+            ranking.followers.clear();
             ranking.fleet = fleet;
         }
     }
@@ -143,6 +194,45 @@
         self.lock().fleet.clone()
     }
 
+    /// How many processes of the fleet are known, this one included.
+    pub fn fleet_len(&self) -> usize {
+        self.lock().fleet.len()
+    }
+
+    /// Where those processes answer that follow the store for `zone`, the one that this
+    /// process is to ask first in front; `None` where it is one of them.
+    pub fn followers(&self, zone: &ZoneName) -> Option<Vec<SocketAddr>> {
+        let followers = self.lock().followers_of(zone);
+        if self.is_among(&followers) {
+            return None;
+        }
+        let mut addresses: Vec<SocketAddr> = followers.iter().map(|peer| peer.address).collect();
+        self.spread(&mut addresses);
+        Some(addresses)
+    }
+
+    /// Where a few processes answer that follow the store for other zones than `zone`, not
+    /// the same ones for each process that asks.
+    pub fn followers_elsewhere(&self, zone: &ZoneName) -> Vec<SocketAddr> {
+        let mut ranking = self.lock();
+        let zones = ranking.fleet.iter().map(|peer| peer.zone.clone());
+        let zones: BTreeSet<ZoneName> = zones.filter(|other| other != zone).collect();
+        let followers = zones
+            .iter()
+            .flat_map(|zone| ranking.followers_of(zone).to_vec());
+        let followers: Vec<Peer> = followers.collect();
+        let own = self.own.as_bytes();
+        let first = first_of(followers.iter(), own, FOLLOWERS);
+        first.map(|peer| peer.address).collect()
+    }
+
+    /// Half of the fleet asks the one of two first, half the other.
+    fn spread(&self, addresses: &mut [SocketAddr]) {
+        if xxh3_64(self.own.as_bytes()) % 2 == 1 {
+            addresses.reverse();
+        }
+    }
+
     /// The links to other processes.
     pub fn links(&self) -> &Links {
         &self.links
@@ -210,11 +300,7 @@
         let others = candidates.iter().filter(|peer| peer.node != self.own);
         let mut addresses: Vec<SocketAddr> = others.map(|peer| peer.address).collect();
         let homes = HOMES.min(addresses.len());
-        // Half of the fleet asks the one home first, half the other.
-        let first = xxh3_64(self.own.as_bytes()) % 2;
-        if first == 1 {
-            addresses[..homes].reverse();
-        }
+        self.spread(&mut addresses[..homes]);
         let (homes, rest) = addresses.split_at(homes);
         match self.links.first_usable(homes).await {
             Some(link) => Some(link),
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -20,19 +20,24 @@
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(120);
 /// Time after which a process whose record was not renewed no longer counts.
 const RECORD_LIFE: Duration = Duration::from_secs(400);
+/// Weight of a process that does not tell how many cores it may use.
+const DEFAULT_WEIGHT: f64 = 1.0;
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
 /// Greatest number: more than one process needs would only wait in the member's queue.
 const GREATEST_SHARE: usize = 6;
 
 /// What a process tells of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct NodeRecord {
     /// Where it answers other processes.
     address: Option<SocketAddr>,
     /// Its zone.
     #[serde(default)]
     zone: Option<ZoneName>,
+    /// Cores that it may use.
+    #[serde(default)]
+    weight: Option<f64>,
     /// Differs between two writings.
     nonce: u64,
 }
@@ -73,18 +78,43 @@
     share.clamp(LEAST_SHARE, GREATEST_SHARE)
 }
 
-/// Keeps this process's record.
+impl NodeRecord {
+    /// What this process tells of itself now.
+    fn of(engine: &Engine) -> Self {
+        let settings = engine.settings();
+        Self {
+            address: settings.peer_address,
+            zone: Some(settings.zone.clone()),
+            weight: Some(settings.weight),
+            nonce: rand::random(),
+        }
+    }
+
+    /// Whether both tell the same.
+    fn is_same(&self, other: &Self) -> bool {
+        let nonce = other.nonce;
+        Self {
+            nonce,
+            ..self.clone()
+        } == *other
+    }
+}
+
+/// Keeps this process's record. One that an earlier life has written and that still holds
+/// is left for a while: where a whole fleet starts anew, nobody has to write.
 pub async fn register(engine: &Engine) {
+    engine.terms().until_read().await;
     let key = format!("{KEY_PREFIX}{}", engine.settings().node);
+    if let Some(known) = own_record(engine, &key)
+        && let Ok(earlier) = rmp_serde::from_slice::<NodeRecord>(&known.value)
+        && earlier.is_same(&NodeRecord::of(engine))
+    {
+        sleep(RENEWAL_INTERVAL.mul_f64(rand::random())).await;
+    }
     loop {
-        let others = engine.terms().subscribe_others();
-        let version = others.borrow().get(&key).map_or(0, |known| known.version);
-        let record = NodeRecord {
-            address: engine.settings().peer_address,
-            zone: Some(engine.settings().zone.clone()),
-            nonce: rand::random(),
-        };
-        let value = rmp_serde::to_vec_named(&record).unwrap_or_default();
+        let version = own_record(engine, &key).map_or(0, |known| known.version);
+        // Texts and numbers only: encoding can't fail.
+        let value = rmp_serde::to_vec_named(&NodeRecord::of(engine)).unwrap_or_default();
         let put = engine.terms().store().put_if(&key, version, value.into());
         match put.await {
             Ok(crate::ports::PutOutcome::Stored(_)) => sleep(RENEWAL_INTERVAL).await,
@@ -93,6 +123,10 @@
     }
 }
 
+fn own_record(engine: &Engine, key: &str) -> Option<Record> {
+    engine.terms().subscribe_others().borrow().get(key).cloned()
+}
+
 /// A process as its record was last seen.
 #[derive(Debug)]
 struct SeenProcess {
@@ -122,6 +156,7 @@
         node: engine.settings().node.clone(),
         address,
         zone: engine.settings().zone.clone(),
+        weight: engine.settings().weight,
     });
     let others = seen.values().filter_map(|process| process.peer.clone());
     let others = others.filter(|peer| peer.node != engine.settings().node);
@@ -160,5 +195,6 @@
         node,
         address: read.address?,
         zone: read.zone?,
+        weight: read.weight.unwrap_or(DEFAULT_WEIGHT),
     })
 }
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -5,23 +5,19 @@
 use crate::directory::{Directory, Role};
 use crate::engine::Engine;
 use crate::events::{DependencyMonitor, Event};
-use crate::following::Feed;
+use crate::following::{self, Feed};
 use crate::group::Group;
 use crate::names::{GroupName, MemberId};
 use crate::peers;
 use crate::ports::{Record, RecordChanges, RecordStore, RecordStoreError};
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::{Instant, sleep};
 
 /// Groups whose records are read together, at the most: one call for all of them costs no
 /// more than one for each.
 const WHOLE_READ_GROUPS: usize = 64;
-/// Pause after a failed call of the store, and the random part added to it.
-const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// A record of a leadership with its version in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -49,7 +45,7 @@
     records: Arc<dyn RecordStore>,
     reading: AsyncMutex<()>,
     known: Mutex<HashMap<GroupName, VersionedTerm>>,
-    has_read: AtomicBool,
+    has_read: tokio::sync::watch::Sender<bool>,
     others: tokio::sync::watch::Sender<HashMap<String, Record>>,
     version: tokio::sync::watch::Sender<u64>,
 }
@@ -61,7 +57,7 @@
             records,
             reading: AsyncMutex::new(()),
             known: Mutex::default(),
-            has_read: AtomicBool::new(false),
+            has_read: tokio::sync::watch::Sender::new(false),
             others: tokio::sync::watch::Sender::new(HashMap::new()),
             version: tokio::sync::watch::Sender::new(0),
         }
@@ -117,10 +113,12 @@
     /// Follows the records until the process ends.
     pub async fn follow(&self, engine: &Engine) {
         let mut version = None;
+        let mut failures = 0;
         let mut dependency = DependencyMonitor::new("term_records");
         loop {
             if engine.following().until_direct(false).await {
-                version = None;
+                version = engine.following().resume_from(Feed::Records);
+                version = version.filter(|_| self.has_read());
             }
             let begun = Instant::now();
             let result = match version {
@@ -129,23 +127,31 @@
             };
             match result {
                 Ok(changes) => {
+                    failures = 0;
                     dependency.note(engine.events(), None);
                     let whole = version.is_none();
                     self.apply(engine, &changes, whole.then_some(begun));
-                    self.has_read.store(true, Ordering::Release);
+                    self.has_read.send_replace(true);
                     if whole {
                         let groups = engine.directory().groups();
                         self.apply_first_leaders(engine, &groups, begun);
                     }
                     version = Some(changes.version);
                     self.advance(changes.version);
-                    engine.following().heard(Feed::Records, Instant::now());
+                    let following = engine.following();
+                    following.heard(Feed::Records, Instant::now(), changes.version);
+                    if !changes.written.is_empty() {
+                        sleep(following.pause_after_changes(engine.processes())).await;
+                    }
                 }
                 Err(RecordStoreError::HistoryGone) => version = None,
                 Err(error) => {
+                    failures += 1;
                     dependency.note(engine.events(), Some(error.to_string()));
-                    peers::ask(engine, &engine.directory().groups()).await;
-                    sleep(RETRY_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
+                    if !following::follows_others(engine) {
+                        peers::ask(engine, &engine.directory().groups()).await;
+                    }
+                    sleep(following::retry_pause(engine, failures)).await;
                 }
             }
         }
@@ -239,7 +245,14 @@
     /// Whether the records were read in whole: before, members may be unknown whose entries
     /// have gone.
     pub fn has_read(&self) -> bool {
-        self.has_read.load(Ordering::Acquire)
+        *self.has_read.borrow()
+    }
+
+    /// Resolves once the records were read in whole.
+    pub async fn until_read(&self) {
+        let mut has_read = self.has_read.subscribe();
+        // The sender lives as long as this does.
+        let _ = has_read.wait_for(|read| *read).await;
     }
 
     fn apply_stored(&self, engine: &Engine, record: &Record, begun: Option<Instant>) {
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -128,12 +128,26 @@
     pub records: u64,
 }
 
+/// The store's versions as of which a process knows everything that its feeds hold; zero
+/// where one was never read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct FeedVersions {
+    /// Of the operator's documents.
+    pub configuration: u64,
+    /// Of the members' entries.
+    pub directory: u64,
+    /// Of the fleet's records.
+    pub records: u64,
+}
+
 /// What a process that follows the store knows that is newer.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct News {
     /// Since when something may have changed that it does not know; `None` where it has
     /// never heard of the store. Counted when the answer is made.
     pub age: Option<Duration>,
+    /// The versions of the store as of which everything is told.
+    pub feeds: FeedVersions,
     /// What operators and servers declare.
     pub declared: DeclaredState,
     /// The fleet's records that have changed.
--- a/crates/engine/src/peers/declared.rs
+++ b/crates/engine/src/peers/declared.rs
@@ -2,11 +2,14 @@
 //! does not tell it: the configuration and the members.
 
 use super::{ANSWER_TIMEOUT, choose_peers};
+use crate::configuration::Configuration;
 use crate::directory::{Departure, Directory, Member, MemberState};
 use crate::engine::Engine;
 use crate::events::millis;
+use crate::following;
 use crate::ports::{
-    DeclaredDeparture, DeclaredDirectory, DeclaredMember, DeclaredState, DeclaredVersions,
+    DeclaredConfiguration, DeclaredDeparture, DeclaredDirectory, DeclaredExtent, DeclaredMember,
+    DeclaredState, DeclaredVersions,
 };
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -28,12 +31,46 @@
     let directory = engine.directory();
     let is_newer = directory.version > asked.directory;
     DeclaredState {
-        configuration: configuration.map(|known| known.as_ref().clone()),
-        directory: is_newer.then(|| declare(&directory, Instant::now())),
+        configuration: configuration.map(|newest| declare_configuration(engine, &newest, asked)),
+        directory: is_newer.then(|| declare(&directory, asked.directory, Instant::now())),
     }
 }
 
-fn declare(directory: &Directory, now: Instant) -> DeclaredDirectory {
+fn declare_configuration(
+    engine: &Engine,
+    newest: &Configuration,
+    asked: DeclaredVersions,
+) -> DeclaredConfiguration {
+    match engine.recent_configuration(asked.configuration) {
+        Some(known) => DeclaredConfiguration::Changes(newest.changes_since(&known)),
+        None => DeclaredConfiguration::Whole(newest.clone()),
+    }
+}
+
+/// What has changed in `directory` after the version `known`: the whole of it where that can
+/// no longer be told.
+fn declare(directory: &Directory, known: u64, now: Instant) -> DeclaredDirectory {
+    let (extent, members) = match directory.changed_after(known) {
+        Some(changed) => (
+            DeclaredExtent::Changes,
+            changed.map(|member| declare_member(member, now)).collect(),
+        ),
+        None => (
+            DeclaredExtent::Whole,
+            directory
+                .members()
+                .map(|member| declare_member(member, now))
+                .collect(),
+        ),
+    };
+    DeclaredDirectory {
+        version: directory.version,
+        extent,
+        members,
+    }
+}
+
+fn declare_member(member: &Member, now: Instant) -> DeclaredMember {
     let age_ms = |at: Instant| millis(now.saturating_duration_since(at));
     let left_ms = |until: Instant| millis(until.saturating_duration_since(now));
     let departure = |gone: bool, departure: Departure| DeclaredDeparture {
@@ -42,7 +79,7 @@
         learned_age_ms: age_ms(departure.learned),
         earliest_age_ms: departure.earliest.map(age_ms),
     };
-    let members = directory.members().map(|member| DeclaredMember {
+    DeclaredMember {
         id: member.id.clone(),
         group: member.group.clone(),
         address: member.address,
@@ -54,15 +91,15 @@
             MemberState::Leaving(known) => Some(departure(false, known)),
             MemberState::Lapsed(known) | MemberState::Gone(known) => Some(departure(true, known)),
         },
-    });
-    DeclaredDirectory {
-        version: directory.version,
-        members: members.collect(),
     }
 }
 
-/// Asks a few processes for what is newer than what this one knows, and takes it.
+/// Asks a few processes for what is newer than what this one knows, and takes it. In a large
+/// fleet nobody is asked here: [`following`] asks those that follow the store.
 pub async fn ask(engine: &Engine) {
+    if following::follows_others(engine) {
+        return;
+    }
     let asked = Instant::now();
     let versions = known_versions(engine);
     let peers = choose_peers(engine);
@@ -81,7 +118,7 @@
 /// so a departure is taken to be older than it is, never younger.
 pub(crate) fn take(engine: &Engine, state: DeclaredState, asked: Instant) {
     if let Some(configuration) = state.configuration {
-        engine.set_configuration(configuration);
+        take_configuration(engine, configuration);
     }
     let Some(declared) = state.directory else {
         return;
@@ -90,13 +127,31 @@
         return;
     }
     let members = declared.members.into_iter();
-    let members = members.map(|member| read_member(member, asked));
-    let departure = Departure::at(asked);
+    let members = members.map(|member| read_member(member, asked)).collect();
     let directory = engine.directory();
-    let next = directory.replaced(declared.version, members.collect(), departure);
+    let next = match declared.extent {
+        DeclaredExtent::Whole => {
+            directory.replaced(declared.version, members, Departure::at(asked))
+        }
+        DeclaredExtent::Changes => directory.merged(declared.version, members, asked),
+    };
     engine.set_directory(next);
 }
 
+/// Changes of a version that is no longer in use are dropped: a later one is known.
+fn take_configuration(engine: &Engine, declared: DeclaredConfiguration) {
+    let configuration = match declared {
+        DeclaredConfiguration::Whole(configuration) => Some(configuration),
+        DeclaredConfiguration::Changes(changes) => {
+            let known = engine.configuration();
+            known.and_then(|known| known.with(changes))
+        }
+    };
+    if let Some(configuration) = configuration {
+        engine.set_configuration(configuration);
+    }
+}
+
 fn read_member(declared: DeclaredMember, asked: Instant) -> Member {
     let state = match declared.departure {
         None => MemberState::Ready,
--- a/crates/engine/src/ports/mod.rs
+++ b/crates/engine/src/ports/mod.rs
@@ -10,8 +10,9 @@
     MemberReport, Refusal, RefusalKind,
 };
 pub use peers::{
-    CoveringBelief, DeclaredDeparture, DeclaredDirectory, DeclaredMember, DeclaredState,
-    DeclaredVersions, GroupBelief, LeaderBelief, PeerError, PeerLink, PeerNetwork, TermBelief,
+    CoveringBelief, DeclaredConfiguration, DeclaredDeparture, DeclaredDirectory, DeclaredExtent,
+    DeclaredMember, DeclaredState, DeclaredVersions, GroupBelief, LeaderBelief, PeerError,
+    PeerLink, PeerNetwork, TermBelief,
 };
 pub use promoter::{PromoteError, Promoter, PromotionOrder};
 pub use record_store::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -1,6 +1,6 @@
 //! Questions to other processes of the fleet.
 
-use crate::configuration::Configuration;
+use crate::configuration::{Configuration, ConfigurationChanges};
 use crate::directory::Role;
 use crate::group::Epoch;
 use crate::leadership::record::TermRecord;
@@ -74,20 +74,40 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeclaredState {
     /// The configuration.
-    pub configuration: Option<Configuration>,
+    pub configuration: Option<DeclaredConfiguration>,
     /// The members.
     pub directory: Option<DeclaredDirectory>,
 }
 
-/// All members, as of one version of their entries.
+/// A configuration that is newer than the one that was asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DeclaredConfiguration {
+    /// All of it.
+    Whole(Configuration),
+    /// What has changed since the version that was asked for.
+    Changes(ConfigurationChanges),
+}
+
+/// Members as of one version of their entries.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeclaredDirectory {
     /// The version.
     pub version: u64,
+    /// Which members these are.
+    pub extent: DeclaredExtent,
     /// The members, gone ones included.
     pub members: Vec<DeclaredMember>,
 }
 
+/// What a [`DeclaredDirectory`] holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum DeclaredExtent {
+    /// All members.
+    Whole,
+    /// Those that have changed after the version that was asked for.
+    Changes,
+}
+
 /// A member, on its way to another process.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DeclaredMember {
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -72,6 +72,13 @@
         });
     }
 
+    /// A process that was killed is going to start anew.
+    pub fn revive(&self, node: &str) {
+        self.killed.send_modify(|killed| {
+            killed.remove(node);
+        });
+    }
+
     /// Passes frames on from one process to another, after a moment, while both live and
     /// the way between them is open; a process that stands still neither sends nor reads.
     async fn carry(
--- a/crates/engine/tests/support/records.rs
+++ b/crates/engine/tests/support/records.rs
@@ -37,6 +37,7 @@
     pretended: HashSet<String>,
     refused_nodes: HashSet<String>,
     calls: u64,
+    whole_reads: u64,
 }
 
 /// The store, shared by all processes.
@@ -95,6 +96,11 @@
         self.state.lock().unwrap().rows.get(key).cloned()
     }
 
+    /// How often everything was read.
+    pub fn whole_reads(&self) -> u64 {
+        self.state.lock().unwrap().whole_reads
+    }
+
     pub fn calls(&self) -> u64 {
         self.state.lock().unwrap().calls
     }
@@ -147,6 +153,7 @@
 impl RecordStore for NodeRecords {
     async fn read(&self, prefix: &str) -> Result<RecordChanges, RecordStoreError> {
         self.enter().await?;
+        self.store.state.lock().unwrap().whole_reads += u64::from(prefix.is_empty());
         let shown = self.shown();
         self.store.freezer.pass(&self.node).await;
         Ok(RecordChanges {
