Let two processes follow the store for the whole fleet

Change: two processes follow the store; the first two of each zone ask these, the others ask the first two of their zone; whoever holds the lease for promotions follows the store too, since reports come by it. A follower that the store turns away says so at once. The age of what is told is counted from the question, so that a relay adds no more than its own wait. A fleet that starts waits until it has stopped growing.

The wait of a call for changes no longer depends on what the store serves, since the number of those that wait does not grow; the setting platform.reads_per_s is not read any more, and its check goes with it.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -3,7 +3,7 @@
 use crate::configuration::{Configuration, Route};
 use crate::directory::{Directory, Member};
 use crate::events::{Event, EventLog};
-use crate::following::Following;
+use crate::following::{self, Following};
 use crate::group::Group;
 use crate::home::placement::Capacity;
 use crate::home::{Homes, RemoteBackEnd, placement};
@@ -22,14 +22,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Calls that one process keeps waiting for changes: entries, configuration, records.
-const FEEDS: f64 = 3.0;
-/// Share of the store's reads that they may take.
-const FEED_SHARE: f64 = 0.25;
-/// Share of the contact time for which one of them waits.
+/// Share of the contact time for which a call waits for changes: entries, configuration,
+/// records.
 const FEED_CONTACT_SHARE: f64 = 0.4;
-/// Longest such wait, seconds.
-const FEED_WAIT_MAX_S: f64 = 20.0;
+/// The same where others learn of the changes from this process: they wait too.
+const RELAYED_FEED_CONTACT_SHARE: f64 = 0.3;
 /// Processes assumed before the fleet is known.
 const FIRST_PROCESSES: usize = 9;
 /// Configurations that are remembered, to tell others what has changed since: changes come
@@ -59,8 +56,6 @@
     /// Time within which a change in the store must be learned of, also where the call that
     /// was to tell it is never answered.
     pub contact: Duration,
-    /// Reads that the store serves in a second, to all processes together.
-    pub store_reads_per_second: f64,
     /// How long a member that leaves, or has left, may still be given work.
     pub leaving_use: Duration,
 }
@@ -316,13 +311,14 @@
     }
 
     /// How long one call that waits for changes in the store may wait: short enough that a
-    /// call that is never answered is noticed in time, and so long that those of the whole
-    /// fleet take only a share of what the store serves.
+    /// call that is never answered is noticed in time, by those too that learn of changes
+    /// from others.
     pub fn feed_wait(&self) -> Duration {
-        let feeds = FEEDS * self.processes() as f64;
-        let fair = feeds / (self.settings.store_reads_per_second * FEED_SHARE).max(1.0);
-        let prompt = self.settings.contact.mul_f64(FEED_CONTACT_SHARE);
-        prompt.max(Duration::from_secs_f64(fair.min(FEED_WAIT_MAX_S)))
+        let share = match following::follows_others(self) {
+            true => RELAYED_FEED_CONTACT_SHARE,
+            false => FEED_CONTACT_SHARE,
+        };
+        self.settings.contact.mul_f64(share)
     }
 
     /// Processes in the fleet, as far as is known.
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -1,12 +1,25 @@
 //! Following the store, or another process that does.
 //!
-//! In a small fleet every process follows the store itself. In a larger one the first few of
-//! each zone do, and the others ask one of these for what is newer than what they know: so
-//! what the store is asked does not grow with the fleet. A process goes back to the store
-//! whenever none of them tells it, within the time in which it has to know.
+//! In a small fleet every process follows the store itself. In a larger one two processes do.
+//! The first two of each zone ask one of these for what is newer than what they know, and the
+//! others ask the first two of their zone: so what the store is asked does not grow with the
+//! fleet, and nobody tells more than a zone. A process goes back to the store whenever none
+//! of them tells it, within the time in which it has to know.
+//!
+//! | what happens | what comes of it |
+//! | --- | --- |
+//! | one that others ask ends, is cut off, or does not answer | they ask the second, then two of other zones, then the store |
+//! | the store turns one away | it says so, and they do the same; it asks two of other zones itself |
+//! | the store is silent to one | the same once what it knows is too old |
+//! | a process holds the lease for promotions | it follows the store too |
+//! | the store is away | all ask it, less and less often |
+//! | a process begins to follow the store | it goes on from the version that it was told, and reads whole tables only where the store has forgotten what came after it |
+//! | processes disagree on whom to ask | whoever is asked answers with what it knows, and how old that is |
 
 use crate::engine::Engine;
 use crate::events::{DependencyMonitor, millis};
+use crate::home::placement::Source;
+use crate::leadership::duty::Duty;
 use crate::link::frame::{FeedVersions, FollowedVersions, News};
 use crate::peers::declared;
 use crate::ports::{Record, RecordChanges};
@@ -22,15 +35,21 @@
 const NEWS_WAIT: Duration = Duration::from_millis(900);
 /// What an answer may take longer than that.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
-/// What the knowledge of a follower may be older than one of its waits at the store.
+/// What the knowledge of a process that follows the store may be older than one of its waits
+/// there.
 const AGE_MARGIN: Duration = Duration::from_millis(600);
-/// Time after the start within which a fleet that starts as a whole comes to know itself.
-const SETTLING: Duration = Duration::from_millis(800);
+/// Longest time after the start in which a fleet that starts for the first time comes to know
+/// itself: each process writes a record, and the store takes some hundred a second.
+const SETTLING: Duration = Duration::from_secs(3);
+/// Time without another process after which such a fleet counts as known.
+const SETTLED_AFTER: Duration = Duration::from_millis(400);
+/// Interval in which it is looked at.
+const SETTLING_LOOK: Duration = Duration::from_millis(20);
 /// Pause after nobody told anything, and of a process that follows by itself.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Pause after an answer with changes, before the store is asked for more, while the whole
 /// fleet may be starting: each change wakes every process that follows the store.
-const SETTLING_PAUSE: Duration = Duration::from_millis(120);
+const SETTLING_PAUSE: Duration = Duration::from_millis(250);
 /// The same in a large fleet that knows itself: changes that come close together are told by
 /// one call. Well below the time in which a change must be known.
 const FEED_PAUSE: Duration = Duration::from_millis(25);
@@ -64,12 +83,25 @@
     /// The store's version as of which everything is known; zero where nothing is. Whoever
     /// begins to follow the store goes on from here, as long as it remembers that far back.
     version: u64,
+    /// Whether the store has failed to answer lately.
+    failing: bool,
+}
+
+/// Where this process learns what the store holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mode {
+    /// Not known yet: the process has just started.
+    Settling,
+    /// From the store itself.
+    Direct,
+    /// From other processes.
+    Indirect,
 }
 
 /// Whether this process follows the store itself, and how recent what it knows is.
 #[derive(Debug)]
 pub struct Following {
-    direct: watch::Sender<bool>,
+    mode: watch::Sender<Mode>,
     began: Instant,
     feeds: Mutex<[FeedState; FEEDS]>,
 }
@@ -77,7 +109,7 @@
 impl Default for Following {
     fn default() -> Self {
         Self {
-            direct: watch::Sender::new(true),
+            mode: watch::Sender::new(Mode::Settling),
             began: Instant::now(),
             feeds: Mutex::default(),
         }
@@ -87,23 +119,23 @@
 impl Following {
     /// Whether this process follows the store itself.
     pub fn is_direct(&self) -> bool {
-        *self.direct.borrow()
+        *self.mode.borrow() != Mode::Indirect
     }
 
     /// Returns once this process is to follow the store itself; whether it had to wait, so
     /// that what it knew of the store before is old. What is `known` already may wait a
     /// moment after the start, until the fleet is known too.
     pub async fn until_direct(&self, known: bool) -> bool {
-        let mut direct = self.direct.subscribe();
+        let mut mode = self.mode.subscribe();
         // The sender lives as long as this does.
         if known {
-            let indirect = direct.wait_for(|direct| !*direct);
-            let _ = timeout_at(self.began + SETTLING, indirect).await;
+            let settled = mode.wait_for(|mode| *mode != Mode::Settling);
+            let _ = timeout_at(self.began + SETTLING, settled).await;
         }
         if self.is_direct() {
             return false;
         }
-        let _ = direct.wait_for(|direct| *direct).await;
+        let _ = mode.wait_for(|mode| *mode != Mode::Indirect).await;
         true
     }
 
@@ -113,6 +145,17 @@
         let state = &mut self.lock()[feed as usize];
         state.heard = state.heard.max(Some(at));
         state.version = state.version.max(version);
+        state.failing = false;
+    }
+
+    /// Notes that the store has failed to tell of `feed`, for the `failures`th time in a row.
+    /// One failure says little; the next call may be answered.
+    pub fn failed(&self, feed: Feed, failures: u32) {
+        self.lock()[feed as usize].failing = failures > 1;
+    }
+
+    fn is_failing(&self) -> bool {
+        self.lock().iter().any(|feed| feed.failing)
     }
 
     /// Since when something may have changed that this process does not know.
@@ -139,7 +182,7 @@
     /// How long to wait after an answer with changes, in a fleet of `processes`, before the
     /// store is asked for more.
     pub fn pause_after_changes(&self, processes: usize) -> Duration {
-        if self.began.elapsed() < SETTLING {
+        if *self.mode.borrow() == Mode::Settling {
             SETTLING_PAUSE
         } else if processes <= DIRECT_FLEET {
             Duration::ZERO
@@ -148,10 +191,10 @@
         }
     }
 
-    fn set_direct(&self, direct: bool) {
-        self.direct.send_if_modified(|current| {
-            let changed = *current != direct;
-            *current = direct;
+    fn set_mode(&self, mode: Mode) {
+        self.mode.send_if_modified(|current| {
+            let changed = *current != mode;
+            *current = mode;
             changed
         });
     }
@@ -167,44 +210,72 @@
 }
 
 /// Learns from other processes, where there are some to learn from, until the process ends.
-pub async fn follow(engine: &Engine) {
+///
+/// Whoever holds `duty` follows the store itself: what others report there must reach it soon.
+pub async fn follow(engine: &Engine, duty: &Duty) {
     let mut dependency = DependencyMonitor::new("followers");
+    settle(engine).await;
     loop {
         if !follows_others(engine) {
-            engine.following().set_direct(true);
+            engine.following().set_mode(Mode::Direct);
             sleep(PAUSE).await;
             continue;
         }
-        match engine.homes().followers(&engine.settings().zone) {
-            Some(near) => follow_near(engine, &near, &mut dependency).await,
-            None => follow_store(engine).await,
+        let source = match duty.check() {
+            Some(_) => Source::Store,
+            None => engine.homes().source(&engine.settings().zone),
+        };
+        match source {
+            Source::Store => follow_store(engine).await,
+            Source::Peers(peers) => follow_peers(engine, &peers, &mut dependency).await,
         }
     }
 }
 
+/// Returns once the fleet is known. Where an earlier life has left the records of a large
+/// one, it is at once.
+async fn settle(engine: &Engine) {
+    engine.terms().until_read().await;
+    let until = engine.following().began + SETTLING;
+    let (mut known, mut since) = (0, Instant::now());
+    sleep(SETTLING_LOOK).await;
+    if follows_others(engine) {
+        return;
+    }
+    while since.elapsed() < SETTLED_AFTER && Instant::now() < until {
+        let processes = engine.homes().fleet_len();
+        if processes != known {
+            (known, since) = (processes, Instant::now());
+        }
+        sleep(SETTLING_LOOK).await;
+    }
+}
+
 /// One round of a process that follows the store for others: while the store turns it away,
 /// those of other zones may know more.
 async fn follow_store(engine: &Engine) {
-    engine.following().set_direct(true);
-    if is_out_of_date(engine, Instant::now()) {
+    engine.following().set_mode(Mode::Direct);
+    if engine.following().is_failing() || is_out_of_date(engine, Instant::now()) {
         // That the store does not answer is told by the tasks that ask it.
         let _ = learn(engine, &elsewhere(engine)).await;
     }
     sleep(PAUSE).await;
 }
 
-/// One round of any other process: it asks those of its zone that follow the store, then
-/// those of others, and goes to the store itself where none of them knows enough.
-async fn follow_near(engine: &Engine, near: &[SocketAddr], dependency: &mut DependencyMonitor) {
-    let following = engine.following();
-    let mut learned = learn(engine, near).await;
+/// One round of any other process: it asks `peers`, then two processes of other zones, and
+/// goes to the store itself where none of them knows enough.
+async fn follow_peers(engine: &Engine, peers: &[SocketAddr], dependency: &mut DependencyMonitor) {
+    let mut learned = learn(engine, peers).await;
     if learned.is_err() {
         learned = learn(engine, &elsewhere(engine)).await;
     }
-    following.set_direct(learned.is_err());
-    let failed = learned.is_err();
+    let mode = match learned {
+        Ok(()) => Mode::Indirect,
+        Err(_) => Mode::Direct,
+    };
+    engine.following().set_mode(mode);
     dependency.note(engine.events(), learned.err());
-    if failed {
+    if mode == Mode::Direct {
         sleep(PAUSE).await;
     }
 }
@@ -248,9 +319,11 @@
         following.heard(Feed::Directory, at, versions.directory);
         following.heard(Feed::Records, at, versions.records);
     }
-    if age.is_none_or(|age| age > age_limit(engine)) {
+    if age.is_none() || is_out_of_date(engine, Instant::now()) {
         link.distrust();
-        return Err(format!("what was told may be {age:?} old"));
+        return Err(format!(
+            "what was told was {age:?} old when it was asked for"
+        ));
     }
     Ok(())
 }
@@ -261,9 +334,14 @@
     as_of.is_none_or(|at| now > at + age_limit(engine))
 }
 
-/// Greatest age of what a process that follows the store knows of it, while it is told.
+/// Greatest age of what a process knows of the store, while it is told: one wait of who
+/// follows the store, and one of who asks that one for others.
 pub fn age_limit(engine: &Engine) -> Duration {
-    engine.feed_wait() + AGE_MARGIN
+    let relayed = match follows_others(engine) {
+        true => NEWS_WAIT,
+        false => Duration::ZERO,
+    };
+    engine.feed_wait() + AGE_MARGIN + relayed
 }
 
 fn known_versions(engine: &Engine) -> FollowedVersions {
@@ -290,14 +368,16 @@
     let mut directory = engine.subscribe_directory();
     let mut configuration = engine.subscribe_configuration();
     let mut records = engine.terms().subscribe_version();
-    let until = Instant::now() + wait;
+    let asked = Instant::now();
+    let until = asked + wait;
     loop {
         directory.mark_unchanged();
         configuration.mark_unchanged();
         records.mark_unchanged();
-        let news = news_now(engine, known);
-        let recent = news.age.is_some_and(|age| age <= age_limit(engine));
-        if news.is_any(known) || !recent || Instant::now() >= until {
+        let news = news_since(engine, known, asked);
+        let now = Instant::now();
+        let stale = news.age.is_none() || is_out_of_date(engine, now);
+        if news.is_any(known) || stale || now >= until {
             return news;
         }
         tokio::select! {
@@ -309,8 +389,8 @@
     }
 }
 
-fn news_now(engine: &Engine, known: FollowedVersions) -> News {
-    let now = Instant::now();
+/// What is newer than `known`, for a question that came at `asked`.
+fn news_since(engine: &Engine, known: FollowedVersions, asked: Instant) -> News {
     // Before what is known is gathered: it must hold no less than these tell.
     let (as_of, feeds) = (
         engine.following().known_as_of(),
@@ -321,8 +401,9 @@
         true => engine.terms().records_after(known.records),
         false => Vec::new(),
     };
+    let as_of = as_of.filter(|_| !engine.following().is_failing());
     News {
-        age: as_of.map(|at| Duration::from_millis(millis(now.duration_since(at)) + 1)),
+        age: as_of.map(|at| Duration::from_millis(millis(asked.saturating_duration_since(at)) + 1)),
         feeds,
         declared: declared::newer(engine, known.declared),
         records,
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -27,8 +27,12 @@
 const HOME_CONNECTIONS_PER_SLOT: usize = 10;
 /// Connections of a member that are left to orders and to processes not counted yet.
 pub const RESERVED: usize = 6;
-/// Processes of each zone that follow the store for the others, in a large fleet.
+/// Processes of each zone from which the others learn what the store holds, in a large fleet.
 const FOLLOWERS: usize = 2;
+/// Processes of the whole fleet that follow the store itself, in a large fleet.
+const ROOTS: usize = 2;
+/// What they are ranked for.
+const ROOT_TASK: &[u8] = b"root";
 /// Least weight of a process: one that tells less, or nothing that makes sense, has this.
 const LEAST_WEIGHT: f64 = 0.01;
 
@@ -146,10 +150,55 @@
     candidates: HashMap<MemberId, Arc<[Peer]>>,
     keepers: HashMap<usize, Arc<[Peer]>>,
     followers: HashMap<ZoneName, Arc<[Peer]>>,
+    roots: Option<Arc<[Peer]>>,
+}
+
+/// Where a process learns what the store holds.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Source {
+    /// From the store itself.
+    Store,
+    /// From one of the processes that answer here, the first of them if it does.
+    Peers(Vec<SocketAddr>),
 }
 
 impl Ranking {
-    /// The processes that follow the store for `zone`.
+    /// The processes that learn what the store holds first in their zones, of all zones.
+    fn all_followers(&mut self) -> Vec<Peer> {
+        let zones = self.fleet.iter().map(|peer| peer.zone.clone());
+        let zones: BTreeSet<ZoneName> = zones.collect();
+        let followers = zones
+            .iter()
+            .flat_map(|zone| self.followers_of(zone).to_vec());
+        followers.collect()
+    }
+
+    /// The processes that follow the store itself: the first two of all followers, of two
+    /// zones if there are as many.
+    fn roots(&mut self) -> Arc<[Peer]> {
+        if let Some(known) = &self.roots {
+            return Arc::clone(known);
+        }
+        let ranked = self.ranked_followers();
+        let roots: Arc<[Peer]> = ranked.into_iter().take(ROOTS).collect();
+        self.roots = Some(Arc::clone(&roots));
+        roots
+    }
+
+    /// All followers in the order in which they follow the store itself; the second is of
+    /// another zone than the first, if there is one.
+    fn ranked_followers(&mut self) -> Vec<Peer> {
+        let followers = self.all_followers();
+        let ranked = first_of(followers.iter(), ROOT_TASK, followers.len());
+        let mut ranked: Vec<Peer> = ranked.cloned().collect();
+        let elsewhere = ranked.iter().position(|peer| peer.zone != ranked[0].zone);
+        if let Some(place) = elsewhere {
+            ranked[1..=place].rotate_right(1);
+        }
+        ranked
+    }
+
+    /// The processes that learn what the store holds first in `zone`.
     fn followers_of(&mut self, zone: &ZoneName) -> Arc<[Peer]> {
         if let Some(known) = self.followers.get(zone) {
             return Arc::clone(known);
@@ -185,6 +234,7 @@
             ranking.candidates.clear();
             ranking.keepers.clear();
             ranking.followers.clear();
+            ranking.roots = None;
             ranking.fleet = fleet;
         }
     }
@@ -199,30 +249,43 @@
         self.lock().fleet.len()
     }
 
-    /// Where those processes answer that follow the store for `zone`, the one that this
-    /// process is to ask first in front; `None` where it is one of them.
-    pub fn followers(&self, zone: &ZoneName) -> Option<Vec<SocketAddr>> {
-        let followers = self.lock().followers_of(zone);
-        if self.is_among(&followers) {
-            return None;
+    /// Where a process of `zone` learns what the store holds.
+    pub fn source(&self, zone: &ZoneName) -> Source {
+        let (roots, followers) = {
+            let mut ranking = self.lock();
+            (ranking.roots(), ranking.followers_of(zone))
+        };
+        if self.is_among(&roots) {
+            return Source::Store;
         }
-        let mut addresses: Vec<SocketAddr> = followers.iter().map(|peer| peer.address).collect();
+        let peers = match self.is_among(&followers) {
+            true => &roots,
+            false => &followers,
+        };
+        let mut addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
         self.spread(&mut addresses);
-        Some(addresses)
+        Source::Peers(addresses)
+    }
+
+    /// This process's place in the order in which processes are to hold duties of the whole
+    /// fleet, the same everywhere; zero is first. Those that hear of the store first come
+    /// first. `None` where the fleet does not know this process yet.
+    pub fn duty_rank(&self) -> Option<usize> {
+        let mut ranking = self.lock();
+        let followers = ranking.ranked_followers();
+        let is_follower = |peer: &&Peer| followers.iter().any(|known| known.node == peer.node);
+        let others = ranking.fleet.iter().filter(|peer| !is_follower(peer));
+        let others = first_of(others, ROOT_TASK, ranking.fleet.len());
+        let mut order = followers.iter().chain(others);
+        order.position(|peer| peer.node == self.own)
     }
 
     /// Where a few processes answer that follow the store for other zones than `zone`, not
     /// the same ones for each process that asks.
     pub fn followers_elsewhere(&self, zone: &ZoneName) -> Vec<SocketAddr> {
-        let mut ranking = self.lock();
-        let zones = ranking.fleet.iter().map(|peer| peer.zone.clone());
-        let zones: BTreeSet<ZoneName> = zones.filter(|other| other != zone).collect();
-        let followers = zones
-            .iter()
-            .flat_map(|zone| ranking.followers_of(zone).to_vec());
-        let followers: Vec<Peer> = followers.collect();
-        let own = self.own.as_bytes();
-        let first = first_of(followers.iter(), own, FOLLOWERS);
+        let followers = self.lock().all_followers();
+        let elsewhere = followers.iter().filter(|peer| peer.zone != *zone);
+        let first = first_of(elsewhere, self.own.as_bytes(), FOLLOWERS);
         first.map(|peer| peer.address).collect()
     }
 
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -12,7 +12,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Prefix of the keys of these records.
 const KEY_PREFIX: &str = "node/";
@@ -58,18 +57,10 @@
 /// This process's place among all in an order that is the same everywhere; zero is first.
 /// A process that is not registered yet counts itself last.
 pub fn rank(engine: &Engine) -> usize {
-    let order = |name: &str| (xxh3_64(name.as_bytes()), name.to_owned());
-    let own = order(&engine.settings().node);
-    let others = engine.terms().subscribe_others();
-    let records = others.borrow();
     let key = format!("{KEY_PREFIX}{}", engine.settings().node);
-    if !records.contains_key(&key) {
-        return usize::MAX;
-    }
-    let names = records
-        .keys()
-        .filter_map(|key| key.strip_prefix(KEY_PREFIX));
-    names.filter(|name| order(name) < own).count()
+    let registered = own_record(engine, &key).is_some();
+    let rank = engine.homes().duty_rank().filter(|_| registered);
+    rank.unwrap_or(usize::MAX)
 }
 
 /// Connections that one of `processes` may use of a member that accepts `accepted`.
@@ -109,7 +100,7 @@
         && let Ok(earlier) = rmp_serde::from_slice::<NodeRecord>(&known.value)
         && earlier.is_same(&NodeRecord::of(engine))
     {
-        sleep(RENEWAL_INTERVAL.mul_f64(rand::random())).await;
+        sleep(RENEWAL_INTERVAL.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
     }
     loop {
         let version = own_record(engine, &key).map_or(0, |known| known.version);
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -147,6 +147,7 @@
                 Err(RecordStoreError::HistoryGone) => version = None,
                 Err(error) => {
                     failures += 1;
+                    engine.following().failed(Feed::Records, failures);
                     dependency.note(engine.events(), Some(error.to_string()));
                     if !following::follows_others(engine) {
                         peers::ask(engine, &engine.directory().groups()).await;
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -47,7 +47,7 @@
         fleet::register(&engine),
         roster::keep(&engine, &duty),
         fleet::follow(&engine),
-        following::follow(&engine),
+        following::follow(&engine, &duty),
         follow_directory(&engine),
         end_lapses(&engine),
     );
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -143,8 +143,8 @@
 /// What a process that follows the store knows that is newer.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct News {
-    /// Since when something may have changed that it does not know; `None` where it has
-    /// never heard of the store. Counted when the answer is made.
+    /// Since when something may have changed that it does not know; `None` where it does not
+    /// reach the store now. Counted when the question came, which is after it was sent.
     pub age: Option<Duration>,
     /// The versions of the store as of which everything is told.
     pub feeds: FeedVersions,
