Order log lines by a steady clock

Change: each line tells the time since its process began and its number; stilequayctl explain puts the lines of each life of a process in order by these, and lives beside one another by what most of their lines agree on. Test: a_time_of_day_that_jumps_changes_no_order.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -1,6 +1,7 @@
 //! Gathers what the logs of several processes tell of one request: its own lines, and the
 //! beliefs that were in force when it was decided.
 
+use crate::clocks::{Clocks, Starts, SteadyTime};
 use serde::Deserialize;
 use serde_json::{Map, Value};
 use std::collections::BTreeMap;
@@ -15,6 +16,8 @@
 struct Line {
     #[serde(alias = "timestamp")]
     time: String,
+    /// Time since the process began, by its steady clock, ms.
+    uptime_ms: Option<u64>,
     /// The event names it where several processes' parts share one log.
     node: Option<String>,
     event: Option<EventFields>,
@@ -35,6 +38,8 @@
 #[derive(Debug, Clone)]
 struct Entry {
     time: String,
+    /// When it was written, in an order that holds although times of day jump.
+    at: SteadyTime,
     node: String,
     event: EventFields,
 }
@@ -46,6 +51,9 @@
     changes: Vec<Entry>,
     coverage: BTreeMap<String, Coverage>,
     unreadable: usize,
+    clocks: Clocks,
+    /// When the processes began, once all logs are read.
+    starts: Starts,
 }
 
 /// What the log of one process covers.
@@ -101,9 +109,11 @@
 
     fn take(&mut self, id: &str, line: Line) {
         let Some(mut event) = line.event else { return };
+        let node = line.node.or(event.node.take()).unwrap_or_default();
         let entry = Entry {
+            at: self.clocks.read(&node, &line.time, line.uptime_ms),
             time: line.time,
-            node: line.node.or(event.node.take()).unwrap_or_default(),
+            node,
             event,
         };
         self.cover(&entry);
@@ -167,8 +177,10 @@
 
     /// The explanation, for people.
     pub fn text(mut self) -> String {
-        self.requests.sort_by(|a, b| a.time.cmp(&b.time));
-        self.changes.sort_by(|a, b| a.time.cmp(&b.time));
+        self.starts = self.clocks.starts();
+        let starts = &self.starts;
+        self.requests.sort_by_key(|entry| starts.time_of(&entry.at));
+        self.changes.sort_by_key(|entry| starts.time_of(&entry.at));
         let mut text = String::new();
         for request in &self.requests {
             if request.event.event != "request" {
@@ -223,9 +235,10 @@
     }
 
     fn before<'a>(&'a self, request: &'a Entry) -> impl Iterator<Item = &'a Entry> {
+        let until = self.starts.time_of(&request.at);
         self.changes
             .iter()
-            .filter(|change| change.time <= request.time)
+            .filter(move |change| self.starts.time_of(&change.at) <= until)
     }
 }
 
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,6 +1,7 @@
 //! Operator commands as a library: everything of `stilequayctl` but its `main`.
 
 pub mod client;
+pub mod clocks;
 pub mod command_line;
 pub mod commands;
 pub mod connection;
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -52,3 +52,36 @@
     explanation.read("77ab", DAEMON.as_bytes()).expect("read");
     assert_snapshot!(explanation.text());
 }
+
+/// What two processes wrote, one of which had its time of day jump ahead by ten seconds for
+/// some lines, and was restarted at the end.
+const STEPPED: &str = r#"{"time":"2026-01-01T00:00:01.000Z","uptime_ms":1000,"seq":0,"level":"info","node":"front-1","event":{"event":"leader_changed","group":"ledger","epoch":1,"leader":"i-7f","confirmed":true}}
+{"time":"2026-01-01T00:00:02.000Z","uptime_ms":2000,"seq":1,"level":"info","node":"front-1","event":{"event":"configuration_taken","version":6,"routes":3}}
+{"time":"2026-01-01T00:00:13.000Z","uptime_ms":3000,"seq":2,"level":"info","node":"front-1","event":{"event":"dependency","name":"term_records","available":false,"reason":"timed out"}}
+{"time":"2026-01-01T00:00:14.000Z","uptime_ms":4000,"seq":3,"level":"info","node":"front-1","event":{"event":"leader_suspected","group":"ledger","epoch":1,"leader":"i-7f","evidence":"unreachable","since_ms":104}}
+{"time":"2026-01-01T00:00:05.000Z","uptime_ms":5000,"seq":4,"level":"warn","node":"front-1","event":{"event":"request","id":"5c0e","database":"orders","group":"ledger","statement":"read","configuration":6,"epoch":1,"evidence_age_ms":980,"after":null,"attempts":[],"outcome":"completed","elapsed_ms":3}}
+{"time":"2026-01-01T00:00:07.000Z","uptime_ms":10,"seq":0,"level":"info","node":"front-1","event":{"event":"lifecycle","action":"start","detail":"version 0.1.0"}}
+"#;
+
+#[test]
+fn a_time_of_day_that_jumps_changes_no_order() {
+    let mut explanation = Explanation::default();
+    for log in [STEPPED, FRONT_2] {
+        explanation.read("5c0e", log.as_bytes()).expect("read");
+    }
+    let text = explanation.text();
+    let own = text.find("front-1: request 5c0e").expect("the request");
+    // What was written before the request is told with it, although its time of day is later.
+    let told = &text[own..];
+    assert!(told.contains("dependency, available false"), "{text}");
+    let suspected = told
+        .find("front-1: leader_suspected")
+        .expect("the suspicion");
+    let by_another = told.find("front-2: leader_suspected").expect("another's");
+    assert!(suspected < by_another, "{text}");
+    // What came after it is not.
+    assert!(
+        !told[..suspected].contains("lifecycle, action start"),
+        "{text}"
+    );
+}
