--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -223,10 +223,43 @@
     Unreachable(String),
 }
 
-/// A frame's bytes.
-pub fn encode<T: Serialize>(frame: &T) -> Bytes {
+/// What goes over a link one way.
+pub trait Frame: Serialize {
+    /// What kind of frame it is, as metrics tell of it.
+    fn kind(&self) -> &'static str;
+}
+
+impl Frame for ToHome {
+    fn kind(&self) -> &'static str {
+        match self {
+            ToHome::Run(_) => "run",
+            ToHome::Close(_) => "close",
+            ToHome::Ask { .. } => "ask",
+            ToHome::Follow { .. } => "follow",
+            ToHome::Ping => "ping",
+        }
+    }
+}
+
+impl Frame for FromHome {
+    fn kind(&self) -> &'static str {
+        match self {
+            FromHome::Ran { .. } => "ran",
+            FromHome::Beliefs { .. } => "beliefs",
+            FromHome::News { .. } => "news",
+            FromHome::Pong => "pong",
+            FromHome::Leaving => "leaving",
+        }
+    }
+}
+
+/// A frame's bytes, which are counted by its kind.
+pub fn encode<T: Frame>(frame: &T) -> Bytes {
     // Texts, numbers and bytes only: encoding can't fail.
-    rmp_serde::to_vec(frame).unwrap_or_default().into()
+    let encoded = rmp_serde::to_vec(frame).unwrap_or_default();
+    let bytes = u64::try_from(encoded.len()).unwrap_or(u64::MAX);
+    metrics::counter!("stilequay_link_bytes_total", "frame" => frame.kind()).increment(bytes);
+    encoded.into()
 }
 
 /// Reads a frame; `None` where it makes no sense.
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -85,6 +85,10 @@
         "stilequay_follows_store",
         "1 while this process follows the store itself, 0 while it learns from another.",
     ),
+    Metric::counter(
+        "stilequay_link_bytes_total",
+        "Bytes sent over links between processes, by kind of frame.",
+    ),
     Metric::counter(
         "stilequay_peer_answers_total",
         "Answers of other processes that were asked for their beliefs.",
