Date members' changes by the store's own versions

Cause: a whole reading of the entries dated all members by the store's version of that moment, which rises with every write in it: after each restart of a follower, all its askers were told all members anew.

Change: a member carries the version of its entry's last change. Test: entries_that_are_read_anew_are_no_news.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -120,9 +120,22 @@
     pub slots: usize,
     /// Whether it is to get work.
     pub state: MemberState,
+    /// The store's version of the last change that is told here; zero where that is not
+    /// known. The same wherever the change is known.
+    pub changed: u64,
 }
 
 impl Member {
+    /// Whether both tell the same, with whichever version.
+    fn is_like(&self, other: &Self) -> bool {
+        let changed = other.changed;
+        *other
+            == Self {
+                changed,
+                ..self.clone()
+            }
+    }
+
     /// Whether its entry is there.
     pub fn has_entry(&self) -> bool {
         matches!(self.state, MemberState::Ready | MemberState::Leaving(_))
@@ -137,13 +150,11 @@
 /// All members, as of one reading of their entries.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
-    /// The entries' version.
+    /// The newest version of a change that is told here.
     pub version: u64,
     members: HashMap<MemberId, Arc<Member>>,
     /// The same by group; made anew after each change.
     groups: BTreeMap<GroupName, Vec<Arc<Member>>>,
-    /// The version with which this process learned of each member's last change.
-    changed: HashMap<MemberId, u64>,
     /// The newest version of a change that is forgotten: what came after an older version
     /// can't be told.
     forgotten: u64,
@@ -191,10 +202,9 @@
     /// The members that have changed after `version`; `None` where some of these changes
     /// are forgotten.
     pub fn changed_after(&self, version: u64) -> Option<impl Iterator<Item = &Arc<Member>>> {
-        let changed = self.changed.iter();
-        let changed = changed.filter(move |(_, changed)| **changed > version);
-        let members = changed.filter_map(|(id, _)| self.members.get(id));
-        (version >= self.forgotten).then_some(members)
+        let members = self.members.values();
+        let changed = members.filter(move |member| member.changed > version);
+        (version >= self.forgotten).then_some(changed)
     }
 
     /// The groups that have members.
@@ -238,62 +248,26 @@
         Some(next.grouped())
     }
 
-    /// The directory after the entries `present`, read in whole; what is missing has gone
-    /// by `departure`.
+    /// The directory after the entries `present`, read in whole as of `version`; what is
+    /// missing has gone by `departure`.
     pub fn replaced(&self, version: u64, present: Vec<Member>, departure: Departure) -> Self {
         let mut next = Self {
-            version,
+            version: self.version,
             forgotten: self.forgotten,
             ..Self::default()
         };
         for member in present {
-            next.insert(self.keep_since(member));
+            next.insert(self.dated(self.keep_since(member), version));
         }
         for (id, member) in &self.members {
             if !next.members.contains_key(id) {
-                next.insert_gone(member, departure);
+                next.insert_gone(member, departure, version);
             }
         }
-        next.keep_changes_of(self);
         next.grouped()
     }
 
-    /// The directory as of `version`, where `changed` are all that have changed since.
-    pub fn merged(&self, version: u64, changed: Vec<Member>, now: Instant) -> Self {
-        let mut next = self.clone();
-        next.version = version;
-        for member in changed {
-            next.insert(self.keep_since(member));
-        }
-        next.forget_long_gone(now);
-        next.grouped()
-    }
-
-    /// Takes a member as this version tells of it.
-    fn insert(&mut self, member: Member) {
-        self.changed.insert(member.id.clone(), self.version);
-        self.members.insert(member.id.clone(), Arc::new(member));
-    }
-
-    /// Drops a member that nobody waits for any more.
-    fn forget(&mut self, id: &str) {
-        self.members.remove(id);
-        let changed = self.changed.remove(id);
-        self.forgotten = self.forgotten.max(changed.unwrap_or(self.version));
-    }
-
-    /// Members that are the same as `before` have not changed with this version.
-    fn keep_changes_of(&mut self, before: &Self) {
-        for (id, changed) in &mut self.changed {
-            if before.members.get(id) == self.members.get(id)
-                && let Some(earlier) = before.changed.get(id)
-            {
-                *changed = *earlier;
-            }
-        }
-    }
-
-    /// The directory after some entries have changed.
+    /// The directory after some entries have changed, the last of them with `version`.
     pub fn updated(
         &self,
         version: u64,
@@ -301,13 +275,14 @@
         departure: Departure,
     ) -> Self {
         let mut next = self.clone();
-        next.version = version;
         for change in changes {
             match change {
-                DirectoryChange::Present(member) => next.insert(self.keep_since(member)),
-                DirectoryChange::Gone(id) => {
+                DirectoryChange::Present(member) => {
+                    next.insert(self.dated(self.keep_since(member), version));
+                }
+                DirectoryChange::Gone { id, changed } => {
                     if let Some(member) = self.members.get(&id) {
-                        next.insert_gone(member, departure);
+                        next.insert_gone(member, departure, changed);
                     }
                 }
             }
@@ -316,6 +291,44 @@
         next.grouped()
     }
 
+    /// The directory as of `version`, where `changed` are all that have changed since.
+    pub fn merged(&self, version: u64, changed: Vec<Member>, now: Instant) -> Self {
+        let mut next = self.clone();
+        for member in changed {
+            next.insert(self.keep_since(member));
+        }
+        next.version = next.version.max(version);
+        next.forget_long_gone(now);
+        next.grouped()
+    }
+
+    /// Takes a member as it is told.
+    fn insert(&mut self, member: Member) {
+        self.version = self.version.max(member.changed);
+        self.members.insert(member.id.clone(), Arc::new(member));
+    }
+
+    /// The member with the version of its last change: the one that it tells, if that is a
+    /// change; else that of the known one, or `read` where it differs from that.
+    fn dated(&self, member: Member, read: u64) -> Member {
+        let known = self.members.get(&member.id);
+        let before = known.map_or(0, |known| known.changed);
+        let same = known.is_some_and(|known| known.is_like(&member));
+        let changed = match same {
+            true => before,
+            false if member.changed > before => member.changed,
+            false => read,
+        };
+        Member { changed, ..member }
+    }
+
+    /// Drops a member that nobody waits for any more.
+    fn forget(&mut self, id: &str) {
+        let forgotten = self.members.remove(id);
+        let changed = forgotten.map_or(0, |member| member.changed);
+        self.forgotten = self.forgotten.max(changed);
+    }
+
     /// Drops members whose entries went away so long ago that nobody waits for them.
     fn forget_long_gone(&mut self, now: Instant) {
         let is_past = |member: &Member| match member.state {
@@ -360,12 +373,14 @@
         }
         let mut next = self.clone();
         for member in over {
-            next.insert_gone(&member, Departure::at(now));
+            // The change was told already; that nothing came of it is noticed by everybody.
+            next.insert_gone(&member, Departure::at(now), member.changed);
         }
         Some(next.grouped())
     }
 
-    fn insert_gone(&mut self, member: &Arc<Member>, departure: Departure) {
+    /// Takes it that the entry of `member` went away with the version `changed`.
+    fn insert_gone(&mut self, member: &Arc<Member>, departure: Departure, changed: u64) {
         let now = departure.learned;
         let departure = match member.state {
             MemberState::Gone(known) | MemberState::Leaving(known) => known,
@@ -376,20 +391,28 @@
             },
             MemberState::Ready => departure,
         };
+        let changed = match member.has_entry() {
+            true => changed,
+            // Nothing new.
+            false => member.changed,
+        };
         if departure.is_lapse(now) && !self.is_replaced(member) {
             let lapsed = Member {
                 state: MemberState::Lapsed(departure),
+                changed,
                 ..Member::clone(member)
             };
             self.insert(lapsed);
             return;
         }
         if now.duration_since(departure.learned) > GONE_MEMORY {
-            self.forget(&member.id);
+            self.members.remove(&member.id);
+            self.forgotten = self.forgotten.max(changed);
             return;
         }
         let gone = Member {
             state: MemberState::Gone(departure),
+            changed,
             ..Member::clone(member)
         };
         self.insert(gone);
@@ -402,5 +425,10 @@
     /// An entry is there, new or changed.
     Present(Member),
     /// An entry has gone.
-    Gone(MemberId),
+    Gone {
+        /// Whose.
+        id: MemberId,
+        /// The store's version of the change.
+        changed: u64,
+    },
 }
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -147,6 +147,7 @@
         role: Role::Replica,
         slots: 0,
         state: MemberState::Gone(departure),
+        changed: 0,
     });
     engine.remember_members(members.collect());
 }
--- a/crates/engine/src/peers/declared.rs
+++ b/crates/engine/src/peers/declared.rs
@@ -86,6 +86,7 @@
         zone: member.zone.clone(),
         role: member.role,
         slots: member.slots,
+        changed: member.changed,
         departure: match member.state {
             MemberState::Ready => None,
             MemberState::Leaving(known) => Some(departure(false, known)),
@@ -165,6 +166,7 @@
         role: declared.role,
         slots: declared.slots,
         state,
+        changed: declared.changed,
     }
 }
 
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -125,6 +125,8 @@
     pub slots: usize,
     /// Set where it leaves or has left.
     pub departure: Option<DeclaredDeparture>,
+    /// The store's version of its last change.
+    pub changed: u64,
 }
 
 /// A member's departure, in ages at the time of the answer.
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -26,6 +26,7 @@
         role: Role::Replica,
         slots: 3,
         state,
+        changed: 0,
     };
     let member = Arc::new(member);
     Surveyed { member, response }
--- a/crates/engine/tests/departures.rs
+++ b/crates/engine/tests/departures.rs
@@ -56,6 +56,7 @@
         role: stilequay_engine::directory::Role::Replica,
         slots: 3,
         state,
+        changed: 0,
     }
 }
 
@@ -71,7 +72,10 @@
     let directory = directory.updated(2, vec![again], later);
     let state = |directory: &Directory| directory.member("a").map(|member| member.state);
     assert_eq!(state(&directory), Some(MemberState::Leaving(first)));
-    let gone = DirectoryChange::Gone(Arc::from("a"));
+    let gone = DirectoryChange::Gone {
+        id: Arc::from("a"),
+        changed: 2,
+    };
     let updated = directory.updated(3, vec![gone], later);
     assert_eq!(state(&updated), Some(MemberState::Gone(first)));
     let replaced = directory.replaced(3, Vec::new(), later);
@@ -83,7 +87,10 @@
 async fn what_has_gone_long_ago_is_forgotten_with_the_next_change() {
     let now = Departure::at(Instant::now());
     let directory = Directory::default().replaced(1, vec![member(MemberState::Ready)], now);
-    let gone = DirectoryChange::Gone(Arc::from("a"));
+    let gone = DirectoryChange::Gone {
+        id: Arc::from("a"),
+        changed: 2,
+    };
     let directory = directory.updated(2, vec![gone], now);
     advance(GONE_MEMORY).await;
     let directory = directory.updated(3, Vec::new(), Departure::at(Instant::now()));
--- a/crates/engine/tests/peers.rs
+++ b/crates/engine/tests/peers.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::configuration::Route;
-use stilequay_engine::directory::{Departure, DirectoryChange, GONE_MEMORY, MemberState};
+use stilequay_engine::directory::{
+    Departure, Directory, DirectoryChange, GONE_MEMORY, Member, MemberState,
+};
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::peers::{TcpPeers, ask, declared, serve};
 use stilequay_engine::ports::{
@@ -244,7 +246,10 @@
     let gone = engine.directory();
     let gone = gone.updated(
         version + 1,
-        vec![DirectoryChange::Gone(Arc::from("c"))],
+        vec![DirectoryChange::Gone {
+            id: Arc::from("c"),
+            changed: version + 1,
+        }],
         Departure::at(now),
     );
     sleep(GONE_MEMORY * 2).await;
@@ -252,3 +257,33 @@
     assert!(forgotten.changed_after(known.directory).is_none());
     assert!(forgotten.changed_after(version + 1).is_some());
 }
+
+/// The store's version rises with every write in it. Who has read all entries anew tells
+/// nobody what has not changed since.
+#[tokio::test(start_paused = true)]
+async fn entries_that_are_read_anew_are_no_news() {
+    let fleet = Fleet::start(1).await;
+    let now = Departure::at(Instant::now());
+    let entries = |changed: u64| -> Vec<Member> {
+        let entries = fleet.world.entries().into_iter();
+        entries.map(|member| Member { changed, ..member }).collect()
+    };
+    let followed = Directory::default().replaced(40, entries(40), now);
+    let read_anew = Directory::default().replaced(900, entries(40), now);
+    assert_eq!((followed.version, read_anew.version), (40, 40));
+    let later = read_anew.replaced(950, entries(40), now);
+    assert_eq!(later.version, 40);
+    // What is missing is a change, as of the reading.
+    let [first, rest @ ..] = &entries(40)[..] else {
+        panic!("no entries");
+    };
+    let without = later.replaced(960, rest.to_vec(), now);
+    assert_eq!(without.version, 960);
+    let changed = without.changed_after(40).expect("all changes");
+    let changed: Vec<&str> = changed.map(|member| &*member.id).collect();
+    assert_eq!(changed, [&*first.id]);
+    // And so is an entry that differs, whatever version it tells.
+    let mut slower = entries(40);
+    slower[1].slots = 1;
+    assert_eq!(later.replaced(970, slower, now).version, 970);
+}
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -156,6 +156,7 @@
                 role: server.role,
                 slots: 3,
                 state: server.state,
+                changed: 0,
             })
             .collect()
     }
