Read the evidence of a block of groups by its range of keys

Change: groups that stand beside one another by name are a block of 64, kept by one process and read in one call from the first key to the last.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -155,6 +155,8 @@
     members: HashMap<MemberId, Arc<Member>>,
     /// The same by group; made anew after each change.
     groups: BTreeMap<GroupName, Vec<Arc<Member>>>,
+    /// The names of the groups, sorted.
+    names: Arc<[GroupName]>,
     /// The newest version of a change that is forgotten: what came after an older version
     /// can't be told.
     forgotten: u64,
@@ -212,9 +214,9 @@
         self.groups.keys().cloned().collect()
     }
 
-    /// How many groups have members.
-    pub fn group_count(&self) -> usize {
-        self.groups.len()
+    /// The groups that have members, sorted.
+    pub fn group_names(&self) -> &Arc<[GroupName]> {
+        &self.names
     }
 
     /// Whether `group` has members.
@@ -229,6 +231,7 @@
             let group = self.groups.entry(member.group.clone()).or_default();
             group.push(Arc::clone(member));
         }
+        self.names = self.groups.keys().cloned().collect();
         self
     }
 
--- a/crates/engine/src/home/mod.rs
+++ b/crates/engine/src/home/mod.rs
@@ -54,11 +54,13 @@
 /// Asks the keeper of the evidence of `group`, which reads the store for the whole fleet;
 /// returns whether that has brought any. The keeper itself asks nobody.
 pub async fn ask_keeper(engine: &Engine, group: &Group) -> bool {
-    let groups = engine.directory().group_count();
-    let block = placement::block_of(group.name(), groups);
+    let directory = engine.directory();
+    let Some(block) = placement::block_of(directory.group_names(), group.name()) else {
+        return false;
+    };
     let asked = Instant::now();
     let answered = timeout(ASK_TIMEOUT, async {
-        let link = engine.homes().choose_keeper(block).await?;
+        let link = engine.homes().choose_keeper(block.index).await?;
         let beliefs = link.ask(group.name(), Wanted::StoreEvidence).await;
         Some((link, beliefs?))
     });
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::directory::Member;
 use crate::link::{Link, Links};
-use crate::names::{MemberId, NodeName, ZoneName};
+use crate::names::{GroupName, MemberId, NodeName, ZoneName};
 use crate::ports::PeerNetwork;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -71,11 +71,22 @@
 /// Groups whose evidence one process keeps: the store tells it of all of them in one call.
 const BLOCK_GROUPS: usize = 64;
 
-/// The block that `group` belongs to, of `groups` in all.
-pub fn block_of(group: &str, groups: usize) -> usize {
-    let blocks = groups.div_ceil(BLOCK_GROUPS).max(1);
-    // Less than the number of blocks: it fits.
-    (xxh3_64(group.as_bytes()) % blocks as u64) as usize
+/// Groups that stand beside one another by name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct GroupBlock<'a> {
+    /// Its place among all blocks.
+    pub index: usize,
+    /// The groups, sorted.
+    pub groups: &'a [GroupName],
+}
+
+/// The block that `group` belongs to, of all `groups`, which are sorted; `None` where it is
+/// not one of them.
+pub fn block_of<'a>(groups: &'a [GroupName], group: &str) -> Option<GroupBlock<'a>> {
+    let place = groups.binary_search_by(|name| (**name).cmp(group)).ok()?;
+    let index = place / BLOCK_GROUPS;
+    let groups = groups.chunks(BLOCK_GROUPS).nth(index)?;
+    Some(GroupBlock { index, groups })
 }
 
 /// A process of the fleet.
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -7,6 +7,7 @@
 use crate::events::{DependencyMonitor, Event};
 use crate::following::{self, Feed};
 use crate::group::Group;
+use crate::home::placement::block_of;
 use crate::names::{GroupName, MemberId};
 use crate::peers;
 use crate::ports::{Record, RecordChanges, RecordStore, RecordStoreError};
@@ -15,10 +16,6 @@
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::{Instant, sleep};
 
-/// Groups whose records are read together, at the most: one call for all of them costs no
-/// more than one for each.
-const WHOLE_READ_GROUPS: usize = 64;
-
 /// A record of a leadership with its version in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionedTerm {
@@ -79,8 +76,8 @@
         self.others.subscribe()
     }
 
-    /// Reads the record of `group` now, and those of the other groups where they are few,
-    /// unless another task has done so since `since`.
+    /// Reads the record of `group` now, and those of the other groups of its
+    /// [block](block_of), unless another task has done so since `since`.
     ///
     /// # Errors
     ///
@@ -95,18 +92,17 @@
         if group.evidence() >= Some(since) {
             return Ok(());
         }
-        let groups = engine.directory().groups();
+        let directory = engine.directory();
+        let block = block_of(directory.group_names(), group.name());
+        let own = std::slice::from_ref(group.name());
+        let groups = block.map_or(own, |block| block.groups);
+        // Neither is empty: they hold the group.
+        let (first, last) = (&groups[0], &groups[groups.len() - 1]);
+        let (first, last) = (TermRecord::key(first), TermRecord::key(last));
         let begun = Instant::now();
-        let prefix = match groups.len() <= WHOLE_READ_GROUPS {
-            true => TermRecord::KEY_PREFIX.to_owned(),
-            false => TermRecord::key(group.name()),
-        };
-        let changes = self.records.read(&prefix).await?;
-        let read = groups
-            .into_iter()
-            .filter(|name| TermRecord::key(name).starts_with(&prefix));
-        self.apply(engine, &changes, Some(begun));
-        self.apply_first_leaders(engine, &read.collect::<Vec<_>>(), begun);
+        let records = self.records.read_between(&first, &last).await?;
+        self.apply(engine, &records, Some(begun));
+        self.apply_first_leaders(engine, groups, begun);
         Ok(())
     }
 
--- a/crates/engine/src/ports/record_store.rs
+++ b/crates/engine/src/ports/record_store.rs
@@ -62,6 +62,14 @@
     /// read.
     async fn read(&self, prefix: &str) -> Result<RecordChanges, RecordStoreError>;
 
+    /// The records whose keys stand from `first` to `last`, both included, and the version as
+    /// of which they were read.
+    async fn read_between(
+        &self,
+        first: &str,
+        last: &str,
+    ) -> Result<RecordChanges, RecordStoreError>;
+
     /// Waits up to `wait` for changes after `version`.
     async fn watch(&self, version: u64, wait: Duration) -> Result<RecordChanges, RecordStoreError>;
 
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -8,9 +8,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::directory::Member;
+use stilequay_engine::directory::{Departure, Directory, Member};
 use stilequay_engine::engine::StopPhase;
 use stilequay_engine::home::placement::{CANDIDATES, Capacity, HOMES, Peer, block_of, rank};
+use stilequay_engine::names::GroupName;
 use stilequay_engine::ports::{PutOutcome, RecordStore};
 use stilequay_engine::statement::{Access, Reply};
 use stilequay_engine::verdict::Verdict;
@@ -160,10 +161,53 @@
     let alone = rank(&of_zone("zone-a", 9), &member);
     assert_eq!(zones(&alone), ["zone-a"; CANDIDATES]);
     assert!(rank(&[], &member).is_empty());
-    let blocks: HashSet<usize> = (0..9_500)
-        .map(|group| block_of(&format!("group-{group}"), 9_500))
+}
+
+/// The groups of one block stand beside one another, so that the store tells of all of them
+/// in one call; each group is in one block.
+#[test]
+fn groups_are_kept_in_blocks() {
+    let mut names: Vec<GroupName> = (0..9_500)
+        .map(|n| Arc::from(format!("group-{n}")))
         .collect();
-    assert_eq!(blocks.len(), 9_500_usize.div_ceil(64));
+    names.sort();
+    let blocks = names.iter().map(|name| block_of(&names, name));
+    let blocks: Vec<_> = blocks.map(|block| block.expect("one")).collect();
+    for (name, block) in names.iter().zip(&blocks) {
+        assert!(block.groups.contains(name) && block.groups.len() <= 64);
+    }
+    let indices: HashSet<usize> = blocks.iter().map(|block| block.index).collect();
+    assert_eq!(indices.len(), 9_500_usize.div_ceil(64));
+    assert_eq!(block_of(&names, "unknown"), None);
+    assert_eq!(block_of(&[], "unknown"), None);
+}
+
+/// Evidence of all groups of a block comes with one call of the store, however many groups
+/// there are.
+#[tokio::test(start_paused = true)]
+async fn evidence_of_a_block_comes_with_one_call() {
+    let fleet = Fleet::start(1).await;
+    let engine = &fleet.nodes[0].engine;
+    let leader = Member::clone(&member(&fleet, "a"));
+    let leaders = (0..130).map(|n| Member {
+        id: Arc::from(format!("leader-{n}")),
+        group: Arc::from(format!("group-{n:03}")),
+        ..leader.clone()
+    });
+    let now = Departure::at(Instant::now());
+    let directory = Directory::default().replaced(u64::MAX, leaders.collect(), now);
+    let names = directory.group_names().clone();
+    fleet.nodes[0].abort();
+    engine.set_directory(directory);
+    let calls = fleet.records.calls();
+    let since = Instant::now();
+    for name in names.iter() {
+        let group = engine.group(name);
+        let refreshed = engine.terms().refresh(engine, &group, since).await;
+        assert_eq!(refreshed, Ok(()));
+        assert!(group.evidence() >= Some(since));
+    }
+    assert_eq!(fleet.records.calls() - calls, 3);
 }
 
 /// A process with four times the processor does four times the work for others.
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -55,6 +55,11 @@
 }
 
 impl Node {
+    /// Ends its tasks, and leaves what it knows as it is.
+    pub fn abort(&self) {
+        self.tasks.iter().for_each(|task| task.abort());
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         self.tasks.drain(..).for_each(|task| task.abort());
--- a/crates/engine/tests/support/records.rs
+++ b/crates/engine/tests/support/records.rs
@@ -129,6 +129,20 @@
         state.pretended.contains(&self.node)
     }
 
+    async fn read_where(
+        &self,
+        is_wanted: impl Fn(&str) -> bool + Send,
+    ) -> Result<RecordChanges, RecordStoreError> {
+        self.enter().await?;
+        let (rows, version) = self.shown();
+        self.store.freezer.pass(&self.node).await;
+        let written = rows.into_values().filter(|row| is_wanted(&row.key));
+        Ok(RecordChanges {
+            written: written.collect(),
+            version,
+        })
+    }
+
     /// Lets a call take its time, and fail as the present fault says.
     async fn enter(&self) -> Result<Fault, RecordStoreError> {
         sleep(CALL_TIME).await;
@@ -152,18 +166,16 @@
 #[async_trait]
 impl RecordStore for NodeRecords {
     async fn read(&self, prefix: &str) -> Result<RecordChanges, RecordStoreError> {
-        self.enter().await?;
         self.store.state.lock().unwrap().whole_reads += u64::from(prefix.is_empty());
-        let shown = self.shown();
-        self.store.freezer.pass(&self.node).await;
-        Ok(RecordChanges {
-            written: shown
-                .0
-                .into_values()
-                .filter(|row| row.key.starts_with(prefix))
-                .collect(),
-            version: shown.1,
-        })
+        self.read_where(|key| key.starts_with(prefix)).await
+    }
+
+    async fn read_between(
+        &self,
+        first: &str,
+        last: &str,
+    ) -> Result<RecordChanges, RecordStoreError> {
+        self.read_where(|key| (first..=last).contains(&key)).await
     }
 
     async fn watch(&self, version: u64, wait: Duration) -> Result<RecordChanges, RecordStoreError> {
