Pass over a home that does not know the member

Change: such a home says so; the statement, which has not run, goes to the next candidate, and other links are preferred for a moment. Test: a_home_that_does_not_know_the_member_is_passed_over, which failed before.

--- a/crates/engine/src/home/remote.rs
+++ b/crates/engine/src/home/remote.rs
@@ -1,10 +1,9 @@
 //! Connections to a member by way of its homes.
 
-use super::placement::{Homes, LEAST_SHARE};
+use super::placement::{CANDIDATES, Homes, LEAST_SHARE};
 use crate::directory::Member;
 use crate::link::Link;
 use crate::link::frame::{HomeCommand, HomeOutcome, NotSent, RunRequest, UnitId};
-use crate::names::MemberId;
 use crate::ports::{
     Admission, Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError,
     MemberReport, Refusal, RefusalKind,
@@ -41,7 +40,7 @@
 impl BackEnd for RemoteBackEnd {
     async fn connect(&self, member: &Member) -> Result<Box<dyn BackEndConnection>, ConnectError> {
         if let Some(link) = self.homes.choose(member).await {
-            let connection = RemoteConnection::new(link, member.id.clone());
+            let connection = RemoteConnection::new(Arc::clone(&self.homes), link, member);
             return Ok(Box::new(connection));
         }
         let permits = Arc::clone(&self.direct_connections);
@@ -90,8 +89,9 @@
 /// with each command, and a home runs each unit on whichever connection is free.
 #[derive(Debug)]
 struct RemoteConnection {
+    homes: Arc<Homes>,
     link: Arc<Link>,
-    member: MemberId,
+    member: Member,
     admission: Admission,
     values: BTreeMap<Bytes, Bytes>,
     prepared: HashMap<Bytes, PreparedStatement>,
@@ -101,10 +101,11 @@
 }
 
 impl RemoteConnection {
-    fn new(link: Arc<Link>, member: MemberId) -> Self {
+    fn new(homes: Arc<Homes>, link: Arc<Link>, member: &Member) -> Self {
         Self {
+            homes,
             link,
-            member,
+            member: member.clone(),
             admission: Admission::default(),
             values: BTreeMap::new(),
             prepared: HashMap::new(),
@@ -172,7 +173,7 @@
         RunRequest {
             unit,
             exchange: 0,
-            member: self.member.clone(),
+            member: self.member.id.clone(),
             database: self.admission.database.clone(),
             rank: self.admission.rank,
             patience: self.admission.patience,
@@ -182,6 +183,37 @@
         }
     }
 
+    /// Has a command run at the home, in the unit that is open there or in one that begins.
+    async fn forward(&mut self, command: HomeCommand) -> Result<HomeOutcome, LinkError> {
+        let ended = "the link to the home has ended";
+        let begins = self.unit.is_none();
+        let unit = self.unit.unwrap_or_else(|| self.link.begin_unit());
+        let Some(answer) = self.link.run(self.request(unit, command)) else {
+            return match begins {
+                true => Ok(HomeOutcome::NotSent(NotSent::Unreachable(ended.to_owned()))),
+                false => Err(LinkError::Closed(ended.to_owned())),
+            };
+        };
+        // From here on a call that is dropped leaves the unit to be closed.
+        self.unit = Some(unit);
+        metrics::counter!("stilequay_home_forwarded_total").increment(1);
+        let outcome = answer.await;
+        outcome.map_err(|_| LinkError::Closed("the link to the home ended".to_owned()))
+    }
+
+    /// Leaves a home that runs nothing at the member; returns whether there is another.
+    async fn go_elsewhere(&mut self) -> bool {
+        self.unit = None;
+        self.link.distrust();
+        match self.homes.choose(&self.member).await {
+            Some(link) if !Arc::ptr_eq(&link, &self.link) => {
+                self.link = link;
+                true
+            }
+            _ => false,
+        }
+    }
+
     /// Takes what came of a command that was sent.
     fn take(&mut self, outcome: HomeOutcome) -> Result<Answer, LinkError> {
         match outcome {
@@ -209,6 +241,9 @@
                 self.refused(RefusalKind::Shed(retry_after), "too many requests wait")
             }
             NotSent::Unreachable(reason) => self.refused(RefusalKind::Unreachable, &reason),
+            NotSent::UnknownMember => {
+                self.refused(RefusalKind::Unreachable, "no home knows the member")
+            }
         }
     }
 
@@ -246,28 +281,20 @@
             Plan::Forward(command) => command,
             Plan::Answer(answer) => return Ok(answer),
         };
-        let begins = self.unit.is_none();
-        let unit = match self.unit {
-            Some(unit) => unit,
-            None => self.link.begin_unit(),
-        };
-        let Some(answer) = self.link.run(self.request(unit, command)) else {
-            return match begins {
-                true => {
-                    Ok(self.refused(RefusalKind::Unreachable, "the link to the home has ended"))
-                }
-                false => Err(LinkError::Closed(
-                    "the link to the home has ended".to_owned(),
-                )),
-            };
-        };
-        // From here on a call that is dropped leaves the unit to be closed.
-        self.unit = Some(unit);
-        metrics::counter!("stilequay_home_forwarded_total").increment(1);
-        match answer.await {
-            Ok(outcome) => self.take(outcome),
-            Err(_) => Err(LinkError::Closed("the link to the home ended".to_owned())),
+        if self.unit.is_some() {
+            let outcome = self.forward(command).await?;
+            return self.take(outcome);
+        }
+        let mut outcome = self.forward(command.clone()).await?;
+        // A home that has just started: the next one may know the member.
+        for _ in 1..CANDIDATES {
+            let unknown = matches!(outcome, HomeOutcome::NotSent(NotSent::UnknownMember));
+            if !unknown || !self.go_elsewhere().await {
+                break;
+            }
+            outcome = self.forward(command.clone()).await?;
         }
+        self.take(outcome)
     }
 
     async fn control(&mut self, _: Control) -> Result<MemberReport, LinkError> {
--- a/crates/engine/src/home/unit.rs
+++ b/crates/engine/src/home/unit.rs
@@ -182,7 +182,7 @@
 fn usable_pool(engine: &Engine, member: &str, now: Instant) -> Result<Arc<MemberPool>, NotSent> {
     let directory = engine.directory();
     let known = directory.member(member);
-    let unknown = || NotSent::Unreachable("the member is not known here".to_owned());
+    let unknown = || NotSent::UnknownMember;
     let member: &Arc<Member> = known.ok_or_else(unknown)?;
     if is_past_use(engine, member.state, now) {
         return Err(NotSent::Unreachable("the member is leaving".to_owned()));
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -221,6 +221,8 @@
     },
     /// The member can't be reached, or must not be used any more.
     Unreachable(String),
+    /// The home does not know the member: it has just started, or knows less of the store.
+    UnknownMember,
 }
 
 /// What goes over a link one way.
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -613,3 +613,20 @@
     };
     until(|| others.iter().all(knows)).await;
 }
+
+/// A home that has just started, and can't read the store yet, runs nothing for others: they
+/// go on to the next one, and take nothing of it for the member's fault.
+#[tokio::test(start_paused = true)]
+async fn a_home_that_does_not_know_the_member_is_passed_over() {
+    let fleet = large_fleet().await;
+    let new = homes_of(&fleet, "a")[0];
+    fleet.nodes[new].abort();
+    fleet.nodes[new].engine.set_directory(Directory::default());
+    for node in (0..LARGE).filter(|node| *node != new) {
+        let mut client = fleet.session(node, OWN_DATABASE);
+        for _ in 0..3 {
+            let reply = client.write("x 1").await;
+            assert!(reply.outcome.is_ok(), "{node}: {reply:?}");
+        }
+    }
+}
