Avoid a keeper of evidence that brings none

From 7 to 13.7 s every process lacked evidence again and again: the keeper of evidence was one of the machines that were cut off. A question to it that was not answered in 80 ms left its link as it was, and the next question went there too.

Change: a keeper that does not answer in time is avoided like one that knows too little, and for twice as long each time in a row, up to 5.6 s.

--- a/crates/engine/src/home/mod.rs
+++ b/crates/engine/src/home/mod.rs
@@ -59,22 +59,20 @@
         return false;
     };
     let asked = Instant::now();
-    let answered = timeout(ASK_TIMEOUT, async {
-        let link = engine.homes().choose_keeper(block.index).await?;
-        let beliefs = link.ask(group.name(), Wanted::StoreEvidence).await;
-        Some((link, beliefs?))
-    });
-    let Ok(Some((link, beliefs))) = answered.await else {
+    let Some(link) = engine.homes().choose_keeper(block.index).await else {
         return false;
     };
-    take(engine, beliefs, asked);
-    let brought = group
-        .leased_leader(Instant::now(), Duration::ZERO)
-        .is_some();
-    if !brought {
-        link.distrust();
+    let beliefs = link.ask(group.name(), Wanted::StoreEvidence);
+    if let Ok(Some(beliefs)) = timeout(ASK_TIMEOUT, beliefs).await {
+        take(engine, beliefs, asked);
+    }
+    let leader = group.leased_leader(Instant::now(), Duration::ZERO);
+    match leader {
+        Some(_) => link.trust(),
+        // It is cut off from the store, or from here: the other keeper is asked next.
+        None => link.distrust(),
     }
-    brought
+    leader.is_some()
 }
 
 async fn ask(engine: &Engine, group: &Group, wanted: Wanted) -> bool {
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -341,7 +341,7 @@
     }
 
     /// The candidates for keeping the evidence of `block`, the keeper first.
-    fn keepers(&self, block: usize) -> Arc<[Peer]> {
+    pub fn keepers(&self, block: usize) -> Arc<[Peer]> {
         let mut ranking = self.lock();
         if let Some(known) = ranking.keepers.get(&block) {
             return Arc::clone(known);
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -23,8 +23,11 @@
 const RETRY_PAUSE_MAX: Duration = Duration::from_millis(1_600);
 /// Pause before a home that is going to stop is tried again.
 const LEAVING_PAUSE: Duration = Duration::from_secs(2);
-/// How long other links are preferred to one whose far end knows too little.
+/// How long other links are preferred to one whose far end knows too little; doubled each time
+/// that it still does.
 const DISTRUST: Duration = Duration::from_millis(700);
+/// How often that is doubled, at the most.
+const DISTRUST_DOUBLINGS: u32 = 3;
 /// Interval in which a link is looked after.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Silence after which a home that owes an answer is pinged.
@@ -53,6 +56,8 @@
     used: Instant,
     leaving: bool,
     distrusted_until: Option<Instant>,
+    /// How often in a row the far end knew too little.
+    disappointments: u32,
     closed: bool,
 }
 
@@ -79,6 +84,7 @@
                 used: now,
                 leaving: false,
                 distrusted_until: None,
+                disappointments: 0,
                 closed: false,
             }),
             asked: Notify::new(),
@@ -170,8 +176,20 @@
 
     /// Prefers other links for a while: what is told here is not good enough.
     pub fn distrust(&self) {
-        let until = Instant::now() + DISTRUST;
-        self.lock().distrusted_until = Some(until);
+        let mut state = self.lock();
+        let now = Instant::now();
+        if state.distrusted_until.is_some_and(|until| now < until) {
+            // Questions that were asked side by side count once.
+            return;
+        }
+        let doublings = state.disappointments.min(DISTRUST_DOUBLINGS);
+        state.distrusted_until = Some(now + DISTRUST * 2_u32.pow(doublings));
+        state.disappointments += 1;
+    }
+
+    /// Notes that what is told here is good enough.
+    pub fn trust(&self) {
+        self.lock().disappointments = 0;
     }
 
     fn register(&self, waiter: Waiter) -> ExchangeId {
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -630,3 +630,35 @@
         }
     }
 }
+
+/// A keeper of evidence that is cut off from everybody holds the others up for a moment only:
+/// they ask the one that follows.
+#[tokio::test(start_paused = true)]
+async fn a_keeper_that_is_cut_off_is_not_asked_again_and_again() {
+    let fleet = large_fleet().await;
+    let keeper = fleet.nodes[0].engine.homes().keepers(0)[0].node.to_string();
+    let homes = homes_of(&fleet, "a");
+    // A home of the leader, which asks nobody else for evidence first.
+    let home = homes.iter().find(|home| fleet.nodes[**home].name != keeper);
+    let mut client = fleet.session(*home.expect("one"), LEADER_DATABASE);
+    // Nobody writes: all evidence is the store's, and the link to the keeper is open.
+    assert!(slow_reads(&mut client, 20).await <= 1);
+    for other in fleet.nodes.iter().filter(|node| node.name != keeper) {
+        fleet.network().cut(&keeper, &other.name);
+    }
+    fleet.records.refuse_node(&keeper, true);
+    let slow = slow_reads(&mut client, 60).await;
+    assert!(slow <= 5, "{slow}");
+}
+
+/// Of `count` reads, one each tenth of a second, how many took long.
+async fn slow_reads(client: &mut Client, count: usize) -> usize {
+    let mut slow = 0;
+    for _ in 0..count {
+        let began = Instant::now();
+        assert!(client.read("x").await.outcome.is_ok());
+        slow += usize::from(began.elapsed() > Duration::from_millis(60));
+        sleep(Duration::from_millis(100)).await;
+    }
+    slow
+}
