Go on asking for evidence while old evidence comes in

Each change of a group's evidence made a waiting read begin its asking anew; commits that lagging replicas confirm late, told by the leader's homes, change it again and again and are always too old.

Ruled out: the store (its calls were answered), the keeper alone.

Change: the asking goes on while what comes in is not recent enough. Test: old_evidence_does_not_hold_up_the_asking_for_new, which failed before.

--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -43,19 +43,24 @@
 ) -> Option<UsableLeader> {
     let mut commits = group.subscribe_evidence();
     loop {
-        commits.mark_unchanged();
-        let now = Instant::now();
-        if let Some(leader) = group.leased_leader(now, staleness) {
-            return Some(leader);
-        }
-        if now >= until {
-            return None;
-        }
-        // Whichever brings evidence first: the store, or a commit of another session.
-        tokio::select! {
-            _ = commits.changed() => {}
-            () = refresh(engine, group, staleness) => {}
-            () = sleep_until(until) => {}
+        let mut refreshed = std::pin::pin!(refresh(engine, group, staleness));
+        loop {
+            commits.mark_unchanged();
+            let now = Instant::now();
+            if let Some(leader) = group.leased_leader(now, staleness) {
+                return Some(leader);
+            }
+            if now >= until {
+                return None;
+            }
+            // Whichever brings evidence first: who is asked, or a commit of another session.
+            // A commit that a slow replica confirms late brings evidence that is too old, again
+            // and again: it must not make the asking begin anew.
+            tokio::select! {
+                _ = commits.changed() => {}
+                () = &mut refreshed => break,
+                () = sleep_until(until) => {}
+            }
         }
     }
 }
--- a/crates/engine/tests/leadership.rs
+++ b/crates/engine/tests/leadership.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, MemberState, Role};
+use stilequay_engine::group::UsableLeader;
+use stilequay_engine::leadership::access;
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::verdict::{FailureReason, Verdict};
 use support::records::Fault;
@@ -393,3 +395,29 @@
     until(|| !fleet.world.promotions().is_empty()).await;
     assert_eq!(&*fleet.world.promotions()[0].target, "c");
 }
+
+/// Commits that are acknowledged late bring evidence that is too old, one after the other.
+/// They do not keep a read from asking for newer evidence.
+#[tokio::test(start_paused = true)]
+async fn old_evidence_does_not_hold_up_the_asking_for_new() {
+    let fleet = Fleet::start(1).await;
+    let engine = Arc::clone(&fleet.nodes[0].engine);
+    let group = engine.group(&Arc::from(GROUP));
+    let leader = UsableLeader {
+        member: Arc::from("a"),
+        epoch: 0,
+    };
+    sleep(Duration::from_secs(2)).await;
+    let late = Arc::clone(&group);
+    tokio::spawn(async move {
+        loop {
+            let sent = Instant::now() - Duration::from_millis(900);
+            late.record_evidence(&leader, sent);
+            sleep(Duration::from_millis(1)).await;
+        }
+    });
+    sleep(Duration::from_millis(20)).await;
+    let until = Instant::now() + Duration::from_millis(300);
+    let leased = access::leased_leader(&engine, &group, Duration::ZERO, until).await;
+    assert!(leased.is_some());
+}
