Rank the fleet for its duties once a change, not with each look

Found reading back: every process asked for its place among the fleet three times a second, and each time all processes were hashed and sorted anew, twice, while the list of those that follow the store was kept beside it. One order is kept now until the fleet changes; those that follow the store are its first two. The order itself is the same.

--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -161,7 +161,7 @@
     candidates: HashMap<MemberId, Arc<[Peer]>>,
     keepers: HashMap<usize, Arc<[Peer]>>,
     followers: HashMap<ZoneName, Arc<[Peer]>>,
-    roots: Option<Arc<[Peer]>>,
+    duty_order: Option<Arc<[Peer]>>,
 }
 
 /// Where a process learns what the store holds.
@@ -184,16 +184,23 @@
         followers.collect()
     }
 
-    /// The processes that follow the store itself: the first two of all followers, of two
-    /// zones if there are as many.
-    fn roots(&mut self) -> Arc<[Peer]> {
-        if let Some(known) = &self.roots {
+    /// All processes in the order in which they are to hold duties of the whole fleet:
+    /// followers first, since they hear of the store first. The first of them follow the
+    /// store itself.
+    fn duty_order(&mut self) -> Arc<[Peer]> {
+        if let Some(known) = &self.duty_order {
             return Arc::clone(known);
         }
-        let ranked = self.ranked_followers();
-        let roots: Arc<[Peer]> = ranked.into_iter().take(ROOTS).collect();
-        self.roots = Some(Arc::clone(&roots));
-        roots
+        let mut order = self.ranked_followers();
+        let is_follower = |peer: &&Peer| order.iter().any(|known| known.node == peer.node);
+        let others = self.fleet.iter().filter(|peer| !is_follower(peer));
+        let others: Vec<Peer> = first_of(others, ROOT_TASK, self.fleet.len())
+            .cloned()
+            .collect();
+        order.extend(others);
+        let order: Arc<[Peer]> = order.into();
+        self.duty_order = Some(Arc::clone(&order));
+        order
     }
 
     /// All followers in the order in which they follow the store itself; the second is of
@@ -245,7 +252,7 @@
             ranking.candidates.clear();
             ranking.keepers.clear();
             ranking.followers.clear();
-            ranking.roots = None;
+            ranking.duty_order = None;
             ranking.fleet = fleet;
         }
     }
@@ -262,15 +269,16 @@
 
     /// Where a process of `zone` learns what the store holds.
     pub fn source(&self, zone: &ZoneName) -> Source {
-        let (roots, followers) = {
+        let (order, followers) = {
             let mut ranking = self.lock();
-            (ranking.roots(), ranking.followers_of(zone))
+            (ranking.duty_order(), ranking.followers_of(zone))
         };
-        if self.is_among(&roots) {
+        let roots = &order[..ROOTS.min(order.len())];
+        if self.is_among(roots) {
             return Source::Store;
         }
         let peers = match self.is_among(&followers) {
-            true => &roots,
+            true => roots,
             false => &followers,
         };
         let mut addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
@@ -282,13 +290,8 @@
     /// fleet, the same everywhere; zero is first. Those that hear of the store first come
     /// first. `None` where the fleet does not know this process yet.
     pub fn duty_rank(&self) -> Option<usize> {
-        let mut ranking = self.lock();
-        let followers = ranking.ranked_followers();
-        let is_follower = |peer: &&Peer| followers.iter().any(|known| known.node == peer.node);
-        let others = ranking.fleet.iter().filter(|peer| !is_follower(peer));
-        let others = first_of(others, ROOT_TASK, ranking.fleet.len());
-        let mut order = followers.iter().chain(others);
-        order.position(|peer| peer.node == self.own)
+        let order = self.lock().duty_order();
+        order.iter().position(|peer| peer.node == self.own)
     }
 
     /// Where a few processes answer that follow the store for other zones than `zone`, not
