--- a/crates/engine/src/configuration.rs
+++ b/crates/engine/src/configuration.rs
@@ -1,8 +1,10 @@
 //! The configuration that an operator has declared, as a whole.
 
-use crate::names::{DatabaseName, GroupName};
+use crate::names::{DatabaseName, GroupName, TenantName};
+use crate::tenant::{Credential, Tenant};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +45,9 @@
     pub objective: Duration,
     /// Rank; 0 is highest.
     pub priority: u32,
+    /// Whether callers need no credential.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// What holds for one group.
@@ -55,7 +60,7 @@
 }
 
 /// A configuration as of one version.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Configuration {
     /// Rises with each change.
     pub version: u64,
@@ -63,12 +68,16 @@
     pub routes: HashMap<DatabaseName, Arc<Route>>,
     /// Groups.
     pub groups: HashMap<GroupName, GroupSettings>,
+    /// Tenants.
+    pub tenants: HashMap<TenantName, Arc<Tenant>>,
+    /// Whose each credential is.
+    pub credentials: HashMap<Credential, TenantName>,
     /// Longest rest inside a transaction.
     pub transaction_idle: Option<Duration>,
 }
 
 /// What sets one version of the configuration apart from an earlier one.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ConfigurationChanges {
     /// The version that the changes are to be applied to.
     pub from: u64,
@@ -82,6 +91,14 @@
     pub groups: HashMap<GroupName, GroupSettings>,
     /// Groups that are no longer there.
     pub removed_groups: Vec<GroupName>,
+    /// Tenants that are new or different.
+    pub tenants: HashMap<TenantName, Arc<Tenant>>,
+    /// Tenants that are no longer there.
+    pub removed_tenants: Vec<TenantName>,
+    /// Credentials that are new, or of another tenant.
+    pub credentials: HashMap<Credential, TenantName>,
+    /// Credentials that are no longer good.
+    pub removed_credentials: Vec<Credential>,
     /// Longest rest inside a transaction.
     pub transaction_idle: Option<Duration>,
 }
@@ -104,6 +121,10 @@
             removed_routes: missing(&self.routes, &earlier.routes),
             groups: differing(&self.groups, &earlier.groups),
             removed_groups: missing(&self.groups, &earlier.groups),
+            tenants: differing(&self.tenants, &earlier.tenants),
+            removed_tenants: missing(&self.tenants, &earlier.tenants),
+            credentials: differing(&self.credentials, &earlier.credentials),
+            removed_credentials: missing(&self.credentials, &earlier.credentials),
             transaction_idle: self.transaction_idle,
         }
     }
@@ -116,35 +137,47 @@
         let mut next = self.clone();
         next.version = changes.version;
         next.transaction_idle = changes.transaction_idle;
-        changes.removed_routes.iter().for_each(|database| {
-            next.routes.remove(database);
-        });
-        changes.removed_groups.iter().for_each(|group| {
-            next.groups.remove(group);
-        });
-        next.routes.extend(changes.routes);
-        next.groups.extend(changes.groups);
+        change(&mut next.routes, changes.routes, &changes.removed_routes);
+        change(&mut next.groups, changes.groups, &changes.removed_groups);
+        change(&mut next.tenants, changes.tenants, &changes.removed_tenants);
+        change(
+            &mut next.credentials,
+            changes.credentials,
+            &changes.removed_credentials,
+        );
         Some(next)
     }
+
+    /// The tenant whose credential this is.
+    pub fn tenant_of(&self, credential: &Credential) -> Option<&Arc<Tenant>> {
+        self.tenants.get(self.credentials.get(credential)?)
+    }
+}
+
+/// Takes what is new or different into `entries`, and drops what was removed.
+fn change<K: Eq + Hash, V>(entries: &mut HashMap<K, V>, changed: HashMap<K, V>, removed: &[K]) {
+    for key in removed {
+        entries.remove(key);
+    }
+    entries.extend(changed);
 }
 
 /// The entries of `later` that `earlier` has not, or has otherwise.
-fn differing<V: Clone + PartialEq>(
-    later: &HashMap<Arc<str>, V>,
-    earlier: &HashMap<Arc<str>, V>,
-) -> HashMap<Arc<str>, V> {
+fn differing<K: Clone + Eq + Hash, V: Clone + PartialEq>(
+    later: &HashMap<K, V>,
+    earlier: &HashMap<K, V>,
+) -> HashMap<K, V> {
     let entries = later.iter();
-    let differing = entries.filter(|(name, value)| earlier.get(*name) != Some(*value));
+    let differing = entries.filter(|(key, value)| earlier.get(*key) != Some(*value));
     differing
-        .map(|(name, value)| (name.clone(), value.clone()))
+        .map(|(key, value)| (key.clone(), value.clone()))
         .collect()
 }
 
-/// The names in `earlier` that `later` has not.
-fn missing<V>(later: &HashMap<Arc<str>, V>, earlier: &HashMap<Arc<str>, V>) -> Vec<Arc<str>> {
-    let names = earlier.keys();
-    names
-        .filter(|name| !later.contains_key(*name))
+/// The keys in `earlier` that `later` has not.
+fn missing<K: Clone + Eq + Hash, V>(later: &HashMap<K, V>, earlier: &HashMap<K, V>) -> Vec<K> {
+    let keys = earlier.keys();
+    keys.filter(|key| !later.contains_key(*key))
         .cloned()
         .collect()
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -13,6 +13,7 @@
 use crate::pool::MemberPool;
 use crate::ports::{BackEnd, PeerNetwork, RecordStore};
 use crate::telemetry;
+use crate::tenant::TenantPolicy;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -58,6 +59,10 @@
     pub contact: Duration,
     /// How long a member that leaves, or has left, may still be given work.
     pub leaving_use: Duration,
+    /// Time within which a change of the configuration must be acted on.
+    pub configuration_bound: Duration,
+    /// How callers prove on whose behalf they ask; `None` where they need not.
+    pub tenants: Option<TenantPolicy>,
 }
 
 /// The stores of records. Every process follows the shared ones; leases change often and
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -8,7 +8,7 @@
 use crate::directory::Role;
 use crate::group::Epoch;
 use crate::leadership::record::TermPhase;
-use crate::names::{DatabaseName, GroupName, MemberId, NodeName, RequestId};
+use crate::names::{DatabaseName, GroupName, MemberId, NodeName, RequestId, TenantName};
 use crate::ports::MemberReport;
 use crate::position::LogPosition;
 use crate::verdict::{FailureReason, Verdict};
@@ -31,12 +31,19 @@
     pub key: Option<String>,
     /// The database that the session is for.
     pub database: DatabaseName,
+    /// The tenant on whose behalf it was asked.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub tenant: Option<TenantName>,
     /// The group that the route leads to.
     pub group: Option<GroupName>,
     /// Kind of statement.
     pub statement: &'static str,
     /// Version of the configuration that chose the route.
     pub configuration: u64,
+    /// Age of the proof that it is the newest, ms, where the request was refused for that, for
+    /// its credential, or for its tenant's rate.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub proof_age_ms: Option<u64>,
     /// Epoch of the leadership that was relied on.
     pub epoch: Option<Epoch>,
     /// Age of the evidence for that leadership, ms.
@@ -101,6 +108,9 @@
         reason: FailureReason,
         /// Version of the configuration.
         configuration: u64,
+        /// Age of the proof that it is the newest, ms; `None` where there never was one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        proof_age_ms: Option<u64>,
     },
     /// A statement that another process has forwarded was not sent to its member, was lost
     /// there, or took long.
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -33,6 +33,10 @@
 const DIRECT_FLEET: usize = 16;
 /// How long one question waits for news.
 const NEWS_WAIT: Duration = Duration::from_millis(900);
+/// The same as a share of the time within which a removed credential must be known everywhere.
+/// A process proves its configuration by way of two others: this share for each of these, and
+/// two waits at the store, leave three fifths of that time for a source that is lost.
+const REVOCATION_SHARE: f64 = 0.1;
 /// What an answer may take longer than that.
 const ANSWER_MARGIN: Duration = Duration::from_millis(250);
 /// What the knowledge of a process that follows the store may be older than one of its waits
@@ -104,6 +108,8 @@
     mode: watch::Sender<Mode>,
     began: Instant,
     feeds: Mutex<[FeedState; FEEDS]>,
+    /// As of when the configuration in use was the newest.
+    proof: watch::Sender<Option<Instant>>,
 }
 
 impl Default for Following {
@@ -112,6 +118,7 @@
             mode: watch::Sender::new(Mode::Settling),
             began: Instant::now(),
             feeds: Mutex::default(),
+            proof: watch::Sender::new(None),
         }
     }
 }
@@ -154,6 +161,30 @@
         self.lock()[feed as usize].failing = failures > 1;
     }
 
+    /// Notes that the configuration in use was the newest at `at`: the moment before the
+    /// question was sent whose answer has shown it, or what another process tells of such a
+    /// moment. To be called once the configuration is in use.
+    pub fn prove_configuration(&self, at: Instant) {
+        self.proof.send_if_modified(|proof| {
+            let later = proof.is_none_or(|known| known < at);
+            if later {
+                *proof = Some(at);
+            }
+            later
+        });
+    }
+
+    /// As of when the configuration in use is known to have been the newest. Ages of what
+    /// others tell only grow on the way, so this is never too late, whatever stood still.
+    pub fn configuration_complete_as_of(&self) -> Option<Instant> {
+        *self.proof.borrow()
+    }
+
+    /// Tells of later proofs.
+    pub fn subscribe_proof(&self) -> watch::Receiver<Option<Instant>> {
+        self.proof.subscribe()
+    }
+
     fn is_failing(&self) -> bool {
         self.lock().iter().any(|feed| feed.failing)
     }
@@ -306,7 +337,8 @@
     let link = link.ok_or("no process of the zone that follows the store is reached")?;
     let known = known_versions(engine);
     let asked = Instant::now();
-    let answer = timeout(NEWS_WAIT + ANSWER_MARGIN, link.follow(known, NEWS_WAIT)).await;
+    let wait = news_wait(engine);
+    let answer = timeout(wait + ANSWER_MARGIN, link.follow(known, wait)).await;
     let Ok(Some(news)) = answer else {
         link.distrust();
         return Err("no news in time".to_owned());
@@ -338,12 +370,29 @@
 /// follows the store, and one of who asks that one for others.
 pub fn age_limit(engine: &Engine) -> Duration {
     let relayed = match follows_others(engine) {
-        true => NEWS_WAIT,
+        true => news_wait(engine),
         false => Duration::ZERO,
     };
     engine.feed_wait() + AGE_MARGIN + relayed
 }
 
+/// How long one question waits for news here.
+fn news_wait(engine: &Engine) -> Duration {
+    match &engine.settings().tenants {
+        Some(policy) => NEWS_WAIT.min(policy.revocation.mul_f64(REVOCATION_SHARE)),
+        None => NEWS_WAIT,
+    }
+}
+
+/// How long one call waits for changes of the configuration at the store.
+pub fn configuration_wait(engine: &Engine) -> Duration {
+    let wait = engine.feed_wait();
+    match &engine.settings().tenants {
+        Some(policy) => wait.min(policy.revocation.mul_f64(REVOCATION_SHARE)),
+        None => wait,
+    }
+}
+
 fn known_versions(engine: &Engine) -> FollowedVersions {
     FollowedVersions {
         declared: declared::known_versions(engine),
@@ -405,7 +454,7 @@
     News {
         age: as_of.map(|at| Duration::from_millis(millis(asked.saturating_duration_since(at)) + 1)),
         feeds,
-        declared: declared::newer(engine, known.declared),
+        declared: declared::newer(engine, known.declared, asked),
         records,
         records_version,
     }
--- a/crates/engine/src/home/mod.rs
+++ b/crates/engine/src/home/mod.rs
@@ -84,7 +84,7 @@
     };
     let asked = Instant::now();
     let answered = timeout(ASK_TIMEOUT, async {
-        let link = engine.homes().choose(&member).await?;
+        let link = engine.homes().choose(&member, None).await?;
         link.ask(group.name(), wanted).await
     });
     let Ok(Some(beliefs)) = answered.await else {
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::directory::Member;
 use crate::link::{Link, Links};
-use crate::names::{GroupName, MemberId, NodeName, ZoneName};
+use crate::names::{GroupName, MemberId, NodeName, TenantName, ZoneName};
 use crate::ports::PeerNetwork;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -227,6 +227,13 @@
     }
 }
 
+/// Half of all keys have the one of two first, half the other.
+fn spread_by(key: &[u8], addresses: &mut [SocketAddr]) {
+    if xxh3_64(key) % 2 == 1 {
+        addresses.reverse();
+    }
+}
+
 /// The homes of all members, and the links to them.
 #[derive(Debug)]
 pub struct Homes {
@@ -305,9 +312,7 @@
 
     /// Half of the fleet asks the one of two first, half the other.
     fn spread(&self, addresses: &mut [SocketAddr]) {
-        if xxh3_64(self.own.as_bytes()) % 2 == 1 {
-            addresses.reverse();
-        }
+        spread_by(self.own.as_bytes(), addresses);
     }
 
     /// The links to other processes.
@@ -371,13 +376,18 @@
     }
 
     /// A link to a process that holds connections to `member`: to one of its homes if one
-    /// answers, else to one of those that follow.
-    pub async fn choose(&self, member: &Member) -> Option<Arc<Link>> {
+    /// answers, else to one of those that follow. Where there are tenants, each has one of the
+    /// homes that the whole fleet asks first, so that the connections which are good for that
+    /// tenant only are found in one place.
+    pub async fn choose(&self, member: &Member, tenant: Option<&TenantName>) -> Option<Arc<Link>> {
         let candidates = self.candidates(member);
         let others = candidates.iter().filter(|peer| peer.node != self.own);
         let mut addresses: Vec<SocketAddr> = others.map(|peer| peer.address).collect();
         let homes = HOMES.min(addresses.len());
-        self.spread(&mut addresses[..homes]);
+        match tenant {
+            Some(tenant) => spread_by(tenant.as_bytes(), &mut addresses[..homes]),
+            None => self.spread(&mut addresses[..homes]),
+        }
         let (homes, rest) = addresses.split_at(homes);
         match self.links.first_usable(homes).await {
             Some(link) => Some(link),
--- a/crates/engine/src/home/remote.rs
+++ b/crates/engine/src/home/remote.rs
@@ -4,6 +4,7 @@
 use crate::directory::Member;
 use crate::link::Link;
 use crate::link::frame::{HomeCommand, HomeOutcome, NotSent, RunRequest, UnitId};
+use crate::names::TenantName;
 use crate::ports::{
     Admission, Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError,
     MemberReport, Refusal, RefusalKind,
@@ -38,15 +39,19 @@
 
 #[async_trait]
 impl BackEnd for RemoteBackEnd {
-    async fn connect(&self, member: &Member) -> Result<Box<dyn BackEndConnection>, ConnectError> {
-        if let Some(link) = self.homes.choose(member).await {
-            let connection = RemoteConnection::new(Arc::clone(&self.homes), link, member);
+    async fn connect(
+        &self,
+        member: &Member,
+        tenant: Option<&TenantName>,
+    ) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+        if let Some(link) = self.homes.choose(member, tenant).await {
+            let connection = RemoteConnection::new(Arc::clone(&self.homes), link, member, tenant);
             return Ok(Box::new(connection));
         }
         let permits = Arc::clone(&self.direct_connections);
         let permit = permits.try_acquire_owned();
         let permit = permit.map_err(|_| ConnectError::TooManyConnections)?;
-        let connection = self.direct.connect(member).await?;
+        let connection = self.direct.connect(member, tenant).await?;
         Ok(Box::new(DirectConnection {
             connection,
             _permit: permit,
@@ -92,6 +97,7 @@
     homes: Arc<Homes>,
     link: Arc<Link>,
     member: Member,
+    tenant: Option<TenantName>,
     admission: Admission,
     values: BTreeMap<Bytes, Bytes>,
     prepared: HashMap<Bytes, PreparedStatement>,
@@ -101,11 +107,17 @@
 }
 
 impl RemoteConnection {
-    fn new(homes: Arc<Homes>, link: Arc<Link>, member: &Member) -> Self {
+    fn new(
+        homes: Arc<Homes>,
+        link: Arc<Link>,
+        member: &Member,
+        tenant: Option<&TenantName>,
+    ) -> Self {
         Self {
             homes,
             link,
             member: member.clone(),
+            tenant: tenant.cloned(),
             admission: Admission::default(),
             values: BTreeMap::new(),
             prepared: HashMap::new(),
@@ -175,6 +187,7 @@
             exchange: 0,
             member: self.member.id.clone(),
             database: self.admission.database.clone(),
+            tenant: self.tenant.clone(),
             rank: self.admission.rank,
             patience: self.admission.patience,
             wait: wait.saturating_duration_since(Instant::now()),
@@ -205,7 +218,7 @@
     async fn go_elsewhere(&mut self) -> bool {
         self.unit = None;
         self.link.distrust();
-        match self.homes.choose(&self.member).await {
+        match self.homes.choose(&self.member, self.tenant.as_ref()).await {
             Some(link) if !Arc::ptr_eq(&link, &self.link) => {
                 self.link = link;
                 true
--- a/crates/engine/src/home/unit.rs
+++ b/crates/engine/src/home/unit.rs
@@ -41,6 +41,7 @@
         let group = engine.group(&pool.member().group);
         let claim = Claim {
             database: request.database.clone(),
+            tenant: request.tenant.clone(),
             rank: request.rank,
             values: Arc::new(request.values.clone()),
             patience: request.patience,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod session;
 pub mod statement;
 pub mod telemetry;
+pub mod tenant;
 pub mod verdict;
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -1,6 +1,6 @@
 //! What goes over a link: to the process that serves it, and back.
 
-use crate::names::{DatabaseName, GroupName, MemberId, RequestId};
+use crate::names::{DatabaseName, GroupName, MemberId, RequestId, TenantName};
 use crate::ports::{Answer, DeclaredState, DeclaredVersions, GroupBelief, Record};
 use crate::position::LogPosition;
 use crate::statement::{Access, PreparedStatement};
@@ -66,6 +66,8 @@
     pub member: MemberId,
     /// The session's database.
     pub database: DatabaseName,
+    /// On whose behalf it is run; the member is told this one.
+    pub tenant: Option<TenantName>,
     /// The route's rank.
     pub rank: u32,
     /// How long it may wait in a queue that stands.
--- a/crates/engine/src/names.rs
+++ b/crates/engine/src/names.rs
@@ -8,6 +8,8 @@
 pub type MemberId = Arc<str>;
 /// The database that a caller asks for; a route leads from it to a group.
 pub type DatabaseName = Arc<str>;
+/// A tenant: an organisation or application on whose behalf callers ask.
+pub type TenantName = Arc<str>;
 /// A zone of machines.
 pub type ZoneName = Arc<str>;
 /// One process of the fleet.
--- a/crates/engine/src/peers/declared.rs
+++ b/crates/engine/src/peers/declared.rs
@@ -24,15 +24,36 @@
     }
 }
 
-/// What this process knows that is newer than `asked`.
-pub fn newer(engine: &Engine, asked: DeclaredVersions) -> DeclaredState {
+/// What this process knows that is newer than `known`, for a question that came at `asked`.
+pub fn newer(engine: &Engine, known: DeclaredVersions, asked: Instant) -> DeclaredState {
+    // Before the configuration is looked up: that one must be no older than this tells.
+    let complete_as_of = engine.following().configuration_complete_as_of();
     let configuration = engine.configuration();
-    let configuration = configuration.filter(|known| known.version > asked.configuration);
+    let configuration = configuration.filter(|newest| newest.version > known.configuration);
     let directory = engine.directory();
-    let is_newer = directory.version > asked.directory;
+    let is_newer = directory.version > known.directory;
     DeclaredState {
-        configuration: configuration.map(|newest| declare_configuration(engine, &newest, asked)),
-        directory: is_newer.then(|| declare(&directory, asked.directory, Instant::now())),
+        configuration: configuration.map(|newest| declare_configuration(engine, &newest, known)),
+        directory: is_newer.then(|| declare(&directory, known.directory, Instant::now())),
+        complete_after_ms: complete_as_of.map(|at| signed_millis(asked, at)),
+    }
+}
+
+/// Whole milliseconds from `from` to `to`, rounded down; below zero where `to` is earlier.
+fn signed_millis(from: Instant, to: Instant) -> i64 {
+    let millis = |duration: Duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX);
+    match to.checked_duration_since(from) {
+        Some(after) => millis(after),
+        None => -millis(from.duration_since(to)) - 1,
+    }
+}
+
+/// The moment `millis` after `from`.
+fn moment_after(from: Instant, millis: i64) -> Option<Instant> {
+    let distance = Duration::from_millis(millis.unsigned_abs());
+    match millis >= 0 {
+        true => from.checked_add(distance),
+        false => from.checked_sub(distance),
     }
 }
 
@@ -118,8 +139,16 @@
 /// Takes what another process knew when it was asked at `asked`: ages only grow on the way,
 /// so a departure is taken to be older than it is, never younger.
 pub(crate) fn take(engine: &Engine, state: DeclaredState, asked: Instant) {
-    if let Some(configuration) = state.configuration {
-        take_configuration(engine, configuration);
+    let is_taken = match state.configuration {
+        Some(configuration) => take_configuration(engine, configuration),
+        None => true,
+    };
+    let complete_as_of = state.complete_after_ms;
+    if let (true, Some(at)) = (
+        is_taken,
+        complete_as_of.and_then(|ms| moment_after(asked, ms)),
+    ) {
+        engine.following().prove_configuration(at);
     }
     let Some(declared) = state.directory else {
         return;
@@ -139,8 +168,9 @@
     engine.set_directory(next);
 }
 
-/// Changes of a version that is no longer in use are dropped: a later one is known.
-fn take_configuration(engine: &Engine, declared: DeclaredConfiguration) {
+/// Takes a configuration that another process has told of; returns whether what is in use is
+/// that one or a later one. Changes of a version that is no longer in use can't be applied.
+fn take_configuration(engine: &Engine, declared: DeclaredConfiguration) -> bool {
     let configuration = match declared {
         DeclaredConfiguration::Whole(configuration) => Some(configuration),
         DeclaredConfiguration::Changes(changes) => {
@@ -148,8 +178,12 @@
             known.and_then(|known| known.with(changes))
         }
     };
-    if let Some(configuration) = configuration {
-        engine.set_configuration(configuration);
+    match configuration {
+        Some(configuration) => {
+            engine.set_configuration(configuration);
+            true
+        }
+        None => false,
     }
 }
 
--- a/crates/engine/src/peers/tcp.rs
+++ b/crates/engine/src/peers/tcp.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Greatest length of a frame.
@@ -45,7 +45,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 enum Answer {
     Beliefs(Vec<GroupBelief>),
-    Declared(DeclaredState),
+    Declared(Box<DeclaredState>),
 }
 
 fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
@@ -99,7 +99,7 @@
         known: DeclaredVersions,
     ) -> Result<DeclaredState, PeerError> {
         match exchange(peer, &Question::Declared(known)).await? {
-            Answer::Declared(state) => Ok(state),
+            Answer::Declared(state) => Ok(*state),
             Answer::Beliefs(_) => Err(another_answer()),
         }
     }
@@ -183,7 +183,10 @@
     let frame = frames.next().await?.ok()?;
     let answer = match rmp_serde::from_slice(&frame).ok()? {
         Question::Beliefs(groups) => Answer::Beliefs(known_beliefs(engine, groups)?),
-        Question::Declared(versions) => Answer::Declared(declared::newer(engine, versions)),
+        Question::Declared(versions) => {
+            let newer = declared::newer(engine, versions, Instant::now());
+            Answer::Declared(Box::new(newer))
+        }
         Question::Link => return Some(Asked::Link(spawn_link(frames))),
     };
     let encoded = rmp_serde::to_vec(&answer).unwrap_or_default();
--- a/crates/engine/src/pool/concurrency.rs
+++ b/crates/engine/src/pool/concurrency.rs
@@ -59,6 +59,11 @@
         (self.limit.floor() as usize).clamp(1, self.ceiling.max(1))
     }
 
+    /// What the limit may reach.
+    pub fn ceiling(&self) -> usize {
+        self.ceiling
+    }
+
     /// Changes what the limit may reach.
     pub fn set_ceiling(&mut self, ceiling: usize) {
         let was_open = self.limit >= self.ceiling as f64;
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -2,7 +2,7 @@
 
 use super::member::MemberPool;
 use super::set::PoolConnection;
-use crate::names::{DatabaseName, RequestId};
+use crate::names::{DatabaseName, RequestId, TenantName};
 use crate::ports::{
     Admission, Answer, BackEndConnection, Command, Control, LinkError, MemberReport, RefusalKind,
 };
@@ -63,19 +63,26 @@
 #[derive(Debug)]
 pub(super) struct Established {
     connection: Box<dyn BackEndConnection>,
+    tenant: Option<TenantName>,
     values: SessionValues,
     prepared: HashSet<Bytes>,
 }
 
 impl Established {
-    pub(super) fn new(connection: Box<dyn BackEndConnection>) -> Self {
+    pub(super) fn new(connection: Box<dyn BackEndConnection>, tenant: Option<TenantName>) -> Self {
         Self {
             connection,
+            tenant,
             values: SessionValues::default(),
             prepared: HashSet::new(),
         }
     }
 
+    /// Whether what is asked on behalf of `tenant` may go over it.
+    pub(super) fn serves(&self, tenant: Option<&TenantName>) -> bool {
+        tenant.is_none() || self.tenant.as_ref() == tenant
+    }
+
     pub(super) fn has_values(&self, values: &SessionValues) -> bool {
         Arc::ptr_eq(&self.values, values) || self.values == *values
     }
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -6,7 +6,7 @@
 use super::queue::QueueDelay;
 use super::set::{ConnectionSet, Fit};
 use crate::directory::Member;
-use crate::names::DatabaseName;
+use crate::names::{DatabaseName, TenantName};
 use crate::ports::{
     Admission, BackEnd, BackEndConnection, ConnectError, Control, LinkError, MemberReport,
 };
@@ -47,6 +47,9 @@
 pub struct Claim {
     /// The database that its session is for: connections are shared fairly between these.
     pub database: DatabaseName,
+    /// On whose behalf it is used: a connection serves one tenant for its life. `None` where
+    /// any connection will do.
+    pub tenant: Option<TenantName>,
     /// Rank of its route, 0 the highest: it goes before all of a lower rank.
     pub rank: u32,
     /// Values to find in place, if possible.
@@ -60,6 +63,7 @@
     pub fn own() -> Self {
         Self {
             database: DatabaseName::from(""),
+            tenant: None,
             rank: 0,
             values: SessionValues::default(),
             patience: QUEUE_TIME,
@@ -265,11 +269,12 @@
     ) -> Result<PooledConnection, AcquireError> {
         self.check_reachable(Instant::now())?;
         let permit = self.admit(claim, deadline).await?;
-        if let Some(established) = self.take_idle(&claim.values) {
+        if let Some(established) = self.take_idle(claim.tenant.as_ref(), &claim.values) {
             return Ok(self.in_use_connection(established, permit));
         }
         self.check_opening(Instant::now())?;
-        let mut opening = self.spawn_open(permit);
+        self.make_room();
+        let mut opening = self.spawn_open(claim.tenant.clone(), permit);
         match timeout_at(deadline, &mut opening).await {
             Ok(Ok(opened)) => opened,
             Ok(Err(error)) => Err(AcquireError::Unreachable(error.to_string())),
@@ -316,11 +321,12 @@
     /// the member's work for it is not lost, and the connection goes to the pool.
     fn spawn_open(
         self: &Arc<Self>,
+        tenant: Option<TenantName>,
         permit: Permit<DatabaseName>,
     ) -> JoinHandle<Result<PooledConnection, AcquireError>> {
         let pool = Arc::clone(self);
         tokio::spawn(async move {
-            let established = pool.open().await?;
+            let established = pool.open(tenant).await?;
             Ok(pool.in_use_connection(established, permit))
         })
     }
@@ -330,8 +336,12 @@
     /// # Errors
     ///
     /// [`ConnectError`] where it can't be opened in time.
-    async fn open_separately(&self) -> Result<Box<dyn BackEndConnection>, ConnectError> {
-        let connected = timeout(CONNECT_TIMEOUT, self.back_end.connect(&self.member)).await;
+    async fn open_separately(
+        &self,
+        tenant: Option<&TenantName>,
+    ) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+        let connecting = self.back_end.connect(&self.member, tenant);
+        let connected = timeout(CONNECT_TIMEOUT, connecting).await;
         let result = connected.unwrap_or(Err(ConnectError::TimedOut));
         self.note_connect(&result.as_ref().err().cloned());
         result
@@ -349,7 +359,7 @@
         {
             return Ok(report);
         }
-        match self.open_separately().await {
+        match self.open_separately(None).await {
             Ok(mut connection) => Ok(connection.control(control).await?),
             Err(ConnectError::TooManyConnections) => {
                 let until = Instant::now() + ORDER_WAIT;
@@ -369,7 +379,7 @@
         let until = Instant::now() + ORDER_WAIT;
         let admission = self.connections.admit(claim.database, at_once, until);
         let permit = admission.await.ok()?;
-        let established = self.take_idle(&SessionValues::default())?;
+        let established = self.take_idle(None, &SessionValues::default())?;
         Some(self.in_use_connection(established, permit))
     }
 
@@ -401,20 +411,43 @@
         PooledConnection::new(Arc::clone(self), established, permit)
     }
 
-    /// The most recently used connection that is still open, with `values` if possible.
-    fn take_idle(&self, values: &SessionValues) -> Option<Established> {
-        self.connections
-            .take_idle(|established| match established.has_values(values) {
-                true => Fit::Exact,
-                false => Fit::Usable,
-            })
+    /// The most recently used connection of `tenant` that is still open, with `values` if
+    /// possible.
+    fn take_idle(
+        &self,
+        tenant: Option<&TenantName>,
+        values: &SessionValues,
+    ) -> Option<Established> {
+        self.connections.take_idle(|established| {
+            if !established.serves(tenant) {
+                Fit::None
+            } else if established.has_values(values) {
+                Fit::Exact
+            } else {
+                Fit::Usable
+            }
+        })
+    }
+
+    /// Closes connections that rest where one more would be over this process's share of
+    /// those that the member accepts: they are of other tenants. The one that has rested
+    /// longest goes first.
+    fn make_room(&self) {
+        let share = self.lock().concurrency.ceiling();
+        let load = self.connections.load();
+        while load.in_use + self.connections.count_idle(|_| true) > share {
+            if !self.connections.close_oldest() {
+                return;
+            }
+            metrics::counter!("stilequay_pool_connections_displaced_total").increment(1);
+        }
     }
 
-    async fn open(&self) -> Result<Established, AcquireError> {
-        let result = self.open_separately().await;
+    async fn open(&self, tenant: Option<TenantName>) -> Result<Established, AcquireError> {
+        let result = self.open_separately(tenant.as_ref()).await;
         metrics::counter!("stilequay_pool_connections_opened_total").increment(1);
         match result {
-            Ok(connection) => Ok(Established::new(connection)),
+            Ok(connection) => Ok(Established::new(connection, tenant)),
             Err(ConnectError::TooManyConnections | ConnectError::Busy) => {
                 Err(AcquireError::Exhausted)
             }
--- a/crates/engine/src/pool/set.rs
+++ b/crates/engine/src/pool/set.rs
@@ -180,12 +180,14 @@
         });
     }
 
-    /// Closes the connection that has rested longest, if there is one.
-    pub fn close_oldest(&self) {
+    /// Closes the connection that has rested longest; returns whether there was one.
+    pub fn close_oldest(&self) -> bool {
         let mut idle = self.lock();
-        if !idle.resting.is_empty() {
+        let any = !idle.resting.is_empty();
+        if any {
             idle.resting.remove(0);
         }
+        any
     }
 
     /// Closes all connections at rest, and those in use as they come back.
--- a/crates/engine/src/ports/back_end.rs
+++ b/crates/engine/src/ports/back_end.rs
@@ -1,7 +1,7 @@
 //! Connections to members.
 
 use crate::directory::{Member, Role};
-use crate::names::{DatabaseName, RequestId};
+use crate::names::{DatabaseName, RequestId, TenantName};
 use crate::position::{LogPosition, Term};
 use crate::statement::{Access, PreparedStatement, TransactionState};
 use async_trait::async_trait;
@@ -199,8 +199,14 @@
 /// Opens connections to members.
 #[async_trait]
 pub trait BackEnd: Debug + Send + Sync + 'static {
-    /// Connects to `member`, and to no other that may listen at its address by now.
-    async fn connect(&self, member: &Member) -> Result<Box<dyn BackEndConnection>, ConnectError>;
+    /// Connects to `member`, and to no other that may listen at its address by now. All that
+    /// is asked over the connection is asked on behalf of `tenant`; without one, on behalf of
+    /// this system itself or of callers of whom no tenant is known.
+    async fn connect(
+        &self,
+        member: &Member,
+        tenant: Option<&TenantName>,
+    ) -> Result<Box<dyn BackEndConnection>, ConnectError>;
 }
 
 /// For whom a connection is used next, for those who put the fleet's requests in order.
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -71,16 +71,20 @@
 }
 
 /// What a process knows that is newer than it was asked for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct DeclaredState {
     /// The configuration.
     pub configuration: Option<DeclaredConfiguration>,
     /// The members.
     pub directory: Option<DeclaredDirectory>,
+    /// The moment as of which the configuration that is known, told here or not, was the
+    /// newest: in ms after the question came, below zero where it was before. `None` where
+    /// that is not known. Whoever asked counts it from before the question was sent.
+    pub complete_after_ms: Option<i64>,
 }
 
 /// A configuration that is newer than the one that was asked for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum DeclaredConfiguration {
     /// All of it.
     Whole(Configuration),
--- a/crates/engine/src/session/mod.rs
+++ b/crates/engine/src/session/mod.rs
@@ -3,6 +3,7 @@
 //! One session is one caller's connection. Its statements come one at a time; each is
 //! decided, sent and answered in [`Session::handle`], top to bottom in one task.
 
+mod authorization;
 mod floor;
 mod limits;
 mod offer;
@@ -15,12 +16,13 @@
 
 use crate::configuration::Route;
 use crate::engine::Engine;
-use crate::events::Event;
+use crate::events::{Event, millis};
 use crate::group::Group;
 use crate::leadership::access;
-use crate::names::DatabaseName;
+use crate::names::{DatabaseName, TenantName};
 use crate::pool::{Claim, SessionValues, Work};
 use crate::statement::{Access, PreparedStatement, Reply, Request, Statement, TransactionState};
+use crate::tenant::Credential;
 use crate::verdict::{Failure, FailureReason};
 use bytes::Bytes;
 use floor::SessionFloor;
@@ -39,6 +41,9 @@
 pub struct Session {
     engine: Arc<Engine>,
     database: DatabaseName,
+    credential: Option<Credential>,
+    /// On whose behalf the latest statement was asked.
+    tenant: Option<TenantName>,
     values: SessionValues,
     prepared: HashMap<Bytes, PreparedStatement>,
     floor: SessionFloor,
@@ -53,23 +58,37 @@
 }
 
 impl Session {
-    /// Opens a session for `database`.
+    /// Opens a session for `database`, for a caller that has shown `credential`.
     ///
     /// # Errors
     ///
-    /// [`Failure`] where no route leads from it, or nothing is known yet.
-    pub fn open(engine: Arc<Engine>, database: DatabaseName) -> Result<Self, Failure> {
-        if let Some(failure) = refusal(&engine, &database) {
+    /// [`Failure`] where no route leads from it, the credential is not good, or too little is
+    /// known yet.
+    pub async fn open(
+        engine: Arc<Engine>,
+        database: DatabaseName,
+        credential: Option<Credential>,
+    ) -> Result<Self, Failure> {
+        let admitted = authorization::admit(&engine, &database, credential.as_ref());
+        if let Err(failure) = admitted.await {
+            let proof_age = authorization::proof_age(&engine, Instant::now());
             engine.events().write(&Event::SessionRefused {
                 database,
                 reason: failure.reason.clone(),
                 configuration: engine.configuration().map_or(0, |c| c.version),
+                proof_age_ms: proof_age.map(millis),
             });
+            metrics::counter!(
+                "stilequay_sessions_refused_total", "reason" => failure.reason.name()
+            )
+            .increment(1);
             return Err(failure);
         }
         Ok(Self {
             engine,
             database,
+            credential,
+            tenant: None,
             values: SessionValues::default(),
             prepared: HashMap::new(),
             floor: SessionFloor::default(),
@@ -130,7 +149,11 @@
             Statement::Prepare { name, prepared } => self.prepare(name, prepared),
             Statement::Deallocate { name } => self.deallocate(name),
             Statement::Begin { read_only } => self.begin(*read_only, request.received),
-            Statement::Commit => self.end(request, true, trace).await,
+            Statement::Commit => {
+                self.authorize(request)?;
+                trace.authorized(self.tenant.as_ref());
+                self.end(request, true, trace).await
+            }
             Statement::Rollback => self.end(request, false, trace).await,
             Statement::Read { text } => self.run_text(request, Access::Read, text, trace).await,
             Statement::Write { text } => self.run_text(request, Access::Write, text, trace).await,
@@ -168,6 +191,8 @@
         work: Work,
         trace: &mut RequestTrace,
     ) -> Result<Completion, Failure> {
+        self.authorize(request)?;
+        trace.authorized(self.tenant.as_ref());
         if self.transaction.is_some() {
             return self.run_in_transaction(request, access, work, trace).await;
         }
@@ -179,6 +204,27 @@
         }
     }
 
+    /// Finds on whose behalf `request` is asked, for each statement anew: the credential may
+    /// have been removed since. A transaction ends where its caller may not go on, and the
+    /// caller is told why by what becomes of the statement.
+    fn authorize(&mut self, request: &Request) -> Result<(), Failure> {
+        let (engine, credential) = (&self.engine, self.credential.as_ref());
+        let now = request.received;
+        let Some(transaction) = &mut self.transaction else {
+            let tenant = authorization::authorize(engine, &self.database, credential, now)?;
+            self.tenant = tenant.map(|tenant| tenant.name.clone());
+            return Ok(());
+        };
+        match authorization::authorize_on(engine, transaction.route(), credential, now) {
+            Ok(tenant) => self.tenant = tenant.map(|tenant| tenant.name.clone()),
+            Err(failure) => transaction.fail(failure),
+        }
+        if transaction.is_of_another(self.tenant.as_ref()) {
+            transaction.fail(Failure::not_run(FailureReason::TransactionLost));
+        }
+        Ok(())
+    }
+
     async fn set(&mut self, name: &Bytes, value: &Bytes) -> Result<Completion, Failure> {
         let mut values = self.values.as_ref().clone();
         values.insert(name.clone(), value.clone());
@@ -226,6 +272,7 @@
     fn claim(&self, route: &Route) -> Claim {
         Claim {
             database: self.database.clone(),
+            tenant: self.tenant.clone(),
             rank: route.priority,
             values: Arc::clone(&self.values),
             patience: queue_patience(route),
@@ -234,17 +281,7 @@
 
     /// The route in force, bound anew for each statement outside a transaction.
     fn route(&self) -> Result<Arc<Route>, Failure> {
-        let unknown = || Failure::rejected(FailureReason::UnknownDatabase);
+        let unknown = || authorization::unknown_database(&self.engine);
         self.engine.route(&self.database).ok_or_else(unknown)
     }
 }
-
-fn refusal(engine: &Engine, database: &DatabaseName) -> Option<Failure> {
-    if !engine.is_started() {
-        return Some(Failure::not_run(FailureReason::NotStarted));
-    }
-    if engine.route(database).is_none() {
-        return Some(Failure::rejected(FailureReason::UnknownDatabase));
-    }
-    None
-}
--- a/crates/engine/src/session/trace.rs
+++ b/crates/engine/src/session/trace.rs
@@ -4,11 +4,11 @@
 use crate::engine::Engine;
 use crate::events::{AttemptEvent, Event, EventClass, OutcomeEvent, RequestEvent, millis};
 use crate::group::Epoch;
-use crate::names::{DatabaseName, GroupName, MemberId, RequestId};
+use crate::names::{DatabaseName, GroupName, MemberId, RequestId, TenantName};
 use crate::position::LogPosition;
-use crate::session::Completion;
+use crate::session::{Completion, authorization};
 use crate::statement::{Request, Statement};
-use crate::verdict::Failure;
+use crate::verdict::{Failure, FailureReason};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -26,6 +26,7 @@
     statement: &'static str,
     received: Instant,
     configuration: u64,
+    tenant: Option<TenantName>,
     group: Option<GroupName>,
     route: &'static str,
     objective: Option<Duration>,
@@ -44,6 +45,7 @@
             statement: statement_name(&request.statement),
             received: request.received,
             configuration: engine.configuration().map_or(0, |c| c.version),
+            tenant: None,
             group: None,
             route: NO_ROUTE,
             objective: None,
@@ -54,6 +56,11 @@
         }
     }
 
+    /// It was found out on whose behalf the request is asked.
+    pub fn authorized(&mut self, tenant: Option<&TenantName>) {
+        self.tenant = tenant.cloned();
+    }
+
     /// The route was chosen.
     pub fn routed(&mut self, engine: &Engine, route: &Route) {
         let group = engine.group(&route.group);
@@ -99,9 +106,11 @@
             id: self.id,
             key: None,
             database: self.database,
+            tenant: self.tenant,
             group: self.group,
             statement: self.statement,
             configuration: self.configuration,
+            proof_age_ms: proof_age_told(engine, outcome),
             epoch: self.epoch,
             evidence_age_ms: self.evidence_age_ms,
             after: self.after,
@@ -130,6 +139,20 @@
     }
 }
 
+/// The age of the proof of the configuration, where that is what decided.
+fn proof_age_told(engine: &Engine, outcome: &Result<Completion, Failure>) -> Option<u64> {
+    let decides = matches!(
+        outcome.as_ref().err()?.reason,
+        FailureReason::UnknownCredential
+            | FailureReason::UnknownDatabase
+            | FailureReason::ConfigurationOutdated
+            | FailureReason::RateLimited
+            | FailureReason::RateUnknown
+    );
+    let age = authorization::proof_age(engine, Instant::now());
+    age.filter(|_| decides).map(millis)
+}
+
 fn outcome_event(outcome: &Result<Completion, Failure>) -> OutcomeEvent {
     match outcome {
         Ok(_) => OutcomeEvent::Completed,
--- a/crates/engine/src/session/transaction/mod.rs
+++ b/crates/engine/src/session/transaction/mod.rs
@@ -8,7 +8,7 @@
 use super::{Completion, Session};
 use crate::configuration::Route;
 use crate::group::{Group, UsableLeader};
-use crate::names::RequestId;
+use crate::names::{RequestId, TenantName};
 use crate::pool::{PooledConnection, RunError, SessionValues, Work};
 use crate::ports::{Answer, Command, Refusal, RefusalKind};
 use crate::statement::{Access, Request, TransactionState};
@@ -25,6 +25,8 @@
     began: Instant,
     rests_since: Instant,
     stage: Stage,
+    /// On whose behalf it was opened at its member.
+    tenant: Option<TenantName>,
 }
 
 /// How far a transaction has come.
@@ -57,6 +59,16 @@
         }
     }
 
+    /// The route that it was begun with.
+    pub(super) fn route(&self) -> &Route {
+        &self.route
+    }
+
+    /// Whether it is open on behalf of another than `tenant`.
+    pub(super) fn is_of_another(&self, tenant: Option<&TenantName>) -> bool {
+        matches!(self.stage, Stage::Open(_)) && self.tenant.as_ref() != tenant
+    }
+
     /// Since when it has been resting, unless it has ended.
     pub(super) fn rests_since(&self) -> Option<Instant> {
         match self.stage {
@@ -107,6 +119,7 @@
             began: received,
             rests_since: Instant::now(),
             stage: Stage::Pending,
+            tenant: None,
         });
         Ok(Completion::default())
     }
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -167,6 +167,7 @@
     if let Some(leader) = &leader {
         transaction.group.confirm_leader(leader);
     }
+    transaction.tenant = claim.tenant.clone();
     let open = OpenTransaction {
         connection,
         leader,
--- a/crates/engine/src/verdict.rs
+++ b/crates/engine/src/verdict.rs
@@ -37,6 +37,15 @@
     UnknownDatabase,
     /// No configuration has been read yet.
     NotStarted,
+    /// The credential is no tenant's.
+    UnknownCredential,
+    /// The configuration in use may no longer be the newest: this process has not heard of the
+    /// store for too long to serve by it.
+    ConfigurationOutdated,
+    /// The tenant has asked for as much as it may.
+    RateLimited,
+    /// No process that counts the tenant's requests could be asked.
+    RateUnknown,
     /// No leader is known or usable now.
     NoLeader,
     /// No replica receives commits: none would be acknowledged.
@@ -83,6 +92,10 @@
         match self {
             FailureReason::UnknownDatabase => "unknown_database",
             FailureReason::NotStarted => "not_started",
+            FailureReason::UnknownCredential => "unknown_credential",
+            FailureReason::ConfigurationOutdated => "configuration_outdated",
+            FailureReason::RateLimited => "rate_limited",
+            FailureReason::RateUnknown => "rate_unknown",
             FailureReason::NoLeader => "no_leader",
             FailureReason::NoReplica => "no_replica",
             FailureReason::NoFreshMember => "no_fresh_member",
--- a/crates/engine/tests/peers.rs
+++ b/crates/engine/tests/peers.rs
@@ -220,7 +220,7 @@
         .directory()
         .replaced(version, entries, Departure::at(now));
     engine.set_directory(next);
-    let told = declared::newer(engine, known);
+    let told = declared::newer(engine, known, Instant::now());
     let Some(DeclaredConfiguration::Changes(changes)) = told.configuration else {
         panic!("{:?}", told.configuration);
     };
@@ -237,7 +237,7 @@
         configuration: 0,
         directory: 0,
     };
-    let told = declared::newer(engine, nothing);
+    let told = declared::newer(engine, nothing, Instant::now());
     assert!(matches!(
         told.configuration,
         Some(DeclaredConfiguration::Whole(_))
--- a/crates/engine/tests/pool.rs
+++ b/crates/engine/tests/pool.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, Directory, Member};
 use stilequay_engine::leadership::fleet::connection_share;
+use stilequay_engine::names::TenantName;
 use stilequay_engine::pool::{AcquireError, Claim, MemberPool};
 use stilequay_engine::ports::{BackEnd, BackEndConnection, Command, ConnectError};
 use support::servers::{World, WorldBackEnd};
@@ -22,11 +23,15 @@
 
 #[async_trait::async_trait]
 impl BackEnd for SlowBackEnd {
-    async fn connect(&self, member: &Member) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+    async fn connect(
+        &self,
+        member: &Member,
+        tenant: Option<&TenantName>,
+    ) -> Result<Box<dyn BackEndConnection>, ConnectError> {
         sleep(self.time).await;
         self.opened
             .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-        self.inner.connect(member).await
+        self.inner.connect(member, tenant).await
     }
 }
 
--- a/crates/engine/tests/sessions.rs
+++ b/crates/engine/tests/sessions.rs
@@ -153,7 +153,8 @@
 async fn a_database_without_a_route_gets_no_session() {
     let fleet = Fleet::start(1).await;
     let engine = fleet.nodes[0].engine.clone();
-    let failure = Session::open(engine, "nowhere".into()).expect_err("no route");
+    let failure = Session::open(engine, "nowhere".into(), None).await;
+    let failure = failure.expect_err("no route");
     assert_eq!(failure.reason, FailureReason::UnknownDatabase);
     assert_eq!(failure.retry_after, None);
 }
--- a/crates/engine/tests/support/freezer.rs
+++ b/crates/engine/tests/support/freezer.rs
@@ -32,10 +32,15 @@
         self.changes.send_modify(|count| *count += 1);
     }
 
+    /// Whether a process stands still now.
+    pub fn is_frozen(&self, node: &str) -> bool {
+        self.frozen.lock().unwrap().contains(node)
+    }
+
     /// Returns while `node` goes on.
     pub async fn pass(&self, node: &str) {
         let mut changes = self.changes.subscribe();
-        while self.frozen.lock().unwrap().contains(node) {
+        while self.is_frozen(node) {
             if changes.changed().await.is_err() {
                 return;
             }
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -10,6 +10,7 @@
 pub mod servers;
 
 use bytes::Bytes;
+use futures::FutureExt;
 use peers::MemoryPeers;
 use records::MemoryRecords;
 use servers::{Network, World, WorldBackEnd, WorldPromoter};
@@ -23,6 +24,8 @@
 use stilequay_engine::leadership;
 use stilequay_engine::session::Session;
 use stilequay_engine::statement::{Access, PreparedStatement, Reply, Request, Statement};
+use stilequay_engine::tenant::{Credential, TenantPolicy};
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
@@ -43,8 +46,12 @@
     pub records: Arc<MemoryRecords>,
     pub peers: Arc<MemoryPeers>,
     pub nodes: Vec<Node>,
+    /// The newest configuration in the store.
+    pub configuration: watch::Sender<Configuration>,
     /// The zones in which processes stand, in turn.
     zones: &'static [&'static str],
+    /// How callers prove on whose behalf they ask.
+    pub tenants: Option<TenantPolicy>,
 }
 
 /// One process of the fleet.
@@ -75,6 +82,7 @@
             timeout: TIMEOUT,
             objective: Duration::from_millis(250),
             priority: 1,
+            is_public: false,
         })
     };
     let routes = [
@@ -97,6 +105,7 @@
             .collect(),
         groups: HashMap::from([(Arc::from(GROUP), group)]),
         transaction_idle: Some(Duration::from_secs(3)),
+        ..Configuration::default()
     }
 }
 
@@ -109,6 +118,15 @@
 
     /// The same, with processes in several zones.
     pub async fn start_in(zones: &'static [&'static str], nodes: usize) -> Self {
+        Self::start_with(zones, nodes, None).await
+    }
+
+    /// The same, with callers that show credentials.
+    pub async fn start_with(
+        zones: &'static [&'static str],
+        nodes: usize,
+        tenants: Option<TenantPolicy>,
+    ) -> Self {
         print_events_if_asked();
         let world = World::new(&["a", "b", "c"]);
         let records = MemoryRecords::new();
@@ -118,6 +136,8 @@
             records,
             nodes: Vec::new(),
             zones,
+            configuration: watch::Sender::new(configuration(1)),
+            tenants,
         };
         for index in 0..nodes {
             let node = fleet.spawn_node(&format!("node-{index}"));
@@ -148,6 +168,8 @@
             weight: 1.0,
             contact: Duration::from_secs(4),
             leaving_use: Duration::from_secs(4),
+            configuration_bound: Duration::from_secs(3),
+            tenants: self.tenants.clone(),
         };
         let back_end = WorldBackEnd {
             world: Arc::clone(&self.world),
@@ -164,7 +186,7 @@
             self.peers.for_node(name),
         );
         self.peers.join(name, &engine);
-        engine.set_configuration(configuration(1));
+        engine.set_configuration(self.configuration.borrow().clone());
         engine.set_directory(self.directory());
         let promoter = Arc::new(WorldPromoter {
             world: Arc::clone(&self.world),
@@ -174,6 +196,8 @@
             tokio::spawn(follow_directory(
                 Arc::clone(&engine),
                 Arc::clone(&self.world),
+                Arc::clone(&self.records),
+                self.configuration.subscribe(),
             )),
         ];
         Node {
@@ -210,7 +234,12 @@
 }
 
 /// Entries change a moment after the servers do.
-async fn follow_directory(engine: Arc<Engine>, world: Arc<World>) {
+async fn follow_directory(
+    engine: Arc<Engine>,
+    world: Arc<World>,
+    records: Arc<MemoryRecords>,
+    newest: watch::Receiver<Configuration>,
+) {
     let mut version = 1;
     loop {
         sleep(Duration::from_millis(20)).await;
@@ -220,6 +249,10 @@
         }
         let now = Instant::now();
         engine.following().heard(Feed::Configuration, now, version);
+        if records.serves(&engine.settings().node) {
+            engine.set_configuration(newest.borrow().clone());
+            engine.following().prove_configuration(now);
+        }
         engine.following().heard(Feed::Directory, now, version);
         let next =
             engine
@@ -248,9 +281,15 @@
 
 impl Client {
     pub fn open(engine: &Arc<Engine>, database: &str) -> Self {
-        let session = Session::open(Arc::clone(engine), Arc::from(database));
+        Self::open_with(engine, database, None)
+    }
+
+    /// Opens a session of a caller that shows `credential`. All that decides is known.
+    pub fn open_with(engine: &Arc<Engine>, database: &str, credential: Option<Credential>) -> Self {
+        let opened = Session::open(Arc::clone(engine), Arc::from(database), credential);
+        let session = opened.now_or_never().expect("nothing is waited for");
         Self {
-            session: session.expect("the database has a route"),
+            session: session.expect("the caller is served"),
             next: 0,
         }
     }
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -164,7 +164,7 @@
         known: DeclaredVersions,
     ) -> Result<DeclaredState, PeerError> {
         let engine = self.peers.reach(peer).await?;
-        let answer = newer(&engine, known);
+        let answer = newer(&engine, known, tokio::time::Instant::now());
         sleep(ONE_WAY).await;
         Ok(answer)
     }
--- a/crates/engine/tests/support/records.rs
+++ b/crates/engine/tests/support/records.rs
@@ -92,6 +92,13 @@
         };
     }
 
+    /// Whether the process called `node` is answered.
+    pub fn serves(&self, node: &str) -> bool {
+        let state = self.state.lock().unwrap();
+        let is_refused = state.refused_nodes.contains(node);
+        state.fault == Fault::None && !is_refused && !self.freezer.is_frozen(node)
+    }
+
     pub fn get(&self, key: &str) -> Option<Record> {
         self.state.lock().unwrap().rows.get(key).cloned()
     }
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::directory::{Member, Role};
+use stilequay_engine::names::TenantName;
 use stilequay_engine::ports::{
     Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError, MemberReport,
     Refusal, RefusalKind,
@@ -34,7 +35,11 @@
 
 #[async_trait]
 impl BackEnd for WorldBackEnd {
-    async fn connect(&self, member: &Member) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+    async fn connect(
+        &self,
+        member: &Member,
+        tenant: Option<&TenantName>,
+    ) -> Result<Box<dyn BackEndConnection>, ConnectError> {
         sleep(ROUND_TRIP).await;
         let server = self.world.glimpse(&member.id);
         if server.dark || !self.world.network.reaches(&self.node, &member.id) {
@@ -49,10 +54,14 @@
         if enter(&self.world, &member.id).await.is_none() {
             return Err(ConnectError::Busy);
         }
+        let mut connections = self.world.connections.lock().unwrap();
+        *connections.entry(member.id.to_string()).or_default() += 1;
+        drop(connections);
         Ok(Box::new(WorldConnection {
             world: Arc::clone(&self.world),
             node: self.node.clone(),
             server: member.id.to_string(),
+            tenant: tenant.cloned(),
             transaction: None,
             values: BTreeMap::new(),
             prepared: HashMap::new(),
@@ -71,11 +80,21 @@
     world: Arc<World>,
     node: String,
     server: String,
+    tenant: Option<TenantName>,
     transaction: Option<WorldTransaction>,
     values: BTreeMap<Bytes, Bytes>,
     prepared: HashMap<Bytes, Bytes>,
 }
 
+impl Drop for WorldConnection {
+    fn drop(&mut self) {
+        let mut connections = self.world.connections.lock().unwrap();
+        if let Some(count) = connections.get_mut(&self.server) {
+            *count -= 1;
+        }
+    }
+}
+
 impl WorldConnection {
     /// The server as it answers; never resolves where it says nothing.
     async fn reach(&self) -> Result<Glimpse, LinkError> {
@@ -146,6 +165,7 @@
         drop(place);
         let server = self.reach().await?;
         self.world.change(&self.server, |s| s.statements += 1);
+        self.world.note_tenant(id, self.tenant.clone());
         if text.starts_with(b"READ") {
             let applied = self.remember_read(id);
             let values: Vec<String> = self
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use stilequay_engine::directory::{Member, MemberState, Role};
+use stilequay_engine::names::TenantName;
 use stilequay_engine::ports::PromotionOrder;
 use tokio::time::{Instant, sleep};
 
@@ -22,6 +23,10 @@
     pub(super) promotions: Mutex<Vec<PromotionOrder>>,
     /// What each read's log held, by request.
     pub(super) reads: Mutex<HashMap<String, ReadLog>>,
+    /// The tenant that the server was told for each statement that it ran, by request.
+    pub(super) tenants: Mutex<HashMap<String, Option<TenantName>>>,
+    /// Connections that stand at each server.
+    pub(super) connections: Mutex<HashMap<String, usize>>,
     /// Entries that are left out of the directory: a planted mistake.
     pub hidden: Mutex<HashSet<String>>,
     /// Processes that stand still.
@@ -64,12 +69,29 @@
             network: Network::default(),
             promotions: Mutex::default(),
             reads: Mutex::default(),
+            tenants: Mutex::default(),
+            connections: Mutex::default(),
             hidden: Mutex::default(),
             slots: Mutex::default(),
             freezer: Freezer::default(),
         })
     }
 
+    /// The tenant that a server was told for the statement `id`; `None` where none ran it.
+    pub fn tenant_told(&self, id: &str) -> Option<Option<TenantName>> {
+        self.tenants.lock().unwrap().get(id).cloned()
+    }
+
+    /// Connections that stand at the server called `name`.
+    pub fn open_connections(&self, name: &str) -> usize {
+        let connections = self.connections.lock().unwrap();
+        connections.get(name).copied().unwrap_or(0)
+    }
+
+    pub(super) fn note_tenant(&self, id: &str, tenant: Option<TenantName>) {
+        self.tenants.lock().unwrap().insert(id.to_owned(), tenant);
+    }
+
     pub fn change(&self, name: &str, change: impl FnOnce(&mut Server)) {
         change(self.lock().get_mut(name).expect("a server"));
     }
