Keep tenants' rate limits over the whole fleet by three counters

Change: each limit is divided among three shards, one near each zone. A process counts a shard under a lease in the store, with a token bucket for each tenant; each operation asks for a permit before it is sent, of its own zone's counter first. What a counter begins with after a take-over, the spare of its buckets and the permits' life come to no more than what may be exceeded (rate/mod.rs). A lowered limit holds after four fifths of the time that changes may take.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -12,6 +12,8 @@
 use crate::names::{GroupName, MemberId, NodeName, ZoneName};
 use crate::pool::MemberPool;
 use crate::ports::{BackEnd, PeerNetwork, RecordStore};
+use crate::rate::Counters;
+use crate::rate::permit::Refusals;
 use crate::telemetry;
 use crate::tenant::TenantPolicy;
 use std::collections::{HashMap, VecDeque};
@@ -105,6 +107,8 @@
     remote_pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
     homes: Arc<Homes>,
     following: Following,
+    counters: Counters,
+    refusals: Refusals,
     terms: TermFollower,
     lease_records: Arc<dyn RecordStore>,
     stop: watch::Sender<StopPhase>,
@@ -129,6 +133,8 @@
             remote_pools: Mutex::default(),
             homes: Arc::new(homes),
             following: Following::default(),
+            counters: Counters::default(),
+            refusals: Refusals::default(),
             configuration: watch::Sender::new(None),
             recent_configurations: Mutex::default(),
             directory: watch::Sender::new(Arc::default()),
@@ -196,6 +202,7 @@
             later
         });
         if taken {
+            self.counters.configured(self, &configuration);
             self.remember_configuration(configuration);
             self.divide_connections();
             self.events
@@ -336,6 +343,16 @@
         &self.following
     }
 
+    /// The shards of rate limits that are counted here.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Tenants that were told to have no permits left.
+    pub fn refusals(&self) -> &Refusals {
+        &self.refusals
+    }
+
     /// The homes of the members.
     pub fn homes(&self) -> &Arc<Homes> {
         &self.homes
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -196,6 +196,15 @@
         /// Why.
         reason: String,
     },
+    /// A shard of the rate limits is counted here from now on, or no more.
+    RateCounter {
+        /// The shard.
+        shard: usize,
+        /// Whether it is counted here now.
+        held: bool,
+        /// Why.
+        reason: String,
+    },
     /// Something outside was lost or regained.
     Dependency {
         /// What.
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -4,6 +4,8 @@
 use crate::link::{Link, Links};
 use crate::names::{GroupName, MemberId, NodeName, TenantName, ZoneName};
 use crate::ports::PeerNetwork;
+use crate::rate::SHARDS;
+use crate::rate::counter::Shard;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -136,13 +138,17 @@
     first_of(inside, b"follower", FOLLOWERS).cloned().collect()
 }
 
-/// The candidates for `member` among `fleet`, the homes first. Processes of the member's
-/// zone come first, but for the last candidate: a cut that takes the whole zone must leave
-/// one that watches the member from outside.
+/// The candidates for `member` among `fleet`, the homes first.
 pub fn rank(fleet: &[Peer], member: &Member) -> Vec<Peer> {
-    let task = member.id.as_bytes();
+    rank_near(fleet, &member.zone, member.id.as_bytes())
+}
+
+/// The candidates among `fleet` for a task that is best done in `zone`. Processes of that
+/// zone come first, but for the last candidate: a cut that takes the whole zone must leave
+/// one that does it from outside.
+fn rank_near(fleet: &[Peer], zone: &str, task: &[u8]) -> Vec<Peer> {
     let (inside, outside): (Vec<&Peer>, Vec<&Peer>) =
-        fleet.iter().partition(|peer| peer.zone == member.zone);
+        fleet.iter().partition(|peer| &*peer.zone == zone);
     let inside = first_of(inside.into_iter(), task, CANDIDATES);
     let inside: Vec<&Peer> = inside.collect();
     let outside = first_of(outside.into_iter(), task, CANDIDATES);
@@ -155,6 +161,21 @@
     ranked.take(CANDIDATES).cloned().collect()
 }
 
+/// The zones of `fleet`, in an order that is the same everywhere.
+fn zones_of(fleet: &[Peer]) -> BTreeSet<ZoneName> {
+    fleet.iter().map(|peer| peer.zone.clone()).collect()
+}
+
+/// The candidates for counting `shard` of the rate limits among `fleet`: each zone has a
+/// shard, as far as there are zones.
+fn rank_counters(fleet: &[Peer], shard: Shard) -> Vec<Peer> {
+    let zones = zones_of(fleet);
+    let Some(zone) = zones.iter().nth(shard % zones.len().max(1)) else {
+        return Vec::new();
+    };
+    rank_near(fleet, zone, format!("counter/{shard}").as_bytes())
+}
+
 #[derive(Debug, Default)]
 struct Ranking {
     fleet: Vec<Peer>,
@@ -162,6 +183,9 @@
     keepers: HashMap<usize, Arc<[Peer]>>,
     followers: HashMap<ZoneName, Arc<[Peer]>>,
     duty_order: Option<Arc<[Peer]>>,
+    counters: HashMap<Shard, Arc<[Peer]>>,
+    /// The process that granted permits of a shard last.
+    last_counters: HashMap<Shard, SocketAddr>,
 }
 
 /// Where a process learns what the store holds.
@@ -176,9 +200,8 @@
 impl Ranking {
     /// The processes that learn what the store holds first in their zones, of all zones.
     fn all_followers(&mut self) -> Vec<Peer> {
-        let zones = self.fleet.iter().map(|peer| peer.zone.clone());
-        let zones: BTreeSet<ZoneName> = zones.collect();
-        let followers = zones
+        let followers = zones_of(&self.fleet);
+        let followers = followers
             .iter()
             .flat_map(|zone| self.followers_of(zone).to_vec());
         followers.collect()
@@ -260,6 +283,7 @@
             ranking.keepers.clear();
             ranking.followers.clear();
             ranking.duty_order = None;
+            ranking.counters.clear();
             ranking.fleet = fleet;
         }
     }
@@ -371,6 +395,46 @@
         self.links.first_usable(&addresses).await
     }
 
+    /// The candidates for counting `shard` of the rate limits, the counter first.
+    fn counters(&self, shard: Shard) -> Arc<[Peer]> {
+        let mut ranking = self.lock();
+        if let Some(known) = ranking.counters.get(&shard) {
+            return Arc::clone(known);
+        }
+        let counters: Arc<[Peer]> = rank_counters(&ranking.fleet, shard).into();
+        ranking.counters.insert(shard, Arc::clone(&counters));
+        counters
+    }
+
+    /// This process's place among the candidates for counting `shard`, if it is one.
+    pub fn counter_rank(&self, shard: Shard) -> Option<usize> {
+        let counters = self.counters(shard);
+        counters.iter().position(|peer| peer.node == self.own)
+    }
+
+    /// Where the others of these candidates answer: first the one that granted permits last.
+    pub fn counter_addresses(&self, shard: Shard) -> Vec<SocketAddr> {
+        let counters = self.counters(shard);
+        let others = counters.iter().filter(|peer| peer.node != self.own);
+        let mut addresses: Vec<SocketAddr> = others.map(|peer| peer.address).collect();
+        let last = self.lock().last_counters.get(&shard).copied();
+        addresses.sort_by_key(|address| Some(*address) != last);
+        addresses
+    }
+
+    /// Notes that the process at `address` has granted or refused permits of `shard`.
+    pub fn note_counter(&self, shard: Shard, address: SocketAddr) {
+        self.lock().last_counters.insert(shard, address);
+    }
+
+    /// The shards of the rate limits, in the order in which a process of `zone` asks them.
+    pub fn shards_by_distance(&self, zone: &ZoneName) -> [Shard; SHARDS] {
+        let zones = zones_of(&self.lock().fleet);
+        let own = zones.iter().position(|known| known == zone);
+        let first = own.unwrap_or(0) % SHARDS;
+        std::array::from_fn(|distance| (first + distance) % SHARDS)
+    }
+
     fn is_among(&self, peers: &[Peer]) -> bool {
         peers.iter().any(|peer| peer.node == self.own)
     }
--- a/crates/engine/src/leadership/duty.rs
+++ b/crates/engine/src/leadership/duty.rs
@@ -1,24 +1,20 @@
 //! The lease under which one process of the fleet gives promotion orders.
 
 use super::fleet;
+use super::lease_records::RecordLeases;
 use crate::engine::{Engine, StopPhase};
 use crate::events::Event;
-use crate::ports::{PutOutcome, Record, RecordStore, RecordStoreError};
-use async_trait::async_trait;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::clock::Clock;
 use stilequay_coordination::identity::{Incarnation, NodeId};
 use stilequay_coordination::lease::{
-    Acquisition, FencingNumber, Lease, LeaseCandidate, LeaseError, LeaseName, LeaseRecord,
-    LeaseSettings, LeaseStore, LeaseStoreError, PutOutcome as LeasePutOutcome,
+    Acquisition, FencingNumber, Lease, LeaseCandidate, LeaseError, LeaseName, LeaseSettings,
 };
 use tokio::time::{Instant, sleep};
 
 /// What the lease is for.
 const LEASE_NAME: &str = "promotion";
-/// Prefix of the keys of lease records.
-const KEY_PREFIX: &str = "lease/";
 /// How long the lease lasts, and how much earlier its holder stops relying on it: as long
 /// as an order may take.
 const LEASE_SETTINGS: LeaseSettings = LeaseSettings {
@@ -38,91 +34,6 @@
 /// Pause after a failure, and the random part added to waits.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Keeps lease records among the other records.
-#[derive(Debug)]
-struct RecordLeases {
-    records: Arc<dyn RecordStore>,
-    /// The record as it was last read or written: a renewal needs no reading before it.
-    last: Mutex<Option<(LeaseRecord, u64)>>,
-}
-
-impl RecordLeases {
-    /// The version of `expected`, where it is what was last read or written; else it is
-    /// read. `None` where the store has another record.
-    async fn version_of(
-        &self,
-        key: &str,
-        expected: Option<&LeaseRecord>,
-    ) -> Result<Option<u64>, RecordStoreError> {
-        let last = self.last().clone();
-        if let (Some((record, version)), Some(expected)) = (last, expected)
-            && record == *expected
-        {
-            return Ok(Some(version));
-        }
-        let current = self.find(key).await?;
-        let same = current.as_ref().and_then(decode).as_ref() == expected;
-        Ok(same.then(|| current.map_or(0, |current| current.version)))
-    }
-
-    fn last(&self) -> MutexGuard<'_, Option<(LeaseRecord, u64)>> {
-        self.last.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    async fn find(&self, key: &str) -> Result<Option<Record>, RecordStoreError> {
-        let records = self.records.read(key).await?;
-        Ok(records.written.into_iter().find(|record| record.key == key))
-    }
-}
-
-#[async_trait]
-impl LeaseStore for RecordLeases {
-    async fn get(&self, name: &LeaseName) -> Result<Option<LeaseRecord>, LeaseStoreError> {
-        let found = self.find(&key(name)).await.map_err(translate)?;
-        Ok(found.and_then(|record| decode(&record)))
-    }
-
-    async fn put_if(
-        &self,
-        name: &LeaseName,
-        expected: Option<&LeaseRecord>,
-        record: &LeaseRecord,
-    ) -> Result<LeasePutOutcome, LeaseStoreError> {
-        let key = key(name);
-        let version = self.version_of(&key, expected).await.map_err(translate)?;
-        let Some(version) = version else {
-            return Ok(LeasePutOutcome::Conflict);
-        };
-        let value = rmp_serde::to_vec_named(record).unwrap_or_default();
-        let put = self.records.put_if(&key, version, value.into()).await;
-        match put.map_err(translate)? {
-            PutOutcome::Stored(version) => {
-                *self.last() = Some((record.clone(), version));
-                Ok(LeasePutOutcome::Stored)
-            }
-            PutOutcome::Conflict => {
-                *self.last() = None;
-                Ok(LeasePutOutcome::Conflict)
-            }
-        }
-    }
-}
-
-fn key(name: &LeaseName) -> String {
-    format!("{KEY_PREFIX}{name}")
-}
-
-fn decode(record: &Record) -> Option<LeaseRecord> {
-    rmp_serde::from_slice(&record.value).ok()
-}
-
-fn translate(error: RecordStoreError) -> LeaseStoreError {
-    match error {
-        RecordStoreError::Unknown(reason) => LeaseStoreError::Unknown(reason),
-        error => LeaseStoreError::Unavailable(error.to_string()),
-    }
-}
-
 /// The runtime's monotonic clock, which tests can pause.
 #[derive(Debug, Clone)]
 struct RuntimeClock {
@@ -201,10 +112,7 @@
             NodeId::new(&*engine.settings().node),
             Incarnation(rand::random()),
             LEASE_SETTINGS,
-            Arc::new(RecordLeases {
-                records,
-                last: Mutex::new(None),
-            }),
+            Arc::new(RecordLeases::new(records)),
             Arc::new(self.clock.clone()),
         )
         .reclaiming_earlier_lives();
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -57,9 +57,8 @@
 /// This process's place among all in an order that is the same everywhere; zero is first.
 /// A process that is not registered yet counts itself last.
 pub fn rank(engine: &Engine) -> usize {
-    let key = format!("{KEY_PREFIX}{}", engine.settings().node);
-    let registered = own_record(engine, &key).is_some();
-    let rank = engine.homes().duty_rank().filter(|_| registered);
+    let rank = engine.homes().duty_rank();
+    let rank = rank.filter(|_| is_registered(engine));
     rank.unwrap_or(usize::MAX)
 }
 
@@ -114,6 +113,12 @@
     }
 }
 
+/// Whether an earlier life of this process, or this one, has written its record.
+pub fn is_registered(engine: &Engine) -> bool {
+    let key = format!("{KEY_PREFIX}{}", engine.settings().node);
+    own_record(engine, &key).is_some()
+}
+
 fn own_record(engine: &Engine, key: &str) -> Option<Record> {
     engine.terms().subscribe_others().borrow().get(key).cloned()
 }
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod follower;
 pub mod freshness;
+pub(crate) mod lease_records;
 pub mod promotion;
 pub mod record;
 mod report;
@@ -26,6 +27,7 @@
 use crate::following;
 use crate::group::Group;
 use crate::ports::Promoter;
+use crate::rate;
 use duty::Duty;
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,6 +52,7 @@
         following::follow(&engine, &duty),
         follow_directory(&engine),
         end_lapses(&engine),
+        rate::run(&engine),
     );
 }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod pool;
 pub mod ports;
 pub mod position;
+pub mod rate;
 pub mod routing;
 pub mod serving;
 pub mod session;
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -4,8 +4,9 @@
     ExchangeId, FollowedVersions, FromHome, HomeOutcome, News, RunRequest, ToHome, UnitId, Wanted,
     decode, encode,
 };
-use crate::names::GroupName;
+use crate::names::{GroupName, TenantName};
 use crate::ports::{GroupBelief, PeerLink, PeerNetwork};
+use crate::rate::counter::{Draw, Shard};
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -45,6 +46,7 @@
     Run(oneshot::Sender<HomeOutcome>),
     Ask(oneshot::Sender<Vec<GroupBelief>>),
     Follow(oneshot::Sender<News>),
+    Draw(oneshot::Sender<Draw>),
 }
 
 #[derive(Debug)]
@@ -174,6 +176,21 @@
         }
     }
 
+    /// Asks for a permit for one operation of `tenant`; `None` where the link ends first.
+    pub async fn draw(&self, shard: Shard, tenant: &TenantName) -> Option<Draw> {
+        let (tx, rx) = oneshot::channel();
+        let exchange = self.register(Waiter::Draw(tx));
+        let question = ToHome::Draw {
+            exchange,
+            shard,
+            tenant: tenant.clone(),
+        };
+        match self.send(&question) {
+            true => rx.await.ok(),
+            false => None,
+        }
+    }
+
     /// Prefers other links for a while: what is told here is not good enough.
     pub fn distrust(&self) {
         let mut state = self.lock();
@@ -239,6 +256,11 @@
                     let _ = waiter.send(beliefs);
                 }
             }
+            FromHome::Drawn { exchange, drawn } => {
+                if let Some(Waiter::Draw(waiter)) = state.waiters.remove(&exchange) {
+                    let _ = waiter.send(drawn);
+                }
+            }
             FromHome::News { exchange, news } => {
                 if let Some(Waiter::Follow(waiter)) = state.waiters.remove(&exchange) {
                     let _ = waiter.send(*news);
@@ -301,6 +323,7 @@
             Waiter::Run(waiter) => !waiter.is_closed(),
             Waiter::Ask(waiter) => !waiter.is_closed(),
             Waiter::Follow(waiter) => !waiter.is_closed(),
+            Waiter::Draw(waiter) => !waiter.is_closed(),
         });
     }
 }
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -3,6 +3,7 @@
 use crate::names::{DatabaseName, GroupName, MemberId, RequestId, TenantName};
 use crate::ports::{Answer, DeclaredState, DeclaredVersions, GroupBelief, Record};
 use crate::position::LogPosition;
+use crate::rate::counter::{Draw, Shard};
 use crate::statement::{Access, PreparedStatement};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -40,6 +41,15 @@
         /// How long to wait for it.
         wait: Duration,
     },
+    /// Grant a permit for one operation.
+    Draw {
+        /// The question.
+        exchange: ExchangeId,
+        /// The shard of the tenant's limit.
+        shard: Shard,
+        /// The tenant.
+        tenant: TenantName,
+    },
     /// Say something.
     Ping,
 }
@@ -194,6 +204,13 @@
         /// The news.
         news: Box<News>,
     },
+    /// What came of asking for a permit.
+    Drawn {
+        /// The question.
+        exchange: ExchangeId,
+        /// What came of it.
+        drawn: Draw,
+    },
     /// Something is said.
     Pong,
     /// The home is going to stop: units that begin later go elsewhere.
@@ -240,6 +257,7 @@
             ToHome::Close(_) => "close",
             ToHome::Ask { .. } => "ask",
             ToHome::Follow { .. } => "follow",
+            ToHome::Draw { .. } => "draw",
             ToHome::Ping => "ping",
         }
     }
@@ -251,6 +269,7 @@
             FromHome::Ran { .. } => "ran",
             FromHome::Beliefs { .. } => "beliefs",
             FromHome::News { .. } => "news",
+            FromHome::Drawn { .. } => "drawn",
             FromHome::Pong => "pong",
             FromHome::Leaving => "leaving",
         }
--- /dev/null
+++ b/crates/engine/src/rate/bucket.rs
@@ -0,0 +1,82 @@
+//! A token bucket.
+
+use super::BucketShare;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest time told to callers until the next token.
+const WAIT_MAX: Duration = Duration::from_secs(2);
+
+/// Tokens that are filled in at a rate, up to a capacity, and taken one at a time: in a span
+/// of `t` seconds, no more are taken than the capacity and what is filled in within `t`.
+#[derive(Debug, Clone)]
+pub struct TokenBucket {
+    share: BucketShare,
+    tokens: f64,
+    settled: Instant,
+    /// A lower share, and from when on it holds.
+    lowered: Option<(BucketShare, Instant)>,
+}
+
+impl TokenBucket {
+    /// A bucket that has been filled since `began`, when it held what it begins with.
+    pub fn new(share: BucketShare, began: Instant) -> Self {
+        Self {
+            share,
+            tokens: share.first.min(share.capacity),
+            settled: began,
+            lowered: None,
+        }
+    }
+
+    /// Changes how it is filled, and what it holds. More is given at once; what is taken away
+    /// only at `lower_at`, or earlier where something lower was to hold by then.
+    pub fn set_share(&mut self, share: BucketShare, now: Instant, lower_at: Instant) {
+        self.settle(now);
+        let known = self.share;
+        if share.per_second >= known.per_second && share.capacity >= known.capacity {
+            self.lowered = None;
+            self.share = share;
+            return;
+        }
+        let at = self.lowered.map_or(lower_at, |(_, at)| at.min(lower_at));
+        self.lowered = Some((share, at));
+    }
+
+    /// Takes one token.
+    ///
+    /// # Errors
+    ///
+    /// How long it takes until there is one.
+    pub fn take(&mut self, now: Instant) -> Result<(), Duration> {
+        self.settle(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let missing = 1.0 - self.tokens;
+        let seconds = missing / self.share.per_second;
+        let reachable = seconds.is_finite() && self.share.capacity >= 1.0;
+        let wait = match reachable && seconds < WAIT_MAX.as_secs_f64() {
+            true => Duration::from_secs_f64(seconds),
+            false => WAIT_MAX,
+        };
+        Err(wait)
+    }
+
+    fn settle(&mut self, now: Instant) {
+        if let Some((share, at)) = self.lowered.filter(|(_, at)| now >= *at) {
+            self.fill_until(at);
+            self.share = share;
+            self.tokens = self.tokens.min(share.capacity);
+            self.lowered = None;
+        }
+        self.fill_until(now);
+    }
+
+    fn fill_until(&mut self, at: Instant) {
+        let elapsed = at.saturating_duration_since(self.settled).as_secs_f64();
+        self.tokens = (self.tokens + elapsed * self.share.per_second).min(self.share.capacity);
+        self.settled = self.settled.max(at);
+    }
+}
--- /dev/null
+++ b/crates/engine/src/rate/counter.rs
@@ -0,0 +1,180 @@
+//! The side that grants: one process for each shard counts what the fleet runs.
+
+use super::{RateBounds, SHARDS, TokenBucket};
+use crate::configuration::Configuration;
+use crate::engine::Engine;
+use crate::names::TenantName;
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use stilequay_coordination::lease::Lease;
+use tokio::time::Instant;
+
+/// One of the parts into which each limit is divided, below [`SHARDS`].
+pub type Shard = usize;
+
+/// How long a process goes on pursuing a shard after it was asked for permits of it.
+const WANTED_FOR: Duration = Duration::from_secs(6);
+
+/// Share of the time in which changes of the configuration must be acted on, after which a
+/// lowered limit holds. What was granted before is used by then, and queues are short.
+const NOTICE_SHARE: f64 = 0.8;
+
+/// What came of asking for a permit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Draw {
+    /// The operation may be sent.
+    Granted,
+    /// The tenant has none left; the time until the next one.
+    Exhausted(Duration),
+    /// Another process counts this shard, or none does; or this one does not know the tenant.
+    NotCounted,
+}
+
+/// A shard that this process counts.
+#[derive(Debug)]
+struct Counted {
+    lease: Lease,
+    since: Instant,
+    buckets: HashMap<TenantName, TokenBucket>,
+}
+
+#[derive(Debug, Default)]
+struct ShardState {
+    counted: Option<Counted>,
+    wanted_until: Option<Instant>,
+}
+
+/// The shards as far as this process counts them.
+#[derive(Debug)]
+pub struct Counters {
+    origin: Instant,
+    shards: [Mutex<ShardState>; SHARDS],
+}
+
+impl Default for Counters {
+    fn default() -> Self {
+        Self {
+            origin: Instant::now(),
+            shards: Default::default(),
+        }
+    }
+}
+
+impl Counters {
+    /// The clock of the leases: time since this was made.
+    pub fn elapsed(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Takes one permit of `tenant` from `shard`.
+    pub fn draw(&self, engine: &Engine, shard: Shard, tenant: &TenantName) -> Draw {
+        let Some(bounds) = rate_bounds(engine) else {
+            return Draw::NotCounted;
+        };
+        let configuration = engine.configuration();
+        let known = configuration.as_ref().and_then(|c| c.tenants.get(tenant));
+        let Some(limit) = known.and_then(|tenant| tenant.rate) else {
+            return Draw::NotCounted;
+        };
+        let Some(mut state) = self.lock(shard) else {
+            return Draw::NotCounted;
+        };
+        let now = Instant::now();
+        let elapsed = self.elapsed();
+        let held = state.counted.as_mut();
+        let Some(counted) = held.filter(|counted| counted.lease.check(elapsed).is_ok()) else {
+            state.wanted_until = Some(now + WANTED_FOR);
+            return Draw::NotCounted;
+        };
+        let share = bounds.share(limit);
+        let since = counted.since;
+        let bucket = counted
+            .buckets
+            .entry(tenant.clone())
+            .or_insert_with(|| TokenBucket::new(share, since));
+        match bucket.take(now) {
+            Ok(()) => Draw::Granted,
+            Err(wait) => Draw::Exhausted(wait),
+        }
+    }
+
+    /// Takes the limits of a configuration that has just been learned of. Tenants keep what is
+    /// taken away from them for most of the time that changes of the configuration may take:
+    /// they can't know of it sooner, and are owed it until then.
+    pub(crate) fn configured(&self, engine: &Engine, configuration: &Configuration) {
+        let Some(bounds) = rate_bounds(engine) else {
+            return;
+        };
+        let now = Instant::now();
+        let lower_at = now + engine.settings().configuration_bound.mul_f64(NOTICE_SHARE);
+        for shard in 0..SHARDS {
+            let Some(mut state) = self.lock(shard) else {
+                continue;
+            };
+            let Some(counted) = &mut state.counted else {
+                continue;
+            };
+            counted.buckets.retain(|name, bucket| {
+                let tenant = configuration.tenants.get(name);
+                let Some(limit) = tenant.and_then(|tenant| tenant.rate) else {
+                    return false;
+                };
+                bucket.set_share(bounds.share(limit), now, lower_at);
+                true
+            });
+        }
+    }
+
+    /// The lease of `shard`, held still or not.
+    pub(super) fn lease(&self, shard: Shard) -> Option<Lease> {
+        let state = self.lock(shard)?;
+        state.counted.as_ref().map(|counted| counted.lease.clone())
+    }
+
+    /// Whether processes have asked for permits of `shard` lately that it could not give.
+    pub(super) fn is_wanted(&self, shard: Shard, now: Instant) -> bool {
+        let state = self.lock(shard);
+        let until = state.and_then(|state| state.wanted_until);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Takes a lease that was acquired: what was counted before it is not known.
+    pub(super) fn begin(&self, shard: Shard, lease: Lease) {
+        if let Some(mut state) = self.lock(shard) {
+            state.counted = Some(Counted {
+                lease,
+                since: Instant::now(),
+                buckets: HashMap::new(),
+            });
+        }
+    }
+
+    /// Takes a lease that was renewed: nobody has counted meanwhile, even if it had lapsed.
+    pub(super) fn renew(&self, shard: Shard, lease: Lease) {
+        if let Some(mut state) = self.lock(shard)
+            && let Some(counted) = &mut state.counted
+        {
+            counted.lease = lease;
+        }
+    }
+
+    /// Counts no more.
+    pub(super) fn end(&self, shard: Shard) {
+        if let Some(mut state) = self.lock(shard) {
+            state.counted = None;
+        }
+    }
+
+    /// `None` where there is no such shard: another process has asked for it.
+    fn lock(&self, shard: Shard) -> Option<MutexGuard<'_, ShardState>> {
+        let state = self.shards.get(shard)?;
+        Some(state.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// How exactly rate limits are kept here; `None` where they are not.
+pub(super) fn rate_bounds(engine: &Engine) -> Option<RateBounds> {
+    engine.settings().tenants.as_ref()?.rates
+}
--- /dev/null
+++ b/crates/engine/src/rate/mod.rs
@@ -0,0 +1,117 @@
+//! Rate limits of tenants, kept over the whole fleet.
+//!
+//! The fleet's processes together may run no more of a tenant's operations in any window than
+//! a bound allows ([`RateBounds`]), however they are cut off from one another. So each
+//! operation needs a permit before it is sent to a member, and permits come from few places:
+//! each tenant's limit is divided among [`SHARDS`] processes, the counters. Each holds a
+//! lease in the store for its shard, and a token bucket for each tenant ([`counter`]). A
+//! process that is to run an operation asks the counter of its zone, then the others
+//! ([`permit`]).
+//!
+//! | what happens | what comes of it |
+//! | --- | --- |
+//! | a counter is killed, cut off or frozen | the other shards have two thirds of each limit; once its lease has lapsed the next candidate takes the shard over, with buckets that are nearly empty |
+//! | the store is away | the leases last for some seconds; then no permits are given, and nobody may be served by then either, since the configuration can't be proved |
+//! | a fleet is split | a lease has one holder: the sides share the counters that they reach, or have none |
+//! | a permit is used late | it lapses; the operation needs another one |
+//! | a counter thaws | what it grants from there on it has checked its lease for; an answer that was on its way grants nothing, since permits count from before the question |
+//!
+//! # The sum
+//!
+//! With a rate of `r` operations a second, a burst of `b`, and windows of `w` seconds, the
+//! fleet may run `(r w + b) (1 + excess) + slack` operations in each window. The buckets of
+//! all shards together grant at most `r w + b` in it, and beyond that, with
+//! `e = excess (r w + b) + slack`:
+//!
+//! | source | at most |
+//! | --- | --- |
+//! | buckets a little larger than `b`, so that small ones hold whole tokens | 0.3 slack |
+//! | permits that were granted before the window and are used in it: they last 0.4 excess w | 0.4 excess w r |
+//! | buckets of counters that took over in the window, twice each | 0.3 e |
+//!
+//! which is no more than `e`.
+
+mod bucket;
+pub mod counter;
+pub mod permit;
+mod pursuit;
+
+pub use bucket::TokenBucket;
+pub use counter::Counters;
+pub use permit::Permit;
+pub use pursuit::run;
+
+use crate::tenant::RateLimit;
+use std::time::Duration;
+
+/// Counters among which each limit is divided. With three, the loss of one leaves more than
+/// the five eighths of a limit that tenants commonly use, and each zone of three has one.
+pub const SHARDS: usize = 3;
+/// Share of the slack by which buckets are larger than the burst.
+const SPARE_SHARE: f64 = 0.3;
+/// Share of the excess for which permits may be used after they were granted.
+const LAPSE_SHARE: f64 = 0.4;
+/// Share of all that is allowed beyond the limit with which a counter that takes over begins.
+const FIRST_SHARE: f64 = 0.15;
+
+/// How exactly rate limits are kept.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateBounds {
+    /// Length of the windows in which operations are counted; every such span counts.
+    pub window: Duration,
+    /// Share of a window's limit by which it may be exceeded.
+    pub excess: f64,
+    /// Operations by which it may be exceeded besides.
+    pub slack: f64,
+}
+
+impl RateBounds {
+    /// How long a permit may be used after it was asked for.
+    pub fn permit_life(&self) -> Duration {
+        self.window.mul_f64(self.excess * LAPSE_SHARE)
+    }
+
+    /// Most operations under `limit` in one window.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use stilequay_engine::rate::RateBounds;
+    /// use stilequay_engine::tenant::RateLimit;
+    /// let bounds = RateBounds { window: Duration::from_secs(5), excess: 0.1, slack: 20.0 };
+    /// let limit = RateLimit { per_second: 100.0, burst: 50.0 };
+    /// assert_eq!(bounds.most(limit), 550.0 * 1.1 + 20.0);
+    /// ```
+    pub fn most(&self, limit: RateLimit) -> f64 {
+        self.limit_of_window(limit) + self.beyond(limit)
+    }
+
+    fn limit_of_window(&self, limit: RateLimit) -> f64 {
+        limit.per_second * self.window.as_secs_f64() + limit.burst
+    }
+
+    /// Operations of a window beyond what the limit itself allows.
+    fn beyond(&self, limit: RateLimit) -> f64 {
+        self.excess * self.limit_of_window(limit) + self.slack
+    }
+
+    /// What one shard's bucket is filled by, holds, and begins with.
+    pub fn share(&self, limit: RateLimit) -> BucketShare {
+        let shards = SHARDS as f64;
+        BucketShare {
+            per_second: limit.per_second / shards,
+            capacity: (limit.burst + self.slack * SPARE_SHARE) / shards,
+            first: self.beyond(limit) * FIRST_SHARE / shards,
+        }
+    }
+}
+
+/// One shard's part of a limit, in tokens.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct BucketShare {
+    /// Filled in a second.
+    pub per_second: f64,
+    /// Held at the most.
+    pub capacity: f64,
+    /// Held when a counter takes over.
+    pub first: f64,
+}
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -107,6 +107,14 @@
                     task.tell(&FromHome::News { exchange, news }).await;
                 });
             }
+            Some(ToHome::Draw {
+                exchange,
+                shard,
+                tenant,
+            }) => {
+                let drawn = task.engine.counters().draw(&task.engine, shard, &tenant);
+                task.tell(&FromHome::Drawn { exchange, drawn }).await;
+            }
             Some(ToHome::Ping) => task.tell(&FromHome::Pong).await,
             None => {
                 log::warn!("a process said what makes no sense; its link is closed");
--- a/crates/engine/src/session/limits.rs
+++ b/crates/engine/src/session/limits.rs
@@ -1,6 +1,7 @@
 //! How long the parts of a statement may take.
 
 use crate::configuration::Route;
+use crate::rate::Permit;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -40,6 +41,16 @@
         }
     }
 
+    /// The limits of an operation that must be sent while `permit` is good.
+    pub fn under(self, permit: Permit) -> Self {
+        Self {
+            offer: permit
+                .until
+                .map_or(self.offer, |until| self.offer.min(until)),
+            ..self
+        }
+    }
+
     /// The limits where no leader, nor how far its log has come, is to be learned of soon.
     pub fn while_cut_off(self, route: &Route, received: Instant) -> Self {
         let held = received + route.objective.mul_f64(CUT_OFF_SHARE);
--- a/crates/engine/src/session/mod.rs
+++ b/crates/engine/src/session/mod.rs
@@ -21,8 +21,9 @@
 use crate::leadership::access;
 use crate::names::{DatabaseName, TenantName};
 use crate::pool::{Claim, SessionValues, Work};
+use crate::rate::{self, Permit};
 use crate::statement::{Access, PreparedStatement, Reply, Request, Statement, TransactionState};
-use crate::tenant::Credential;
+use crate::tenant::{Credential, Tenant};
 use crate::verdict::{Failure, FailureReason};
 use bytes::Bytes;
 use floor::SessionFloor;
@@ -43,7 +44,7 @@
     database: DatabaseName,
     credential: Option<Credential>,
     /// On whose behalf the latest statement was asked.
-    tenant: Option<TenantName>,
+    tenant: Option<Arc<Tenant>>,
     values: SessionValues,
     prepared: HashMap<Bytes, PreparedStatement>,
     floor: SessionFloor,
@@ -151,7 +152,7 @@
             Statement::Begin { read_only } => self.begin(*read_only, request.received),
             Statement::Commit => {
                 self.authorize(request)?;
-                trace.authorized(self.tenant.as_ref());
+                trace.authorized(self.tenant_name());
                 self.end(request, true, trace).await
             }
             Statement::Rollback => self.end(request, false, trace).await,
@@ -192,7 +193,7 @@
         trace: &mut RequestTrace,
     ) -> Result<Completion, Failure> {
         self.authorize(request)?;
-        trace.authorized(self.tenant.as_ref());
+        trace.authorized(self.tenant_name());
         if self.transaction.is_some() {
             return self.run_in_transaction(request, access, work, trace).await;
         }
@@ -211,15 +212,15 @@
         let (engine, credential) = (&self.engine, self.credential.as_ref());
         let now = request.received;
         let Some(transaction) = &mut self.transaction else {
-            let tenant = authorization::authorize(engine, &self.database, credential, now)?;
-            self.tenant = tenant.map(|tenant| tenant.name.clone());
+            self.tenant = authorization::authorize(engine, &self.database, credential, now)?;
             return Ok(());
         };
         match authorization::authorize_on(engine, transaction.route(), credential, now) {
-            Ok(tenant) => self.tenant = tenant.map(|tenant| tenant.name.clone()),
+            Ok(tenant) => self.tenant = tenant,
             Err(failure) => transaction.fail(failure),
         }
-        if transaction.is_of_another(self.tenant.as_ref()) {
+        let tenant = self.tenant.as_ref().map(|tenant| &tenant.name);
+        if transaction.is_of_another(tenant) {
             transaction.fail(Failure::not_run(FailureReason::TransactionLost));
         }
         Ok(())
@@ -272,13 +273,33 @@
     fn claim(&self, route: &Route) -> Claim {
         Claim {
             database: self.database.clone(),
-            tenant: self.tenant.clone(),
+            tenant: self.tenant_name().cloned(),
             rank: route.priority,
             values: Arc::clone(&self.values),
             patience: queue_patience(route),
         }
     }
 
+    fn tenant_name(&self) -> Option<&TenantName> {
+        self.tenant.as_ref().map(|tenant| &tenant.name)
+    }
+
+    /// A permit to send one operation to a member: `known`, or another one where that has
+    /// lapsed.
+    async fn permit(
+        &self,
+        known: Option<Permit>,
+        limits: StatementLimits,
+    ) -> Result<Permit, Failure> {
+        if let Some(permit) = known.filter(|permit| permit.is_good(Instant::now())) {
+            return Ok(permit);
+        }
+        match &self.tenant {
+            Some(tenant) => rate::permit::draw(&self.engine, tenant, limits.offer).await,
+            None => Ok(Permit::UNLIMITED),
+        }
+    }
+
     /// The route in force, bound anew for each statement outside a transaction.
     fn route(&self) -> Result<Arc<Route>, Failure> {
         let unknown = || authorization::unknown_database(&self.engine);
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -97,10 +97,17 @@
             limits,
         };
         self.engine.hedges().record_request();
+        let mut permit = None;
         loop {
             let targets = self
                 .read_targets(&group, route, request.received, limits.offer, trace)
                 .await;
+            let drawn = self.permit(permit, limits).await?;
+            permit = Some(drawn);
+            let job = ReadJob {
+                limits: limits.under(drawn),
+                ..job.clone()
+            };
             match self.run_hedged(&job, targets, trace).await {
                 Ok(completion) => return Ok(completion),
                 Err(ReadFailure::Final(failure)) => return Err(failure),
@@ -219,7 +226,9 @@
                     },
                 () = sleep_until(hedge_at), if may_hedge => {
                     hedge_at = job.limits.answer;
-                    wants_member = self.engine.hedges().try_retry();
+                    // The second run counts too.
+                    wants_member = self.engine.hedges().try_retry()
+                        && self.permit(None, job.limits).await.is_ok();
                 }
                 () = sleep_until(job.limits.answer) => {
                     let failure = Failure::not_run(FailureReason::AnswerTimedOut);
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -47,11 +47,15 @@
     ) -> Result<Completion, Failure> {
         let limits = self.limits(&transaction.route, &transaction.group, request.received);
         let claim = self.claim(&transaction.route);
+        let mut permit = None;
         loop {
             let mut places = self.places(transaction, limits, trace).await;
             let mut reason = FailureReason::NoLeader;
             while !places.targets.is_empty() && Instant::now() < limits.offer {
-                let offered = first_connection(&places.targets, &claim, limits.offer).await;
+                let drawn = self.permit(permit, limits).await?;
+                permit = Some(drawn);
+                let until = limits.under(drawn).offer;
+                let offered = first_connection(&places.targets, &claim, until).await;
                 let Offer { index, connection } = match offered {
                     Ok(offer) => offer,
                     Err(declined) => {
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -7,7 +7,8 @@
 use crate::engine::Engine;
 use crate::group::{Group, UsableLeader};
 use crate::leadership::access;
-use crate::pool::{AcquireError, MemberPool, PooledConnection, RunError, Work};
+use crate::names::RequestId;
+use crate::pool::{AcquireError, Claim, MemberPool, PooledConnection, RunError, Work};
 use crate::ports::{Answer, Refusal, RefusalKind};
 use crate::routing::is_past_use;
 use crate::statement::{Request, TransactionState};
@@ -16,6 +17,15 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 
+/// One write, as it is given to a leader.
+struct WriteJob<'a> {
+    id: &'a RequestId,
+    work: &'a Work,
+    claim: Claim,
+    group: &'a Group,
+    limits: StatementLimits,
+}
+
 /// What came of giving a statement to a member once.
 pub(super) enum Attempt<T> {
     /// It is decided.
@@ -100,6 +110,7 @@
     ) -> Result<Completion, Failure> {
         let group = self.engine.group(&route.group);
         let limits = self.limits(route, &group, request.received);
+        let mut permit = None;
         loop {
             if group.commits_stalled() {
                 return Err(Failure::not_run(FailureReason::NoReplica));
@@ -107,10 +118,16 @@
             let Some(leader) = access::writable_leader(&group, limits.offer).await else {
                 return Err(Failure::not_run(FailureReason::NoLeader));
             };
-            let attempt = self
-                .write_once(request, route, &group, &leader, &work, trace)
-                .await;
-            match attempt {
+            let drawn = self.permit(permit, limits).await?;
+            permit = Some(drawn);
+            let job = WriteJob {
+                id: &request.id,
+                work: &work,
+                claim: self.claim(route),
+                group: &group,
+                limits: StatementLimits::new(route, request.received).under(drawn),
+            };
+            match self.write_once(job, &leader, trace).await {
                 Attempt::Decided(outcome) => return outcome,
                 Attempt::NotRun(reason) => pause_or_refuse(limits, reason).await?,
             }
@@ -119,18 +136,15 @@
 
     async fn write_once(
         &mut self,
-        request: &Request,
-        route: &Route,
-        group: &Group,
+        job: WriteJob<'_>,
         leader: &UsableLeader,
-        work: &Work,
         trace: &mut RequestTrace,
     ) -> Attempt<Completion> {
-        let limits = StatementLimits::new(route, request.received);
+        let WriteJob { group, limits, .. } = job;
         let Some(pool) = leader_pool(&self.engine, leader) else {
             return Attempt::NotRun(FailureReason::NoLeader);
         };
-        let mut connection = match pool.acquire(&self.claim(route), limits.offer).await {
+        let mut connection = match pool.acquire(&job.claim, limits.offer).await {
             Ok(connection) => connection,
             Err(error) => {
                 trace.attempted(&leader.member, error.to_string());
@@ -145,7 +159,7 @@
         if !pool.is_remote() {
             group.record_commit_sent(sent);
         }
-        let running = connection.run_work(&request.id, work, None);
+        let running = connection.run_work(job.id, job.work, None);
         let awaited = await_answer(running, group, leader, limits.answer).await;
         self.judge_write(awaited, connection, group, leader, sent, trace)
     }
--- a/crates/engine/src/tenant.rs
+++ b/crates/engine/src/tenant.rs
@@ -1,6 +1,7 @@
 //! Tenants: on whose behalf callers ask, how they prove it, and how much they may ask.
 
 use crate::names::TenantName;
+use crate::rate::RateBounds;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
@@ -62,4 +63,6 @@
     /// How long after the removal of a credential was acknowledged it may still be used, on
     /// whichever process, in touch with others or not.
     pub revocation: Duration,
+    /// How exactly tenants' rate limits are kept; `None` where they are not.
+    pub rates: Option<RateBounds>,
 }
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -276,7 +276,7 @@
 /// A caller.
 pub struct Client {
     pub session: Session,
-    next: u64,
+    pub next: u64,
 }
 
 impl Client {
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -25,6 +25,8 @@
     pub(super) reads: Mutex<HashMap<String, ReadLog>>,
     /// The tenant that the server was told for each statement that it ran, by request.
     pub(super) tenants: Mutex<HashMap<String, Option<TenantName>>>,
+    /// When which tenant's statements have run.
+    pub(super) runs: Mutex<Vec<(Instant, TenantName)>>,
     /// Connections that stand at each server.
     pub(super) connections: Mutex<HashMap<String, usize>>,
     /// Entries that are left out of the directory: a planted mistake.
@@ -70,6 +72,7 @@
             promotions: Mutex::default(),
             reads: Mutex::default(),
             tenants: Mutex::default(),
+            runs: Mutex::default(),
             connections: Mutex::default(),
             hidden: Mutex::default(),
             slots: Mutex::default(),
@@ -88,7 +91,18 @@
         connections.get(name).copied().unwrap_or(0)
     }
 
+    /// When statements of `tenant` have begun to run, in order.
+    pub fn runs_of(&self, tenant: &str) -> Vec<Instant> {
+        let runs = self.runs.lock().unwrap();
+        let of_tenant = runs.iter().filter(|(_, name)| &**name == tenant);
+        of_tenant.map(|(at, _)| *at).collect()
+    }
+
     pub(super) fn note_tenant(&self, id: &str, tenant: Option<TenantName>) {
+        if let Some(tenant) = &tenant {
+            let run = (Instant::now(), tenant.clone());
+            self.runs.lock().unwrap().push(run);
+        }
         self.tenants.lock().unwrap().insert(id.to_owned(), tenant);
     }
 
--- a/crates/engine/tests/tenants.rs
+++ b/crates/engine/tests/tenants.rs
@@ -27,6 +27,7 @@
 fn policy() -> Option<TenantPolicy> {
     Some(TenantPolicy {
         revocation: REVOCATION,
+        rates: None,
     })
 }
 
