Pursue a shard of the rate limits only where a counter is lacking

Cause: a process that is a candidate asked itself first and took that for the wish of somebody without a counter: ten processes read the leases each second.

--- a/crates/engine/src/rate/counter.rs
+++ b/crates/engine/src/rate/counter.rs
@@ -85,7 +85,6 @@
         let elapsed = self.elapsed();
         let held = state.counted.as_mut();
         let Some(counted) = held.filter(|counted| counted.lease.check(elapsed).is_ok()) else {
-            state.wanted_until = Some(now + WANTED_FOR);
             return Draw::NotCounted;
         };
         let share = bounds.share(limit);
@@ -100,6 +99,13 @@
         }
     }
 
+    /// Notes that a process lacks a counter of `shard`: this one is to become it.
+    pub fn want(&self, shard: Shard) {
+        if let Some(mut state) = self.lock(shard) {
+            state.wanted_until = Some(Instant::now() + WANTED_FOR);
+        }
+    }
+
     /// Takes the limits of a configuration that has just been learned of. Tenants keep what is
     /// taken away from them for most of the time that changes of the configuration may take:
     /// they can't know of it sooner, and are owed it until then.
--- a/crates/engine/src/rate/permit.rs
+++ b/crates/engine/src/rate/permit.rs
@@ -132,13 +132,11 @@
 
 /// Asks the process that counts `shard`.
 async fn ask(engine: &Engine, shard: Shard, tenant: &TenantName) -> Draw {
-    if engine.homes().counter_rank(shard).is_some() {
-        let drawn = engine.counters().draw(engine, shard, tenant);
-        if drawn != Draw::NotCounted {
-            return drawn;
-        }
-    }
     let homes = engine.homes();
+    let drawn = engine.counters().draw(engine, shard, tenant);
+    if drawn != Draw::NotCounted {
+        return drawn;
+    }
     for address in homes.counter_addresses(shard) {
         let Some(link) = homes.links().first_usable(&[address]).await else {
             continue;
@@ -151,5 +149,8 @@
             }
         }
     }
+    if homes.counter_rank(shard).is_some() {
+        engine.counters().want(shard);
+    }
     Draw::NotCounted
 }
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -13,6 +13,7 @@
 use crate::names::{GroupName, MemberId, RequestId};
 use crate::peers::beliefs;
 use crate::ports::{GroupBelief, PeerLink};
+use crate::rate::counter::Draw;
 use crate::statement::TransactionState;
 use bytes::Bytes;
 use std::collections::HashMap;
@@ -112,7 +113,11 @@
                 shard,
                 tenant,
             }) => {
-                let drawn = task.engine.counters().draw(&task.engine, shard, &tenant);
+                let counters = task.engine.counters();
+                let drawn = counters.draw(&task.engine, shard, &tenant);
+                if drawn == Draw::NotCounted {
+                    counters.want(shard);
+                }
                 task.tell(&FromHome::Drawn { exchange, drawn }).await;
             }
             Some(ToHome::Ping) => task.tell(&FromHome::Pong).await,
