Open a connection for each that is closed where a member is crowded

Cause: after a loss of all power servers hold the connections of the lives before for 3 s.

Change: a refused connection tells how many the member accepts of this process for 250 ms; one that rests is closed for each that is opened.

A test that fails without it.

--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -29,7 +29,9 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
 /// Pause before another connection is opened after the member's queue was full.
 const BUSY_PAUSE: Duration = Duration::from_millis(60);
-/// Pause before another connection is opened after the member had too many.
+/// How long a process holds no more connections than it does, after the member had too many:
+/// one is closed for each that is opened. After a loss of power a member holds those of the
+/// lives before for some seconds.
 const TOO_MANY_PAUSE: Duration = Duration::from_millis(250);
 /// How long an unused connection is kept.
 const IDLE_LIMIT: Duration = Duration::from_millis(2_000);
@@ -135,11 +137,22 @@
 #[derive(Debug)]
 struct PoolState {
     no_opening_until: Option<Instant>,
+    /// Connections that the member accepts of this process, until a moment.
+    crowded: Option<(usize, Instant)>,
     queue: QueueDelay,
     concurrency: Concurrency,
     health: MemberHealth,
 }
 
+impl PoolState {
+    /// Connections that may stand.
+    fn share(&self, now: Instant) -> usize {
+        let ceiling = self.concurrency.ceiling();
+        let crowded = self.crowded.filter(|(_, until)| now < *until);
+        crowded.map_or(ceiling, |(accepted, _)| accepted.min(ceiling))
+    }
+}
+
 /// The connections to one member.
 #[derive(Debug)]
 pub struct MemberPool {
@@ -179,6 +192,7 @@
             }),
             state: Mutex::new(PoolState {
                 no_opening_until: None,
+                crowded: None,
                 queue: QueueDelay::default(),
                 concurrency: Concurrency::new(limit, Instant::now()),
                 health: MemberHealth::new(Instant::now()),
@@ -272,8 +286,9 @@
         if let Some(established) = self.take_idle(claim.tenant.as_ref(), &claim.values) {
             return Ok(self.in_use_connection(established, permit));
         }
-        self.check_opening(Instant::now())?;
-        self.make_room();
+        let now = Instant::now();
+        self.check_opening(now)?;
+        self.make_room(now)?;
         let mut opening = self.spawn_open(claim.tenant.clone(), permit);
         match timeout_at(deadline, &mut opening).await {
             Ok(Ok(opened)) => opened,
@@ -432,15 +447,20 @@
     /// Closes connections that rest where one more would be over this process's share of
     /// those that the member accepts: they are of other tenants. The one that has rested
     /// longest goes first.
-    fn make_room(&self) {
-        let share = self.lock().concurrency.ceiling();
-        let load = self.connections.load();
-        while load.in_use + self.connections.count_idle(|_| true) > share {
+    fn make_room(&self, now: Instant) -> Result<(), AcquireError> {
+        let share = self.lock().share(now);
+        while self.open_connections() > share {
             if !self.connections.close_oldest() {
-                return;
+                return Err(AcquireError::Exhausted);
             }
             metrics::counter!("stilequay_pool_connections_displaced_total").increment(1);
         }
+        Ok(())
+    }
+
+    /// Connections that stand or are being opened.
+    fn open_connections(&self) -> usize {
+        self.connections.load().in_use + self.connections.count_idle(|_| true)
     }
 
     async fn open(&self, tenant: Option<TenantName>) -> Result<Established, AcquireError> {
@@ -473,12 +493,13 @@
 
     fn note_connect(&self, error: &Option<ConnectError>) {
         let now = Instant::now();
+        let open = self.open_connections();
         let mut state = self.lock();
         match error {
             None => state.health.heard(now),
             Some(ConnectError::TooManyConnections) => {
                 state.health.heard(now);
-                state.no_opening_until = Some(now + TOO_MANY_PAUSE);
+                state.crowded = Some((open.saturating_sub(1), now + TOO_MANY_PAUSE));
             }
             Some(ConnectError::Busy) => {
                 state.health.heard(now);
--- a/crates/engine/tests/pool.rs
+++ b/crates/engine/tests/pool.rs
@@ -197,3 +197,26 @@
     }
     assert_eq!(order, ["high", "low", "also low", "low"]);
 }
+
+/// A member that has no room for one more connection of this process gets one for each that
+/// is closed.
+#[tokio::test(start_paused = true)]
+async fn a_crowded_member_gets_a_connection_for_one_that_is_closed() {
+    let (world, _back_end, pool) = pool(Duration::ZERO);
+    pool.set_limit(10);
+    world.change("a", |server| server.accepts = Some(3));
+    let claim = |tenant: &str| Claim {
+        tenant: Some(tenant.into()),
+        ..Claim::own()
+    };
+    let mut held = Vec::new();
+    for _ in 0..3 {
+        held.push(pool.acquire(&claim("one"), soon(50)).await.expect("room"));
+    }
+    held.clear();
+    let refused = pool.acquire(&claim("two"), soon(50)).await;
+    assert_eq!(refused.err(), Some(AcquireError::Exhausted));
+    let connection = pool.acquire(&claim("two"), soon(50)).await;
+    assert!(connection.is_ok(), "{connection:?}");
+    assert_eq!(world.open_connections("a"), 3);
+}
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -48,7 +48,9 @@
         if !server.running {
             return Err(ConnectError::Refused("connection refused".to_owned()));
         }
-        if server.full {
+        let accepts = self.world.lock()[&*member.id].accepts;
+        let open = self.world.open_connections(&member.id);
+        if server.full || accepts.is_some_and(|most| open >= most) {
             return Err(ConnectError::TooManyConnections);
         }
         if enter(&self.world, &member.id).await.is_none() {
--- a/crates/engine/tests/support/servers/mod.rs
+++ b/crates/engine/tests/support/servers/mod.rs
@@ -36,6 +36,8 @@
     pub deaf: bool,
     /// Refuses every new connection: it has too many.
     pub full: bool,
+    /// Connections that it accepts; any number where there is none.
+    pub accepts: Option<usize>,
     /// Answers every statement and order that its queue is full.
     pub busy: bool,
     /// Runs statements and loses their answers.
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -49,6 +49,7 @@
             dark: false,
             deaf: false,
             full: false,
+            accepts: None,
             busy: false,
             loses_answers: false,
             breaks_off: false,
