Warn the other candidates when a counter can't renew; wait for none

Change: a counter whose renewal fails tells the other candidates, which begin to look; an operation waits for a counter for 0.2 s at the most, and a shard that nobody counts is left alone for 0.1 s.

A test that fails without it.

--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -191,6 +191,11 @@
         }
     }
 
+    /// Asks the other side to be ready to count `shard` of the rate limits.
+    pub fn want(&self, shard: Shard) {
+        self.send(&ToHome::Want(shard));
+    }
+
     /// Prefers other links for a while: what is told here is not good enough.
     pub fn distrust(&self) {
         let mut state = self.lock();
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -50,6 +50,8 @@
         /// The tenant.
         tenant: TenantName,
     },
+    /// Be ready to count a shard of the rate limits: its counter is going to be lost.
+    Want(Shard),
     /// Say something.
     Ping,
 }
@@ -258,6 +260,7 @@
             ToHome::Ask { .. } => "ask",
             ToHome::Follow { .. } => "follow",
             ToHome::Draw { .. } => "draw",
+            ToHome::Want(_) => "want",
             ToHome::Ping => "ping",
         }
     }
--- a/crates/engine/src/rate/permit.rs
+++ b/crates/engine/src/rate/permit.rs
@@ -9,12 +9,18 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Longest wait for one counter's answer: many times what one takes.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 /// Pause before the counters are asked again, where none of them counts.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
+/// How long an operation waits for a counter where none is reached: after a restart of all
+/// processes leases are taken over within some 100 ms. Whoever waits longer is better off
+/// elsewhere, or later.
+const COUNTER_PATIENCE: Duration = Duration::from_millis(200);
+/// How long a shard is not asked for after nobody was found that counts it.
+const LOST_PAUSE: Duration = Duration::from_millis(100);
 /// Tenants whose refusals are remembered; beyond it they are forgotten.
 const REMEMBERED_TENANTS: usize = 1_024;
 
@@ -35,32 +41,46 @@
     }
 }
 
-/// What this process was told of tenants that had no permits left.
+/// Until when each shard need not be asked.
+type ShardMoments = [Option<Instant>; SHARDS];
+
+/// What this process has found out of shards that have no permits for it.
 #[derive(Debug, Default)]
 pub struct Refusals {
-    until: Mutex<HashMap<TenantName, [Option<Instant>; SHARDS]>>,
+    /// Those that have none left for a tenant.
+    until: Mutex<HashMap<TenantName, ShardMoments>>,
+    /// Those that nobody counts.
+    lost: Mutex<ShardMoments>,
 }
 
 impl Refusals {
     /// Until when `shard` has none for `tenant`, if that is after `now`.
     fn of(&self, tenant: &TenantName, shard: Shard, now: Instant) -> Option<Instant> {
-        let known = self.lock().get(tenant).and_then(|known| known[shard]);
+        let known = lock(&self.until).get(tenant).and_then(|known| known[shard]);
         known.filter(|until| *until > now)
     }
 
     fn note(&self, tenant: &TenantName, shard: Shard, until: Instant) {
-        let mut known = self.lock();
+        let mut known = lock(&self.until);
         if known.len() >= REMEMBERED_TENANTS && !known.contains_key(tenant) {
             known.clear();
         }
         known.entry(tenant.clone()).or_default()[shard] = Some(until);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<TenantName, [Option<Instant>; SHARDS]>> {
-        self.until.lock().unwrap_or_else(PoisonError::into_inner)
+    fn is_lost(&self, shard: Shard, now: Instant) -> bool {
+        lock(&self.lost)[shard].is_some_and(|until| until > now)
+    }
+
+    fn note_lost(&self, shard: Shard, now: Instant) {
+        lock(&self.lost)[shard] = Some(now + LOST_PAUSE);
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// What all shards together have said.
 enum Asked {
     Granted(Instant),
@@ -92,8 +112,10 @@
     tenant: &Tenant,
     deadline: Instant,
 ) -> Result<Permit, Failure> {
+    let deadline = deadline.min(Instant::now() + COUNTER_PATIENCE);
     loop {
-        match ask_all(engine, &tenant.name).await {
+        let asked = timeout_at(deadline, ask_all(engine, &tenant.name)).await;
+        match asked.unwrap_or(Asked::Unknown) {
             Asked::Granted(asked) => {
                 let until = Some(asked + bounds.permit_life());
                 return Ok(Permit { until });
@@ -116,6 +138,7 @@
         let now = Instant::now();
         let drawn = match engine.refusals().of(tenant, shard, now) {
             Some(until) => Draw::Exhausted(until.duration_since(now)),
+            None if engine.refusals().is_lost(shard, now) => Draw::NotCounted,
             None => ask(engine, shard, tenant).await,
         };
         match drawn {
@@ -152,5 +175,6 @@
     if homes.counter_rank(shard).is_some() {
         engine.counters().want(shard);
     }
+    engine.refusals().note_lost(shard, Instant::now());
     Draw::NotCounted
 }
--- a/crates/engine/src/rate/pursuit.rs
+++ b/crates/engine/src/rate/pursuit.rs
@@ -116,7 +116,10 @@
                 RENEWAL_INTERVAL
             }
             // Nobody else can have taken it while the store answers nobody.
-            Err(LeaseError::Store(_) | LeaseError::Lapsed) => jittered(RETRY_PAUSE),
+            Err(LeaseError::Store(_) | LeaseError::Lapsed) => {
+                warn_others(engine, shard).await;
+                jittered(RETRY_PAUSE)
+            }
             Err(error) => {
                 counters.end(shard);
                 tell(engine, shard, false, &error.to_string());
@@ -136,6 +139,16 @@
     }
 }
 
+/// Tells the other candidates that the lease may be lost: they may take it once they have
+/// seen for its whole duration that it is not renewed, so they had better begin to look.
+async fn warn_others(engine: &Engine, shard: Shard) {
+    for address in engine.homes().counter_addresses(shard) {
+        if let Some(link) = engine.homes().links().first_usable(&[address]).await {
+            link.want(shard);
+        }
+    }
+}
+
 /// Whether the holding of `record` has lasted for a window at least: whoever has taken over
 /// within it has then not begun with tokens.
 fn has_lasted(engine: &Engine, record: &LeaseRecord) -> bool {
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -120,6 +120,7 @@
                 }
                 task.tell(&FromHome::Drawn { exchange, drawn }).await;
             }
+            Some(ToHome::Want(shard)) => task.engine.counters().want(shard),
             Some(ToHome::Ping) => task.tell(&FromHome::Pong).await,
             None => {
                 log::warn!("a process said what makes no sense; its link is closed");
--- a/crates/engine/tests/rate.rs
+++ b/crates/engine/tests/rate.rs
@@ -429,3 +429,37 @@
     let busiest = busiest_of_model(limit, life, &[1_700, 1_900, 2_100], firsts);
     assert!(busiest > BOUNDS.most(limit), "{busiest}");
 }
+
+/// All counters are turned away by the store, which serves the others: they are replaced
+/// little later than their leases lapse, and nobody waits for long meanwhile.
+#[tokio::test(start_paused = true)]
+async fn counters_that_the_store_turns_away_are_replaced() {
+    let limit = RateLimit {
+        per_second: 90.0,
+        burst: 90.0,
+    };
+    let fleet = fleet_with(LARGE, limit).await;
+    let lost = counters(&fleet);
+    assert_eq!(lost.len(), SHARDS);
+    for node in &lost {
+        fleet.records.refuse_node(&fleet.nodes[*node].name, true);
+    }
+    let asking: Vec<usize> = (0..LARGE).filter(|node| !lost.contains(node)).collect();
+    let mut unserved = Duration::ZERO;
+    let mut last = Instant::now();
+    for round in 0..300 {
+        let engine = &fleet.nodes[asking[round % asking.len()]].engine;
+        let credential = Some(Credential::of_key(KEY));
+        let mut client = Client::open_with(engine, LEADER_DATABASE, credential);
+        let began = Instant::now();
+        if let Err(failure) = client.read("x").await.outcome {
+            let by_rate = [FailureReason::RateUnknown, FailureReason::RateLimited];
+            assert!(by_rate.contains(&failure.reason), "{failure}");
+            assert!(began.elapsed() < Duration::from_millis(300));
+            unserved += last.elapsed();
+        }
+        last = Instant::now();
+        sleep(Duration::from_millis(40)).await;
+    }
+    assert!(unserved < Duration::from_millis(2_000), "{unserved:?}");
+}
