Find out together that open connections have gone silent

Cause: open connections may go silent for good, without a reset, while new ones work: between processes, to the store and to servers. A link that was silent was avoided for up to 10 s without another being opened, one on which only news was asked was never given up, and each resting connection to the store or a server cost one more call or request its time.

Change: a silent link is replaced by one on which the other side has answered; once one is silent, all are pinged.

--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -340,6 +340,7 @@
     let wait = news_wait(engine);
     let answer = timeout(wait + ANSWER_MARGIN, link.follow(known, wait)).await;
     let Ok(Some(news)) = answer else {
+        link.note_silence(asked);
         link.distrust();
         return Err("no news in time".to_owned());
     };
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -56,6 +56,8 @@
     heard: Instant,
     pinged: Option<Instant>,
     used: Instant,
+    /// Whether the other links were told that this one has gone silent.
+    told: bool,
     leaving: bool,
     distrusted_until: Option<Instant>,
     /// How often in a row the far end knew too little.
@@ -70,11 +72,13 @@
     state: Mutex<LinkState>,
     /// Wakes the task that looks after the link.
     asked: Notify,
+    /// All links of this process.
+    siblings: Weak<Mutex<HashMap<SocketAddr, Place>>>,
 }
 
 impl Link {
     /// Takes an open link into use, and reads what comes over it in a task of its own.
-    fn spawn(link: PeerLink) -> Arc<Self> {
+    fn spawn(link: PeerLink, siblings: &Arc<Mutex<HashMap<SocketAddr, Place>>>) -> Arc<Self> {
         let now = Instant::now();
         let opened = Arc::new(Self {
             tx: link.tx,
@@ -84,12 +88,14 @@
                 heard: now,
                 pinged: None,
                 used: now,
+                told: false,
                 leaving: false,
                 distrusted_until: None,
                 disappointments: 0,
                 closed: false,
             }),
             asked: Notify::new(),
+            siblings: Arc::downgrade(siblings),
         });
         let reading = Arc::clone(&opened);
         tokio::spawn(async move {
@@ -113,6 +119,56 @@
         !state.leaving && !distrusted && state.is_alive(now)
     }
 
+    /// Whether nothing was heard for so long that another link is to take this one's place.
+    fn is_silent(&self) -> bool {
+        let state = self.lock();
+        !state.leaving && !state.is_alive(Instant::now())
+    }
+
+    /// Notes that no answer has come to what was asked at `asked`, and should have. Where
+    /// nothing else was heard since, the link counts as silent: the next one who needs it opens
+    /// another.
+    pub fn note_silence(&self, asked: Instant) {
+        let mut state = self.lock();
+        if state.heard <= asked {
+            state.pinged.get_or_insert(asked);
+        }
+        drop(state);
+        self.asked.notify_one();
+        self.tell_silence();
+    }
+
+    /// Has all other links pinged once this one has gone silent: they may have done so
+    /// together, and each would cost a request its time to find out.
+    fn tell_silence(&self) {
+        let mut state = self.lock();
+        if state.told || state.is_alive(Instant::now()) {
+            return;
+        }
+        state.told = true;
+        drop(state);
+        let Some(siblings) = self.siblings.upgrade() else {
+            return;
+        };
+        let places: Vec<Place> = lock(&siblings).values().cloned().collect();
+        for place in places {
+            if let Place::Open(link) = place {
+                link.ping();
+            }
+        }
+    }
+
+    /// Asks for a sign, unless one is asked for already.
+    fn ping(&self) {
+        let mut state = self.lock();
+        if state.closed || state.pinged.is_some() {
+            return;
+        }
+        state.pinged = Some(Instant::now());
+        drop(state);
+        self.send(&ToHome::Ping);
+    }
+
     /// Whether what was begun here may go on here.
     pub fn is_open(&self) -> bool {
         !self.lock().closed
@@ -247,6 +303,7 @@
         let mut state = self.lock();
         state.heard = Instant::now();
         state.pinged = None;
+        state.told = false;
         match frame {
             FromHome::Pong => {}
             FromHome::Leaving => state.leaving = true,
@@ -293,11 +350,12 @@
             if state.pinged.is_some_and(|at| now >= at + LOST_AFTER) {
                 return;
             }
-            if owes && state.pinged.is_none() && now >= state.heard + PING_AFTER {
-                state.pinged = Some(now);
-                drop(state);
-                self.send(&ToHome::Ping);
+            let is_due = owes && now >= state.heard + PING_AFTER;
+            drop(state);
+            if is_due {
+                self.ping();
             }
+            self.tell_silence();
         }
     }
 
@@ -341,6 +399,18 @@
     Failed { until: Instant, pause: Duration },
 }
 
+/// Whether the other side of a new link answers: a process that stands still accepts
+/// connections too.
+async fn answers(link: &mut PeerLink) -> bool {
+    let sent = link.tx.send(encode(&ToHome::Ping)).await;
+    let answer = match sent {
+        Ok(()) => link.rx.recv().await,
+        Err(_) => None,
+    };
+    let answer = answer.and_then(|bytes| decode::<FromHome>(&bytes));
+    matches!(answer, Some(FromHome::Pong))
+}
+
 /// Links to all homes that this process uses.
 #[derive(Debug)]
 pub struct Links {
@@ -388,6 +458,14 @@
         let pause = match known {
             None => RETRY_PAUSE,
             Some(Place::Open(link)) if !link.is_open() => RETRY_PAUSE,
+            // Connections may go silent for good while new ones work. What was begun on the
+            // silent one waits for its answer there.
+            Some(Place::Open(link)) if link.is_silent() => {
+                places.insert(address, Place::Opening);
+                drop(places);
+                self.spawn_open(address, RETRY_PAUSE);
+                return Place::Opening;
+            }
             Some(Place::Failed { until, pause }) if now >= until => pause,
             Some(Place::Open(link)) if link.is_leaving() => {
                 // What was begun there goes on there.
@@ -409,9 +487,12 @@
         let places = Arc::clone(&self.places);
         let changes = self.changes.clone();
         tokio::spawn(async move {
-            let opened = timeout(OPEN_TIMEOUT, network.link(address)).await;
-            let place = match opened {
-                Ok(Ok(link)) => Place::Open(Link::spawn(link)),
+            let opening = async {
+                let mut link = network.link(address).await.ok()?;
+                answers(&mut link).await.then_some(link)
+            };
+            let place = match timeout(OPEN_TIMEOUT, opening).await {
+                Ok(Some(link)) => Place::Open(Link::spawn(link, &places)),
                 _ => Place::Failed {
                     until: Instant::now() + pause,
                     pause: (pause * 2).min(RETRY_PAUSE_MAX),
--- a/crates/engine/src/rate/permit.rs
+++ b/crates/engine/src/rate/permit.rs
@@ -164,8 +164,10 @@
         let Some(link) = homes.links().first_usable(&[address]).await else {
             continue;
         };
+        let asked = Instant::now();
         match timeout(ANSWER_TIMEOUT, link.draw(shard, tenant)).await {
-            Ok(Some(Draw::NotCounted)) | Ok(None) | Err(_) => {}
+            Ok(Some(Draw::NotCounted)) | Ok(None) => {}
+            Err(_) => link.note_silence(asked),
             Ok(Some(drawn)) => {
                 homes.note_counter(shard, address);
                 return drawn;
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -6,8 +6,7 @@
 use super::offer::{Declined, Offer, first_connection, why_declined};
 use super::trace::RequestTrace;
 use super::write::{
-    leader_pool, member_failure, not_run_reason, note_unanswered, pause_or_refuse, refusal_text,
-    release, shed,
+    leader_pool, member_failure, not_run_reason, pause_or_refuse, refusal_text, release, shed,
 };
 use super::{Completion, Session};
 use crate::configuration::{Consistency, Route};
@@ -279,7 +278,7 @@
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => return ReadOutcome::Lost(error.to_string()),
         Err(_) => {
-            note_unanswered(pool, sent);
+            pool.note_unanswered(sent);
             return ReadOutcome::Lost("no answer in time".to_owned());
         }
     };
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -88,7 +88,7 @@
             }
             Awaited::TimedOut => {
                 trace.attempted(member, "no answer in time");
-                note_unanswered(pool, sent);
+                pool.note_unanswered(sent);
                 Err(Unanswered::TimedOut)
             }
             Awaited::Superseded => {
@@ -262,12 +262,6 @@
     }
 }
 
-/// Notes that a member did not answer what was sent at `sent`.
-pub(super) fn note_unanswered(pool: &MemberPool, sent: Instant) {
-    let now = Instant::now();
-    pool.note(|health| health.unanswered(now.duration_since(sent), now));
-}
-
 /// What becomes of a statement for which there was no connection.
 pub(super) fn acquire_failure<T>(error: &AcquireError) -> Attempt<T> {
     match error {
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 use stilequay_engine::engine::Engine;
@@ -34,6 +34,8 @@
     engines: Mutex<HashMap<SocketAddr, Weak<Engine>>>,
     away: Mutex<bool>,
     killed: watch::Sender<HashSet<String>>,
+    /// Links of an earlier generation carry nothing any more, and don't end.
+    generation: AtomicU64,
     /// Delivers each frame of a link once more a moment later: a planted mistake.
     pub repeats_frames: AtomicBool,
 }
@@ -52,6 +54,7 @@
             engines: Mutex::default(),
             away: Mutex::default(),
             killed: watch::Sender::new(HashSet::new()),
+            generation: AtomicU64::default(),
             repeats_frames: AtomicBool::default(),
         })
     }
@@ -63,6 +66,11 @@
         })
     }
 
+    /// Lets all links go silent for good; new ones work.
+    pub fn silence_links(&self) {
+        self.generation.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Ends all links of a process; it answers nobody any more.
     pub fn kill(&self, node: &str) {
         let address = Self::address_of(node);
@@ -88,6 +96,7 @@
         tx: mpsc::Sender<Bytes>,
     ) {
         let mut killed = self.killed.subscribe();
+        let generation = self.generation.load(Ordering::Relaxed);
         loop {
             let frame = tokio::select! {
                 frame = rx.recv() => frame,
@@ -99,7 +108,8 @@
             self.world.freezer.pass(&to).await;
             // What a cut holds up is lost.
             let away = *self.away.lock().unwrap();
-            let arrives = !away && self.world.network.reaches(&from, &to);
+            let is_silent = generation != self.generation.load(Ordering::Relaxed);
+            let arrives = !away && !is_silent && self.world.network.reaches(&from, &to);
             if arrives && tx.send(frame.clone()).await.is_err() {
                 return;
             }
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::future::pending;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stilequay_engine::directory::{Member, Role};
 use stilequay_engine::names::TenantName;
@@ -64,6 +65,7 @@
             node: self.node.clone(),
             server: member.id.to_string(),
             tenant: tenant.cloned(),
+            generation: self.world.generation.load(Ordering::Relaxed),
             transaction: None,
             values: BTreeMap::new(),
             prepared: HashMap::new(),
@@ -83,6 +85,7 @@
     node: String,
     server: String,
     tenant: Option<TenantName>,
+    generation: u64,
     transaction: Option<WorldTransaction>,
     values: BTreeMap<Bytes, Bytes>,
     prepared: HashMap<Bytes, Bytes>,
@@ -101,7 +104,8 @@
     /// The server as it answers; never resolves where it says nothing.
     async fn reach(&self) -> Result<Glimpse, LinkError> {
         let server = self.world.glimpse(&self.server);
-        if server.dark || !self.world.network.reaches(&self.node, &self.server) {
+        let is_silent = self.generation != self.world.generation.load(Ordering::Relaxed);
+        if is_silent || server.dark || !self.world.network.reaches(&self.node, &self.server) {
             pending::<()>().await;
         }
         if !server.running {
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -5,6 +5,7 @@
 use crate::support::freezer::Freezer;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use stilequay_engine::directory::{Member, MemberState, Role};
@@ -27,6 +28,8 @@
     pub(super) tenants: Mutex<HashMap<String, Option<TenantName>>>,
     /// When which tenant's statements have run.
     pub(super) runs: Mutex<Vec<(Instant, TenantName)>>,
+    /// Connections of an earlier generation are answered no more, and don't end.
+    pub(super) generation: AtomicU64,
     /// Connections that stand at each server.
     pub(super) connections: Mutex<HashMap<String, usize>>,
     /// Entries that are left out of the directory: a planted mistake.
@@ -74,6 +77,7 @@
             reads: Mutex::default(),
             tenants: Mutex::default(),
             runs: Mutex::default(),
+            generation: AtomicU64::default(),
             connections: Mutex::default(),
             hidden: Mutex::default(),
             slots: Mutex::default(),
@@ -86,6 +90,11 @@
         self.tenants.lock().unwrap().get(id).cloned()
     }
 
+    /// Lets all connections go silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        self.generation.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// Connections that stand at the server called `name`.
     pub fn open_connections(&self, name: &str) -> usize {
         let connections = self.connections.lock().unwrap();
