--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -293,6 +293,7 @@
             field("after"),
         ),
     );
+    put_authorization(text, request);
     let attempts = request.event.rest.get("attempts").and_then(Value::as_array);
     if attempts.is_none_or(Vec::is_empty) {
         put_line(text, "  tried: no member");
@@ -307,6 +308,19 @@
     }
 }
 
+/// On whose behalf a request was asked, and how recently the configuration was known to be the
+/// newest where that has decided.
+fn put_authorization(text: &mut String, request: &Entry) {
+    let told = |name: &str| request.event.rest.get(name).map(|value| show(Some(value)));
+    let proof = told("proof_age_ms")
+        .map(|age| format!("configuration known to be the newest {age} ms before"));
+    let tenant = told("tenant").map(|tenant| format!("tenant {tenant}"));
+    let parts: Vec<String> = [tenant, proof].into_iter().flatten().collect();
+    if !parts.is_empty() {
+        put_line(text, &format!("  authorized by: {}", parts.join(", ")));
+    }
+}
+
 fn put_change(text: &mut String, change: &Entry) {
     let fields = change.event.rest.iter();
     let fields: Vec<String> = fields
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -53,6 +53,25 @@
     assert_snapshot!(explanation.text());
 }
 
+/// Refusals by a tenant's rate and by its credential.
+const TENANTS: &str = r#"{"time":"2026-01-01T00:00:05.000Z","level":"warn","node":"front-1","event":{"event":"request","id":"01","database":"orders","tenant":"one","group":"ledger","statement":"read","configuration":7,"proof_age_ms":412,"epoch":1,"evidence_age_ms":980,"after":null,"attempts":[],"outcome":{"failed":{"verdict":"not_run","reason":"rate_limited","retry_after_ms":18}},"elapsed_ms":2}}
+{"time":"2026-01-01T00:00:06.000Z","level":"warn","node":"front-1","event":{"event":"request","id":"02","database":"orders","group":null,"statement":"read","configuration":8,"proof_age_ms":277,"epoch":null,"evidence_age_ms":null,"after":null,"attempts":[],"outcome":{"failed":{"verdict":"not_run","reason":"unknown_credential","retry_after_ms":null}},"elapsed_ms":0}}
+"#;
+
+#[test]
+fn refusals_of_tenants_tell_what_they_rest_on() {
+    let told = |id: &str| {
+        let mut explanation = Explanation::default();
+        explanation.read(id, TENANTS.as_bytes()).expect("read");
+        explanation.text()
+    };
+    let newest = "configuration known to be the newest";
+    let limited = format!("authorized by: tenant one, {newest} 412 ms before");
+    assert!(told("01").contains(&limited), "{}", told("01"));
+    let unknown = format!("authorized by: {newest} 277 ms before");
+    assert!(told("02").contains(&unknown), "{}", told("02"));
+}
+
 /// What two processes wrote, one of which had its time of day jump ahead by ten seconds for
 /// some lines, and was restarted at the end.
 const STEPPED: &str = r#"{"time":"2026-01-01T00:00:01.000Z","uptime_ms":1000,"seq":0,"level":"info","node":"front-1","event":{"event":"leader_changed","group":"ledger","epoch":1,"leader":"i-7f","confirmed":true}}
--- a/crates/engine/src/rate/counter.rs
+++ b/crates/engine/src/rate/counter.rs
@@ -137,6 +137,16 @@
         }
     }
 
+    /// The shards that are counted here now.
+    pub fn counted(&self) -> impl Iterator<Item = Shard> {
+        let now = self.elapsed();
+        let holds = move |shard: &Shard| {
+            let lease = self.lease(*shard);
+            lease.is_some_and(|lease| lease.check(now).is_ok())
+        };
+        (0..SHARDS).filter(holds)
+    }
+
     /// The lease of `shard`, held still or not.
     pub(super) fn lease(&self, shard: Shard) -> Option<Lease> {
         let state = self.lock(shard)?;
--- a/crates/engine/src/rate/permit.rs
+++ b/crates/engine/src/rate/permit.rs
@@ -6,7 +6,7 @@
 use crate::names::TenantName;
 use crate::tenant::Tenant;
 use crate::verdict::{Failure, FailureReason};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -41,6 +41,11 @@
     }
 }
 
+/// Tenants that metrics tell by name.
+const TOLD_TENANTS: usize = 16;
+/// What metrics call the others.
+const OTHER_TENANTS: &str = "other";
+
 /// Until when each shard need not be asked.
 type ShardMoments = [Option<Instant>; SHARDS];
 
@@ -51,6 +56,8 @@
     until: Mutex<HashMap<TenantName, ShardMoments>>,
     /// Those that nobody counts.
     lost: Mutex<ShardMoments>,
+    /// The tenants that metrics tell by name.
+    told: Mutex<HashSet<TenantName>>,
 }
 
 impl Refusals {
@@ -68,6 +75,22 @@
         known.entry(tenant.clone()).or_default()[shard] = Some(until);
     }
 
+    /// Counts an operation of `tenant` that was refused.
+    fn count(&self, tenant: &TenantName, reason: &FailureReason) {
+        let mut told = lock(&self.told);
+        if told.len() < TOLD_TENANTS {
+            told.insert(tenant.clone());
+        }
+        let name = match told.contains(tenant) {
+            true => tenant.to_string(),
+            false => OTHER_TENANTS.to_owned(),
+        };
+        metrics::counter!(
+            "stilequay_rate_refusals_total", "reason" => reason.name(), "tenant" => name
+        )
+        .increment(1);
+    }
+
     fn is_lost(&self, shard: Shard, now: Instant) -> bool {
         lock(&self.lost)[shard].is_some_and(|until| until > now)
     }
@@ -103,6 +126,9 @@
     let began = Instant::now();
     let drawn = draw_limited(engine, bounds, tenant, deadline).await;
     metrics::histogram!("stilequay_stage_seconds", "stage" => "permit").record(began.elapsed());
+    if let Err(failure) = &drawn {
+        engine.refusals().count(&tenant.name, &failure.reason);
+    }
     drawn
 }
 
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -67,12 +67,32 @@
     ),
     Metric::histogram(
         "stilequay_stage_seconds",
-        "Time of one stage of a statement: queue (waiting for a connection) or member.",
+        "Time of one stage of a statement: permit (of the tenant's rate), queue (waiting for a connection) or member.",
     ),
     Metric::counter(
         "stilequay_pool_connections_opened_total",
         "Connections that were opened to members.",
     ),
+    Metric::counter(
+        "stilequay_pool_connections_displaced_total",
+        "Connections at rest that were closed to make room for another tenant's.",
+    ),
+    Metric::counter(
+        "stilequay_sessions_refused_total",
+        "Sessions that were refused when they opened, by reason.",
+    ),
+    Metric::counter(
+        "stilequay_rate_refusals_total",
+        "Operations refused for their tenant's rate, by reason and tenant; tenants beyond the first sixteen are counted as other.",
+    ),
+    Metric::gauge(
+        "stilequay_rate_shards_counted",
+        "Shards of the rate limits that this process counts.",
+    ),
+    Metric::gauge(
+        "stilequay_configuration_proof_age_seconds",
+        "Time since the configuration in use was last known to be the newest.",
+    ),
     Metric::counter(
         "stilequay_home_forwarded_total",
         "Commands that were forwarded to homes.",
@@ -150,6 +170,12 @@
     let directory = engine.directory();
     metrics::gauge!("stilequay_directory_version").set(directory.version as f64);
     metrics::gauge!("stilequay_processes").set(engine.processes() as f64);
+    let shards = engine.counters().counted().count();
+    metrics::gauge!("stilequay_rate_shards_counted").set(shards as f64);
+    if let Some(at) = engine.following().configuration_complete_as_of() {
+        let age = Instant::now().saturating_duration_since(at).as_secs_f64();
+        metrics::gauge!("stilequay_configuration_proof_age_seconds").set(age);
+    }
     let follows = u8::from(engine.following().is_direct());
     metrics::gauge!("stilequay_follows_store").set(f64::from(follows));
     directory
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -36,6 +36,8 @@
     killed: watch::Sender<HashSet<String>>,
     /// Links of an earlier generation carry nothing any more, and don't end.
     generation: AtomicU64,
+    /// Frames tell a home of another tenant than the one that asks: a planted mistake.
+    pub swaps_tenants: AtomicBool,
     /// Delivers each frame of a link once more a moment later: a planted mistake.
     pub repeats_frames: AtomicBool,
 }
@@ -55,6 +57,7 @@
             away: Mutex::default(),
             killed: watch::Sender::new(HashSet::new()),
             generation: AtomicU64::default(),
+            swaps_tenants: AtomicBool::default(),
             repeats_frames: AtomicBool::default(),
         })
     }
@@ -102,7 +105,10 @@
                 frame = rx.recv() => frame,
                 _ = killed.wait_for(|k| k.contains(&from) || k.contains(&to)) => return,
             };
-            let Some(frame) = frame else { return };
+            let Some(mut frame) = frame else { return };
+            if self.swaps_tenants.load(Ordering::Relaxed) {
+                frame = with_names_swapped(&frame);
+            }
             sleep(ONE_WAY).await;
             self.world.freezer.pass(&from).await;
             self.world.freezer.pass(&to).await;
@@ -204,3 +210,20 @@
         })
     }
 }
+
+/// The frame with the tenants "one" and "two" in each other's place, as texts of three bytes
+/// are encoded.
+fn with_names_swapped(frame: &Bytes) -> Bytes {
+    let (one, two) = (b"\xa3one", b"\xa3two");
+    let mut swapped = frame.to_vec();
+    for place in 0..frame.len().saturating_sub(one.len() - 1) {
+        let part = &frame[place..place + one.len()];
+        let other = match part {
+            part if part == one => two,
+            part if part == two => one,
+            _ => continue,
+        };
+        swapped[place..place + one.len()].copy_from_slice(other);
+    }
+    swapped.into()
+}
--- a/crates/engine/tests/tenants.rs
+++ b/crates/engine/tests/tenants.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stilequay_engine::configuration::Configuration;
 use stilequay_engine::names::TenantName;
@@ -88,20 +89,17 @@
     Some(failure.reason.clone())
 }
 
-/// A small fleet connects by itself, a large one by way of homes.
-#[rstest]
-#[case::by_itself(3)]
-#[case::by_way_of_homes(LARGE)]
-#[tokio::test(start_paused = true)]
-async fn servers_are_told_the_tenant_of_each_statement(#[case] nodes: usize) {
-    let fleet = fleet_of(nodes).await;
+/// Asks at every process on behalf of both tenants; how many statements a server was told
+/// another tenant for than the one that asked.
+async fn mixed_up(fleet: &Fleet) -> usize {
     let mut asked: HashMap<String, &str> = HashMap::new();
+    let nodes = fleet.nodes.len();
     for round in 0..4 {
         for node in 0..nodes {
             for (key, tenant) in [("key-1", "one"), ("key-2", "two"), ("key-2b", "two")] {
                 let database =
                     [LEADER_DATABASE, BOUNDED_DATABASE, OWN_DATABASE][(round + node) % 3];
-                let mut client = client(&fleet, node, database, key);
+                let mut client = client(fleet, node, database, key);
                 let (id, reply) = client.ask_as(read("x")).await;
                 assert!(reply.outcome.is_ok(), "{reply:?}");
                 asked.insert(id, tenant);
@@ -113,10 +111,29 @@
             }
         }
     }
-    for (id, tenant) in asked {
-        let told = fleet.world.tenant_told(&id).expect("it has run");
-        assert_eq!(told.as_deref(), Some(tenant), "{id}");
-    }
+    let is_wrong = |(id, tenant): &(&String, &&str)| {
+        let told = fleet.world.tenant_told(id).expect("it has run");
+        told.as_deref() != Some(**tenant)
+    };
+    asked.iter().filter(is_wrong).count()
+}
+
+/// A small fleet connects by itself, a large one by way of homes.
+#[rstest]
+#[case::by_itself(3)]
+#[case::by_way_of_homes(LARGE)]
+#[tokio::test(start_paused = true)]
+async fn servers_are_told_the_tenant_of_each_statement(#[case] nodes: usize) {
+    let fleet = fleet_of(nodes).await;
+    assert_eq!(mixed_up(&fleet).await, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_home_that_mixes_tenants_up_is_found() {
+    let fleet = fleet_of(LARGE).await;
+    sleep(Duration::from_secs(2)).await;
+    fleet.peers.swaps_tenants.store(true, Ordering::Relaxed);
+    assert!(mixed_up(&fleet).await > 0);
 }
 
 #[tokio::test(start_paused = true)]
