--- a/crates/engine/src/rate/pursuit.rs
+++ b/crates/engine/src/rate/pursuit.rs
@@ -12,7 +12,7 @@
 use stilequay_coordination::clock::Clock;
 use stilequay_coordination::identity::{Incarnation, NodeId};
 use stilequay_coordination::lease::{
-    Acquisition, LeaseCandidate, LeaseError, LeaseName, LeaseRecord, LeaseSettings,
+    Acquisition, Lease, LeaseCandidate, LeaseError, LeaseName, LeaseRecord, LeaseSettings,
 };
 use tokio::time::{Instant, sleep};
 
@@ -25,6 +25,9 @@
 };
 /// Interval of renewals: three calls a second for the whole fleet.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time without an answer to a renewal after which the other candidates are warned: many times
+/// what one takes.
+const WARN_AFTER: Duration = Duration::from_millis(300);
 /// Longest interval in which a candidate that is asked for permits looks at the lease of
 /// another.
 const WANTED_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -110,7 +113,7 @@
 ) -> Duration {
     let counters = engine.counters();
     match counters.lease(shard) {
-        Some(lease) => match candidate.renew(&lease).await {
+        Some(lease) => match renew(engine, shard, candidate, &lease).await {
             Ok(renewed) => {
                 counters.renew(shard, renewed);
                 RENEWAL_INTERVAL
@@ -139,6 +142,23 @@
     }
 }
 
+/// Renews a lease. A store that is silent to this process only is found out by the call's
+/// time-out, which is long: the others are warned before.
+async fn renew(
+    engine: &Engine,
+    shard: Shard,
+    candidate: &LeaseCandidate,
+    lease: &Lease,
+) -> Result<Lease, LeaseError> {
+    let mut renewing = std::pin::pin!(candidate.renew(lease));
+    tokio::select! {
+        renewed = &mut renewing => return renewed,
+        () = sleep(WARN_AFTER) => {}
+    }
+    let (renewed, ()) = tokio::join!(renewing, warn_others(engine, shard));
+    renewed
+}
+
 /// Tells the other candidates that the lease may be lost: they may take it once they have
 /// seen for its whole duration that it is not renewed, so they had better begin to look.
 async fn warn_others(engine: &Engine, shard: Shard) {
--- a/crates/engine/tests/rate.rs
+++ b/crates/engine/tests/rate.rs
@@ -430,10 +430,14 @@
     assert!(busiest > BOUNDS.most(limit), "{busiest}");
 }
 
-/// All counters are turned away by the store, which serves the others: they are replaced
-/// little later than their leases lapse, and nobody waits for long meanwhile.
+/// All counters are turned away by the store, or hear nothing of it, while it serves the
+/// others: they are replaced little later than their leases lapse, and nobody waits for long
+/// meanwhile.
+#[rstest]
+#[case::refused(false)]
+#[case::not_answered(true)]
 #[tokio::test(start_paused = true)]
-async fn counters_that_the_store_turns_away_are_replaced() {
+async fn counters_that_the_store_turns_away_are_replaced(#[case] silent: bool) {
     let limit = RateLimit {
         per_second: 90.0,
         burst: 90.0,
@@ -442,7 +446,11 @@
     let lost = counters(&fleet);
     assert_eq!(lost.len(), SHARDS);
     for node in &lost {
-        fleet.records.refuse_node(&fleet.nodes[*node].name, true);
+        let name = &fleet.nodes[*node].name;
+        match silent {
+            true => fleet.records.ignore_node(name),
+            false => fleet.records.refuse_node(name, true),
+        }
     }
     let asking: Vec<usize> = (0..LARGE).filter(|node| !lost.contains(node)).collect();
     let mut unserved = Duration::ZERO;
--- a/crates/engine/tests/support/records.rs
+++ b/crates/engine/tests/support/records.rs
@@ -36,6 +36,7 @@
     shown_past: HashSet<String>,
     pretended: HashSet<String>,
     refused_nodes: HashSet<String>,
+    ignored_nodes: HashSet<String>,
     calls: u64,
     whole_reads: u64,
 }
@@ -92,10 +93,16 @@
         };
     }
 
+    /// Answers one process no more.
+    pub fn ignore_node(&self, node: &str) {
+        let mut state = self.state.lock().unwrap();
+        state.ignored_nodes.insert(node.to_owned());
+    }
+
     /// Whether the process called `node` is answered.
     pub fn serves(&self, node: &str) -> bool {
         let state = self.state.lock().unwrap();
-        let is_refused = state.refused_nodes.contains(node);
+        let is_refused = state.refused_nodes.contains(node) || state.ignored_nodes.contains(node);
         state.fault == Fault::None && !is_refused && !self.freezer.is_frozen(node)
     }
 
@@ -156,7 +163,11 @@
         let (fault, refused) = {
             let mut state = self.store.state.lock().unwrap();
             state.calls += 1;
-            (state.fault, state.refused_nodes.contains(&self.node))
+            let fault = match state.ignored_nodes.contains(&self.node) {
+                true => Fault::Silent,
+                false => state.fault,
+            };
+            (fault, state.refused_nodes.contains(&self.node))
         };
         match fault {
             Fault::Refusing => Err(RecordStoreError::Unavailable("refused".to_owned())),
