Split links and claims of connections from the files that held them

Change: link/links.rs holds all links of a process, link/client.rs one; pool/claim.rs for whom a connection is used, pool/error.rs why there is none. A link tells its silence through a callback, so that the two files don't need each other. No behaviour changes.

--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -1,29 +1,20 @@
-//! Links from this process to homes: one to each, shared by all sessions.
+//! A link from this process to another one, shared by all sessions.
 
 use super::frame::{
     ExchangeId, FollowedVersions, FromHome, HomeOutcome, News, RunRequest, ToHome, UnitId, Wanted,
     decode, encode,
 };
 use crate::names::{GroupName, TenantName};
-use crate::ports::{GroupBelief, PeerLink, PeerNetwork};
+use crate::ports::{GroupBelief, PeerLink};
 use crate::rate::counter::{Draw, Shard};
 use bytes::Bytes;
 use std::collections::HashMap;
-use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
-
-/// Longest time in which a link opens.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(350);
-/// How long a request waits for a link that is being opened, before it goes elsewhere.
-const OPEN_PATIENCE: Duration = Duration::from_millis(60);
-/// First pause before a link that could not be opened is tried again, and the longest.
-const RETRY_PAUSE: Duration = Duration::from_millis(100);
-const RETRY_PAUSE_MAX: Duration = Duration::from_millis(1_600);
-/// Pause before a home that is going to stop is tried again.
-const LEAVING_PAUSE: Duration = Duration::from_secs(2);
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{Instant, sleep, timeout};
+
 /// How long other links are preferred to one whose far end knows too little; doubled each time
 /// that it still does.
 const DISTRUST: Duration = Duration::from_millis(700);
@@ -72,13 +63,22 @@
     state: Mutex<LinkState>,
     /// Wakes the task that looks after the link.
     asked: Notify,
-    /// All links of this process.
-    siblings: Weak<Mutex<HashMap<SocketAddr, Place>>>,
+    /// What is done once it has gone silent.
+    on_silence: OnSilence,
+}
+
+/// What is done once a link has gone silent.
+pub(super) struct OnSilence(pub Box<dyn Fn() + Send + Sync>);
+
+impl fmt::Debug for OnSilence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("OnSilence(..)")
+    }
 }
 
 impl Link {
     /// Takes an open link into use, and reads what comes over it in a task of its own.
-    fn spawn(link: PeerLink, siblings: &Arc<Mutex<HashMap<SocketAddr, Place>>>) -> Arc<Self> {
+    pub(super) fn spawn(link: PeerLink, on_silence: OnSilence) -> Arc<Self> {
         let now = Instant::now();
         let opened = Arc::new(Self {
             tx: link.tx,
@@ -95,7 +95,7 @@
                 closed: false,
             }),
             asked: Notify::new(),
-            siblings: Arc::downgrade(siblings),
+            on_silence,
         });
         let reading = Arc::clone(&opened);
         tokio::spawn(async move {
@@ -120,7 +120,7 @@
     }
 
     /// Whether nothing was heard for so long that another link is to take this one's place.
-    fn is_silent(&self) -> bool {
+    pub(super) fn is_silent(&self) -> bool {
         let state = self.lock();
         !state.leaving && !state.is_alive(Instant::now())
     }
@@ -138,8 +138,7 @@
         self.tell_silence();
     }
 
-    /// Has all other links pinged once this one has gone silent: they may have done so
-    /// together, and each would cost a request its time to find out.
+    /// Tells once that the link has gone silent.
     fn tell_silence(&self) {
         let mut state = self.lock();
         if state.told || state.is_alive(Instant::now()) {
@@ -147,19 +146,11 @@
         }
         state.told = true;
         drop(state);
-        let Some(siblings) = self.siblings.upgrade() else {
-            return;
-        };
-        let places: Vec<Place> = lock(&siblings).values().cloned().collect();
-        for place in places {
-            if let Place::Open(link) = place {
-                link.ping();
-            }
-        }
+        (self.on_silence.0)();
     }
 
     /// Asks for a sign, unless one is asked for already.
-    fn ping(&self) {
+    pub(super) fn ping(&self) {
         let mut state = self.lock();
         if state.closed || state.pinged.is_some() {
             return;
@@ -174,7 +165,7 @@
         !self.lock().closed
     }
 
-    fn is_leaving(&self) -> bool {
+    pub(super) fn is_leaving(&self) -> bool {
         self.lock().leaving
     }
 
@@ -390,120 +381,3 @@
         });
     }
 }
-
-/// How far a link to one process has come.
-#[derive(Debug, Clone)]
-enum Place {
-    Opening,
-    Open(Arc<Link>),
-    Failed { until: Instant, pause: Duration },
-}
-
-/// Whether the other side of a new link answers: a process that stands still accepts
-/// connections too.
-async fn answers(link: &mut PeerLink) -> bool {
-    let sent = link.tx.send(encode(&ToHome::Ping)).await;
-    let answer = match sent {
-        Ok(()) => link.rx.recv().await,
-        Err(_) => None,
-    };
-    let answer = answer.and_then(|bytes| decode::<FromHome>(&bytes));
-    matches!(answer, Some(FromHome::Pong))
-}
-
-/// Links to all homes that this process uses.
-#[derive(Debug)]
-pub struct Links {
-    network: Arc<dyn PeerNetwork>,
-    places: Arc<Mutex<HashMap<SocketAddr, Place>>>,
-    changes: watch::Sender<u64>,
-}
-
-impl Links {
-    /// No link yet.
-    pub fn new(network: Arc<dyn PeerNetwork>) -> Self {
-        Self {
-            network,
-            places: Arc::default(),
-            changes: watch::Sender::new(0),
-        }
-    }
-
-    /// The first usable link to one of `addresses`, in their order. Links that are not open
-    /// are opened, and waited for a moment.
-    pub async fn first_usable(&self, addresses: &[SocketAddr]) -> Option<Arc<Link>> {
-        let mut changes = self.changes.subscribe();
-        let until = Instant::now() + OPEN_PATIENCE;
-        loop {
-            changes.mark_unchanged();
-            let mut opening = false;
-            for address in addresses {
-                match self.look_at(*address) {
-                    Place::Open(link) if link.is_usable() => return Some(link),
-                    Place::Opening => opening = true,
-                    Place::Open(_) | Place::Failed { .. } => {}
-                }
-            }
-            if !opening || timeout_at(until, changes.changed()).await.is_err() {
-                return None;
-            }
-        }
-    }
-
-    /// The place of `address`; a link is opened where there is none and it is time.
-    fn look_at(&self, address: SocketAddr) -> Place {
-        let now = Instant::now();
-        let mut places = lock(&self.places);
-        let known = places.get(&address).cloned();
-        let pause = match known {
-            None => RETRY_PAUSE,
-            Some(Place::Open(link)) if !link.is_open() => RETRY_PAUSE,
-            // Connections may go silent for good while new ones work. What was begun on the
-            // silent one waits for its answer there.
-            Some(Place::Open(link)) if link.is_silent() => {
-                places.insert(address, Place::Opening);
-                drop(places);
-                self.spawn_open(address, RETRY_PAUSE);
-                return Place::Opening;
-            }
-            Some(Place::Failed { until, pause }) if now >= until => pause,
-            Some(Place::Open(link)) if link.is_leaving() => {
-                // What was begun there goes on there.
-                let until = now + LEAVING_PAUSE;
-                let pause = RETRY_PAUSE;
-                places.insert(address, Place::Failed { until, pause });
-                return Place::Failed { until, pause };
-            }
-            Some(place) => return place,
-        };
-        places.insert(address, Place::Opening);
-        drop(places);
-        self.spawn_open(address, pause);
-        Place::Opening
-    }
-
-    fn spawn_open(&self, address: SocketAddr, pause: Duration) {
-        let network = Arc::clone(&self.network);
-        let places = Arc::clone(&self.places);
-        let changes = self.changes.clone();
-        tokio::spawn(async move {
-            let opening = async {
-                let mut link = network.link(address).await.ok()?;
-                answers(&mut link).await.then_some(link)
-            };
-            let place = match timeout(OPEN_TIMEOUT, opening).await {
-                Ok(Some(link)) => Place::Open(Link::spawn(link, &places)),
-                _ => Place::Failed {
-                    until: Instant::now() + pause,
-                    pause: (pause * 2).min(RETRY_PAUSE_MAX),
-                },
-            };
-            lock(&places).insert(address, place);
-            changes.send_modify(|count| *count += 1);
-        });
-    }
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -3,5 +3,7 @@
 
 mod client;
 pub mod frame;
+mod links;
 
-pub use client::{Link, Links};
+pub use client::Link;
+pub use links::Links;
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -1,16 +1,15 @@
 //! The connections to one member.
 
+use super::claim::{Claim, QUEUE_TIME};
 use super::concurrency::Concurrency;
 use super::connection::{Established, PooledConnection, SessionValues};
+use super::error::{AcquireError, OrderError};
 use super::health::MemberHealth;
 use super::queue::QueueDelay;
 use super::set::{ConnectionSet, Fit};
 use crate::directory::Member;
 use crate::names::{DatabaseName, TenantName};
-use crate::ports::{
-    Admission, BackEnd, BackEndConnection, ConnectError, Control, LinkError, MemberReport,
-};
-use quick_error::quick_error;
+use crate::ports::{BackEnd, BackEndConnection, ConnectError, Control, MemberReport};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::limit::{
@@ -39,100 +38,6 @@
 const LOOK_INTERVAL: Duration = Duration::from_millis(30);
 /// Requests of all databases that wait for a connection, at the most.
 const QUEUE_LENGTH: usize = 1_024;
-/// Requests of one database that wait, at the most.
-const DATABASE_QUEUE_LENGTH: usize = 256;
-/// Longest wait: each request has a deadline of its own before.
-const QUEUE_TIME: Duration = Duration::from_secs(60);
-
-/// For whom a connection is used.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Claim {
-    /// The database that its session is for: connections are shared fairly between these.
-    pub database: DatabaseName,
-    /// On whose behalf it is used: a connection serves one tenant for its life. `None` where
-    /// any connection will do.
-    pub tenant: Option<TenantName>,
-    /// Rank of its route, 0 the highest: it goes before all of a lower rank.
-    pub rank: u32,
-    /// Values to find in place, if possible.
-    pub values: SessionValues,
-    /// How long it may wait in a queue that stands.
-    pub patience: Duration,
-}
-
-impl Claim {
-    /// A claim of the engine's own, for orders and questions.
-    pub fn own() -> Self {
-        Self {
-            database: DatabaseName::from(""),
-            tenant: None,
-            rank: 0,
-            values: SessionValues::default(),
-            patience: QUEUE_TIME,
-        }
-    }
-
-    fn admission(&self, until: Instant) -> Admission {
-        Admission {
-            database: self.database.clone(),
-            rank: self.rank,
-            patience: self.patience,
-            until,
-        }
-    }
-
-    fn limits(&self) -> TenantLimits {
-        TenantLimits {
-            in_flight: usize::MAX,
-            queue_length: DATABASE_QUEUE_LENGTH,
-            rank: self.rank,
-        }
-    }
-}
-
-quick_error! {
-    /// No connection could be had. Nothing has been sent.
-    #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum AcquireError {
-        /// All connections are in use, here or at the member.
-        Exhausted {
-            display("no connection is free")
-        }
-        /// Requests wait for so long that more of them would all be late.
-        Shed(retry_after: Duration) {
-            display("too many requests wait; to come back after {} ms", retry_after.as_millis())
-        }
-        /// The member can't be reached.
-        Unreachable(reason: String) {
-            display("unreachable: {reason}")
-        }
-        /// Another member listens at the address.
-        WrongMember {
-            display("another member listens there")
-        }
-    }
-}
-
-quick_error! {
-    /// An order was not carried out, as far as is known.
-    #[derive(Debug, Clone, PartialEq, Eq)]
-    pub enum OrderError {
-        /// No connection could be opened.
-        Connect(error: ConnectError) {
-            display("{error}")
-        }
-        /// All connections stayed in use.
-        Acquire(error: AcquireError) {
-            display("{error}")
-            from()
-        }
-        /// There was no answer, or a refusal.
-        Link(error: LinkError) {
-            display("{error}")
-            from()
-        }
-    }
-}
 
 #[derive(Debug)]
 struct PoolState {
--- a/crates/engine/src/pool/mod.rs
+++ b/crates/engine/src/pool/mod.rs
@@ -4,16 +4,20 @@
 //! back. Only a connection whose last answer was read to its end and that is outside any
 //! transaction goes back; every other one is closed.
 
+mod claim;
 mod concurrency;
 mod connection;
+mod error;
 mod health;
 mod member;
 mod queue;
 mod set;
 
+pub use claim::Claim;
 pub use concurrency::Concurrency;
 pub use connection::{PooledConnection, RunError, SessionValues, Work};
+pub use error::{AcquireError, OrderError};
 pub use health::MemberHealth;
-pub use member::{AcquireError, Claim, MemberPool, OrderError};
+pub use member::MemberPool;
 pub use queue::QueueDelay;
 pub use set::{ConnectionSet, Fit, IdleConnection, PoolConnection};
