--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -161,16 +161,10 @@
     ranked.take(CANDIDATES).cloned().collect()
 }
 
-/// The zones of `fleet`, in an order that is the same everywhere.
-fn zones_of(fleet: &[Peer]) -> BTreeSet<ZoneName> {
-    fleet.iter().map(|peer| peer.zone.clone()).collect()
-}
-
-/// The candidates for counting `shard` of the rate limits among `fleet`: each zone has a
-/// shard, as far as there are zones.
-fn rank_counters(fleet: &[Peer], shard: Shard) -> Vec<Peer> {
-    let zones = zones_of(fleet);
-    let Some(zone) = zones.iter().nth(shard % zones.len().max(1)) else {
+/// The candidates for counting `shard` of the rate limits among `fleet`, which stands in
+/// `zones`: each zone has a shard, as far as there are zones.
+fn rank_counters(fleet: &[Peer], zones: &[ZoneName], shard: Shard) -> Vec<Peer> {
+    let Some(zone) = zones.get(shard % zones.len().max(1)) else {
         return Vec::new();
     };
     rank_near(fleet, zone, format!("counter/{shard}").as_bytes())
@@ -183,6 +177,7 @@
     keepers: HashMap<usize, Arc<[Peer]>>,
     followers: HashMap<ZoneName, Arc<[Peer]>>,
     duty_order: Option<Arc<[Peer]>>,
+    zones: Option<Arc<[ZoneName]>>,
     counters: HashMap<Shard, Arc<[Peer]>>,
     /// The process that granted permits of a shard last.
     last_counters: HashMap<Shard, SocketAddr>,
@@ -198,10 +193,22 @@
 }
 
 impl Ranking {
+    /// The zones of the fleet, in an order that is the same everywhere.
+    fn zones(&mut self) -> Arc<[ZoneName]> {
+        if let Some(known) = &self.zones {
+            return Arc::clone(known);
+        }
+        let zones = self.fleet.iter().map(|peer| peer.zone.clone());
+        let zones: BTreeSet<ZoneName> = zones.collect();
+        let zones: Arc<[ZoneName]> = zones.into_iter().collect();
+        self.zones = Some(Arc::clone(&zones));
+        zones
+    }
+
     /// The processes that learn what the store holds first in their zones, of all zones.
     fn all_followers(&mut self) -> Vec<Peer> {
-        let followers = zones_of(&self.fleet);
-        let followers = followers
+        let zones = self.zones();
+        let followers = zones
             .iter()
             .flat_map(|zone| self.followers_of(zone).to_vec());
         followers.collect()
@@ -283,6 +290,7 @@
             ranking.keepers.clear();
             ranking.followers.clear();
             ranking.duty_order = None;
+            ranking.zones = None;
             ranking.counters.clear();
             ranking.fleet = fleet;
         }
@@ -401,7 +409,8 @@
         if let Some(known) = ranking.counters.get(&shard) {
             return Arc::clone(known);
         }
-        let counters: Arc<[Peer]> = rank_counters(&ranking.fleet, shard).into();
+        let zones = ranking.zones();
+        let counters: Arc<[Peer]> = rank_counters(&ranking.fleet, &zones, shard).into();
         ranking.counters.insert(shard, Arc::clone(&counters));
         counters
     }
@@ -429,7 +438,7 @@
 
     /// The shards of the rate limits, in the order in which a process of `zone` asks them.
     pub fn shards_by_distance(&self, zone: &ZoneName) -> [Shard; SHARDS] {
-        let zones = zones_of(&self.lock().fleet);
+        let zones = self.lock().zones();
         let own = zones.iter().position(|known| known == zone);
         let first = own.unwrap_or(0) % SHARDS;
         std::array::from_fn(|distance| (first + distance) % SHARDS)
