Close resting connections to a silent server together again; mend the stand-in

Ruled out: the engine's evidence, which was 377 ms old and within its bound. On the users' platform a server that was demoted tells the same position as received and as shown, lag 0.

Change: the stand-in keeps what a demoted server has shown, with a test that fails without it; resting connections to a member that has said nothing since an unanswered statement are closed together, at the homes too.

Conclusion: each resting connection no longer costs one statement its time.

--- a/crates/engine/src/home/unit.rs
+++ b/crates/engine/src/home/unit.rs
@@ -74,6 +74,8 @@
         request: RunRequest,
         rx: &mut mpsc::Receiver<RunRequest>,
     ) -> Option<HomeOutcome> {
+        let pool = Arc::clone(&self.pool);
+        let sent = Instant::now();
         let mut running = std::pin::pin!(self.run(request));
         tokio::select! {
             outcome = &mut running => return Some(outcome),
@@ -81,7 +83,10 @@
         }
         tokio::select! {
             outcome = &mut running => Some(outcome),
-            () = sleep(ABANDONED_WAIT) => None,
+            () = sleep(ABANDONED_WAIT) => {
+                pool.note_unanswered(sent);
+                None
+            }
         }
     }
 
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -314,10 +314,16 @@
         self.note(|health| health.unreachable(Instant::now()));
     }
 
-    /// Notes that what was sent at `sent` was not answered in time.
+    /// Notes that what was sent at `sent` was not answered in time. Where the member has said
+    /// nothing at all since, connections that rest are closed: they may have gone silent
+    /// together, and each would cost another request its time.
     pub fn note_unanswered(&self, sent: Instant) {
         let now = Instant::now();
         self.note(|health| health.unanswered(now.duration_since(sent), now));
+        let heard = self.health().heard_at();
+        if heard.is_none_or(|heard| heard <= sent) {
+            drop(self.connections.take_all(|_| true));
+        }
     }
 
     /// Closes connections that were not used for long.
--- /dev/null
+++ b/crates/engine/tests/stand_in.rs
@@ -0,0 +1,21 @@
+//! What the stand-in of the servers takes from the platform's own.
+
+mod support;
+
+use stilequay_engine::ports::Control;
+use support::{Fleet, LEADER_DATABASE};
+
+/// A server that is demoted is shown to read what it had committed, however long replicas take
+/// to apply what they receive: its log tells the same position before and after.
+#[tokio::test(start_paused = true)]
+async fn a_demoted_server_goes_on_showing_what_it_committed() {
+    let fleet = Fleet::start(1).await;
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    assert!(client.write("x 1").await.outcome.is_ok());
+    let before = fleet.world.server("a");
+    let pool = fleet.nodes[0].engine.pool_of("a").expect("known");
+    let demoted = pool.order(Control::Demote(before.term + 1)).await;
+    assert_eq!(demoted.expect("an answer").received, before.position());
+    let shown = fleet.world.server("a").applied(tokio::time::Instant::now());
+    assert_eq!(shown, before.log.len());
+}
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -347,7 +347,7 @@
             Control::Pause(_) => return Err(refused()),
             Control::Resume => self.world.change(&self.server, |s| s.paused_for = 0),
             Control::Demote(term) if term > server.term => {
-                self.world.change(&self.server, |s| s.role = Role::Replica);
+                self.world.change(&self.server, |s| s.step_down());
             }
             Control::Demote(_) => return Err(refused()),
         }
--- a/crates/engine/tests/support/servers/mod.rs
+++ b/crates/engine/tests/support/servers/mod.rs
@@ -50,6 +50,8 @@
     /// How far behind it applies what it has received.
     pub apply_lag: Duration,
     pub received_at: Vec<Instant>,
+    /// Entries that it had as leader: it goes on showing them when it leads no more.
+    pub shown: usize,
     /// Says that it has paused, and goes on receiving: a planted mistake.
     pub ignores_pause: bool,
     pub statements: u64,
@@ -69,7 +71,15 @@
         let applied = self
             .received_at
             .partition_point(|at| *at + self.apply_lag <= now);
-        applied.min(self.log.len())
+        applied.max(self.shown).min(self.log.len())
+    }
+
+    /// Takes the lead away from it: its log stays, and so does what reads see of it.
+    pub fn step_down(&mut self) {
+        if self.role == Role::Primary {
+            self.shown = self.log.len();
+            self.role = Role::Replica;
+        }
     }
 }
 
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -60,6 +60,7 @@
             slowness: 1,
             apply_lag: Duration::from_millis(8),
             received_at: Vec::new(),
+            shown: 0,
             ignores_pause: false,
             statements: 0,
         };
@@ -158,7 +159,7 @@
             server.running = true;
             server.dark = false;
             if newest.is_some_and(|(leader, term)| leader != name && term > server.term) {
-                server.role = Role::Replica;
+                server.step_down();
             }
         });
     }
@@ -249,6 +250,7 @@
                 server.paused_for = 0;
                 take_log(server, &log, Instant::now());
                 server.log.truncate(log.len());
+                server.shown = server.shown.min(log.len());
                 server.received_at.truncate(log.len());
             }
         }
@@ -268,7 +270,7 @@
                 for (name, server) in servers.iter_mut() {
                     let older = server.role == Role::Primary && server.term < newest.0;
                     if older && server.running && world.network.reaches(&new, name) {
-                        server.role = Role::Replica;
+                        server.step_down();
                         server.term = newest.0;
                         take_log(server, &newest.1, Instant::now());
                     }
@@ -298,6 +300,7 @@
             .count(),
     };
     server.log.truncate(same);
+    server.shown = server.shown.min(same);
     server.received_at.truncate(same);
     server.log.extend_from_slice(&log[same..]);
     server.received_at.resize(log.len(), now);
