Decode evacuations, home regions, cold members and regions once, into types

Cause: the newcomers' configuration, settings and entries name what nothing read.

Conclusion: the parts can be built side by side.

--- a/crates/engine/src/configuration.rs
+++ b/crates/engine/src/configuration.rs
@@ -1,6 +1,7 @@
 //! The configuration that an operator has declared, as a whole.
 
 use crate::names::{DatabaseName, GroupName, TenantName};
+use crate::residency::Residency;
 use crate::tenant::{Credential, Tenant};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -48,15 +49,30 @@
     /// Whether callers need no credential.
     #[serde(default)]
     pub is_public: bool,
+    /// Where its statements may run.
+    #[serde(default)]
+    pub residency: Residency,
+}
+
+/// How much a member takes that has just come up.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct SlowStart {
+    /// How long it counts as cold from its start.
+    pub duration: Duration,
+    /// Statements a second that it takes meanwhile from all processes together.
+    pub per_second: f64,
 }
 
 /// What holds for one group.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct GroupSettings {
     /// Connections that one member accepts from all callers together.
     pub member_connections: usize,
     /// Replicas that must have received a commit before it is acknowledged.
     pub sync_replicas: usize,
+    /// What cold members take; `None` where they take as much as any.
+    #[serde(default)]
+    pub slow_start: Option<SlowStart>,
 }
 
 /// A configuration as of one version.
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -118,6 +118,8 @@
     pub role: Role,
     /// Statements that it runs at a time.
     pub slots: usize,
+    /// Until when it is slow from its start, as far as it has told; `None` where it is not.
+    pub cold_until: Option<Instant>,
     /// Whether it is to get work.
     pub state: MemberState,
     /// The store's version of the last change that is told here; zero where that is not
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration::{Configuration, Route};
 use crate::directory::{Directory, Member};
+use crate::evacuation::Evacuations;
 use crate::events::{Event, EventLog};
 use crate::following::{self, Following};
 use crate::group::Group;
@@ -16,6 +17,7 @@
 use crate::rate::permit::Refusals;
 use crate::telemetry;
 use crate::tenant::TenantPolicy;
+use crate::topology::Topology;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -52,6 +54,8 @@
     pub node: NodeName,
     /// Its zone.
     pub zone: ZoneName,
+    /// The regions of all zones.
+    pub topology: Topology,
     /// Where this process answers others.
     pub peer_address: Option<SocketAddr>,
     /// Cores that it may use: its share of the work that processes do for one another.
@@ -63,10 +67,23 @@
     pub leaving_use: Duration,
     /// Time within which a change of the configuration must be acted on.
     pub configuration_bound: Duration,
+    /// Time within which an evacuation must be acted on; `None` where zones are not evacuated.
+    pub evacuation_bound: Option<Duration>,
+    /// How exactly the limits of cold members are kept.
+    pub slow_start: SlowStartBounds,
     /// How callers prove on whose behalf they ask; `None` where they need not.
     pub tenants: Option<TenantPolicy>,
 }
 
+/// What a cold member may get beyond what it takes, in any second.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlowStartBounds {
+    /// Multiple of what it takes in a second.
+    pub excess: f64,
+    /// Statements besides.
+    pub slack: f64,
+}
+
 /// The stores of records. Every process follows the shared ones; leases change often and
 /// concern few, so they are kept apart.
 #[derive(Debug, Clone)]
@@ -101,6 +118,7 @@
     configuration: watch::Sender<Option<Arc<Configuration>>>,
     /// The configurations used last, the newest at the end.
     recent_configurations: Mutex<VecDeque<Arc<Configuration>>>,
+    evacuations: watch::Sender<Arc<Evacuations>>,
     directory: watch::Sender<Arc<Directory>>,
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
     pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
@@ -137,6 +155,7 @@
             refusals: Refusals::default(),
             configuration: watch::Sender::new(None),
             recent_configurations: Mutex::default(),
+            evacuations: watch::Sender::new(Arc::default()),
             directory: watch::Sender::new(Arc::default()),
             groups: Mutex::default(),
             pools: Mutex::default(),
@@ -231,6 +250,33 @@
         self.configuration.subscribe()
     }
 
+    /// The zones whose servers are to get no more work.
+    pub fn evacuations(&self) -> Arc<Evacuations> {
+        self.evacuations.borrow().clone()
+    }
+
+    /// Tells of changes of these.
+    pub fn subscribe_evacuations(&self) -> watch::Receiver<Arc<Evacuations>> {
+        self.evacuations.subscribe()
+    }
+
+    /// Takes evacuations into use, unless later ones are. Returns whether they were taken.
+    pub fn set_evacuations(&self, evacuations: Evacuations) -> bool {
+        let (version, zones) = (evacuations.version, evacuations.zones.clone());
+        let taken = self.evacuations.send_if_modified(|current| {
+            let later = current.version < version;
+            if later {
+                *current = Arc::new(evacuations);
+            }
+            later
+        });
+        if taken {
+            self.events
+                .write(&Event::EvacuationsTaken { version, zones });
+        }
+        taken
+    }
+
     /// The directory of members.
     pub fn directory(&self) -> Arc<Directory> {
         self.directory.borrow().clone()
--- /dev/null
+++ b/crates/engine/src/evacuation.rs
@@ -0,0 +1,21 @@
+//! Zones whose servers are to get no more work, as operators have requested.
+
+use crate::names::ZoneName;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// The zones that are evacuated, as of one version.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Evacuations {
+    /// The store's version of the newest request that is told here; zero where none is known.
+    pub version: u64,
+    /// The zones.
+    pub zones: BTreeSet<ZoneName>,
+}
+
+impl Evacuations {
+    /// Whether nothing more may be sent to the servers of `zone`.
+    pub fn contains(&self, zone: &str) -> bool {
+        self.zones.contains(zone)
+    }
+}
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -8,12 +8,13 @@
 use crate::directory::Role;
 use crate::group::Epoch;
 use crate::leadership::record::TermPhase;
-use crate::names::{DatabaseName, GroupName, MemberId, NodeName, RequestId, TenantName};
+use crate::names::{DatabaseName, GroupName, MemberId, NodeName, RequestId, TenantName, ZoneName};
 use crate::ports::MemberReport;
 use crate::position::LogPosition;
 use crate::verdict::{FailureReason, Verdict};
 use log::Level;
 use serde::Serialize;
+use std::collections::BTreeSet;
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -133,6 +134,13 @@
         /// Number of routes.
         routes: usize,
     },
+    /// Evacuated zones were taken into use.
+    EvacuationsTaken {
+        /// The store's version of the newest request.
+        version: u64,
+        /// All evacuated zones.
+        zones: BTreeSet<ZoneName>,
+    },
     /// A member's entry has changed.
     MemberChanged {
         /// The member.
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -417,12 +417,14 @@
 pub async fn news(engine: &Engine, known: FollowedVersions, wait: Duration) -> News {
     let mut directory = engine.subscribe_directory();
     let mut configuration = engine.subscribe_configuration();
+    let mut evacuations = engine.subscribe_evacuations();
     let mut records = engine.terms().subscribe_version();
     let asked = Instant::now();
     let until = asked + wait;
     loop {
         directory.mark_unchanged();
         configuration.mark_unchanged();
+        evacuations.mark_unchanged();
         records.mark_unchanged();
         let news = news_since(engine, known, asked);
         let now = Instant::now();
@@ -433,6 +435,7 @@
         tokio::select! {
             _ = directory.changed() => {}
             _ = configuration.changed() => {}
+            _ = evacuations.changed() => {}
             _ = records.changed() => {}
             () = tokio::time::sleep_until(until) => {}
         }
@@ -466,6 +469,7 @@
         let declared = &self.declared;
         declared.configuration.is_some()
             || declared.directory.is_some()
+            || declared.evacuations.is_some()
             || self.records_version > known.records
     }
 }
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -146,6 +146,7 @@
         zone: known.zone,
         role: Role::Replica,
         slots: 0,
+        cold_until: None,
         state: MemberState::Gone(departure),
         changed: 0,
     });
--- a/crates/engine/src/names.rs
+++ b/crates/engine/src/names.rs
@@ -12,6 +12,8 @@
 pub type TenantName = Arc<str>;
 /// A zone of machines.
 pub type ZoneName = Arc<str>;
+/// A region of zones that lie close together.
+pub type RegionName = Arc<str>;
 /// One process of the fleet.
 pub type NodeName = Arc<str>;
 /// The caller's name for one request.
--- a/crates/engine/src/peers/declared.rs
+++ b/crates/engine/src/peers/declared.rs
@@ -5,6 +5,7 @@
 use crate::configuration::Configuration;
 use crate::directory::{Departure, Directory, Member, MemberState};
 use crate::engine::Engine;
+use crate::evacuation::Evacuations;
 use crate::events::millis;
 use crate::following;
 use crate::ports::{
@@ -21,6 +22,7 @@
     DeclaredVersions {
         configuration: engine.configuration().map_or(0, |known| known.version),
         directory: engine.directory().version,
+        evacuations: engine.evacuations().version,
     }
 }
 
@@ -30,11 +32,14 @@
     let complete_as_of = engine.following().configuration_complete_as_of();
     let configuration = engine.configuration();
     let configuration = configuration.filter(|newest| newest.version > known.configuration);
+    let evacuations = engine.evacuations();
+    let is_evacuation_newer = evacuations.version > known.evacuations;
     let directory = engine.directory();
     let is_newer = directory.version > known.directory;
     DeclaredState {
         configuration: configuration.map(|newest| declare_configuration(engine, &newest, known)),
         directory: is_newer.then(|| declare(&directory, known.directory, Instant::now())),
+        evacuations: is_evacuation_newer.then(|| Evacuations::clone(&evacuations)),
         complete_after_ms: complete_as_of.map(|at| signed_millis(asked, at)),
     }
 }
@@ -107,6 +112,7 @@
         zone: member.zone.clone(),
         role: member.role,
         slots: member.slots,
+        cold_left_ms: member.cold_until.map(left_ms).filter(|left| *left > 0),
         changed: member.changed,
         departure: match member.state {
             MemberState::Ready => None,
@@ -143,6 +149,9 @@
         Some(configuration) => take_configuration(engine, configuration),
         None => true,
     };
+    if let Some(evacuations) = state.evacuations {
+        engine.set_evacuations(evacuations);
+    }
     let complete_as_of = state.complete_after_ms;
     if let (true, Some(at)) = (
         is_taken,
@@ -199,6 +208,9 @@
         zone: declared.zone,
         role: declared.role,
         slots: declared.slots,
+        cold_until: declared
+            .cold_left_ms
+            .map(|left_ms| asked + Duration::from_millis(left_ms)),
         state,
         changed: declared.changed,
     }
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration::{Configuration, ConfigurationChanges};
 use crate::directory::Role;
+use crate::evacuation::Evacuations;
 use crate::group::Epoch;
 use crate::leadership::record::TermRecord;
 use crate::names::{GroupName, MemberId, ZoneName};
@@ -68,6 +69,9 @@
     pub configuration: u64,
     /// Of the directory of members.
     pub directory: u64,
+    /// Of the evacuated zones.
+    #[serde(default)]
+    pub evacuations: u64,
 }
 
 /// What a process knows that is newer than it was asked for.
@@ -77,8 +81,11 @@
     pub configuration: Option<DeclaredConfiguration>,
     /// The members.
     pub directory: Option<DeclaredDirectory>,
-    /// The moment as of which the configuration that is known, told here or not, was the
-    /// newest: in ms after the question came, below zero where it was before. `None` where
+    /// The evacuated zones.
+    #[serde(default)]
+    pub evacuations: Option<Evacuations>,
+    /// The moment as of which the configuration and the evacuations that are known, told
+    /// here or not, were the newest: in ms after the question came, below zero where it was before. `None` where
     /// that is not known. Whoever asked counts it from before the question was sent.
     pub complete_after_ms: Option<i64>,
 }
@@ -127,6 +134,9 @@
     pub role: Role,
     /// Statements that it runs at a time.
     pub slots: usize,
+    /// For how long it is still slow from its start, ms.
+    #[serde(default)]
+    pub cold_left_ms: Option<u64>,
     /// Set where it leaves or has left.
     pub departure: Option<DeclaredDeparture>,
     /// The store's version of its last change.
--- a/crates/engine/src/session/authorization.rs
+++ b/crates/engine/src/session/authorization.rs
@@ -17,6 +17,7 @@
 use crate::configuration::Route;
 use crate::engine::Engine;
 use crate::names::DatabaseName;
+use crate::residency::Residency;
 use crate::tenant::{Credential, Tenant};
 use crate::verdict::{Failure, FailureReason};
 use std::sync::Arc;
@@ -151,6 +152,7 @@
     Arc::new(Tenant {
         name: ANONYMOUS.into(),
         rate: None,
+        residency: Residency::ANYWHERE,
     })
 }
 
--- a/crates/engine/src/tenant.rs
+++ b/crates/engine/src/tenant.rs
@@ -2,6 +2,7 @@
 
 use crate::names::TenantName;
 use crate::rate::RateBounds;
+use crate::residency::Residency;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
@@ -55,6 +56,9 @@
     pub name: TenantName,
     /// How much it may ask; `None` for as much as it likes.
     pub rate: Option<RateLimit>,
+    /// Where its statements may run.
+    #[serde(default)]
+    pub residency: Residency,
 }
 
 /// What a deployment with tenants asks of every process.
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -25,6 +25,7 @@
         zone: "hall".into(),
         role: Role::Replica,
         slots: 3,
+        cold_until: None,
         state,
         changed: 0,
     };
--- a/crates/engine/tests/departures.rs
+++ b/crates/engine/tests/departures.rs
@@ -55,6 +55,7 @@
         zone: "hall".into(),
         role: stilequay_engine::directory::Role::Replica,
         slots: 3,
+        cold_until: None,
         state,
         changed: 0,
     }
--- a/crates/engine/tests/peers.rs
+++ b/crates/engine/tests/peers.rs
@@ -100,6 +100,7 @@
     let nothing = DeclaredVersions {
         configuration: 0,
         directory: 0,
+        evacuations: 0,
     };
     let state = TcpPeers.ask_declared(address, nothing).await;
     let state = state.expect("an answer");
@@ -236,6 +237,7 @@
     let nothing = DeclaredVersions {
         configuration: 0,
         directory: 0,
+        evacuations: 0,
     };
     let told = declared::newer(engine, nothing, Instant::now());
     assert!(matches!(
--- a/crates/engine/tests/rate.rs
+++ b/crates/engine/tests/rate.rs
@@ -10,6 +10,7 @@
 use stilequay_engine::configuration::Configuration;
 use stilequay_engine::engine::Engine;
 use stilequay_engine::rate::{BucketShare, RateBounds, SHARDS, TokenBucket};
+use stilequay_engine::residency::Residency;
 use stilequay_engine::tenant::{Credential, RateLimit, Tenant, TenantPolicy};
 use stilequay_engine::verdict::{FailureReason, Verdict};
 use support::records::Fault;
@@ -32,6 +33,7 @@
     let tenant = Tenant {
         name: TENANT.into(),
         rate: Some(limit),
+        residency: Residency::ANYWHERE,
     };
     let mut next = configuration(1);
     next.version = version;
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -19,12 +19,14 @@
 use std::time::Duration;
 use stilequay_engine::configuration::{Configuration, Consistency, GroupSettings, Route};
 use stilequay_engine::directory::{Departure, Directory};
-use stilequay_engine::engine::{Engine, EngineRecords, EngineSettings};
+use stilequay_engine::engine::{Engine, EngineRecords, EngineSettings, SlowStartBounds};
 use stilequay_engine::following::Feed;
 use stilequay_engine::leadership;
+use stilequay_engine::residency::Residency;
 use stilequay_engine::session::Session;
 use stilequay_engine::statement::{Access, PreparedStatement, Reply, Request, Statement};
 use stilequay_engine::tenant::{Credential, TenantPolicy};
+use stilequay_engine::topology::Topology;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -83,6 +85,7 @@
             objective: Duration::from_millis(250),
             priority: 1,
             is_public: false,
+            residency: Residency::ANYWHERE,
         })
     };
     let routes = [
@@ -96,6 +99,7 @@
     let group = GroupSettings {
         member_connections: 34,
         sync_replicas,
+        slow_start: None,
     };
     Configuration {
         version: 1,
@@ -164,11 +168,17 @@
         let settings = EngineSettings {
             node: Arc::from(name),
             zone: Arc::from(zone),
+            topology: Topology::new(Arc::from(zone), HashMap::new()),
             peer_address: Some(MemoryPeers::address_of(name)),
             weight: 1.0,
             contact: Duration::from_secs(4),
             leaving_use: Duration::from_secs(4),
             configuration_bound: Duration::from_secs(3),
+            evacuation_bound: None,
+            slow_start: SlowStartBounds {
+                excess: 1.0,
+                slack: 0.0,
+            },
             tenants: self.tenants.clone(),
         };
         let back_end = WorldBackEnd {
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -202,6 +202,7 @@
                 zone: Arc::from(format!("zone-{name}").as_str()),
                 role: server.role,
                 slots: 3,
+                cold_until: None,
                 state: server.state,
                 changed: 0,
             })
--- a/crates/engine/tests/tenants.rs
+++ b/crates/engine/tests/tenants.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use stilequay_engine::configuration::Configuration;
 use stilequay_engine::names::TenantName;
+use stilequay_engine::residency::Residency;
 use stilequay_engine::session::Session;
 use stilequay_engine::statement::Reply;
 use stilequay_engine::tenant::{Credential, Tenant, TenantPolicy};
@@ -47,6 +48,7 @@
         let tenant = Tenant {
             name: Arc::clone(&name),
             rate: None,
+            residency: Residency::ANYWHERE,
         };
         configuration
             .tenants
