Send nothing to evacuated zones, and move leaders out of them

Cause: evacuated zones were followed, and nothing acted on them: statements, transactions, forwarded units and resting connections went on there.

Change: each process keeps a schedule that counts from its last proof without the request; every pool checks it directly before each command, reads move away by a rising share, resting connections are closed, and what no member may be sent is refused at once as not run. A process without a recent proof sends nothing. The lease's holder moves leaders, as many side by side as end in time, to a member outside evacuated zones that holds everything.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -2,7 +2,7 @@
 
 use crate::configuration::{Configuration, Route};
 use crate::directory::{Directory, Member};
-use crate::evacuation::Evacuations;
+use crate::evacuation::{Evacuations, Gate, Schedule, Sender};
 use crate::events::{Event, EventLog};
 use crate::following::{self, Following};
 use crate::group::Group;
@@ -119,6 +119,7 @@
     /// The configurations used last, the newest at the end.
     recent_configurations: Mutex<VecDeque<Arc<Configuration>>>,
     evacuations: watch::Sender<Arc<Evacuations>>,
+    evacuation_schedule: Arc<Schedule>,
     directory: watch::Sender<Arc<Directory>>,
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
     pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
@@ -144,18 +145,21 @@
         peers: Arc<dyn PeerNetwork>,
     ) -> Arc<Self> {
         let homes = Homes::new(settings.node.clone(), Arc::clone(&peers));
+        let following = Following::default();
+        let schedule = Schedule::new(settings.evacuation_bound, following.subscribe_proof());
         Arc::new(Self {
             settings,
             back_end,
             peers,
             remote_pools: Mutex::default(),
             homes: Arc::new(homes),
-            following: Following::default(),
+            following,
             counters: Counters::default(),
             refusals: Refusals::default(),
             configuration: watch::Sender::new(None),
             recent_configurations: Mutex::default(),
             evacuations: watch::Sender::new(Arc::default()),
+            evacuation_schedule: Arc::new(schedule),
             directory: watch::Sender::new(Arc::default()),
             groups: Mutex::default(),
             pools: Mutex::default(),
@@ -266,6 +270,7 @@
         let taken = self.evacuations.send_if_modified(|current| {
             let later = current.version < version;
             if later {
+                self.evacuation_schedule.take(&zones, Instant::now());
                 *current = Arc::new(evacuations);
             }
             later
@@ -277,6 +282,17 @@
         taken
     }
 
+    /// When nothing more is sent to which evacuated zone.
+    pub fn evacuation_schedule(&self) -> &Schedule {
+        &self.evacuation_schedule
+    }
+
+    /// The check before each command to `member`.
+    fn gate(&self, member: &Member, sender: Sender) -> Gate {
+        let schedule = Arc::clone(&self.evacuation_schedule);
+        Gate::new(schedule, member.zone.clone(), sender)
+    }
+
     /// The directory of members.
     pub fn directory(&self) -> Arc<Directory> {
         self.directory.borrow().clone()
@@ -467,7 +483,8 @@
         let mut pools = lock(&self.remote_pools);
         let pool = pools.entry(member.id.clone()).or_insert_with(|| {
             let back_end = RemoteBackEnd::new(Arc::clone(&self.homes), Arc::clone(&self.back_end));
-            Arc::new(MemberPool::remote(Arc::clone(member), Arc::new(back_end)))
+            let pool = MemberPool::remote(Arc::clone(member), Arc::new(back_end));
+            Arc::new(pool.behind(self.gate(member, Sender::Session)))
         });
         Arc::clone(pool)
     }
@@ -481,7 +498,7 @@
             return Arc::clone(pool);
         }
         let pool = MemberPool::new(Arc::clone(member), Arc::clone(&self.back_end));
-        let pool = Arc::new(pool);
+        let pool = Arc::new(pool.behind(self.gate(member, Sender::Home)));
         pool.set_limit(self.connection_share(member));
         pools.insert(member.id.clone(), Arc::clone(&pool));
         pool
--- a/crates/engine/src/evacuation.rs
+++ b/crates/engine/src/evacuation/mod.rs
@@ -1,4 +1,15 @@
 //! Zones whose servers are to get no more work, as operators have requested.
+//!
+//! Each process keeps a [`Schedule`] of when it sends nothing more to which zone, and checks it
+//! at a [`Gate`] directly before each command.
+
+mod gate;
+mod keeper;
+mod schedule;
+
+pub use gate::Gate;
+pub(crate) use keeper::keep;
+pub use schedule::{MayNotSend, Schedule, Sender, share_elsewhere};
 
 use crate::names::ZoneName;
 use serde::{Deserialize, Serialize};
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -141,6 +141,15 @@
         /// All evacuated zones.
         zones: BTreeSet<ZoneName>,
     },
+    /// Nothing is sent to the members of an evacuated zone any more.
+    ZoneClosed {
+        /// The zone.
+        zone: ZoneName,
+        /// The version of the evacuations.
+        version: u64,
+        /// Time since this process had learned of the request, ms.
+        after_ms: u64,
+    },
     /// A member's entry has changed.
     MemberChanged {
         /// The member.
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -33,7 +33,8 @@
 const DIRECT_FLEET: usize = 16;
 /// How long one question waits for news.
 const NEWS_WAIT: Duration = Duration::from_millis(900);
-/// The same as a share of the time within which a removed credential must be known everywhere.
+/// The same as a share of the time within which a removed credential, or an evacuation, must
+/// be known everywhere.
 /// A process proves its configuration by way of two others: this share for each of these, and
 /// two waits at the store, leave three fifths of that time for a source that is lost.
 const REVOCATION_SHARE: f64 = 0.1;
@@ -379,19 +380,21 @@
 
 /// How long one question waits for news here.
 fn news_wait(engine: &Engine) -> Duration {
-    match &engine.settings().tenants {
-        Some(policy) => NEWS_WAIT.min(policy.revocation.mul_f64(REVOCATION_SHARE)),
-        None => NEWS_WAIT,
-    }
+    proof_wait(engine).map_or(NEWS_WAIT, |wait| NEWS_WAIT.min(wait))
+}
+
+/// Longest wait for news where what is in use must be proven; `None` where it need not.
+fn proof_wait(engine: &Engine) -> Option<Duration> {
+    let settings = engine.settings();
+    let revocation = settings.tenants.as_ref().map(|policy| policy.revocation);
+    let bounds = revocation.into_iter().chain(settings.evacuation_bound);
+    bounds.min().map(|bound| bound.mul_f64(REVOCATION_SHARE))
 }
 
 /// How long one call waits for changes of the configuration at the store.
 pub fn configuration_wait(engine: &Engine) -> Duration {
     let wait = engine.feed_wait();
-    match &engine.settings().tenants {
-        Some(policy) => wait.min(policy.revocation.mul_f64(REVOCATION_SHARE)),
-        None => wait,
-    }
+    proof_wait(engine).map_or(wait, |longest| wait.min(longest))
 }
 
 fn known_versions(engine: &Engine) -> FollowedVersions {
--- a/crates/engine/src/home/remote.rs
+++ b/crates/engine/src/home/remote.rs
@@ -253,7 +253,9 @@
             NotSent::Shed { retry_after } => {
                 self.refused(RefusalKind::Shed(retry_after), "too many requests wait")
             }
-            NotSent::Unreachable(reason) => self.refused(RefusalKind::Unreachable, &reason),
+            NotSent::Unreachable(reason) | NotSent::MayNotSend(reason) => {
+                self.refused(RefusalKind::Unreachable, &reason)
+            }
             NotSent::UnknownMember => {
                 self.refused(RefusalKind::Unreachable, "no home knows the member")
             }
@@ -299,10 +301,14 @@
             return self.take(outcome);
         }
         let mut outcome = self.forward(command.clone()).await?;
-        // A home that has just started: the next one may know the member.
+        // A home that has just started, or hears nothing of the store: the next one may know
+        // the member, and that it may be sent to.
         for _ in 1..CANDIDATES {
-            let unknown = matches!(outcome, HomeOutcome::NotSent(NotSent::UnknownMember));
-            if !unknown || !self.go_elsewhere().await {
+            let passed_on = matches!(
+                outcome,
+                HomeOutcome::NotSent(NotSent::UnknownMember | NotSent::MayNotSend(_))
+            );
+            if !passed_on || !self.go_elsewhere().await {
                 break;
             }
             outcome = self.forward(command.clone()).await?;
--- a/crates/engine/src/home/unit.rs
+++ b/crates/engine/src/home/unit.rs
@@ -3,12 +3,14 @@
 
 use crate::directory::Member;
 use crate::engine::Engine;
+use crate::evacuation::MayNotSend;
 use crate::group::{Group, UsableLeader};
 use crate::link::frame::{HomeCommand, HomeOutcome, NotSent, RunRequest};
 use crate::pool::{AcquireError, Claim, MemberPool, PooledConnection, RunError, Work};
-use crate::ports::{Answer, Command};
+use crate::ports::{Answer, Command, Refusal, RefusalKind};
 use crate::routing::is_past_use;
-use crate::statement::Access;
+use crate::statement::{Access, TransactionState};
+use bytes::Bytes;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -18,6 +20,9 @@
 /// the connection stays good.
 const ABANDONED_WAIT: Duration = Duration::from_millis(400);
 
+/// The code of what is not sent any more, in events.
+const HELD_BACK_CODE: &[u8] = b"HOME_MAY_NOT_SEND";
+
 /// A unit on its connection.
 #[derive(Debug)]
 pub struct Unit {
@@ -50,6 +55,7 @@
         let connection = acquired.map_err(|error| match error {
             AcquireError::Exhausted => NotSent::Exhausted,
             AcquireError::Shed(retry_after) => NotSent::Shed { retry_after },
+            AcquireError::MayNotSend(reason) => NotSent::MayNotSend(reason.to_string()),
             error => NotSent::Unreachable(error.to_string()),
         })?;
         Ok(Self {
@@ -91,6 +97,9 @@
     }
 
     async fn run(&mut self, request: RunRequest) -> HomeOutcome {
+        if let Err(reason) = self.pool.check_sending() {
+            return self.held_back(reason);
+        }
         let values = Arc::new(request.values);
         if let Err(error) = self.connection.put_values(&values).await {
             return self.failed_before(error.to_string());
@@ -121,6 +130,24 @@
         }
     }
 
+    /// Nothing is sent any more. What was done in a transaction goes with its connection: the
+    /// caller's next command, a commit too, is refused as one that the member has not run.
+    fn held_back(&self, reason: MayNotSend) -> HomeOutcome {
+        if !self.has_begun {
+            return HomeOutcome::NotSent(NotSent::MayNotSend(reason.to_string()));
+        }
+        HomeOutcome::Answered(Answer {
+            rows: Vec::new(),
+            outcome: Err(Refusal {
+                kind: RefusalKind::Unreachable,
+                code: Bytes::from_static(HELD_BACK_CODE),
+                text: Bytes::from(reason.to_string()),
+            }),
+            state: TransactionState::Failed,
+            position: None,
+        })
+    }
+
     async fn run_command(&mut self, command: HomeCommand) -> Result<Answer, RunError> {
         let connection = &mut self.connection;
         let after_sent = RunError::After;
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -8,6 +8,7 @@
 
 use super::survey::{Response, Surveyed};
 use crate::directory::{Member, Role};
+use crate::evacuation::Evacuations;
 use crate::names::MemberId;
 use crate::position::{LogPosition, Term};
 use std::net::SocketAddr;
@@ -53,6 +54,8 @@
     pub sync_replicas: usize,
     /// The highest position that the old leader's log is known to have had.
     pub known: Option<LogPosition>,
+    /// Zones whose members are to lead only where no other holds everything.
+    pub evacuations: &'a Evacuations,
 }
 
 impl FenceSurvey<'_> {
@@ -135,13 +138,15 @@
         }
     }
 
-    /// The replica that has received most; among equals one that stays.
+    /// The replica that has received most; among equals one outside evacuated zones, and one
+    /// that stays.
     fn best_other(&self) -> Option<(MemberId, LogPosition)> {
         let candidates = self.members.iter().filter_map(|member| {
             let report = member.response.report()?;
             let stays = member.member.state.takes_work();
             let eligible = report.role == Role::Replica && !self.is_previous(member);
-            let rank = (report.received, stays);
+            let is_outside = !self.evacuations.contains(&member.member.zone);
+            let rank = (report.received, is_outside && stays, is_outside, stays);
             eligible.then(|| (rank, member.member.id.clone()))
         });
         let (rank, id) = candidates.max()?;
--- /dev/null
+++ b/crates/engine/src/leadership/evacuating.rs
@@ -0,0 +1,81 @@
+//! Moving leaders out of evacuated zones.
+//!
+//! A leader there is replaced as one that leaves: fenced while it lives. Each change is a gap
+//! in its group's writes, so only as many run side by side as end in time.
+
+use super::survey::{self, Patience, Surveyed};
+use crate::directory::Member;
+use crate::engine::Engine;
+use crate::evacuation::Sender;
+use crate::names::GroupName;
+use crate::ports::Control;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time that one change of a leader is taken to need: its fence, the order, which takes up to a
+/// second to act, and the wait for the old term's evidence.
+const MOVE_TIME: Duration = Duration::from_millis(1_600);
+
+/// Whether a member outside evacuated zones can take the lead from `leader`, as far as the
+/// entries tell.
+pub fn has_successor(engine: &Engine, leader: &Member) -> bool {
+    let members = engine.directory().members_of(&leader.group);
+    let mut others = members.iter().filter(|member| member.id != leader.id);
+    others.any(|member| can_lead(engine, member))
+}
+
+/// Whether the leader of `group` is to be replaced since its zone is evacuated.
+pub fn is_wanted(engine: &Engine, group: &GroupName) -> bool {
+    let leader = leader_there(engine, group);
+    leader.is_some_and(|leader| has_successor(engine, &leader))
+}
+
+/// The leader of `group`, if it stands in an evacuated zone.
+pub fn leader_there(engine: &Engine, group: &GroupName) -> Option<Arc<Member>> {
+    let leader = engine.group(group).view().leader?;
+    let directory = engine.directory();
+    let member = directory.member(&leader)?;
+    let is_there = engine.evacuation_schedule().is_evacuated(&member.zone);
+    is_there.then(|| Arc::clone(member))
+}
+
+/// How many leaders are to be replaced at a time now.
+pub fn moves_at_once(engine: &Engine) -> usize {
+    let groups = engine.directory().groups();
+    let wanted = groups.iter().filter_map(|group| {
+        let leader = leader_there(engine, group)?;
+        has_successor(engine, &leader).then_some(leader)
+    });
+    let closings = wanted.filter_map(|leader| {
+        let schedule = engine.evacuation_schedule();
+        schedule.closes_at(&leader.zone, Sender::Session)
+    });
+    let closings: Vec<Instant> = closings.collect();
+    let soonest = closings.iter().min().copied().unwrap_or_else(Instant::now);
+    let left = soonest.saturating_duration_since(Instant::now());
+    abreast(closings.len(), left)
+}
+
+/// How many of `changes` have to run side by side to end within `left`; all of them where
+/// there is time for none.
+fn abreast(changes: usize, left: Duration) -> usize {
+    let rounds = (left.as_millis() / MOVE_TIME.as_millis()) as usize;
+    changes.div_ceil(rounds.max(1))
+}
+
+/// Whether a member of `group` outside evacuated zones answers that it is no further behind
+/// than the others: a fence would choose it.
+pub async fn successor_answers(engine: &Engine, group: &GroupName) -> bool {
+    let patience = Patience::ONE_LIKELY_LOST;
+    let members = survey::survey(engine, group, |_| Control::Status, patience).await;
+    let replicas = members.iter().filter(|member| member.is_replica());
+    let received = |member: &Surveyed| member.response.report().map(|report| report.received);
+    let most = replicas.clone().map(received).max().flatten();
+    let mut fit = replicas.filter(|replica| can_lead(engine, &replica.member));
+    most.is_some() && fit.any(|replica| received(replica) == most)
+}
+
+fn can_lead(engine: &Engine, member: &Member) -> bool {
+    member.state.takes_work() && !engine.evacuation_schedule().is_evacuated(&member.zone)
+}
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -9,6 +9,7 @@
 pub mod access;
 pub mod choice;
 pub mod duty;
+pub(crate) mod evacuating;
 pub mod fleet;
 pub mod follower;
 pub mod freshness;
@@ -24,6 +25,7 @@
 mod watcher;
 
 use crate::engine::Engine;
+use crate::evacuation;
 use crate::following;
 use crate::group::Group;
 use crate::ports::Promoter;
@@ -53,6 +55,7 @@
         follow_directory(&engine),
         end_lapses(&engine),
         rate::run(&engine),
+        evacuation::keep(&engine),
     );
 }
 
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -153,12 +153,14 @@
             let patience = Patience::ONE_LIKELY_LOST;
             let fenced = survey::survey(&self.engine, &self.group, order_for, patience).await;
             self.tell_fence(&term.record, &fenced);
+            let evacuations = self.engine.evacuations();
             let survey = FenceSurvey {
                 members: &fenced,
                 previous: &previous,
                 term: fencing,
                 sync_replicas,
                 known: self.engine.group(&self.group).newest_known(),
+                evacuations: &evacuations,
             };
             match survey.choose(Instant::now()) {
                 Ok(target) => {
--- a/crates/engine/src/leadership/suspicion.rs
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -41,6 +41,8 @@
     CommitsStalled,
     /// It answers that it does not lead.
     NotLeading,
+    /// Its zone is evacuated; it may be well.
+    ZoneEvacuated,
 }
 
 impl Suspicion {
@@ -52,6 +54,7 @@
             Suspicion::Unreachable => "unreachable",
             Suspicion::CommitsStalled => "commits_stalled",
             Suspicion::NotLeading => "not_leading",
+            Suspicion::ZoneEvacuated => "zone_evacuated",
         }
     }
 }
@@ -99,7 +102,10 @@
     let hinted = hint(engine, group, member, Instant::now());
     let hint = hinted.or(asked_to.then_some(Suspicion::Unreachable))?;
     match hint {
-        Suspicion::Leaving | Suspicion::EntryGone | Suspicion::NotLeading => Some(hint),
+        Suspicion::Leaving
+        | Suspicion::EntryGone
+        | Suspicion::NotLeading
+        | Suspicion::ZoneEvacuated => Some(hint),
         Suspicion::Unreachable => verify_reachable(engine, group, member, asked_to).await,
         Suspicion::CommitsStalled => verify_replication(engine, group, member).await,
     }
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -1,6 +1,7 @@
 //! Watches the leaders of all groups; the holder of the lease acts, the others report.
 
 use super::duty::Duty;
+use super::evacuating;
 use super::promotion::{Promotion, PromotionError};
 use super::record::TermPhase;
 use super::report;
@@ -40,6 +41,8 @@
     busy: HashSet<GroupName>,
     /// When a suspicion was last reported.
     reported: HashMap<GroupName, Instant>,
+    /// Groups whose leaders are being moved out of evacuated zones.
+    moving: HashSet<GroupName>,
     /// Others' suspicions, by group: who, of which epoch, and when this was learned.
     reports: HashMap<GroupName, HashMap<NodeName, (Epoch, Instant)>>,
 }
@@ -93,7 +96,7 @@
 
     /// Whether a look at the group could lead to anything.
     fn is_due(&self, name: &GroupName, holds_duty: bool) -> bool {
-        if holds_duty && self.is_unfinished(name) {
+        if holds_duty && (self.is_unfinished(name) || evacuating::is_wanted(&self.engine, name)) {
             return true;
         }
         let group = self.engine.group(name);
@@ -119,7 +122,9 @@
         tokio::spawn(async move {
             let group = watcher.engine.group(&name);
             watcher.look(&group).await;
-            watcher.memory().busy.remove(&name);
+            let mut memory = watcher.memory();
+            memory.moving.remove(&name);
+            memory.busy.remove(&name);
         });
     }
 
@@ -139,7 +144,10 @@
         let verified = suspicion::verified_suspicion(&self.engine, group, &view, asked_to).await;
         let needed = REPORTERS_NEEDED.max(self.engine.watchers(group.name()).div_ceil(3));
         let outvoted = reporters >= needed;
-        let suspicion = verified.or(outvoted.then_some(Suspicion::Unreachable));
+        let mut suspicion = verified.or(outvoted.then_some(Suspicion::Unreachable));
+        if suspicion.is_none() && holds_duty && self.may_move(group.name()).await {
+            suspicion = Some(Suspicion::ZoneEvacuated);
+        }
         let (Some(suspicion), Some(leader)) = (suspicion, view.leader) else {
             if group.commits_stalled() {
                 sleep(STALLED_PAUSE).await;
@@ -172,6 +180,27 @@
         }
     }
 
+    /// Whether the leader is to be moved out of an evacuated zone now: few groups at a time
+    /// are without a leader for it.
+    async fn may_move(&self, group: &GroupName) -> bool {
+        if !evacuating::is_wanted(&self.engine, group) {
+            return false;
+        }
+        let at_once = evacuating::moves_at_once(&self.engine);
+        {
+            let mut memory = self.memory();
+            if memory.moving.len() >= at_once {
+                return false;
+            }
+            memory.moving.insert(group.clone());
+        }
+        let answers = evacuating::successor_answers(&self.engine, group).await;
+        if !answers {
+            sleep(VERIFIED_PAUSE).await;
+        }
+        answers
+    }
+
     /// Whether a promotion was begun and not completed.
     fn is_unfinished(&self, group: &GroupName) -> bool {
         let known = self.engine.terms().known(group);
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -244,6 +244,8 @@
     Unreachable(String),
     /// The home does not know the member: it has just started, or knows less of the store.
     UnknownMember,
+    /// The home must not send to the member, or can't tell whether it may.
+    MayNotSend(String),
 }
 
 /// What goes over a link one way.
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -164,7 +164,10 @@
     /// # Errors
     ///
     /// [`LinkError`] where the answer was not complete: the connection is not used again.
+    /// Also where nothing may be sent to the member.
     pub async fn run(&mut self, command: &Command) -> Result<Answer, LinkError> {
+        self.check_sending()?;
+        self.pool.gate().count_sent();
         let sent = Instant::now();
         self.clean = false;
         self.pool.note(|health| health.sent(sent));
@@ -186,6 +189,11 @@
         result
     }
 
+    fn check_sending(&self) -> Result<(), LinkError> {
+        let checked = self.pool.check_sending();
+        checked.map_err(|error| LinkError::Refused(error.to_string()))
+    }
+
     /// Carries out an order about replication.
     ///
     /// # Errors
@@ -210,6 +218,7 @@
         after: Option<LogPosition>,
     ) -> Result<Answer, RunError> {
         let command = self.command(id, work, after).await?;
+        self.check_sending().map_err(RunError::Before)?;
         let answer = self.run(&command).await.map_err(RunError::After)?;
         if !is_unknown_prepared(&answer) {
             return Ok(answer);
--- a/crates/engine/src/pool/error.rs
+++ b/crates/engine/src/pool/error.rs
@@ -1,5 +1,6 @@
 //! Why a connection could not be had, or an order not be given.
 
+use crate::evacuation::MayNotSend;
 use crate::ports::{ConnectError, LinkError};
 use quick_error::quick_error;
 use std::time::Duration;
@@ -24,6 +25,11 @@
         WrongMember {
             display("another member listens there")
         }
+        /// Nothing may be sent to the member.
+        MayNotSend(reason: MayNotSend) {
+            display("{reason}")
+            from()
+        }
     }
 }
 
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -8,6 +8,7 @@
 use super::queue::QueueDelay;
 use super::set::{ConnectionSet, Fit};
 use crate::directory::Member;
+use crate::evacuation::{Gate, MayNotSend};
 use crate::names::{DatabaseName, TenantName};
 use crate::ports::{BackEnd, BackEndConnection, ConnectError, Control, MemberReport};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -64,6 +65,7 @@
     member: Arc<Member>,
     back_end: Arc<dyn BackEnd>,
     remote: bool,
+    gate: Gate,
     connections: ConnectionSet<Established, DatabaseName>,
     state: Mutex<PoolState>,
 }
@@ -89,6 +91,7 @@
             member,
             back_end,
             remote,
+            gate: Gate::default(),
             connections: ConnectionSet::new(LimiterSettings {
                 slots: limit,
                 queue_length: QUEUE_LENGTH,
@@ -105,6 +108,24 @@
         }
     }
 
+    /// The same, where nothing is sent that `gate` holds back.
+    pub fn behind(self, gate: Gate) -> Self {
+        Self { gate, ..self }
+    }
+
+    /// Whether anything may be sent to the member now.
+    ///
+    /// # Errors
+    ///
+    /// Why it may not.
+    pub fn check_sending(&self) -> Result<(), MayNotSend> {
+        self.gate.check(Instant::now())
+    }
+
+    pub(super) fn gate(&self) -> &Gate {
+        &self.gate
+    }
+
     /// The member, as it was when the pool was made: its identity and place.
     pub fn member(&self) -> &Arc<Member> {
         &self.member
@@ -176,18 +197,22 @@
         claim: &Claim,
         deadline: Instant,
     ) -> Result<PooledConnection, AcquireError> {
-        let mut connection = self.acquire_any(claim, deadline).await?;
+        self.check_sending()?;
+        let permit = self.admit(claim, deadline).await?;
+        // The wait may have been long.
+        self.check_sending()?;
+        let mut connection = self.connection(claim, permit, deadline).await?;
         connection.admit(claim.admission(deadline));
         Ok(connection)
     }
 
-    async fn acquire_any(
+    /// A connection under `permit`: one that rests, or a new one.
+    async fn connection(
         self: &Arc<Self>,
         claim: &Claim,
+        permit: Permit<DatabaseName>,
         deadline: Instant,
     ) -> Result<PooledConnection, AcquireError> {
-        self.check_reachable(Instant::now())?;
-        let permit = self.admit(claim, deadline).await?;
         if let Some(established) = self.take_idle(claim.tenant.as_ref(), &claim.values) {
             return Ok(self.in_use_connection(established, permit));
         }
@@ -210,6 +235,7 @@
         deadline: Instant,
     ) -> Result<Permit<DatabaseName>, AcquireError> {
         let began = Instant::now();
+        self.check_reachable(began)?;
         let database = claim.database.clone();
         let admission = self.connections.admit(database, claim.limits(), deadline);
         let mut admission = std::pin::pin!(admission);
@@ -268,7 +294,8 @@
     }
 
     /// Gives an order, over a connection that is not in use if there is one. Where the
-    /// member accepts no more connections, one in use is waited for.
+    /// member accepts no more connections, one in use is waited for. Orders go to evacuated
+    /// zones too: without its fence a new leader could lack acknowledged commits.
     ///
     /// # Errors
     ///
@@ -283,7 +310,9 @@
             Ok(mut connection) => Ok(connection.control(control).await?),
             Err(ConnectError::TooManyConnections) => {
                 let until = Instant::now() + ORDER_WAIT;
-                let mut connection = self.acquire(&Claim::own(), until).await?;
+                let claim = Claim::own();
+                let permit = self.admit(&claim, until).await?;
+                let mut connection = self.connection(&claim, permit, until).await?;
                 Ok(connection.control(control).await?)
             }
             Err(error) => Err(OrderError::Connect(error)),
@@ -310,7 +339,7 @@
 
     /// Closes the connections that are not in use: the member does not answer on them.
     pub fn lose_idle(&self) {
-        drop(self.connections.take_all(|_| true));
+        self.close_resting();
         self.note(|health| health.unreachable(Instant::now()));
     }
 
@@ -322,17 +351,24 @@
         self.note(|health| health.unanswered(now.duration_since(sent), now));
         let heard = self.health().heard_at();
         if heard.is_none_or(|heard| heard <= sent) {
-            drop(self.connections.take_all(|_| true));
+            self.close_resting();
         }
     }
 
+    /// Closes the connections that are not in use: nothing is sent on them any more.
+    pub fn close_resting(&self) {
+        drop(self.connections.take_all(|_| true));
+    }
+
     /// Closes connections that were not used for long.
     pub fn close_unused(&self) {
         self.connections.close_idle(|idle| idle.age >= IDLE_LIMIT);
     }
 
     pub(super) fn give_back(&self, established: Established) {
-        self.connections.put_idle(established);
+        if !self.gate.is_closed(Instant::now()) {
+            self.connections.put_idle(established);
+        }
     }
 
     fn in_use_connection(
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -1,8 +1,9 @@
 //! Which member is to run a read: what speaks against each is added up in milliseconds of
 //! latency, whatever protocol it speaks.
 
-use crate::directory::MemberState;
+use crate::directory::{Member, MemberState};
 use crate::engine::Engine;
+use crate::evacuation::Sender;
 use crate::group::Group;
 use crate::pool::MemberPool;
 use crate::position::LogPosition;
@@ -86,7 +87,7 @@
     let members = engine.directory().members_of(group.name());
     let mut ranked: Vec<(f64, Arc<MemberPool>)> = members
         .iter()
-        .filter(|member| !is_past_use(engine, member.state, now))
+        .filter(|member| may_be_used(engine, member, now))
         .map(|member| {
             let pool = engine.session_pool(member);
             let is_leader = leader.as_ref() == Some(&member.id);
@@ -104,6 +105,22 @@
         .collect()
 }
 
+/// Whether statements of sessions may be sent to `member` at `now`.
+pub fn may_be_used(engine: &Engine, member: &Member, now: Instant) -> bool {
+    let schedule = engine.evacuation_schedule();
+    let may_send = schedule.check(&member.zone, Sender::Session, now).is_ok();
+    may_send && !is_past_use(engine, member.state, now)
+}
+
+/// Whether the next read is to avoid `member`, whose zone is being evacuated: more and more
+/// of them do, so that the members elsewhere have time to take them up.
+fn is_avoided(engine: &Engine, member: &Member, now: Instant) -> bool {
+    let share = engine
+        .evacuation_schedule()
+        .share_avoiding(&member.zone, now);
+    share > 0.0 && rand::random::<f64>() < share
+}
+
 /// Whether a member in `state` must not be used any more: that it leaves may have been
 /// known for too long, also to others only.
 pub fn is_past_use(engine: &Engine, state: MemberState, now: Instant) -> bool {
@@ -131,7 +148,7 @@
         is_remote: pool.member().zone != engine.settings().zone,
         is_leader,
         is_doubtful: lacks || health.is_busy(now),
-        is_leaving: !state.takes_work(),
+        is_leaving: !state.takes_work() || is_avoided(engine, pool.member(), now),
         is_unreachable: health.is_unreachable(now),
     };
     cost.total_ms()
--- a/crates/engine/src/session/mod.rs
+++ b/crates/engine/src/session/mod.rs
@@ -4,6 +4,7 @@
 //! decided, sent and answered in [`Session::handle`], top to bottom in one task.
 
 mod authorization;
+mod evacuated;
 mod floor;
 mod limits;
 mod offer;
--- a/crates/engine/src/session/offer.rs
+++ b/crates/engine/src/session/offer.rs
@@ -105,7 +105,9 @@
         match declined.error {
             AcquireError::Shed(wait) => soonest = Some(soonest.unwrap_or(wait).min(wait)),
             AcquireError::Exhausted => return None,
-            AcquireError::Unreachable(_) | AcquireError::WrongMember => {}
+            AcquireError::Unreachable(_)
+            | AcquireError::WrongMember
+            | AcquireError::MayNotSend(_) => {}
         }
     }
     soonest
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -1,6 +1,7 @@
 //! Single reads: at the best member that is fresh enough, a second one where the first is
 //! silent.
 
+use super::evacuated::check_route;
 use super::floor::FloorRequirement;
 use super::limits::StatementLimits;
 use super::offer::{Declined, Offer, first_connection, why_declined};
@@ -98,6 +99,7 @@
         self.engine.hedges().record_request();
         let mut permit = None;
         loop {
+            check_route(&self.engine, &group, route.consistency)?;
             let targets = self
                 .read_targets(&group, route, request.received, limits.offer, trace)
                 .await;
--- a/crates/engine/src/session/trace.rs
+++ b/crates/engine/src/session/trace.rs
@@ -146,6 +146,7 @@
         FailureReason::UnknownCredential
             | FailureReason::UnknownDatabase
             | FailureReason::ConfigurationOutdated
+            | FailureReason::ZoneEvacuated
             | FailureReason::RateLimited
             | FailureReason::RateUnknown
     );
--- a/crates/engine/src/session/transaction/mod.rs
+++ b/crates/engine/src/session/transaction/mod.rs
@@ -195,6 +195,10 @@
             open.connection.roll_back();
             return Err(Failure::not_run(FailureReason::NoReplica));
         }
+        if let Err(reason) = open.connection.pool().check_sending() {
+            trace.attempted(&member, reason.to_string());
+            return Err(Failure::not_run(FailureReason::TransactionLost));
+        }
         let sent = Instant::now();
         if open.wrote && !open.connection.pool().is_remote() {
             transaction.group.record_commit_sent(sent);
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -1,10 +1,12 @@
 //! Opening a transaction at a member, with its first statement.
 
 use super::{OpenTransaction, Stage, Transaction};
+use crate::configuration::Consistency;
 use crate::group::UsableLeader;
 use crate::leadership::access;
 use crate::pool::{Claim, PooledConnection, RunError, Work};
 use crate::ports::Command;
+use crate::session::evacuated::check_route;
 use crate::session::limits::StatementLimits;
 use crate::session::offer::{Offer, first_connection, why_declined};
 use crate::session::read::{ReadTarget, note_position, note_refusal};
@@ -49,6 +51,11 @@
         let claim = self.claim(&transaction.route);
         let mut permit = None;
         loop {
+            let consistency = match transaction.read_only {
+                true => transaction.route.consistency,
+                false => Consistency::Leader,
+            };
+            check_route(&self.engine, &transaction.group, consistency)?;
             let mut places = self.places(transaction, limits, trace).await;
             let mut reason = FailureReason::NoLeader;
             while !places.targets.is_empty() && Instant::now() < limits.offer {
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -1,5 +1,6 @@
 //! Single writes: at the leader, at most once.
 
+use super::evacuated::check_leader;
 use super::limits::{RETRY_PAUSE, StatementLimits};
 use super::trace::RequestTrace;
 use super::{Completion, Session};
@@ -10,7 +11,7 @@
 use crate::names::RequestId;
 use crate::pool::{AcquireError, Claim, MemberPool, PooledConnection, RunError, Work};
 use crate::ports::{Answer, Refusal, RefusalKind};
-use crate::routing::is_past_use;
+use crate::routing::may_be_used;
 use crate::statement::{Request, TransactionState};
 use crate::verdict::{Failure, FailureReason, MemberFailure};
 use std::sync::Arc;
@@ -118,6 +119,7 @@
             let Some(leader) = access::writable_leader(&group, limits.offer).await else {
                 return Err(Failure::not_run(FailureReason::NoLeader));
             };
+            check_leader(&self.engine, &group)?;
             let drawn = self.permit(permit, limits).await?;
             permit = Some(drawn);
             let job = WriteJob {
@@ -213,8 +215,7 @@
 pub(super) fn leader_pool(engine: &Engine, leader: &UsableLeader) -> Option<Arc<MemberPool>> {
     let directory = engine.directory();
     let member = directory.member(&leader.member)?;
-    let past_use = is_past_use(engine, member.state, Instant::now());
-    (!past_use).then(|| engine.session_pool(member))
+    may_be_used(engine, member, Instant::now()).then(|| engine.session_pool(member))
 }
 
 /// Waits for an answer until `until`, or until another leader is chosen.
@@ -267,7 +268,7 @@
     match error {
         AcquireError::Shed(retry_after) => Attempt::Decided(Err(shed(*retry_after))),
         AcquireError::Exhausted => Attempt::NotRun(FailureReason::Overloaded),
-        AcquireError::Unreachable(_) | AcquireError::WrongMember => {
+        AcquireError::Unreachable(_) | AcquireError::WrongMember | AcquireError::MayNotSend(_) => {
             Attempt::NotRun(FailureReason::NoLeader)
         }
     }
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -2,6 +2,7 @@
 //! things happen; gauges are read when somebody asks for the metrics.
 
 use crate::engine::Engine;
+use crate::leadership::evacuating;
 use tokio::time::Instant;
 
 /// What a metric is.
@@ -93,6 +94,23 @@
         "stilequay_configuration_proof_age_seconds",
         "Time since the configuration in use was last known to be the newest.",
     ),
+    Metric::gauge("stilequay_evacuated_zones", "Zones that are evacuated."),
+    Metric::gauge(
+        "stilequay_evacuation_version",
+        "The store's version of the newest request to evacuate a zone, or to end that.",
+    ),
+    Metric::gauge(
+        "stilequay_evacuated_leaders",
+        "Groups whose leader stands in an evacuated zone.",
+    ),
+    Metric::counter(
+        "stilequay_evacuation_sent_total",
+        "Commands that were sent to members of a zone while it was being evacuated.",
+    ),
+    Metric::counter(
+        "stilequay_evacuation_held_total",
+        "Commands that were held back, by reason: evacuated, or unproven where this process could not tell.",
+    ),
     Metric::counter(
         "stilequay_home_forwarded_total",
         "Commands that were forwarded to homes.",
@@ -176,6 +194,7 @@
         let age = Instant::now().saturating_duration_since(at).as_secs_f64();
         metrics::gauge!("stilequay_configuration_proof_age_seconds").set(age);
     }
+    record_evacuations(engine);
     let follows = u8::from(engine.following().is_direct());
     metrics::gauge!("stilequay_follows_store").set(f64::from(follows));
     directory
@@ -194,6 +213,17 @@
     });
 }
 
+fn record_evacuations(engine: &Engine) {
+    let evacuations = engine.evacuations();
+    metrics::gauge!("stilequay_evacuated_zones").set(evacuations.zones.len() as f64);
+    metrics::gauge!("stilequay_evacuation_version").set(evacuations.version as f64);
+    let groups = engine.directory().groups();
+    let there = groups
+        .iter()
+        .filter(|group| evacuating::leader_there(engine, group).is_some());
+    metrics::gauge!("stilequay_evacuated_leaders").set(there.count() as f64);
+}
+
 /// Zeroes the gauges of a member that is no longer known.
 pub fn forget_member(member: &str) {
     PoolGauges::default().record(member);
--- a/crates/engine/src/verdict.rs
+++ b/crates/engine/src/verdict.rs
@@ -48,6 +48,9 @@
     RateUnknown,
     /// No leader is known or usable now.
     NoLeader,
+    /// The group's servers stand in zones that are evacuated, or the one that would have to run
+    /// it does and no other can lead.
+    ZoneEvacuated,
     /// No replica receives commits: none would be acknowledged.
     NoReplica,
     /// No member that is fresh enough can be reached.
@@ -97,6 +100,7 @@
             FailureReason::RateLimited => "rate_limited",
             FailureReason::RateUnknown => "rate_unknown",
             FailureReason::NoLeader => "no_leader",
+            FailureReason::ZoneEvacuated => "zone_evacuated",
             FailureReason::NoReplica => "no_replica",
             FailureReason::NoFreshMember => "no_fresh_member",
             FailureReason::Overloaded => "overloaded",
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, Member, MemberState, Role};
+use stilequay_engine::evacuation::Evacuations;
 use stilequay_engine::leadership::choice::{FenceSurvey, Obstacle, PreviousLeader, fencing_term};
 use stilequay_engine::leadership::survey::{Response, Surveyed};
 use stilequay_engine::ports::MemberReport;
@@ -91,6 +92,7 @@
         term: TERM,
         sync_replicas,
         known,
+        evacuations: &Evacuations::default(),
     };
     survey
         .choose(Instant::now())
