--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -20,6 +20,7 @@
 use stilequay_engine::configuration::{Configuration, Consistency, GroupSettings, Route};
 use stilequay_engine::directory::{Departure, Directory};
 use stilequay_engine::engine::{Engine, EngineRecords, EngineSettings, SlowStartBounds};
+use stilequay_engine::evacuation::Evacuations;
 use stilequay_engine::following::Feed;
 use stilequay_engine::leadership;
 use stilequay_engine::residency::Residency;
@@ -50,6 +51,10 @@
     pub nodes: Vec<Node>,
     /// The newest configuration in the store.
     pub configuration: watch::Sender<Configuration>,
+    /// The zones that are evacuated, as the store holds them.
+    pub evacuations: watch::Sender<Evacuations>,
+    /// Time within which evacuations must be acted on.
+    evacuation_bound: Option<Duration>,
     /// The zones in which processes stand, in turn.
     zones: &'static [&'static str],
     /// How callers prove on whose behalf they ask.
@@ -130,6 +135,24 @@
         zones: &'static [&'static str],
         nodes: usize,
         tenants: Option<TenantPolicy>,
+    ) -> Self {
+        Self::start_bound(zones, nodes, tenants, None).await
+    }
+
+    /// The same, where zones are evacuated within `bound`.
+    pub async fn start_evacuated_within(
+        bound: Duration,
+        zones: &'static [&'static str],
+        nodes: usize,
+    ) -> Self {
+        Self::start_bound(zones, nodes, None, Some(bound)).await
+    }
+
+    async fn start_bound(
+        zones: &'static [&'static str],
+        nodes: usize,
+        tenants: Option<TenantPolicy>,
+        evacuation_bound: Option<Duration>,
     ) -> Self {
         print_events_if_asked();
         let world = World::new(&["a", "b", "c"]);
@@ -141,6 +164,8 @@
             nodes: Vec::new(),
             zones,
             configuration: watch::Sender::new(configuration(1)),
+            evacuations: watch::Sender::new(Evacuations::default()),
+            evacuation_bound,
             tenants,
         };
         for index in 0..nodes {
@@ -174,7 +199,7 @@
             contact: Duration::from_secs(4),
             leaving_use: Duration::from_secs(4),
             configuration_bound: Duration::from_secs(3),
-            evacuation_bound: None,
+            evacuation_bound: self.evacuation_bound,
             slow_start: SlowStartBounds {
                 excess: 1.0,
                 slack: 0.0,
@@ -207,7 +232,10 @@
                 Arc::clone(&engine),
                 Arc::clone(&self.world),
                 Arc::clone(&self.records),
-                self.configuration.subscribe(),
+                Operator {
+                    configuration: self.configuration.subscribe(),
+                    evacuations: self.evacuations.subscribe(),
+                },
             )),
         ];
         Node {
@@ -243,12 +271,18 @@
     }
 }
 
+/// What the operator has written.
+struct Operator {
+    configuration: watch::Receiver<Configuration>,
+    evacuations: watch::Receiver<Evacuations>,
+}
+
 /// Entries change a moment after the servers do.
 async fn follow_directory(
     engine: Arc<Engine>,
     world: Arc<World>,
     records: Arc<MemoryRecords>,
-    newest: watch::Receiver<Configuration>,
+    operator: Operator,
 ) {
     let mut version = 1;
     loop {
@@ -260,7 +294,8 @@
         let now = Instant::now();
         engine.following().heard(Feed::Configuration, now, version);
         if records.serves(&engine.settings().node) {
-            engine.set_configuration(newest.borrow().clone());
+            engine.set_evacuations(operator.evacuations.borrow().clone());
+            engine.set_configuration(operator.configuration.borrow().clone());
             engine.following().prove_configuration(now);
         }
         engine.following().heard(Feed::Directory, now, version);
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -263,6 +263,9 @@
     async fn run_at_server(&mut self, command: &Command) -> Result<Answer, LinkError> {
         sleep(ROUND_TRIP).await;
         let server = self.reach().await?;
+        let arrived = Some(Instant::now());
+        self.world
+            .change(&self.server, |s| s.last_command = arrived);
         match command {
             Command::Begin { read_only, after } => {
                 if !read_only && server.role != Role::Primary {
--- a/crates/engine/tests/support/servers/mod.rs
+++ b/crates/engine/tests/support/servers/mod.rs
@@ -55,6 +55,8 @@
     /// Says that it has paused, and goes on receiving: a planted mistake.
     pub ignores_pause: bool,
     pub statements: u64,
+    /// When it was last sent a command of a session.
+    pub last_command: Option<Instant>,
 }
 
 impl Server {
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -63,6 +63,7 @@
             shown: 0,
             ignores_pause: false,
             statements: 0,
+            last_command: None,
         };
         let roles = names.iter().enumerate().map(|(index, name)| {
             let role = match index {
