Ask no member of a closed zone for its position

Cause: where no position was known, all members were asked for theirs, those of evacuated zones too.

Change: those that may not be sent to count as silent; the number of leaders moved at a time is worked out once a look in place of once a group.

--- a/crates/engine/src/leadership/evacuating.rs
+++ b/crates/engine/src/leadership/evacuating.rs
@@ -33,6 +33,9 @@
 
 /// The leader of `group`, if it stands in an evacuated zone.
 pub fn leader_there(engine: &Engine, group: &GroupName) -> Option<Arc<Member>> {
+    if engine.evacuations().zones.is_empty() {
+        return None;
+    }
     let leader = engine.group(group).view().leader?;
     let directory = engine.directory();
     let member = directory.member(&leader)?;
@@ -40,9 +43,8 @@
     is_there.then(|| Arc::clone(member))
 }
 
-/// How many leaders are to be replaced at a time now.
-pub fn moves_at_once(engine: &Engine) -> usize {
-    let groups = engine.directory().groups();
+/// How many leaders of `groups` are to be replaced at a time now.
+pub fn moves_at_once(engine: &Engine, groups: &[GroupName]) -> usize {
     let wanted = groups.iter().filter_map(|group| {
         let leader = leader_there(engine, group)?;
         has_successor(engine, &leader).then_some(leader)
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -1,13 +1,16 @@
 //! Learning a position that covers a moment, where the traffic has not brought one.
 
-use super::survey::{self, Patience, Surveyed};
+use super::survey::{self, Patience, Response, Surveyed};
+use crate::directory::Member;
 use crate::engine::Engine;
+use crate::evacuation::Sender;
 use crate::group::Group;
 use crate::home;
 use crate::peers;
 use crate::pool::Claim;
 use crate::ports::{Command, Control};
 use crate::position::LogPosition;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -53,7 +56,7 @@
     group.covering_position(moment)
 }
 
-/// Asks all members how far they have received the log. An acknowledged commit lies on
+/// Asks all members that may be sent anything how far they have received the log. An acknowledged commit lies on
 /// the leader and on as many replicas as had to receive it: where no more members than
 /// that are silent, the highest position told covers every one of them.
 async fn ask_members(engine: &Engine, group: &Group) {
@@ -62,7 +65,18 @@
     }
     let sent = Instant::now();
     let patience = Patience::ONE_LIKELY_LOST;
-    let members = survey::survey(engine, group.name(), |_| Control::Status, patience).await;
+    let members = engine.directory().members_of(group.name());
+    let schedule = engine.evacuation_schedule();
+    let may_ask = |member: &Arc<Member>| {
+        let checked = schedule.check(&member.zone, Sender::Session, sent);
+        checked.is_ok()
+    };
+    let (asked, held_back): (Vec<_>, Vec<_>) = members.into_iter().partition(may_ask);
+    let mut members = survey::survey_members(engine, asked, |_| Control::Status, patience).await;
+    members.extend(held_back.into_iter().map(|member| Surveyed {
+        member,
+        response: Response::Silent("not asked any more".to_owned()),
+    }));
     let reports = members.iter().filter_map(|m| m.response.report());
     let silent = members.iter().filter(|member| {
         let answered = member.response.report().is_some();
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -110,6 +110,16 @@
     patience: Patience,
 ) -> Vec<Surveyed> {
     let members = engine.directory().members_of(group);
+    survey_members(engine, members, control_for, patience).await
+}
+
+/// The same for `members` only.
+pub async fn survey_members(
+    engine: &Engine,
+    members: Vec<Arc<Member>>,
+    control_for: impl Fn(&Member) -> Control,
+    patience: Patience,
+) -> Vec<Surveyed> {
     let orders = members.iter().map(|member| {
         let control = control_for(member);
         async move {
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -43,6 +43,8 @@
     reported: HashMap<GroupName, Instant>,
     /// Groups whose leaders are being moved out of evacuated zones.
     moving: HashSet<GroupName>,
+    /// How many of these there may be.
+    moves_at_once: usize,
     /// Others' suspicions, by group: who, of which epoch, and when this was learned.
     reports: HashMap<GroupName, HashMap<NodeName, (Epoch, Instant)>>,
 }
@@ -87,6 +89,9 @@
         };
         names.sort();
         names.dedup();
+        if holds_duty {
+            self.memory().moves_at_once = evacuating::moves_at_once(&self.engine, &names);
+        }
         for name in names {
             if self.is_due(&name, holds_duty) {
                 self.look_at(name);
@@ -186,10 +191,9 @@
         if !evacuating::is_wanted(&self.engine, group) {
             return false;
         }
-        let at_once = evacuating::moves_at_once(&self.engine);
         {
             let mut memory = self.memory();
-            if memory.moving.len() >= at_once {
+            if memory.moving.len() >= memory.moves_at_once {
                 return false;
             }
             memory.moving.insert(group.clone());
--- a/crates/engine/tests/evacuation.rs
+++ b/crates/engine/tests/evacuation.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::evacuation::{Evacuations, MayNotSend, Schedule, Sender};
+use stilequay_engine::evacuation::{MayNotSend, Schedule, Sender};
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::statement::Reply;
 use stilequay_engine::verdict::{FailureReason, Verdict};
