--- a/crates/engine/src/leadership/evacuating.rs
+++ b/crates/engine/src/leadership/evacuating.rs
@@ -61,7 +61,7 @@
 
 /// How many of `changes` have to run side by side to end within `left`; all of them where
 /// there is time for none.
-fn abreast(changes: usize, left: Duration) -> usize {
+pub fn abreast(changes: usize, left: Duration) -> usize {
     let rounds = (left.as_millis() / MOVE_TIME.as_millis()) as usize;
     changes.div_ceil(rounds.max(1))
 }
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -9,7 +9,7 @@
 pub mod access;
 pub mod choice;
 pub mod duty;
-pub(crate) mod evacuating;
+pub mod evacuating;
 pub mod fleet;
 pub mod follower;
 pub mod freshness;
--- a/crates/engine/tests/evacuation.rs
+++ b/crates/engine/tests/evacuation.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::evacuation::{MayNotSend, Schedule, Sender};
+use stilequay_engine::leadership::evacuating::abreast;
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::statement::Reply;
 use stilequay_engine::verdict::{FailureReason, Verdict};
@@ -374,21 +375,65 @@
 }
 
 /// Two zones at once leave one member, which then leads and serves.
+#[rstest]
+#[case::the_first_two("b", "c")]
+#[case::the_outer_two("c", "b")]
 #[tokio::test(start_paused = true)]
-async fn two_zones_at_once_leave_the_third() {
+async fn two_zones_at_once_leave_the_third(#[case] other: &str, #[case] left: &str) {
     let fleet = fleet_of(4).await;
     (0..4).for_each(|node| keep_busy(&fleet, node));
     sleep(Duration::from_secs(1)).await;
-    let acked = evacuate(&fleet, &["zone-a", "zone-b"]);
-    for server in ["a", "b"] {
+    let other_zone = format!("zone-{other}");
+    let acked = evacuate(&fleet, &["zone-a", &other_zone]);
+    for server in ["a", other] {
         let last = last_after(&fleet, server, acked).await;
         assert!(last < BOUND, "{server}: {last:?}");
     }
-    assert_eq!(fleet.world.leader(), "c");
+    assert_eq!(fleet.world.leader(), left);
     assert_eq!(fleet.world.promotions().len(), 1);
     write_until_done(&fleet, 0).await;
 }
 
+/// As many leaders move side by side as end in time, and no more.
+#[rstest]
+#[case::none(0, 3_000, 0)]
+#[case::one(1, 3_000, 1)]
+#[case::time_for_one_round(3, 3_000, 3)]
+#[case::time_for_two_rounds(3, 3_300, 2)]
+#[case::time_for_many(9, 16_000, 1)]
+#[case::too_late(3, 0, 3)]
+fn leaders_move_a_few_at_a_time(
+    #[case] changes: usize,
+    #[case] left_ms: u64,
+    #[case] expected: usize,
+) {
+    assert_eq!(abreast(changes, Duration::from_millis(left_ms)), expected);
+}
+
+/// A home that hears of nothing sends nothing: what was forwarded to it goes to the next one.
+#[tokio::test(start_paused = true)]
+async fn what_a_home_may_not_send_goes_to_the_next_one() {
+    let fleet = fleet_of(LARGE).await;
+    write_until_done(&fleet, 0).await;
+    let directory = fleet.nodes[0].engine.directory();
+    let member = Arc::clone(directory.member("a").expect("a member"));
+    let candidates = fleet.nodes[0].engine.homes().candidates(&member);
+    let home = candidates[0].node.to_string();
+    let is_away = |node: &&support::Node| !node.engine.connects_itself(&member);
+    let front = fleet.nodes.iter().rev().find(is_away).expect("a process");
+    fleet.records.ignore_node(&home);
+    for node in &fleet.nodes {
+        if node.name != home && node.name != front.name {
+            fleet.network().cut(&home, &node.name);
+        }
+    }
+    sleep(BOUND).await;
+    let mut client = Client::open(&front.engine, LEADER_DATABASE);
+    for _ in 0..10 {
+        assert_eq!(seen(&client.read("x").await).0, "a");
+    }
+}
+
 /// Where no member may be used, or only the leader of an evacuated zone could, callers hear so
 /// at once.
 #[tokio::test(start_paused = true)]
