--- a/crates/engine/tests/evacuation.rs
+++ b/crates/engine/tests/evacuation.rs
@@ -411,14 +411,17 @@
 }
 
 /// A home that hears of nothing sends nothing: what was forwarded to it goes to the next one.
+#[rstest]
+#[case::the_first_home(0)]
+#[case::the_second_home(1)]
 #[tokio::test(start_paused = true)]
-async fn what_a_home_may_not_send_goes_to_the_next_one() {
+async fn what_a_home_may_not_send_goes_to_the_next_one(#[case] rank: usize) {
     let fleet = fleet_of(LARGE).await;
     write_until_done(&fleet, 0).await;
     let directory = fleet.nodes[0].engine.directory();
     let member = Arc::clone(directory.member("a").expect("a member"));
     let candidates = fleet.nodes[0].engine.homes().candidates(&member);
-    let home = candidates[0].node.to_string();
+    let home = candidates[rank].node.to_string();
     let is_away = |node: &&support::Node| !node.engine.connects_itself(&member);
     let front = fleet.nodes.iter().rev().find(is_away).expect("a process");
     fleet.records.ignore_node(&home);
