Spread the moves of leaders over the time in which they begin

Cause: with a bound of 5 s all leaders of a zone were moved side by side, since two rounds of 1.6 s did not end in time; a change needs 1.2 s, and one that has begun costs no more for ending later.

Change: the last change has to begin in time, not to end.

--- a/crates/engine/src/leadership/evacuating.rs
+++ b/crates/engine/src/leadership/evacuating.rs
@@ -1,7 +1,7 @@
 //! Moving leaders out of evacuated zones.
 //!
 //! A leader there is replaced as one that leaves: fenced while it lives. Each change is a gap
-//! in its group's writes, so only as many run side by side as end in time.
+//! in its group's writes, so only as many run side by side as have to.
 
 use super::survey::{self, Patience, Surveyed};
 use crate::directory::Member;
@@ -13,9 +13,10 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Time that one change of a leader is taken to need: its fence, the order, which takes up to a
-/// second to act, and the wait for the old term's evidence.
-const MOVE_TIME: Duration = Duration::from_millis(1_600);
+/// Time that one change of a leader is taken to need: its fence, the order, and the wait for the
+/// old term's evidence. Measured: 1.19 to 1.25 s from the first look to the new leader's first
+/// write, 17 changes, where an order needs 1 s to act.
+const MOVE_TIME: Duration = Duration::from_millis(1_300);
 
 /// Whether a member outside evacuated zones can take the lead from `leader`, as far as the
 /// entries tell.
@@ -59,10 +60,11 @@
     abreast(closings.len(), left)
 }
 
-/// How many of `changes` have to run side by side to end within `left`; all of them where
-/// there is time for none.
+/// How many of `changes` have to run side by side so that the last of them begins within
+/// `left`; all of them where there is no time. One that has begun costs no more for ending
+/// later: its old leader gets nothing more.
 pub fn abreast(changes: usize, left: Duration) -> usize {
-    let rounds = (left.as_millis() / MOVE_TIME.as_millis()) as usize;
+    let rounds = left.as_millis().div_ceil(MOVE_TIME.as_millis()) as usize;
     changes.div_ceil(rounds.max(1))
 }
 
