--- a/crates/engine/tests/evacuation.rs
+++ b/crates/engine/tests/evacuation.rs
@@ -4,14 +4,17 @@
 mod support;
 
 use rstest::rstest;
+use serde_json::json;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::evacuation::{MayNotSend, Schedule, Sender};
+use stilequay_engine::events::Event;
 use stilequay_engine::leadership::evacuating::abreast;
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::statement::Reply;
 use stilequay_engine::verdict::{FailureReason, Verdict};
+use support::records::Fault;
 use support::{
     BOUNDED_DATABASE, Client, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, read, seen, until, write,
 };
@@ -289,6 +292,27 @@
     }
 }
 
+/// The store answers nobody: nobody can tell what is evacuated, and all refuse before the
+/// bound; they serve again with the store.
+#[tokio::test(start_paused = true)]
+async fn while_the_store_answers_nobody_all_refuse_in_time() {
+    let fleet = fleet_of(3).await;
+    write_until_done(&fleet, 0).await;
+    fleet.records.set_fault(Fault::Silent);
+    let silent = Instant::now();
+    sleep_until(silent + BOUND.mul_f64(0.8)).await;
+    let mut client = fleet.session(1, BOUNDED_DATABASE);
+    assert!(client.read("x").await.outcome.is_ok());
+    sleep_until(silent + BOUND.mul_f64(0.92)).await;
+    let outdated = FailureReason::ConfigurationOutdated;
+    assert_eq!(refusal(&client.read("x").await), outdated);
+    assert_eq!(refusal(&client.write("x 1").await), outdated);
+    fleet.records.set_fault(Fault::None);
+    sleep(Duration::from_secs(1)).await;
+    assert!(client.read("x").await.outcome.is_ok());
+    write_until_done(&fleet, 1).await;
+}
+
 /// A process that stands still over the bound sends nothing there when it goes on.
 #[tokio::test(start_paused = true)]
 async fn a_process_that_stood_still_over_the_bound_sends_nothing_there() {
@@ -538,3 +562,23 @@
     assert!(last < BOUND, "{last:?}");
     assert!(refused * 100 <= asked, "{refused} of {asked}");
 }
+
+/// Whoever reads logs relies on the fields.
+#[test]
+fn events_of_evacuations_have_their_fields() {
+    let taken = Event::EvacuationsTaken {
+        version: 7,
+        zones: zones(&["zone-a", "zone-b"]),
+    };
+    let closed = Event::ZoneClosed {
+        zone: "zone-a".into(),
+        version: 7,
+        after_ms: 2_600,
+    };
+    let written = [taken, closed].map(|event| serde_json::to_value(event).expect("JSON"));
+    let expected = [
+        json!({"event": "evacuations_taken", "version": 7, "zones": ["zone-a", "zone-b"]}),
+        json!({"event": "zone_closed", "zone": "zone-a", "version": 7, "after_ms": 2600}),
+    ];
+    assert_eq!(written, expected);
+}
