Rate limits: six shards, late counters passed by, successors that come at once

Operations asked three counters in turn and waited 80 ms for each that was silent; with two of three lost a third of each limit was left, and a successor began to look at the lease only once it was asked.

Each limit is now divided among six counters, dealt to zones and processes so that none counts two. A question that is late after 25 ms goes on in a task of its own and the operation asks the next shard; a lost shard is probed in the background. Counters tell the other candidates of each renewal, so that a successor counts the lease's time without a call of the store, and one that does not reach a counter either takes the lease over at once: it grants what buckets begin with, and fills them once the lease before has lapsed. The share of the slack that buckets hold rises to 0.5 for the tokens that twice as many buckets round off, that which they begin with falls to 0.5 in turn; the sum stands in the module's head.

--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -39,6 +39,15 @@
     },
 }
 
+/// A lease that was taken from a holder which may not have noticed yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakenOver {
+    /// The lease.
+    pub lease: Lease,
+    /// Until when the holder before may act under its own, on the clock of the candidate.
+    pub shared_until: Duration,
+}
+
 /// One node's pursuit of one lease.
 pub struct LeaseCandidate {
     name: LeaseName,
@@ -115,15 +124,7 @@
                 retry_after => return Ok(Acquisition::Taken { retry_after }),
             },
         };
-        let record = LeaseRecord {
-            holder: self.holder.clone(),
-            incarnation: self.incarnation,
-            fencing,
-            renewal: 0,
-            write_id: rand::random(),
-            duration: self.settings.duration,
-            released: false,
-        };
+        let record = self.first_record(fencing);
         match self.write(current.as_ref(), record).await {
             Ok(lease) => {
                 self.replaced = current;
@@ -136,6 +137,49 @@
         }
     }
 
+    /// Takes the lease from the holder of `suspect`, which is believed to be lost, before it has
+    /// lapsed: that holder can't renew it any more, but may act under it until the moment that
+    /// is returned. `None` where the lease is not held by it any longer.
+    ///
+    /// # Errors
+    ///
+    /// As for [`LeaseCandidate::try_acquire`].
+    pub async fn take_over(
+        &mut self,
+        suspect: &LeaseRecord,
+    ) -> Result<Option<TakenOver>, LeaseError> {
+        let current = self.store.get(&self.name).await?;
+        let Some(current) = current.filter(|current| current.fencing == suspect.fencing) else {
+            return Ok(None);
+        };
+        let shared_until = self.clock.now() + self.time_until_free(&current);
+        let record = self.first_record(current.fencing.next());
+        match self.write(Some(&current), record).await {
+            Ok(lease) => {
+                self.replaced = Some(current);
+                Ok(Some(TakenOver {
+                    lease,
+                    shared_until,
+                }))
+            }
+            Err(LeaseError::Lost) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// What the store is to hold of a new holding.
+    fn first_record(&self, fencing: FencingNumber) -> LeaseRecord {
+        LeaseRecord {
+            holder: self.holder.clone(),
+            incarnation: self.incarnation,
+            fencing,
+            renewal: 0,
+            write_id: rand::random(),
+            duration: self.settings.duration,
+            released: false,
+        }
+    }
+
     /// The record that the lease acquired last has replaced: how often the holding before was
     /// renewed tells how long it lasted at least. `None` where there was none.
     pub fn replaced(&self) -> Option<&LeaseRecord> {
--- a/crates/coordination/src/lease/mod.rs
+++ b/crates/coordination/src/lease/mod.rs
@@ -27,7 +27,7 @@
 mod fencing;
 mod port;
 
-pub use candidate::{Acquisition, LeaseCandidate, LeaseSettings};
+pub use candidate::{Acquisition, LeaseCandidate, LeaseSettings, TakenOver};
 pub use fencing::{FencingGuard, FencingNumber, StaleFencing};
 pub use port::{LeaseRecord, LeaseStore, LeaseStoreError, PutOutcome};
 
@@ -92,6 +92,12 @@
         self.record.fencing
     }
 
+    /// What the store holds of it, for candidates that are told of it
+    /// ([`LeaseCandidate::observe`]).
+    pub fn record(&self) -> &LeaseRecord {
+        &self.record
+    }
+
     /// What the lease is for.
     pub fn name(&self) -> &LeaseName {
         &self.name
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -162,12 +162,35 @@
 }
 
 /// The candidates for counting `shard` of the rate limits among `fleet`, which stands in
-/// `zones`: each zone has a shard, as far as there are zones.
+/// `zones`: the shards are dealt to the zones in turn, and the processes of a zone to its
+/// shards, so that no process is a candidate for two of them while there are enough. The last
+/// candidate stands in another zone.
 fn rank_counters(fleet: &[Peer], zones: &[ZoneName], shard: Shard) -> Vec<Peer> {
-    let Some(zone) = zones.get(shard % zones.len().max(1)) else {
+    let count = zones.len().max(1);
+    let Some(zone) = zones.get(shard % count) else {
         return Vec::new();
     };
-    rank_near(fleet, zone, format!("counter/{shard}").as_bytes())
+    let inside = fleet.iter().filter(|peer| peer.zone == *zone);
+    let inside: Vec<&Peer> = first_of(inside, b"counter", fleet.len()).collect();
+    let mut near = dealt(inside, shard / count, SHARDS.div_ceil(count));
+    let task = format!("counter/{shard}");
+    let outside = fleet.iter().filter(|peer| peer.zone != *zone);
+    let far = first_of(outside, task.as_bytes(), CANDIDATES);
+    let far: Vec<&Peer> = far.collect();
+    near.truncate(CANDIDATES - far.len().min(1));
+    let ranked = near.into_iter().chain(far).take(CANDIDATES);
+    ranked.cloned().collect()
+}
+
+/// The order of `peers` for the task at `place` of `count`: first its own when they are dealt
+/// to the tasks in turn, then the others.
+fn dealt(mut peers: Vec<&Peer>, place: usize, count: usize) -> Vec<&Peer> {
+    let first = place % peers.len().max(1);
+    peers.rotate_left(first);
+    let own = peers.iter().step_by(count);
+    let others = peers.iter().enumerate();
+    let others = others.filter(|(index, _)| index % count != 0);
+    own.chain(others.map(|(_, peer)| peer)).copied().collect()
 }
 
 #[derive(Debug, Default)]
@@ -431,17 +454,29 @@
         addresses
     }
 
+    /// Where the candidate for counting `shard` called `node` answers, if it is another one.
+    pub fn counter_address(&self, shard: Shard, node: &str) -> Option<SocketAddr> {
+        let counters = self.counters(shard);
+        let found = counters.iter().find(|peer| &*peer.node == node)?;
+        Some(found.address).filter(|_| found.node != self.own)
+    }
+
     /// Notes that the process at `address` has granted or refused permits of `shard`.
     pub fn note_counter(&self, shard: Shard, address: SocketAddr) {
         self.lock().last_counters.insert(shard, address);
     }
 
-    /// The shards of the rate limits, in the order in which a process of `zone` asks them.
-    pub fn shards_by_distance(&self, zone: &ZoneName) -> [Shard; SHARDS] {
+    /// The shards of the rate limits, in the order in which a process of `zone` asks them for
+    /// `tenant`: those of its zone first. Where a zone has several, tenants begin with different
+    /// ones.
+    pub fn shards_by_distance(&self, zone: &ZoneName, tenant: &TenantName) -> [Shard; SHARDS] {
         let zones = self.lock().zones();
-        let own = zones.iter().position(|known| known == zone);
-        let first = own.unwrap_or(0) % SHARDS;
-        std::array::from_fn(|distance| (first + distance) % SHARDS)
+        let count = zones.len().max(1);
+        let own = zones.iter().position(|known| known == zone).unwrap_or(0);
+        let round = (xxh3_64(tenant.as_bytes()) % SHARDS as u64) as usize;
+        let mut order: [Shard; SHARDS] = std::array::from_fn(|place| (place + round) % SHARDS);
+        order.sort_by_key(|shard| (shard % count + count - own) % count);
+        order
     }
 
     fn is_among(&self, peers: &[Peer]) -> bool {
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -12,6 +12,7 @@
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
+use stilequay_coordination::lease::LeaseRecord;
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -25,7 +26,7 @@
 /// Silence after which a home that owes an answer is pinged.
 const PING_AFTER: Duration = Duration::from_millis(80);
 /// Silence after a ping with which the home counts as lost for the time being.
-const SUSPECT_AFTER: Duration = Duration::from_millis(200);
+pub const SUSPECT_AFTER: Duration = Duration::from_millis(200);
 /// Silence after a ping that ends the link.
 const LOST_AFTER: Duration = Duration::from_secs(3);
 /// How long a link is kept that nothing is asked on.
@@ -150,7 +151,7 @@
     }
 
     /// Asks for a sign, unless one is asked for already.
-    pub(super) fn ping(&self) {
+    pub fn ping(&self) {
         let mut state = self.lock();
         if state.closed || state.pinged.is_some() {
             return;
@@ -243,6 +244,12 @@
         self.send(&ToHome::Want(shard));
     }
 
+    /// Tells the other side of the lease of `shard`, which this process has just written.
+    pub fn tell_lease(&self, shard: Shard, record: &LeaseRecord) {
+        let record = Box::new(record.clone());
+        self.send(&ToHome::CounterLease { shard, record });
+    }
+
     /// Prefers other links for a while: what is told here is not good enough.
     pub fn distrust(&self) {
         let mut state = self.lock();
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -9,6 +9,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use stilequay_coordination::lease::LeaseRecord;
 
 /// One question and its answer, on one link.
 pub type ExchangeId = u64;
@@ -52,6 +53,13 @@
     },
     /// Be ready to count a shard of the rate limits: its counter is going to be lost.
     Want(Shard),
+    /// Know the lease of a shard of the rate limits, which its counter has just written.
+    CounterLease {
+        /// The shard.
+        shard: Shard,
+        /// What the store holds of it.
+        record: Box<LeaseRecord>,
+    },
     /// Say something.
     Ping,
 }
@@ -261,6 +269,7 @@
             ToHome::Follow { .. } => "follow",
             ToHome::Draw { .. } => "draw",
             ToHome::Want(_) => "want",
+            ToHome::CounterLease { .. } => "counter_lease",
             ToHome::Ping => "ping",
         }
     }
--- a/crates/engine/src/link/mod.rs
+++ b/crates/engine/src/link/mod.rs
@@ -5,5 +5,5 @@
 pub mod frame;
 mod links;
 
-pub use client::Link;
+pub use client::{Link, SUSPECT_AFTER};
 pub use links::Links;
--- /dev/null
+++ b/crates/engine/src/rate/asking.rs
@@ -0,0 +1,237 @@
+//! Which counters one operation asks, and for how long it waits for each.
+//!
+//! Load pattern: a third of the fleet is cut off or stands still, and every process has
+//! operations under way. None of them may wait for a counter that does not answer while another
+//! one would: a late question goes on in a task of its own, and the operation asks the next
+//! shard.
+
+use super::counter::{Draw, Shard};
+use super::permit::Permit;
+use super::reach::Look;
+use crate::engine::Engine;
+use crate::names::TenantName;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::yield_now;
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// Longest wait for one counter's answer: many times what one takes.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
+/// Wait after which the next shard is asked: ten times what an answer takes, and little beside
+/// the 150 ms that callers hope for.
+const LATE_AFTER: Duration = Duration::from_millis(25);
+/// Questions of one operation that may be under way: where this process itself is slow all
+/// answers are late, and each question more would make it slower.
+const QUESTIONS_MAX: usize = 3;
+
+/// What all shards together have said.
+#[derive(Debug)]
+pub(super) enum Asked {
+    Granted(Permit),
+    /// Those that could be asked have none left, the first of them for this long.
+    Exhausted(Duration),
+    /// None could be asked.
+    Unknown,
+}
+
+/// One answer, and when it was asked for.
+struct Answer {
+    shard: Shard,
+    asked: Instant,
+    drawn: Draw,
+}
+
+/// The questions of one operation.
+struct Questions<'a> {
+    engine: &'a Arc<Engine>,
+    tenant: &'a TenantName,
+    /// How long a permit may be used after it was asked for.
+    life: Duration,
+    under_way: FuturesUnordered<oneshot::Receiver<Answer>>,
+    /// Time until a shard that has none left has the next one.
+    soonest: Option<Duration>,
+}
+
+/// Asks the counters for a permit that lasts for `life`: that of this process's zone first,
+/// and those that are late last.
+pub(super) async fn ask_all(engine: &Arc<Engine>, tenant: &TenantName, life: Duration) -> Asked {
+    let mut questions = Questions {
+        engine,
+        tenant,
+        life,
+        under_way: FuturesUnordered::new(),
+        soonest: None,
+    };
+    let granted = questions.ask_in_turn().await;
+    match (granted, questions.soonest) {
+        (Some(permit), _) => Asked::Granted(permit),
+        (None, Some(wait)) => Asked::Exhausted(wait),
+        (None, None) => Asked::Unknown,
+    }
+}
+
+impl Questions<'_> {
+    async fn ask_in_turn(&mut self) -> Option<Permit> {
+        let homes = self.engine.homes();
+        let zone = &self.engine.settings().zone;
+        let mut late = None;
+        for shard in homes.shards_by_distance(zone, self.tenant) {
+            let now = Instant::now();
+            if let Some(until) = self.engine.refusals().of(self.tenant, shard, now) {
+                self.note_exhausted(until.duration_since(now));
+                continue;
+            }
+            let local = self.engine.counters().draw(self.engine, shard, self.tenant);
+            if local != Draw::NotCounted {
+                let answer = Answer {
+                    shard,
+                    asked: now,
+                    drawn: local,
+                };
+                if let Some(permit) = self.take(&answer) {
+                    return Some(permit);
+                }
+                continue;
+            }
+            match self.engine.refusals().reach.look(shard, now) {
+                Look::Ask => {
+                    if let Some(permit) = self.ask(shard, LATE_AFTER).await {
+                        return Some(permit);
+                    }
+                }
+                Look::Probe => drop(spawn_question(self.engine, shard, self.tenant)),
+                Look::Late => late = late.or(Some(shard)),
+                Look::Lost => {}
+            }
+            if self.under_way.len() >= QUESTIONS_MAX {
+                break;
+            }
+        }
+        self.ask_late(late).await
+    }
+
+    /// Asks `shard`, and waits for any answer.
+    async fn ask(&mut self, shard: Shard, wait: Duration) -> Option<Permit> {
+        let question = spawn_question(self.engine, shard, self.tenant);
+        self.under_way.push(question);
+        let until = Instant::now() + wait;
+        loop {
+            let answer = match timeout_at(until, self.under_way.next()).await {
+                Ok(answer) => answer,
+                Err(_) => self.look_once_more().await,
+            };
+            let Some(answer) = answer else {
+                self.engine.refusals().reach.note_late(shard);
+                return None;
+            };
+            // A question ends without an answer only where the process stops.
+            let Ok(answer) = answer else { return None };
+            if let Some(permit) = self.take(&answer) {
+                return Some(permit);
+            }
+            if answer.shard == shard {
+                return None;
+            }
+        }
+    }
+
+    /// An answer that has come in while this process was slow itself.
+    async fn look_once_more(&mut self) -> Option<Result<Answer, oneshot::error::RecvError>> {
+        yield_now().await;
+        let at_once = timeout(Duration::ZERO, self.under_way.next());
+        at_once.await.ok().flatten()
+    }
+
+    /// Waits for the answers that are late, and asks one shard more that was late before.
+    async fn ask_late(&mut self, late: Option<Shard>) -> Option<Permit> {
+        if let Some(shard) = late.filter(|_| self.under_way.len() < QUESTIONS_MAX) {
+            let question = spawn_question(self.engine, shard, self.tenant);
+            self.under_way.push(question);
+        }
+        let until = Instant::now() + ANSWER_TIMEOUT;
+        while let Ok(Some(Ok(answer))) = timeout_at(until, self.under_way.next()).await {
+            if let Some(permit) = self.take(&answer) {
+                return Some(permit);
+            }
+        }
+        None
+    }
+
+    /// The permit of an answer, if it grants one that is good still.
+    fn take(&mut self, answer: &Answer) -> Option<Permit> {
+        let now = Instant::now();
+        match answer.drawn {
+            Draw::Granted => {
+                let until = Some(answer.asked + self.life);
+                Some(Permit { until }).filter(|permit| permit.is_good(now))
+            }
+            Draw::Exhausted(wait) => {
+                let refusals = self.engine.refusals();
+                refusals.note(self.tenant, answer.shard, now + wait);
+                self.note_exhausted(wait);
+                None
+            }
+            Draw::NotCounted => None,
+        }
+    }
+
+    fn note_exhausted(&mut self, wait: Duration) {
+        let soonest = self.soonest.unwrap_or(wait);
+        self.soonest = Some(soonest.min(wait));
+    }
+}
+
+/// Asks for one permit of `shard` in a task of its own, which goes on to the candidates where
+/// the counter is silent, also when nobody waits for the answer any more: they are to look at
+/// the lease.
+fn spawn_question(
+    engine: &Arc<Engine>,
+    shard: Shard,
+    tenant: &TenantName,
+) -> oneshot::Receiver<Answer> {
+    let (tx, rx) = oneshot::channel();
+    let (engine, tenant) = (Arc::clone(engine), tenant.clone());
+    tokio::spawn(async move {
+        let (asked, drawn) = ask_candidates(&engine, shard, &tenant).await;
+        let reach = &engine.refusals().reach;
+        match drawn {
+            Draw::NotCounted => reach.note_lost(shard, Instant::now()),
+            Draw::Granted | Draw::Exhausted(_) => reach.note_answer(shard),
+        }
+        let answer = Answer {
+            shard,
+            asked,
+            drawn,
+        };
+        // The operation may have found its permit elsewhere: this one lapses.
+        let _ = tx.send(answer);
+    });
+    rx
+}
+
+/// Asks the process that counts `shard`; when the one that has answered was asked, and what it
+/// said.
+async fn ask_candidates(engine: &Engine, shard: Shard, tenant: &TenantName) -> (Instant, Draw) {
+    let homes = engine.homes();
+    for address in homes.counter_addresses(shard) {
+        let Some(link) = homes.links().first_usable(&[address]).await else {
+            continue;
+        };
+        let asked = Instant::now();
+        match timeout(ANSWER_TIMEOUT, link.draw(shard, tenant)).await {
+            Ok(Some(Draw::NotCounted)) | Ok(None) => {}
+            Err(_) => link.note_silence(asked),
+            Ok(Some(drawn)) => {
+                homes.note_counter(shard, address);
+                return (asked, drawn);
+            }
+        }
+    }
+    if homes.counter_rank(shard).is_some() {
+        engine.counters().want(shard);
+    }
+    (Instant::now(), Draw::NotCounted)
+}
--- a/crates/engine/src/rate/bucket.rs
+++ b/crates/engine/src/rate/bucket.rs
@@ -19,7 +19,7 @@
 }
 
 impl TokenBucket {
-    /// A bucket that has been filled since `began`, when it held what it begins with.
+    /// A bucket that is filled from `began` on, and holds what it begins with at once.
     pub fn new(share: BucketShare, began: Instant) -> Self {
         Self {
             share,
@@ -58,10 +58,10 @@
         let seconds = missing / self.share.per_second;
         let reachable = seconds.is_finite() && self.share.capacity >= 1.0;
         let wait = match reachable && seconds < WAIT_MAX.as_secs_f64() {
-            true => Duration::from_secs_f64(seconds),
+            true => Duration::from_secs_f64(seconds) + self.settled.duration_since(now),
             false => WAIT_MAX,
         };
-        Err(wait)
+        Err(wait.min(WAIT_MAX))
     }
 
     fn settle(&mut self, now: Instant) {
--- a/crates/engine/src/rate/counter.rs
+++ b/crates/engine/src/rate/counter.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use stilequay_coordination::lease::Lease;
+use stilequay_coordination::lease::{Lease, LeaseRecord};
 use tokio::time::Instant;
 
 /// One of the parts into which each limit is divided, below [`SHARDS`].
@@ -36,7 +36,8 @@
 #[derive(Debug)]
 struct Counted {
     lease: Lease,
-    since: Instant,
+    /// From when on buckets are filled: until then another may still be filling its own.
+    fills_from: Instant,
     /// Whether buckets begin with tokens.
     has_first: bool,
     buckets: HashMap<TenantName, TokenBucket>,
@@ -46,6 +47,8 @@
 struct ShardState {
     counted: Option<Counted>,
     wanted_until: Option<Instant>,
+    /// The lease of another as its counter has told it last.
+    told: Option<LeaseRecord>,
 }
 
 /// The shards as far as this process counts them.
@@ -89,13 +92,13 @@
         let Some(counted) = held.filter(|counted| counted.lease.check(elapsed).is_ok()) else {
             return Draw::NotCounted;
         };
-        let (since, has_first) = (counted.since, counted.has_first);
+        let (fills_from, has_first) = (counted.fills_from, counted.has_first);
         let bucket = counted.buckets.entry(tenant.clone()).or_insert_with(|| {
             let mut share = bounds.share(limit);
             if !has_first {
                 share.first = 0.0;
             }
-            TokenBucket::new(share, since)
+            TokenBucket::new(share, fills_from)
         });
         match bucket.take(now) {
             Ok(()) => Draw::Granted,
@@ -110,6 +113,18 @@
         }
     }
 
+    /// Notes a lease that its counter has told of, which has just been written.
+    pub fn note_told(&self, shard: Shard, record: LeaseRecord) {
+        if let Some(mut state) = self.lock(shard) {
+            state.told = Some(record);
+        }
+    }
+
+    /// The lease that was told of last, once.
+    pub(super) fn take_told(&self, shard: Shard) -> Option<LeaseRecord> {
+        self.lock(shard)?.told.take()
+    }
+
     /// Takes the limits of a configuration that has just been learned of. Tenants keep what is
     /// taken away from them for most of the time that changes of the configuration may take:
     /// they can't know of it sooner, and are owed it until then.
@@ -161,12 +176,13 @@
     }
 
     /// Takes a lease that was acquired: what was counted before it is not known. The buckets
-    /// begin with tokens only if `has_first`.
-    pub(super) fn begin(&self, shard: Shard, lease: Lease, has_first: bool) {
+    /// begin with tokens only if `has_first`, and are filled from `fills_from` on, a moment on
+    /// the clock of the leases.
+    pub(super) fn begin(&self, shard: Shard, lease: Lease, has_first: bool, fills_from: Duration) {
         if let Some(mut state) = self.lock(shard) {
             state.counted = Some(Counted {
                 lease,
-                since: Instant::now(),
+                fills_from: self.origin + fills_from,
                 has_first,
                 buckets: HashMap::new(),
             });
--- a/crates/engine/src/rate/mod.rs
+++ b/crates/engine/src/rate/mod.rs
@@ -5,12 +5,12 @@
 //! operation needs a permit before it is sent to a member, and permits come from few places:
 //! each tenant's limit is divided among [`SHARDS`] processes, the counters. Each holds a
 //! lease in the store for its shard, and a token bucket for each tenant ([`counter`]). A
-//! process that is to run an operation asks the counter of its zone, then the others
-//! ([`permit`]).
+//! process that is to run an operation asks the counters of its zone, then the others, and
+//! passes by those that are late ([`permit`]).
 //!
 //! | what happens | what comes of it |
 //! | --- | --- |
-//! | a counter is killed, cut off or frozen | the other shards have two thirds of each limit; once its lease has lapsed the next candidate takes the shard over, with buckets that are nearly empty |
+//! | a counter is killed, cut off or frozen | the other shards have five sixths of each limit; a successor that does not reach it either takes the shard over and grants what it begins with, and fills its buckets once the lease before has lapsed |
 //! | the store is away | the leases last for some seconds; then no permits are given, and nobody may be served by then either, since the configuration can't be proved |
 //! | a fleet is split | a lease has one holder: the sides share the counters that they reach, or have none |
 //! | a permit is used late | it lapses; the operation needs another one |
@@ -25,17 +25,26 @@
 //!
 //! | source | at most |
 //! | --- | --- |
-//! | buckets a little larger than `b`, so that small ones hold whole tokens | 0.3 slack |
+//! | buckets a little larger than `b`, so that small ones hold whole tokens | 0.5 slack |
 //! | permits that were granted before the window and are used in it: they last 0.4 excess w | 0.4 excess w r |
-//! | buckets of counters that took over in the window: a counter begins with tokens only where the one before has held its lease for a whole window, so once in each | 0.6 e |
+//! | buckets of counters that took over in the window: a counter begins with tokens only where the one before has held its lease for a whole window, so once in each | 0.5 e |
 //!
-//! which is no more than `e`: the first two leave at least 0.6 of its slack and of the excess
-//! of `r w`.
+//! which is no more than `e`: the first two leave at least half of its slack and 0.6 of the
+//! excess of `r w`.
+//!
+//! A successor may come before the lease of the counter before it has lapsed, and both grant
+//! for a while. The sum is the same: the one before grants what its bucket holds and what is
+//! filled in until its lease ends; the successor what it begins with, and what is filled in
+//! from there on. The end is that of the record which the successor has replaced, counted from
+//! when it has learned of it: no counter that was replaced earlier acts for longer, as its
+//! last renewal was before that record was written.
 
+mod asking;
 mod bucket;
 pub mod counter;
 pub mod permit;
 mod pursuit;
+mod reach;
 
 pub use bucket::TokenBucket;
 pub use counter::Counters;
@@ -45,16 +54,18 @@
 use crate::tenant::RateLimit;
 use std::time::Duration;
 
-/// Counters among which each limit is divided. With three, the loss of one leaves more than
-/// the five eighths of a limit that tenants commonly use, and each zone of three has one.
-pub const SHARDS: usize = 3;
-/// Share of the slack by which buckets are larger than the burst.
-const SPARE_SHARE: f64 = 0.3;
+/// Counters among which each limit is divided. With six each zone of three has two, and the
+/// loss of a zone leaves more than the five eighths of a limit that tenants commonly use; a
+/// tenant without a burst still has a whole token in each bucket.
+pub const SHARDS: usize = 6;
+/// Share of the slack by which buckets are larger than the burst: what is left in each of them
+/// is less than a whole token, and lost to the tenant while it asks for all that it may.
+const SPARE_SHARE: f64 = 0.5;
 /// Share of the excess for which permits may be used after they were granted.
 const LAPSE_SHARE: f64 = 0.4;
 /// Share of all that is allowed beyond the limit with which a counter that takes over begins:
 /// after a restart of all processes callers come back together.
-const FIRST_SHARE: f64 = 0.6;
+const FIRST_SHARE: f64 = 0.5;
 
 /// How exactly rate limits are kept.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/engine/src/rate/permit.rs
+++ b/crates/engine/src/rate/permit.rs
@@ -1,26 +1,27 @@
 //! The side that asks: a permit for each operation that is sent to a member.
 
-use super::counter::{Draw, Shard, rate_bounds};
+use super::asking::{Asked, ask_all};
+use super::counter::{Shard, rate_bounds};
+use super::reach::ShardReach;
 use super::{RateBounds, SHARDS};
 use crate::engine::Engine;
 use crate::names::TenantName;
 use crate::tenant::Tenant;
 use crate::verdict::{Failure, FailureReason};
 use std::collections::{HashMap, HashSet};
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
-/// Longest wait for one counter's answer: many times what one takes.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 /// Pause before the counters are asked again, where none of them counts.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 /// How long an operation waits for a counter where none is reached: after a restart of all
 /// processes leases are taken over within some 100 ms. Whoever waits longer is better off
 /// elsewhere, or later.
 const COUNTER_PATIENCE: Duration = Duration::from_millis(200);
-/// How long a shard is not asked for after nobody was found that counts it.
-const LOST_PAUSE: Duration = Duration::from_millis(100);
+/// Least time told to callers who are refused: those who count in milliseconds read nothing
+/// shorter as "at once".
+const LEAST_WAIT: Duration = Duration::from_millis(1);
 /// Tenants whose refusals are remembered; beyond it they are forgotten.
 const REMEMBERED_TENANTS: usize = 1_024;
 
@@ -54,20 +55,20 @@
 pub struct Refusals {
     /// Those that have none left for a tenant.
     until: Mutex<HashMap<TenantName, ShardMoments>>,
-    /// Those that nobody counts.
-    lost: Mutex<ShardMoments>,
+    /// Those whose counters don't answer.
+    pub(super) reach: ShardReach,
     /// The tenants that metrics tell by name.
     told: Mutex<HashSet<TenantName>>,
 }
 
 impl Refusals {
     /// Until when `shard` has none for `tenant`, if that is after `now`.
-    fn of(&self, tenant: &TenantName, shard: Shard, now: Instant) -> Option<Instant> {
+    pub(super) fn of(&self, tenant: &TenantName, shard: Shard, now: Instant) -> Option<Instant> {
         let known = lock(&self.until).get(tenant).and_then(|known| known[shard]);
         known.filter(|until| *until > now)
     }
 
-    fn note(&self, tenant: &TenantName, shard: Shard, until: Instant) {
+    pub(super) fn note(&self, tenant: &TenantName, shard: Shard, until: Instant) {
         let mut known = lock(&self.until);
         if known.len() >= REMEMBERED_TENANTS && !known.contains_key(tenant) {
             known.clear();
@@ -90,36 +91,23 @@
         )
         .increment(1);
     }
-
-    fn is_lost(&self, shard: Shard, now: Instant) -> bool {
-        lock(&self.lost)[shard].is_some_and(|until| until > now)
-    }
-
-    fn note_lost(&self, shard: Shard, now: Instant) {
-        lock(&self.lost)[shard] = Some(now + LOST_PAUSE);
-    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// What all shards together have said.
-enum Asked {
-    Granted(Instant),
-    /// Those that could be asked have none left, the first of them for this long.
-    Exhausted(Duration),
-    /// None could be asked.
-    Unknown,
-}
-
 /// A permit for one operation of `tenant`, that is asked for until `deadline` where nobody
 /// grants one.
 ///
 /// # Errors
 ///
 /// [`Failure`] where the tenant has none left, or no counter is reached: nothing has run.
-pub async fn draw(engine: &Engine, tenant: &Tenant, deadline: Instant) -> Result<Permit, Failure> {
+pub async fn draw(
+    engine: &Arc<Engine>,
+    tenant: &Tenant,
+    deadline: Instant,
+) -> Result<Permit, Failure> {
     let (Some(bounds), Some(_)) = (rate_bounds(engine), tenant.rate) else {
         return Ok(Permit::UNLIMITED);
     };
@@ -133,20 +121,19 @@
 }
 
 async fn draw_limited(
-    engine: &Engine,
+    engine: &Arc<Engine>,
     bounds: RateBounds,
     tenant: &Tenant,
     deadline: Instant,
 ) -> Result<Permit, Failure> {
     let deadline = deadline.min(Instant::now() + COUNTER_PATIENCE);
+    let life = bounds.permit_life();
     loop {
-        let asked = timeout_at(deadline, ask_all(engine, &tenant.name)).await;
+        let asked = timeout_at(deadline, ask_all(engine, &tenant.name, life)).await;
         match asked.unwrap_or(Asked::Unknown) {
-            Asked::Granted(asked) => {
-                let until = Some(asked + bounds.permit_life());
-                return Ok(Permit { until });
-            }
+            Asked::Granted(permit) => return Ok(permit),
             Asked::Exhausted(wait) => {
+                let wait = wait.max(LEAST_WAIT);
                 return Err(Failure::not_run(FailureReason::RateLimited).with_retry_after(wait));
             }
             Asked::Unknown if Instant::now() + RETRY_PAUSE >= deadline => {
@@ -156,53 +143,3 @@
         }
     }
 }
-
-/// Asks the counters, the one of this process's zone first.
-async fn ask_all(engine: &Engine, tenant: &TenantName) -> Asked {
-    let mut soonest: Option<Duration> = None;
-    for shard in engine.homes().shards_by_distance(&engine.settings().zone) {
-        let now = Instant::now();
-        let drawn = match engine.refusals().of(tenant, shard, now) {
-            Some(until) => Draw::Exhausted(until.duration_since(now)),
-            None if engine.refusals().is_lost(shard, now) => Draw::NotCounted,
-            None => ask(engine, shard, tenant).await,
-        };
-        match drawn {
-            Draw::Granted => return Asked::Granted(now),
-            Draw::Exhausted(wait) => {
-                engine.refusals().note(tenant, shard, now + wait);
-                soonest = Some(soonest.unwrap_or(wait).min(wait));
-            }
-            Draw::NotCounted => {}
-        }
-    }
-    soonest.map_or(Asked::Unknown, Asked::Exhausted)
-}
-
-/// Asks the process that counts `shard`.
-async fn ask(engine: &Engine, shard: Shard, tenant: &TenantName) -> Draw {
-    let homes = engine.homes();
-    let drawn = engine.counters().draw(engine, shard, tenant);
-    if drawn != Draw::NotCounted {
-        return drawn;
-    }
-    for address in homes.counter_addresses(shard) {
-        let Some(link) = homes.links().first_usable(&[address]).await else {
-            continue;
-        };
-        let asked = Instant::now();
-        match timeout(ANSWER_TIMEOUT, link.draw(shard, tenant)).await {
-            Ok(Some(Draw::NotCounted)) | Ok(None) => {}
-            Err(_) => link.note_silence(asked),
-            Ok(Some(drawn)) => {
-                homes.note_counter(shard, address);
-                return drawn;
-            }
-        }
-    }
-    if homes.counter_rank(shard).is_some() {
-        engine.counters().want(shard);
-    }
-    engine.refusals().note_lost(shard, Instant::now());
-    Draw::NotCounted
-}
--- a/crates/engine/src/rate/pursuit.rs
+++ b/crates/engine/src/rate/pursuit.rs
@@ -6,6 +6,7 @@
 use crate::events::Event;
 use crate::leadership::fleet;
 use crate::leadership::lease_records::RecordLeases;
+use crate::link::SUSPECT_AFTER;
 use futures::future::join_all;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,21 +17,22 @@
 };
 use tokio::time::{Instant, sleep};
 
-/// How long a lease lasts, and how much earlier its holder stops relying on it. Longer than
-/// three fifths of the usual time in which a removed credential must be known: until then
-/// callers of a process that has lost the store are served.
+/// How long a lease lasts, and how much earlier its holder stops relying on it. What is left
+/// of it just before a renewal is longer than three fifths of the usual time in which a
+/// removed credential must be known: until then callers of a process that has lost the store
+/// are served.
 const LEASE_SETTINGS: LeaseSettings = LeaseSettings {
-    duration: Duration::from_millis(4_300),
+    duration: Duration::from_millis(5_300),
     margin: Duration::from_millis(100),
 };
 /// Interval of renewals: three calls a second for the whole fleet.
-const RENEWAL_INTERVAL: Duration = Duration::from_millis(1_000);
+const RENEWAL_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Time without an answer to a renewal after which the other candidates are warned: many times
 /// what one takes.
 const WARN_AFTER: Duration = Duration::from_millis(300);
 /// Longest interval in which a candidate that is asked for permits looks at the lease of
-/// another.
-const WANTED_INTERVAL: Duration = Duration::from_millis(1_000);
+/// another: no shorter than that of renewals, before which it would see nothing new.
+const WANTED_INTERVAL: Duration = Duration::from_millis(2_000);
 /// Interval in which the first candidate looks at the lease of another although nobody asks
 /// it: whoever asks finds the holder by itself.
 const LOOK_INTERVAL: Duration = Duration::from_secs(20);
@@ -39,6 +41,10 @@
 /// Pause at the first start of a fleet, while its processes come to know one another: each
 /// would be the first candidate for a moment, and ask the store.
 const FIRST_START_PAUSE: Duration = Duration::from_secs(2);
+/// Pause before a counter that has answered is suspected again.
+const SUSPECT_INTERVAL: Duration = Duration::from_millis(700);
+/// Time by which each further candidate lets the one before it go first.
+const TURN: Duration = Duration::from_millis(150);
 /// Pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -59,8 +65,23 @@
     }
 }
 
+/// One process's part in the counting of one shard.
+struct Pursuit {
+    shard: Shard,
+    candidate: LeaseCandidate,
+    /// When the first candidate looks at the lease although nobody asks it.
+    look_at: Instant,
+    /// Not before this moment can the lease of another be free, as far as is known.
+    free_at: Instant,
+    /// The lease as its counter has told it, since this process looked at it: it is taken over
+    /// then without anybody asking for permits.
+    told: Option<LeaseRecord>,
+    /// Not before this moment is it asked again whether the counter answers.
+    suspect_at: Instant,
+}
+
 async fn pursue(engine: &Arc<Engine>, shard: Shard) {
-    let mut candidate = LeaseCandidate::new(
+    let candidate = LeaseCandidate::new(
         LeaseName::new(format!("rate-{shard}")),
         NodeId::new(&*engine.settings().node),
         Incarnation(rand::random()),
@@ -74,17 +95,20 @@
         sleep(FIRST_START_PAUSE).await;
     }
     let mut stop = engine.subscribe_stop();
-    let mut look_at = Instant::now();
+    let now = Instant::now();
+    let mut pursuit = Pursuit {
+        shard,
+        candidate,
+        look_at: now,
+        free_at: now,
+        told: None,
+        suspect_at: now,
+    };
     loop {
         let pause = match engine.homes().counter_rank(shard) {
-            Some(rank) if is_due(engine, shard, rank, look_at) => {
-                let pause = pursue_once(engine, shard, &mut candidate).await;
-                look_at = Instant::now() + LOOK_INTERVAL;
-                pause
-            }
-            Some(_) => BYSTANDER_PAUSE,
+            Some(rank) => pursuit.step(engine, rank).await,
             None => {
-                give_back(engine, shard, &candidate).await;
+                pursuit.give_back(engine).await;
                 BYSTANDER_PAUSE
             }
         };
@@ -93,55 +117,160 @@
             _ = stop.wait_for(|phase| *phase > StopPhase::Serving) => break,
         }
     }
-    give_back(engine, shard, &candidate).await;
+    pursuit.give_back(engine).await;
 }
 
-/// Whether the candidate of `rank` is to renew or acquire the lease of `shard` now: while it
-/// holds it, or is asked for permits; the first one also at `look_at`.
-fn is_due(engine: &Engine, shard: Shard, rank: usize, look_at: Instant) -> bool {
-    let counters = engine.counters();
-    let now = Instant::now();
-    let looks = rank == 0 && now >= look_at;
-    counters.lease(shard).is_some() || counters.is_wanted(shard, now) || looks
-}
+impl Pursuit {
+    /// Does what the candidate of `rank` has to do now; returns how long to wait before the
+    /// next time.
+    async fn step(&mut self, engine: &Arc<Engine>, rank: usize) -> Duration {
+        if let Some(record) = engine.counters().take_told(self.shard) {
+            let turn = TURN * u32::try_from(rank.saturating_sub(1)).unwrap_or(u32::MAX);
+            self.free_at = Instant::now() + self.candidate.observe(&record) + turn;
+            self.told = Some(record);
+        }
+        if let Some(lease) = engine.counters().lease(self.shard) {
+            return self.hold(engine, &lease).await;
+        }
+        if self.is_due(engine, rank) {
+            return self.acquire(engine).await;
+        }
+        if let Some(suspect) = self.suspect(engine).await {
+            self.take_over(engine, &suspect).await;
+        }
+        BYSTANDER_PAUSE
+    }
 
-/// Renews or tries to acquire; returns how long to wait before the next time.
-async fn pursue_once(
-    engine: &Arc<Engine>,
-    shard: Shard,
-    candidate: &mut LeaseCandidate,
-) -> Duration {
-    let counters = engine.counters();
-    match counters.lease(shard) {
-        Some(lease) => match renew(engine, shard, candidate, &lease).await {
+    /// Whether the candidate of `rank` is to try to acquire the lease now: its counter has told
+    /// of no renewal for a whole lease, or processes ask this one for permits; the first one
+    /// also looks by itself.
+    fn is_due(&self, engine: &Engine, rank: usize) -> bool {
+        let now = Instant::now();
+        let looks = rank == 0 && now >= self.look_at;
+        let is_wanted = engine.counters().is_wanted(self.shard, now);
+        now >= self.free_at && (self.told.is_some() || is_wanted || looks)
+    }
+
+    /// Renews the lease that this process holds.
+    async fn hold(&mut self, engine: &Arc<Engine>, lease: &Lease) -> Duration {
+        match renew(engine, self.shard, &self.candidate, lease).await {
             Ok(renewed) => {
-                counters.renew(shard, renewed);
+                engine.counters().renew(self.shard, renewed.clone());
+                tell_candidates(engine, self.shard, renewed.record()).await;
                 RENEWAL_INTERVAL
             }
             // Nobody else can have taken it while the store answers nobody.
             Err(LeaseError::Store(_) | LeaseError::Lapsed) => {
-                warn_others(engine, shard).await;
+                warn_others(engine, self.shard).await;
                 jittered(RETRY_PAUSE)
             }
             Err(error) => {
-                counters.end(shard);
-                tell(engine, shard, false, &error.to_string());
+                engine.counters().end(self.shard);
+                write_event(engine, self.shard, false, &error.to_string());
                 jittered(RETRY_PAUSE)
             }
-        },
-        None => match candidate.try_acquire().await {
+        }
+    }
+
+    /// Tries once to take the lease over.
+    async fn acquire(&mut self, engine: &Arc<Engine>) -> Duration {
+        let acquired = self.candidate.try_acquire().await;
+        let now = Instant::now();
+        self.look_at = now + LOOK_INTERVAL;
+        match acquired {
             Ok(Acquisition::Held(lease)) => {
-                let has_first = candidate.replaced().is_none_or(|r| has_lasted(engine, r));
-                counters.begin(shard, lease, has_first);
-                tell(engine, shard, true, "acquired");
+                let replaced = self.candidate.replaced();
+                let has_first = replaced.is_none_or(|replaced| has_lasted(engine, replaced));
+                let record = lease.record().clone();
+                let now = engine.counters().elapsed();
+                engine.counters().begin(self.shard, lease, has_first, now);
+                write_event(engine, self.shard, true, "acquired");
+                tell_candidates(engine, self.shard, &record).await;
                 RENEWAL_INTERVAL
             }
-            Ok(Acquisition::Taken { retry_after }) => jittered(retry_after.min(WANTED_INTERVAL)),
+            Ok(Acquisition::Taken { retry_after }) => {
+                self.free_at = now + jittered(retry_after.min(WANTED_INTERVAL));
+                self.told = None;
+                BYSTANDER_PAUSE
+            }
             Err(_) => jittered(RETRY_PAUSE),
-        },
+        }
+    }
+
+    /// The lease of a counter that seems to be lost: others have asked for permits here, since
+    /// it does not answer them, and it does not answer this process either. `None` too where a
+    /// successor would have nothing to grant before the lease has lapsed.
+    async fn suspect(&mut self, engine: &Engine) -> Option<LeaseRecord> {
+        let now = Instant::now();
+        let is_wanted = engine.counters().is_wanted(self.shard, now);
+        let record = self.told.as_ref().filter(|_| is_wanted)?;
+        if now < self.suspect_at || !has_lasted(engine, record) {
+            return None;
+        }
+        let homes = engine.homes();
+        let address = homes.counter_address(self.shard, record.holder.as_str())?;
+        self.suspect_at = now + SUSPECT_INTERVAL;
+        let links = homes.links();
+        if let Some(link) = links.first_usable(&[address]).await {
+            link.ping();
+            sleep(SUSPECT_AFTER + BYSTANDER_PAUSE).await;
+        }
+        let answers = links.first_usable(&[address]).await.is_some();
+        self.told.clone().filter(|_| !answers)
+    }
+
+    /// Takes the lease from the counter that has told `suspect`. The buckets begin with tokens,
+    /// which are granted at once; they are filled once the other has surely stopped.
+    async fn take_over(&mut self, engine: &Arc<Engine>, suspect: &LeaseRecord) {
+        let taken = match self.candidate.take_over(suspect).await {
+            Ok(Some(taken)) => taken,
+            Ok(None) => return,
+            Err(error) => {
+                log::debug!("shard {} was not taken over: {error}", self.shard);
+                return;
+            }
+        };
+        let replaced = self.candidate.replaced();
+        let has_first = replaced.is_some_and(|replaced| has_lasted(engine, replaced));
+        let record = taken.lease.record().clone();
+        let counters = engine.counters();
+        counters.begin(self.shard, taken.lease, has_first, taken.shared_until);
+        write_event(engine, self.shard, true, "taken over");
+        tell_candidates(engine, self.shard, &record).await;
+    }
+
+    async fn give_back(&mut self, engine: &Arc<Engine>) {
+        let counters = engine.counters();
+        let Some(lease) = counters.lease(self.shard) else {
+            return;
+        };
+        counters.end(self.shard);
+        write_event(engine, self.shard, false, "given back");
+        let released = LeaseRecord {
+            released: true,
+            ..lease.record().clone()
+        };
+        // What is not given back lapses.
+        if self.candidate.release(lease).await.is_ok() {
+            tell_candidates(engine, self.shard, &released).await;
+        }
     }
 }
 
+/// Tells the other candidates of a lease that was acquired, renewed or given back, so that they
+/// know how long it lasts without a call of the store: a successor comes as soon as it lapses, 4.3 s
+/// after its counter is lost on average, though nobody asks it.
+async fn tell_candidates(engine: &Engine, shard: Shard, record: &LeaseRecord) {
+    let links = engine.homes().links();
+    let told = engine.homes().counter_addresses(shard).into_iter();
+    let told = told.map(|address| async move {
+        if let Some(link) = links.first_usable(&[address]).await {
+            link.tell_lease(shard, record);
+        }
+    });
+    join_all(told).await;
+}
+
 /// Renews a lease. A store that is silent to this process only is found out by the call's
 /// time-out, which is long: the others are warned before.
 async fn renew(
@@ -177,18 +306,7 @@
     RENEWAL_INTERVAL.saturating_mul(renewals) >= window
 }
 
-async fn give_back(engine: &Engine, shard: Shard, candidate: &LeaseCandidate) {
-    let counters = engine.counters();
-    let Some(lease) = counters.lease(shard) else {
-        return;
-    };
-    counters.end(shard);
-    tell(engine, shard, false, "given back");
-    // What is not given back lapses.
-    let _ = candidate.release(lease).await;
-}
-
-fn tell(engine: &Engine, shard: Shard, held: bool, reason: &str) {
+fn write_event(engine: &Engine, shard: Shard, held: bool, reason: &str) {
     engine.events().write(&Event::RateCounter {
         shard,
         held,
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -121,6 +121,9 @@
                 task.tell(&FromHome::Drawn { exchange, drawn }).await;
             }
             Some(ToHome::Want(shard)) => task.engine.counters().want(shard),
+            Some(ToHome::CounterLease { shard, record }) => {
+                task.engine.counters().note_told(shard, *record);
+            }
             Some(ToHome::Ping) => task.tell(&FromHome::Pong).await,
             None => {
                 log::warn!("a process said what makes no sense; its link is closed");
