Rate limits: records tell of early takeovers; no permit is drawn for nothing

They tell no_leader now, and an operation that has found a member has 30 ms for its permit at least; the new test failed before the change.

A holding that was taken early says so in its record, so that one who reclaims it, or is given it, fills no bucket while the counter before may. Engine and platform tests pass, 32 of 32 binaries.

--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -124,7 +124,7 @@
                 retry_after => return Ok(Acquisition::Taken { retry_after }),
             },
         };
-        let record = self.first_record(fencing);
+        let record = self.first_record(fencing, false);
         match self.write(current.as_ref(), record).await {
             Ok(lease) => {
                 self.replaced = current;
@@ -152,8 +152,10 @@
         let Some(current) = current.filter(|current| current.fencing == suspect.fencing) else {
             return Ok(None);
         };
-        let shared_until = self.clock.now() + self.time_until_free(&current);
-        let record = self.first_record(current.fencing.next());
+        let remaining = self.time_until_free(&current);
+        let shared_until = self.clock.now() + remaining;
+        let taken_early = remaining > Duration::ZERO;
+        let record = self.first_record(current.fencing.next(), taken_early);
         match self.write(Some(&current), record).await {
             Ok(lease) => {
                 self.replaced = Some(current);
@@ -168,7 +170,7 @@
     }
 
     /// What the store is to hold of a new holding.
-    fn first_record(&self, fencing: FencingNumber) -> LeaseRecord {
+    fn first_record(&self, fencing: FencingNumber, taken_early: bool) -> LeaseRecord {
         LeaseRecord {
             holder: self.holder.clone(),
             incarnation: self.incarnation,
@@ -177,6 +179,7 @@
             write_id: rand::random(),
             duration: self.settings.duration,
             released: false,
+            taken_early,
         }
     }
 
--- a/crates/coordination/src/lease/port.rs
+++ b/crates/coordination/src/lease/port.rs
@@ -25,6 +25,9 @@
     pub duration: Duration,
     /// Whether the holder has given it back.
     pub released: bool,
+    /// Whether it was taken from a holder that might act for up to a duration still.
+    #[serde(default)]
+    pub taken_early: bool,
 }
 
 /// What became of a conditional write.
--- a/crates/engine/src/rate/mod.rs
+++ b/crates/engine/src/rate/mod.rs
@@ -27,7 +27,7 @@
 //! | --- | --- |
 //! | buckets a little larger than `b`, so that small ones hold whole tokens | 0.5 slack |
 //! | permits that were granted before the window and are used in it: they last 0.4 excess w | 0.4 excess w r |
-//! | buckets of counters that took over in the window: a counter begins with tokens only where the one before has held its lease for a window and a lease, so once in each | 0.5 e |
+//! | buckets of counters that took over in the window: a counter begins with tokens only where the one before has held its lease for a whole window, so once in each | 0.5 e |
 //!
 //! which is no more than `e`: the first two leave at least half of its slack and 0.6 of the
 //! excess of `r w`.
@@ -37,9 +37,12 @@
 //! filled in until its lease ends; the successor what it begins with, and what is filled in
 //! from there on. The end is that of the record which the successor has replaced, counted from
 //! when it has learned of it: no counter that was replaced earlier acts for longer, as its
-//! last renewal was before that record was written. It is also why a window alone between two
-//! that begin with tokens would be too short: in the first five seconds of the second counter
-//! the first one may still grant, and the third would begin within a window of that.
+//! last renewal was before that record was written. Where
+//! the one before has taken the lease early itself, a window between two that begin with tokens
+//! is too short: in the first seconds of the second the first may still grant, and the third
+//! would begin within a window of that. It begins with tokens only if the second has counted
+//! for a lease and a window; and where the second gives the lease back sooner, buckets are filled
+//! once the first has surely stopped.
 
 mod asking;
 mod bucket;
--- a/crates/engine/src/rate/permit.rs
+++ b/crates/engine/src/rate/permit.rs
@@ -19,6 +19,9 @@
 /// processes leases are taken over within some 100 ms. Whoever waits longer is better off
 /// elsewhere, or later.
 const COUNTER_PATIENCE: Duration = Duration::from_millis(200);
+/// Least time for counters to answer, one of them late: an operation that has found a member
+/// at the end of its time is not refused because nobody was asked.
+const LEAST_PATIENCE: Duration = Duration::from_millis(30);
 /// Least time told to callers who are refused: those who count in milliseconds read nothing
 /// shorter as "at once".
 const LEAST_WAIT: Duration = Duration::from_millis(1);
@@ -126,7 +129,8 @@
     tenant: &Tenant,
     deadline: Instant,
 ) -> Result<Permit, Failure> {
-    let deadline = deadline.min(Instant::now() + COUNTER_PATIENCE);
+    let now = Instant::now();
+    let deadline = deadline.clamp(now + LEAST_PATIENCE, now + COUNTER_PATIENCE);
     let life = bounds.permit_life();
     loop {
         let asked = timeout_at(deadline, ask_all(engine, &tenant.name, life)).await;
--- a/crates/engine/src/rate/pursuit.rs
+++ b/crates/engine/src/rate/pursuit.rs
@@ -190,8 +190,10 @@
                 let replaced = self.candidate.replaced();
                 let has_first = replaced.is_none_or(|replaced| has_lasted(engine, replaced));
                 let record = lease.record().clone();
-                let now = engine.counters().elapsed();
-                engine.counters().begin(self.shard, lease, has_first, now);
+                let shared = replaced.map_or(Duration::ZERO, still_shared);
+                let fills_from = engine.counters().elapsed() + shared;
+                let counters = engine.counters();
+                counters.begin(self.shard, lease, has_first, fills_from);
                 write_event(engine, self.shard, true, "acquired");
                 tell_candidates(engine, self.shard, &record).await;
                 RENEWAL_INTERVAL
@@ -236,7 +238,7 @@
             Ok(Some(taken)) => taken,
             Ok(None) => return,
             Err(error) => {
-                log::debug!("shard {} was not taken over: {error}", self.shard);
+                log::warn!("shard {} was not taken over: {error}", self.shard);
                 return;
             }
         };
@@ -308,14 +310,32 @@
     }
 }
 
-/// Whether the holding of `record` has lasted for a lease and a window at least. Then a
-/// successor may begin with tokens: the counter before that holding has stopped by the end of a
-/// lease, and no window holds both what it granted and what the successor begins with.
+/// Whether a successor of the holding of `record` may begin with tokens: it has lasted for a
+/// window at least, and for a lease besides where the counter before it might act as long.
+/// Then no window holds both what was granted before that holding and what the successor begins
+/// with.
 fn has_lasted(engine: &Engine, record: &LeaseRecord) -> bool {
     let window = rate_bounds(engine).map_or(Duration::MAX, |bounds| bounds.window);
+    let shared = match record.taken_early {
+        true => record.duration,
+        false => Duration::ZERO,
+    };
+    least_held(record) >= window.saturating_add(shared)
+}
+
+/// For how long the counter before the holding of `record` may act still, if that was taken
+/// early and has been given back, or is reclaimed, soon after.
+fn still_shared(record: &LeaseRecord) -> Duration {
+    match record.taken_early {
+        true => record.duration.saturating_sub(least_held(record)),
+        false => Duration::ZERO,
+    }
+}
+
+/// How long the holding of `record` has lasted at least.
+fn least_held(record: &LeaseRecord) -> Duration {
     let renewals = u32::try_from(record.renewal).unwrap_or(u32::MAX);
-    let least = window.saturating_add(LEASE_SETTINGS.duration);
-    RENEWAL_INTERVAL.saturating_mul(renewals) >= least
+    RENEWAL_INTERVAL.saturating_mul(renewals)
 }
 
 fn write_event(engine: &Engine, shard: Shard, held: bool, reason: &str) {
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -101,6 +101,11 @@
             let targets = self
                 .read_targets(&group, route, request.received, limits.offer, trace)
                 .await;
+            // A permit would be drawn for nothing, and its lack told as the reason.
+            if targets.is_empty() {
+                pause_or_refuse(limits, FailureReason::NoLeader).await?;
+                continue;
+            }
             let drawn = self.permit(permit, limits).await?;
             permit = Some(drawn);
             let job = ReadJob {
--- a/crates/engine/tests/rate_partial.rs
+++ b/crates/engine/tests/rate_partial.rs
@@ -10,9 +10,9 @@
 use stilequay_engine::engine::Engine;
 use stilequay_engine::rate::{BucketShare, RateBounds, SHARDS, TokenBucket, permit};
 use stilequay_engine::residency::Residency;
-use stilequay_engine::tenant::{RateLimit, Tenant, TenantPolicy};
+use stilequay_engine::tenant::{Credential, RateLimit, Tenant, TenantPolicy};
 use stilequay_engine::verdict::FailureReason;
-use support::{Fleet, configuration, until};
+use support::{Client, Fleet, LEADER_DATABASE, configuration, until};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, sleep_until};
 
@@ -29,6 +29,7 @@
 /// Processes, seven in each zone.
 const LARGE: usize = 21;
 const THIRD: usize = LARGE / 3;
+const KEY: &[u8] = b"key-busy";
 /// Longest time in which an operation has its permit, or is refused, while counters are lost.
 const PERMIT_WAIT: Duration = Duration::from_millis(120);
 
@@ -50,6 +51,8 @@
     let mut next = configuration(1);
     next.version = 2;
     next.tenants.insert("busy".into(), tenant());
+    next.credentials
+        .insert(Credential::of_key(KEY), "busy".into());
     fleet.configuration.send_replace(next);
     until(|| (0..SHARDS).all(|shard| counter_of(&fleet, shard).is_some())).await;
     sleep(Duration::from_secs(16)).await;
@@ -253,6 +256,24 @@
     }
 }
 
+/// A process that is cut off knows no leader. That is what its callers are told, not that no
+/// counter answers, which nobody has had time to find out.
+#[tokio::test(start_paused = true)]
+async fn a_process_without_a_leader_draws_no_permit() {
+    let fleet = fleet().await;
+    let engine = &fleet.nodes[0].engine;
+    let credential = Some(Credential::of_key(KEY));
+    let mut client = Client::open_with(engine, LEADER_DATABASE, credential);
+    assert!(client.read("x").await.outcome.is_ok());
+    cut(&fleet, 0, &[0]);
+    for member in ["a", "b", "c"] {
+        fleet.network().cut(&fleet.nodes[0].name, member);
+    }
+    sleep(Duration::from_millis(2_500)).await;
+    let failure = client.read("x").await.outcome.expect_err("cut off");
+    assert_eq!(failure.reason, FailureReason::NoLeader);
+}
+
 /// Callers read milliseconds: the shortest wait that a refusal tells is one.
 #[tokio::test(start_paused = true)]
 async fn a_refusal_never_tells_callers_to_come_back_at_once() {
@@ -367,6 +388,7 @@
                     Mistake::BeginsWithTokensAfterAWindow => BOUNDS.window,
                     _ => BOUNDS.window + LEASE_LEFT,
                 };
+                // The first counters have counted for long.
                 let has_first = now - counts_since >= least || counts_since == began;
                 counts_since = now;
                 let begins_with = BucketShare {
