Leases tell how long they have lasted; successors renew in their interval

How long a holding had lasted was taken from the number of its renewals. A renewal whose answer was lost comes again within 0.1 s and counted twice, and a counter that had taken its lease early renewed it after 0.1 s: a successor could begin with tokens within a window of what was granted before. The record now tells the time on its holder's clock. Counters that can't renew try again every 0.3 to 0.4 s in place of 0.1 to 0.2, as there are twice as many.

--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -179,6 +179,7 @@
             write_id: rand::random(),
             duration: self.settings.duration,
             released: false,
+            held: Duration::ZERO,
             taken_early,
         }
     }
@@ -197,7 +198,7 @@
     /// [`LeaseError::Store`] as for [`LeaseCandidate::try_acquire`]: the lease given
     /// is then good for no longer than before.
     pub async fn renew(&self, lease: &Lease) -> Result<Lease, LeaseError> {
-        match self.renew_from(&lease.record).await {
+        match self.renew_from(lease, &lease.record).await {
             Err(LeaseError::Lost) => {}
             result => return result,
         }
@@ -207,14 +208,16 @@
             let same_holding = current.fencing == lease.record.fencing && !current.released;
             self.is_own(current) && same_holding
         });
-        self.renew_from(&own.ok_or(LeaseError::Lost)?).await
+        let own = own.ok_or(LeaseError::Lost)?;
+        self.renew_from(lease, &own).await
     }
 
-    async fn renew_from(&self, expected: &LeaseRecord) -> Result<Lease, LeaseError> {
+    async fn renew_from(&self, lease: &Lease, expected: &LeaseRecord) -> Result<Lease, LeaseError> {
         let record = LeaseRecord {
             renewal: expected.renewal + 1,
             write_id: rand::random(),
             duration: self.settings.duration,
+            held: self.clock.now().saturating_sub(lease.began),
             ..expected.clone()
         };
         self.write(Some(expected), record).await
@@ -257,6 +260,7 @@
         let held_for = record.duration.saturating_sub(self.settings.margin);
         let lease = Lease {
             name: self.name.clone(),
+            began: sent.saturating_sub(record.held),
             record,
             ends: sent + held_for,
         };
--- a/crates/coordination/src/lease/port.rs
+++ b/crates/coordination/src/lease/port.rs
@@ -25,6 +25,9 @@
     pub duration: Duration,
     /// Whether the holder has given it back.
     pub released: bool,
+    /// How long the holding had lasted when this was written, on its holder's clock.
+    #[serde(default)]
+    pub held: Duration,
     /// Whether it was taken from a holder that might act for up to a duration still.
     #[serde(default)]
     pub taken_early: bool,
--- a/crates/coordination/tests/take_over.rs
+++ b/crates/coordination/tests/take_over.rs
@@ -108,3 +108,29 @@
     let late = third.take_over(lease.record()).await.expect("an answer");
     assert_eq!(late, None);
 }
+
+/// How long a holding has lasted is told by its holder's clock, not by how often it was renewed:
+/// a renewal whose answer was lost comes again at once.
+#[tokio::test]
+async fn a_record_tells_how_long_its_holding_has_lasted() {
+    let (store, clock) = (Arc::default(), Arc::new(ManualClock::new()));
+    let mut first = candidate(&store, &clock, "first");
+    clock.advance(Duration::from_secs(100));
+    let lease = acquire(&mut first).await;
+    assert_eq!(lease.record().held, Duration::ZERO);
+    clock.advance(Duration::from_secs(4));
+    let lease = first.renew(&lease).await.expect("renewed");
+    assert_eq!(lease.record().held, Duration::from_secs(4));
+    let lease = first.renew(&lease).await.expect("renewed");
+    let lease = first.renew(&lease).await.expect("renewed");
+    assert_eq!(lease.record().held, Duration::from_secs(4));
+    clock.advance(Duration::from_secs(3));
+    let lease = first.renew(&lease).await.expect("renewed");
+    assert_eq!(lease.record().held, Duration::from_secs(7));
+
+    clock.advance(Duration::from_secs(1));
+    let mut second = candidate(&store, &clock, "second");
+    let taken = second.take_over(lease.record()).await.expect("an answer");
+    let record = taken.expect("taken").lease.record().clone();
+    assert_eq!((record.held, record.taken_early), (Duration::ZERO, true));
+}
--- a/crates/engine/src/rate/pursuit.rs
+++ b/crates/engine/src/rate/pursuit.rs
@@ -49,6 +49,9 @@
 const SUSPECT_INTERVAL: Duration = Duration::from_millis(700);
 /// Time by which each further candidate lets the one before it go first.
 const TURN: Duration = Duration::from_millis(150);
+/// Pause after a renewal that failed: two calls a second of each counter while the store is
+/// away, and many renewals' worth of time is left.
+const RENEWAL_RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -143,10 +146,10 @@
         if self.is_due(engine, rank) {
             return self.acquire(engine).await;
         }
-        if let Some(suspect) = self.suspect(engine).await {
-            self.take_over(engine, &suspect).await;
+        match self.suspect(engine).await {
+            Some(suspect) => self.take_over(engine, &suspect).await,
+            None => BYSTANDER_PAUSE,
         }
-        BYSTANDER_PAUSE
     }
 
     /// Whether the candidate of `rank` is to try to acquire the lease now: its counter has told
@@ -170,7 +173,7 @@
             // Nobody else can have taken it while the store answers nobody.
             Err(LeaseError::Store(_) | LeaseError::Lapsed) => {
                 warn_others(engine, self.shard).await;
-                jittered(RETRY_PAUSE)
+                jittered(RENEWAL_RETRY_PAUSE)
             }
             Err(error) => {
                 engine.counters().end(self.shard);
@@ -190,7 +193,8 @@
                 let replaced = self.candidate.replaced();
                 let has_first = replaced.is_none_or(|replaced| has_lasted(engine, replaced));
                 let record = lease.record().clone();
-                let shared = replaced.map_or(Duration::ZERO, still_shared);
+                let own = &engine.settings().node;
+                let shared = replaced.map_or(Duration::ZERO, |r| still_shared(r, own));
                 let fills_from = engine.counters().elapsed() + shared;
                 let counters = engine.counters();
                 counters.begin(self.shard, lease, has_first, fills_from);
@@ -233,13 +237,13 @@
 
     /// Takes the lease from the counter that has told `suspect`. The buckets begin with tokens,
     /// which are granted at once; they are filled once the other has surely stopped.
-    async fn take_over(&mut self, engine: &Arc<Engine>, suspect: &LeaseRecord) {
+    async fn take_over(&mut self, engine: &Arc<Engine>, suspect: &LeaseRecord) -> Duration {
         let taken = match self.candidate.take_over(suspect).await {
             Ok(Some(taken)) => taken,
-            Ok(None) => return,
+            Ok(None) => return BYSTANDER_PAUSE,
             Err(error) => {
                 log::warn!("shard {} was not taken over: {error}", self.shard);
-                return;
+                return jittered(RETRY_PAUSE);
             }
         };
         let replaced = self.candidate.replaced();
@@ -249,6 +253,7 @@
         counters.begin(self.shard, taken.lease, has_first, taken.shared_until);
         write_event(engine, self.shard, true, "taken over");
         tell_candidates(engine, self.shard, &record).await;
+        RENEWAL_INTERVAL
     }
 
     async fn give_back(&mut self, engine: &Arc<Engine>) {
@@ -320,24 +325,19 @@
         true => record.duration,
         false => Duration::ZERO,
     };
-    least_held(record) >= window.saturating_add(shared)
+    record.held >= window.saturating_add(shared)
 }
 
-/// For how long the counter before the holding of `record` may act still, if that was taken
-/// early and has been given back, or is reclaimed, soon after.
-fn still_shared(record: &LeaseRecord) -> Duration {
-    match record.taken_early {
-        true => record.duration.saturating_sub(least_held(record)),
+/// For how long the counter before the holding of `record` may act still, where that was taken
+/// early, and is acquired by `own` before it has lapsed.
+fn still_shared(record: &LeaseRecord, own: &str) -> Duration {
+    let is_lapsed = !record.released && record.holder.as_str() != own;
+    match record.taken_early && !is_lapsed {
+        true => record.duration.saturating_sub(record.held),
         false => Duration::ZERO,
     }
 }
 
-/// How long the holding of `record` has lasted at least.
-fn least_held(record: &LeaseRecord) -> Duration {
-    let renewals = u32::try_from(record.renewal).unwrap_or(u32::MAX);
-    RENEWAL_INTERVAL.saturating_mul(renewals)
-}
-
 fn write_event(engine: &Engine, shard: Shard, held: bool, reason: &str) {
     engine.events().write(&Event::RateCounter {
         shard,
