--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -39,6 +39,15 @@
     },
 }
 
+/// A lease that was taken from a holder which may not have noticed yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakenOver {
+    /// The lease.
+    pub lease: Lease,
+    /// Until when the holder before may act under its own, on the clock of the candidate.
+    pub shared_until: Duration,
+}
+
 /// One node's pursuit of one lease.
 pub struct LeaseCandidate {
     name: LeaseName,
@@ -115,15 +124,7 @@
                 retry_after => return Ok(Acquisition::Taken { retry_after }),
             },
         };
-        let record = LeaseRecord {
-            holder: self.holder.clone(),
-            incarnation: self.incarnation,
-            fencing,
-            renewal: 0,
-            write_id: rand::random(),
-            duration: self.settings.duration,
-            released: false,
-        };
+        let record = self.first_record(fencing, false);
         match self.write(current.as_ref(), record).await {
             Ok(lease) => {
                 self.replaced = current;
@@ -136,6 +137,53 @@
         }
     }
 
+    /// Takes the lease from the holder of `suspect`, which is believed to be lost, before it has
+    /// lapsed: that holder can't renew it any more, but may act under it until the moment that
+    /// is returned. `None` where the lease is not held by it any longer.
+    ///
+    /// # Errors
+    ///
+    /// As for [`LeaseCandidate::try_acquire`].
+    pub async fn take_over(
+        &mut self,
+        suspect: &LeaseRecord,
+    ) -> Result<Option<TakenOver>, LeaseError> {
+        let current = self.store.get(&self.name).await?;
+        let Some(current) = current.filter(|current| current.fencing == suspect.fencing) else {
+            return Ok(None);
+        };
+        let remaining = self.time_until_free(&current);
+        let shared_until = self.clock.now() + remaining;
+        let taken_early = remaining > Duration::ZERO;
+        let record = self.first_record(current.fencing.next(), taken_early);
+        match self.write(Some(&current), record).await {
+            Ok(lease) => {
+                self.replaced = Some(current);
+                Ok(Some(TakenOver {
+                    lease,
+                    shared_until,
+                }))
+            }
+            Err(LeaseError::Lost) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// What the store is to hold of a new holding.
+    fn first_record(&self, fencing: FencingNumber, taken_early: bool) -> LeaseRecord {
+        LeaseRecord {
+            holder: self.holder.clone(),
+            incarnation: self.incarnation,
+            fencing,
+            renewal: 0,
+            write_id: rand::random(),
+            duration: self.settings.duration,
+            released: false,
+            held: Duration::ZERO,
+            taken_early,
+        }
+    }
+
     /// The record that the lease acquired last has replaced: how often the holding before was
     /// renewed tells how long it lasted at least. `None` where there was none.
     pub fn replaced(&self) -> Option<&LeaseRecord> {
@@ -150,7 +198,7 @@
     /// [`LeaseError::Store`] as for [`LeaseCandidate::try_acquire`]: the lease given
     /// is then good for no longer than before.
     pub async fn renew(&self, lease: &Lease) -> Result<Lease, LeaseError> {
-        match self.renew_from(&lease.record).await {
+        match self.renew_from(lease, &lease.record).await {
             Err(LeaseError::Lost) => {}
             result => return result,
         }
@@ -160,14 +208,16 @@
             let same_holding = current.fencing == lease.record.fencing && !current.released;
             self.is_own(current) && same_holding
         });
-        self.renew_from(&own.ok_or(LeaseError::Lost)?).await
+        let own = own.ok_or(LeaseError::Lost)?;
+        self.renew_from(lease, &own).await
     }
 
-    async fn renew_from(&self, expected: &LeaseRecord) -> Result<Lease, LeaseError> {
+    async fn renew_from(&self, lease: &Lease, expected: &LeaseRecord) -> Result<Lease, LeaseError> {
         let record = LeaseRecord {
             renewal: expected.renewal + 1,
             write_id: rand::random(),
             duration: self.settings.duration,
+            held: self.clock.now().saturating_sub(lease.began),
             ..expected.clone()
         };
         self.write(Some(expected), record).await
@@ -210,6 +260,7 @@
         let held_for = record.duration.saturating_sub(self.settings.margin);
         let lease = Lease {
             name: self.name.clone(),
+            began: sent.saturating_sub(record.held),
             record,
             ends: sent + held_for,
         };
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -112,15 +112,22 @@
                 exchange,
                 shard,
                 tenant,
+                takes,
             }) => {
                 let counters = task.engine.counters();
-                let drawn = counters.draw(&task.engine, shard, &tenant);
+                let drawn = match takes {
+                    true => counters.draw(&task.engine, shard, &tenant),
+                    false => counters.look(shard),
+                };
                 if drawn == Draw::NotCounted {
                     counters.want(shard);
                 }
                 task.tell(&FromHome::Drawn { exchange, drawn }).await;
             }
             Some(ToHome::Want(shard)) => task.engine.counters().want(shard),
+            Some(ToHome::CounterLease { shard, record }) => {
+                task.engine.counters().note_told(shard, *record);
+            }
             Some(ToHome::Ping) => task.tell(&FromHome::Pong).await,
             None => {
                 log::warn!("a process said what makes no sense; its link is closed");
