Keep statements and their texts in home regions

Nothing read the home regions of routes and tenants: statements ran on whichever member was best, and went through whichever candidates were ranked for it.

A member or process is given a statement only as an Allowed value, which only a selection by Residency makes. A session acquires connections through targets made of allowed members; connections that lead through other processes are apart for each set of regions; a home looks at its own configuration too. The regions are asked for again once a waiting statement has its connection. Where no member is allowed the statement is refused at once, as not run. The few connections of a process that reaches no home are bounded for a member, not for each set of regions.

One test of homes makes its pool through the new signature.

--- a/crates/engine/src/configuration.rs
+++ b/crates/engine/src/configuration.rs
@@ -164,6 +164,16 @@
         Some(next)
     }
 
+    /// The regions in which statements for `database` on behalf of `tenant` may run. What is
+    /// not in this configuration binds nothing.
+    pub fn residency(&self, database: &str, tenant: Option<&TenantName>) -> Residency {
+        let route = self.routes.get(database).map(|route| &route.residency);
+        let tenant = tenant.and_then(|name| self.tenants.get(name));
+        let tenant = tenant.map(|tenant| &tenant.residency);
+        let anywhere = &Residency::ANYWHERE;
+        route.unwrap_or(anywhere).and(tenant.unwrap_or(anywhere))
+    }
+
     /// The tenant whose credential this is.
     pub fn tenant_of(&self, credential: &Credential) -> Option<&Arc<Tenant>> {
         self.tenants.get(self.credentials.get(credential)?)
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -10,11 +10,12 @@
 use crate::home::{Homes, RemoteBackEnd, placement};
 use crate::leadership::fleet::connection_share;
 use crate::leadership::follower::TermFollower;
-use crate::names::{GroupName, MemberId, NodeName, ZoneName};
+use crate::names::{GroupName, MemberId, NodeName, TenantName, ZoneName};
 use crate::pool::MemberPool;
 use crate::ports::{BackEnd, PeerNetwork, RecordStore};
 use crate::rate::Counters;
 use crate::rate::permit::Refusals;
+use crate::residency::{Allowed, Residency, report_unknown_regions};
 use crate::telemetry;
 use crate::tenant::TenantPolicy;
 use crate::topology::Topology;
@@ -122,7 +123,7 @@
     directory: watch::Sender<Arc<Directory>>,
     groups: Mutex<HashMap<GroupName, Arc<Group>>>,
     pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
-    remote_pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
+    remote_pools: Mutex<HashMap<(MemberId, Residency), Arc<MemberPool>>>,
     homes: Arc<Homes>,
     following: Following,
     counters: Counters,
@@ -143,7 +144,8 @@
         records: EngineRecords,
         peers: Arc<dyn PeerNetwork>,
     ) -> Arc<Self> {
-        let homes = Homes::new(settings.node.clone(), Arc::clone(&peers));
+        let (node, topology) = (settings.node.clone(), settings.topology.clone());
+        let homes = Homes::new(node, topology, Arc::clone(&peers));
         Arc::new(Self {
             settings,
             back_end,
@@ -221,6 +223,8 @@
             later
         });
         if taken {
+            report_unknown_regions(&self.settings.topology, &configuration);
+            self.forget_restricted_pools();
             self.counters.configured(self, &configuration);
             self.remember_configuration(configuration);
             self.divide_connections();
@@ -459,17 +463,37 @@
         }
     }
 
-    /// What sessions reach `member` with.
-    pub fn session_pool(&self, member: &Arc<Member>) -> Arc<MemberPool> {
+    /// What sessions reach `allowed` with. Connections that lead through other processes are
+    /// apart for each set of regions: each goes through one process for a while.
+    pub fn session_pool(&self, allowed: &Allowed<Arc<Member>>) -> Allowed<Arc<MemberPool>> {
+        let member = allowed.get();
         if self.connects_itself(member) {
-            return self.pool(member);
+            return allowed.with(self.pool(member));
         }
+        let residency = allowed.residency();
         let mut pools = lock(&self.remote_pools);
-        let pool = pools.entry(member.id.clone()).or_insert_with(|| {
-            let back_end = RemoteBackEnd::new(Arc::clone(&self.homes), Arc::clone(&self.back_end));
-            Arc::new(MemberPool::remote(Arc::clone(member), Arc::new(back_end)))
-        });
-        Arc::clone(pool)
+        let pool = pools
+            .entry((member.id.clone(), residency.clone()))
+            .or_insert_with(|| {
+                let homes = Arc::clone(&self.homes);
+                let direct = Arc::clone(&self.back_end);
+                let back_end = RemoteBackEnd::new(homes, direct, residency.clone());
+                Arc::new(MemberPool::remote(Arc::clone(member), Arc::new(back_end)))
+            });
+        allowed.with(Arc::clone(pool))
+    }
+
+    /// Forgets the connections of sets of regions, which may never be asked for again.
+    fn forget_restricted_pools(&self) {
+        lock(&self.remote_pools).retain(|(_, residency), _| residency.is_anywhere());
+    }
+
+    /// The regions in which statements for `database` on behalf of `tenant` may run, by the
+    /// newest configuration. What that does not name binds nothing.
+    pub fn residency(&self, database: &str, tenant: Option<&TenantName>) -> Residency {
+        let configuration = self.configuration.borrow();
+        let configuration = configuration.as_ref();
+        configuration.map_or(Residency::ANYWHERE, |c| c.residency(database, tenant))
     }
 
     /// This process's own connections to `member`: its sessions' where it
@@ -526,15 +550,18 @@
 
     /// Closes connections that have not been used for long.
     pub fn close_unused_connections(&self) {
-        for pools in [&self.pools, &self.remote_pools] {
-            lock(pools).values().for_each(|pool| pool.close_unused());
-        }
+        lock(&self.pools)
+            .values()
+            .for_each(|pool| pool.close_unused());
+        lock(&self.remote_pools)
+            .values()
+            .for_each(|pool| pool.close_unused());
     }
 
     fn close_pools_except(&self, directory: &Directory) {
         let is_known = |id: &str| directory.member(id).is_some();
         self.homes.retain_members(is_known);
-        lock(&self.remote_pools).retain(|id, _| is_known(id));
+        lock(&self.remote_pools).retain(|(id, _), _| is_known(id));
         let mut pools = lock(&self.pools);
         pools.retain(|id, pool| {
             let known = is_known(id);
--- a/crates/engine/src/home/mod.rs
+++ b/crates/engine/src/home/mod.rs
@@ -33,6 +33,7 @@
 use crate::link::frame::Wanted;
 use crate::peers;
 use crate::ports::GroupBelief;
+use crate::residency::Residency;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
@@ -83,9 +84,11 @@
         return false;
     };
     let asked = Instant::now();
+    // Questions hold nothing of a caller.
+    let anywhere = &Residency::ANYWHERE;
     let answered = timeout(ASK_TIMEOUT, async {
-        let link = engine.homes().choose(&member, None).await?;
-        link.ask(group.name(), wanted).await
+        let link = engine.homes().choose(&member, None, anywhere).await?;
+        link.get().ask(group.name(), wanted).await
     });
     let Ok(Some(beliefs)) = answered.await else {
         return false;
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -6,9 +6,12 @@
 use crate::ports::PeerNetwork;
 use crate::rate::SHARDS;
 use crate::rate::counter::Shard;
+use crate::residency::{Allowed, Residency};
+use crate::topology::Topology;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Semaphore;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Processes that hold the connections to one member while all of them live. Two, so that
@@ -268,16 +271,21 @@
 #[derive(Debug)]
 pub struct Homes {
     own: NodeName,
+    topology: Topology,
     ranking: Mutex<Ranking>,
+    /// What bounds this process's own connections to members whose homes it does not reach.
+    direct: Mutex<HashMap<MemberId, Arc<Semaphore>>>,
     links: Links,
 }
 
 impl Homes {
     /// For the process called `own`; it knows of no other yet.
-    pub fn new(own: NodeName, network: Arc<dyn PeerNetwork>) -> Self {
+    pub fn new(own: NodeName, topology: Topology, network: Arc<dyn PeerNetwork>) -> Self {
         Self {
             own,
+            topology,
             ranking: Mutex::default(),
+            direct: Mutex::default(),
             links: Links::new(network),
         }
     }
@@ -354,9 +362,18 @@
 
     /// Forgets members that are no longer there.
     pub fn retain_members(&self, is_known: impl Fn(&str) -> bool) {
+        lock(&self.direct).retain(|id, _| is_known(id));
         self.lock().candidates.retain(|id, _| is_known(id));
     }
 
+    /// The permits for this process's own connections to `member` while it reaches no home:
+    /// [`LEAST_SHARE`] of them, whatever they are used for.
+    pub(super) fn direct_permits(&self, member: &Member) -> Arc<Semaphore> {
+        let mut direct = lock(&self.direct);
+        let permits = direct.entry(member.id.clone());
+        Arc::clone(permits.or_insert_with(|| Arc::new(Semaphore::new(LEAST_SHARE))))
+    }
+
     /// The candidates for `member`, the homes first.
     pub fn candidates(&self, member: &Member) -> Arc<[Peer]> {
         let mut ranking = self.lock();
@@ -449,26 +466,38 @@
     }
 
     /// A link to a process that holds connections to `member`: to one of its homes if one
-    /// answers, else to one of those that follow. Where there are tenants, each has one of the
-    /// homes that the whole fleet asks first, so that the connections which are good for that
-    /// tenant only are found in one place.
-    pub async fn choose(&self, member: &Member, tenant: Option<&TenantName>) -> Option<Arc<Link>> {
+    /// answers, else to one of those that follow, of those that `residency` allows. Where there
+    /// are tenants, each has one of the homes that the whole fleet asks first, so that the
+    /// connections which are good for that tenant only are found in one place.
+    pub async fn choose(
+        &self,
+        member: &Member,
+        tenant: Option<&TenantName>,
+        residency: &Residency,
+    ) -> Option<Allowed<Arc<Link>>> {
         let candidates = self.candidates(member);
         let others = candidates.iter().filter(|peer| peer.node != self.own);
-        let mut addresses: Vec<SocketAddr> = others.map(|peer| peer.address).collect();
+        let others: Vec<Allowed<&Peer>> = residency.select(&self.topology, others).collect();
+        let first = others.first()?;
+        let mut addresses: Vec<SocketAddr> = others.iter().map(|p| p.get().address).collect();
         let homes = HOMES.min(addresses.len());
         match tenant {
             Some(tenant) => spread_by(tenant.as_bytes(), &mut addresses[..homes]),
             None => self.spread(&mut addresses[..homes]),
         }
         let (homes, rest) = addresses.split_at(homes);
-        match self.links.first_usable(homes).await {
-            Some(link) => Some(link),
-            None => self.links.first_usable(rest).await,
-        }
+        let link = match self.links.first_usable(homes).await {
+            Some(link) => link,
+            None => self.links.first_usable(rest).await?,
+        };
+        Some(first.with(link))
     }
 
     fn lock(&self) -> MutexGuard<'_, Ranking> {
-        self.ranking.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.ranking)
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/engine/src/home/remote.rs
+++ b/crates/engine/src/home/remote.rs
@@ -1,6 +1,6 @@
 //! Connections to a member by way of its homes.
 
-use super::placement::{CANDIDATES, Homes, LEAST_SHARE};
+use super::placement::{CANDIDATES, Homes};
 use crate::directory::Member;
 use crate::link::Link;
 use crate::link::frame::{HomeCommand, HomeOutcome, NotSent, RunRequest, UnitId};
@@ -9,30 +9,31 @@
     Admission, Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError,
     MemberReport, Refusal, RefusalKind,
 };
+use crate::residency::{Allowed, Residency};
 use crate::statement::{PreparedStatement, TransactionState};
 use async_trait::async_trait;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
-/// Reaches one member through its homes; by itself, with few connections, while none of
-/// these can be reached.
+/// Reaches one member through its homes in allowed regions; by itself, with few connections,
+/// while none of these can be reached.
 #[derive(Debug)]
 pub struct RemoteBackEnd {
     homes: Arc<Homes>,
     direct: Arc<dyn BackEnd>,
-    direct_connections: Arc<Semaphore>,
+    residency: Residency,
 }
 
 impl RemoteBackEnd {
-    /// By way of `homes`, or by `direct`.
-    pub fn new(homes: Arc<Homes>, direct: Arc<dyn BackEnd>) -> Self {
+    /// By way of those `homes` that `residency` allows, or by `direct`.
+    pub fn new(homes: Arc<Homes>, direct: Arc<dyn BackEnd>, residency: Residency) -> Self {
         Self {
             homes,
             direct,
-            direct_connections: Arc::new(Semaphore::new(LEAST_SHARE)),
+            residency,
         }
     }
 }
@@ -44,12 +45,11 @@
         member: &Member,
         tenant: Option<&TenantName>,
     ) -> Result<Box<dyn BackEndConnection>, ConnectError> {
-        if let Some(link) = self.homes.choose(member, tenant).await {
+        if let Some(link) = self.homes.choose(member, tenant, &self.residency).await {
             let connection = RemoteConnection::new(Arc::clone(&self.homes), link, member, tenant);
             return Ok(Box::new(connection));
         }
-        let permits = Arc::clone(&self.direct_connections);
-        let permit = permits.try_acquire_owned();
+        let permit = self.homes.direct_permits(member).try_acquire_owned();
         let permit = permit.map_err(|_| ConnectError::TooManyConnections)?;
         let connection = self.direct.connect(member, tenant).await?;
         Ok(Box::new(DirectConnection {
@@ -95,7 +95,7 @@
 #[derive(Debug)]
 struct RemoteConnection {
     homes: Arc<Homes>,
-    link: Arc<Link>,
+    link: Allowed<Arc<Link>>,
     member: Member,
     tenant: Option<TenantName>,
     admission: Admission,
@@ -109,7 +109,7 @@
 impl RemoteConnection {
     fn new(
         homes: Arc<Homes>,
-        link: Arc<Link>,
+        link: Allowed<Arc<Link>>,
         member: &Member,
         tenant: Option<&TenantName>,
     ) -> Self {
@@ -126,6 +126,10 @@
         }
     }
 
+    fn link(&self) -> &Arc<Link> {
+        self.link.get()
+    }
+
     /// Answers what needs no member; else what a home is to run.
     fn plan(&mut self, command: &Command) -> Plan {
         match command {
@@ -200,8 +204,8 @@
     async fn forward(&mut self, command: HomeCommand) -> Result<HomeOutcome, LinkError> {
         let ended = "the link to the home has ended";
         let begins = self.unit.is_none();
-        let unit = self.unit.unwrap_or_else(|| self.link.begin_unit());
-        let Some(answer) = self.link.run(self.request(unit, command)) else {
+        let unit = self.unit.unwrap_or_else(|| self.link().begin_unit());
+        let Some(answer) = self.link().run(self.request(unit, command)) else {
             return match begins {
                 true => Ok(HomeOutcome::NotSent(NotSent::Unreachable(ended.to_owned()))),
                 false => Err(LinkError::Closed(ended.to_owned())),
@@ -217,9 +221,10 @@
     /// Leaves a home that runs nothing at the member; returns whether there is another.
     async fn go_elsewhere(&mut self) -> bool {
         self.unit = None;
-        self.link.distrust();
-        match self.homes.choose(&self.member, self.tenant.as_ref()).await {
-            Some(link) if !Arc::ptr_eq(&link, &self.link) => {
+        self.link().distrust();
+        let (tenant, residency) = (self.tenant.as_ref(), self.link.residency());
+        match self.homes.choose(&self.member, tenant, residency).await {
+            Some(link) if !Arc::ptr_eq(link.get(), self.link()) => {
                 self.link = link;
                 true
             }
@@ -254,6 +259,10 @@
                 self.refused(RefusalKind::Shed(retry_after), "too many requests wait")
             }
             NotSent::Unreachable(reason) => self.refused(RefusalKind::Unreachable, &reason),
+            NotSent::OutsideRegions => {
+                let text = "the home knows of regions that rule the member out";
+                self.refused(RefusalKind::OutsideRegions, text)
+            }
             NotSent::UnknownMember => {
                 self.refused(RefusalKind::Unreachable, "no home knows the member")
             }
@@ -273,6 +282,7 @@
         let code: &[u8] = match kind {
             RefusalKind::Busy => b"HOME_FULL",
             RefusalKind::Shed(_) => b"HOME_SHED",
+            RefusalKind::OutsideRegions => b"HOME_REGIONS",
             _ => b"HOME_UNREACHABLE",
         };
         let refusal = Refusal {
@@ -318,8 +328,8 @@
 
     fn is_open(&mut self) -> bool {
         match self.unit {
-            Some(_) => self.link.is_open(),
-            None => self.link.is_usable(),
+            Some(_) => self.link().is_open(),
+            None => self.link().is_usable(),
         }
     }
 
@@ -331,7 +341,7 @@
 impl Drop for RemoteConnection {
     fn drop(&mut self) {
         if let Some(unit) = self.unit {
-            self.link.close_unit(unit);
+            self.link().close_unit(unit);
         }
     }
 }
--- a/crates/engine/src/home/unit.rs
+++ b/crates/engine/src/home/unit.rs
@@ -38,6 +38,7 @@
     pub async fn open(engine: &Engine, request: &RunRequest) -> Result<Self, NotSent> {
         let now = Instant::now();
         let pool = usable_pool(engine, &request.member, now)?;
+        check_regions(engine, request, &pool)?;
         let group = engine.group(&pool.member().group);
         let claim = Claim {
             database: request.database.clone(),
@@ -52,6 +53,8 @@
             AcquireError::Shed(retry_after) => NotSent::Shed { retry_after },
             error => NotSent::Unreachable(error.to_string()),
         })?;
+        // They may have changed while the unit waited.
+        check_regions(engine, request, &pool)?;
         Ok(Self {
             replicated: engine.sync_replicas(group.name()) > 0,
             group,
@@ -185,6 +188,15 @@
     }
 }
 
+/// Looks whether the home regions that this process knows of allow the member. Whoever has
+/// sent `request` has chosen it by its own knowledge, which may be older.
+fn check_regions(engine: &Engine, request: &RunRequest, pool: &MemberPool) -> Result<(), NotSent> {
+    let residency = engine.residency(&request.database, request.tenant.as_ref());
+    let topology = &engine.settings().topology;
+    let member = residency.admit(topology, pool.member());
+    member.map(|_| ()).ok_or(NotSent::OutsideRegions)
+}
+
 fn usable_pool(engine: &Engine, member: &str, now: Instant) -> Result<Arc<MemberPool>, NotSent> {
     let directory = engine.directory();
     let known = directory.member(member);
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -8,6 +8,8 @@
 use crate::pool::Claim;
 use crate::ports::{Command, Control};
 use crate::position::LogPosition;
+use crate::residency::Residency;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -89,9 +91,13 @@
     let now = Instant::now();
     let leader = group.leased_leader(now, Duration::ZERO)?;
     let directory = engine.directory();
-    let pool = engine.session_pool(directory.member(&leader.member)?);
+    let member = directory.member(&leader.member)?;
+    // The question holds nothing of a caller.
+    let topology = &engine.settings().topology;
+    let member = Residency::ANYWHERE.admit(topology, Arc::clone(member))?;
+    let pool = engine.session_pool(&member);
     let until = now + QUESTION_TIMEOUT;
-    let mut connection = pool.acquire(&Claim::own(), until).await.ok()?;
+    let mut connection = pool.get().acquire(&Claim::own(), until).await.ok()?;
     let sent = Instant::now();
     let begin = Command::Begin {
         read_only: false,
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -244,6 +244,8 @@
     Unreachable(String),
     /// The home does not know the member: it has just started, or knows less of the store.
     UnknownMember,
+    /// The home's configuration rules the member's region out.
+    OutsideRegions,
 }
 
 /// What goes over a link one way.
--- a/crates/engine/src/pool/error.rs
+++ b/crates/engine/src/pool/error.rs
@@ -24,6 +24,10 @@
         WrongMember {
             display("another member listens there")
         }
+        /// The home regions have changed while the request waited, and rule the member out.
+        OutsideRegions {
+            display("no longer in a home region")
+        }
     }
 }
 
--- a/crates/engine/src/ports/back_end.rs
+++ b/crates/engine/src/ports/back_end.rs
@@ -135,6 +135,8 @@
     Unreachable,
     /// Anything else. May have run.
     Failed,
+    /// Whoever was to pass it on knows of home regions that rule the member out. Not run.
+    OutsideRegions,
 }
 
 /// What a member tells of itself.
--- a/crates/engine/src/residency.rs
+++ b/crates/engine/src/residency.rs
@@ -1,14 +1,23 @@
 //! Where statements may run: routes and tenants may name their home regions.
+//!
+//! A member or a process that a statement is given to is [`Allowed`]: only
+//! [`Residency::admit`] and [`Residency::select`] make such a value, and whatever takes a
+//! caller's statement further takes nothing else.
 
+use crate::configuration::Configuration;
+use crate::directory::Member;
+use crate::home::placement::Peer;
 use crate::names::RegionName;
+use crate::topology::Topology;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 /// The regions in which statements may run and through whose processes they may pass.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
 pub struct Residency {
     /// `None` for any region.
-    regions: Option<BTreeSet<RegionName>>,
+    regions: Option<Arc<BTreeSet<RegionName>>>,
 }
 
 impl Residency {
@@ -28,7 +37,7 @@
     pub fn in_regions(regions: impl IntoIterator<Item = RegionName>) -> Self {
         let regions: BTreeSet<RegionName> = regions.into_iter().collect();
         Self {
-            regions: (!regions.is_empty()).then_some(regions),
+            regions: (!regions.is_empty()).then(|| Arc::new(regions)),
         }
     }
 
@@ -48,10 +57,131 @@
     /// The regions that both allow, which may be none at all.
     pub fn and(&self, other: &Self) -> Self {
         let regions = match (&self.regions, &other.regions) {
-            (Some(own), Some(others)) => Some(own.intersection(others).cloned().collect()),
-            (Some(one), None) | (None, Some(one)) => Some(one.clone()),
+            (Some(own), Some(others)) => {
+                Some(Arc::new(own.intersection(others).cloned().collect()))
+            }
+            (Some(one), None) | (None, Some(one)) => Some(Arc::clone(one)),
             (None, None) => None,
         };
         Self { regions }
     }
+
+    /// Whether it allows every region that `other` allows.
+    ///
+    /// ```
+    /// use stilequay_engine::residency::Residency;
+    /// let north = Residency::in_regions(["north".into()]);
+    /// let both = Residency::in_regions(["north".into(), "west".into()]);
+    /// assert!(both.includes(&north) && !north.includes(&both));
+    /// assert!(Residency::ANYWHERE.includes(&both) && !both.includes(&Residency::ANYWHERE));
+    /// ```
+    pub fn includes(&self, other: &Self) -> bool {
+        match (&self.regions, &other.regions) {
+            (None, _) => true,
+            (Some(_), None) => false,
+            (Some(own), Some(others)) => others.is_subset(own),
+        }
+    }
+
+    /// `place`, if it stands where statements may run or pass.
+    pub fn admit<T: Placed>(&self, topology: &Topology, place: T) -> Option<Allowed<T>> {
+        let region = || topology.region_of(place.zone()).map(AsRef::as_ref);
+        let allowed = self.is_anywhere() || self.allows(region());
+        allowed.then(|| Allowed {
+            inner: place,
+            residency: self.clone(),
+        })
+    }
+
+    /// Those of `places` that stand where statements may run or pass, in their order.
+    pub fn select<T: Placed>(
+        &self,
+        topology: &Topology,
+        places: impl IntoIterator<Item = T>,
+    ) -> impl Iterator<Item = Allowed<T>> {
+        let places = places.into_iter();
+        places.filter_map(|place| self.admit(topology, place))
+    }
+
+    /// The regions that no zone is known to belong to.
+    fn unknown_regions(&self, topology: &Topology) -> Vec<RegionName> {
+        let regions = self.regions.iter().flat_map(|regions| regions.iter());
+        let unknown = regions.filter(|region| !topology.has_region(region));
+        unknown.cloned().collect()
+    }
+}
+
+/// What stands in a zone.
+pub trait Placed {
+    /// The zone.
+    fn zone(&self) -> &str;
+}
+
+impl Placed for Member {
+    fn zone(&self) -> &str {
+        &self.zone
+    }
+}
+
+impl Placed for Peer {
+    fn zone(&self) -> &str {
+        &self.zone
+    }
+}
+
+impl<T: Placed> Placed for &T {
+    fn zone(&self) -> &str {
+        (**self).zone()
+    }
+}
+
+impl<T: Placed> Placed for Arc<T> {
+    fn zone(&self) -> &str {
+        (**self).zone()
+    }
+}
+
+/// A member, a process, or what leads there, that statements may be given to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Allowed<T> {
+    inner: T,
+    residency: Residency,
+}
+
+impl<T> Allowed<T> {
+    /// What is allowed.
+    pub fn get(&self) -> &T {
+        &self.inner
+    }
+
+    /// The regions that it was allowed for.
+    pub fn residency(&self) -> &Residency {
+        &self.residency
+    }
+
+    /// What leads to it and nowhere else.
+    pub(crate) fn with<U>(&self, inner: U) -> Allowed<U> {
+        Allowed {
+            inner,
+            residency: self.residency.clone(),
+        }
+    }
+}
+
+/// Tells of the home regions in `configuration` that no zone belongs to: nothing can run
+/// there. They hold all the same, since a region without zones is safer than any region.
+pub(crate) fn report_unknown_regions(topology: &Topology, configuration: &Configuration) {
+    let routes = configuration.routes.iter();
+    let routes = routes.map(|(name, route)| ("database", name, &route.residency));
+    let tenants = configuration.tenants.iter();
+    let tenants = tenants.map(|(name, tenant)| ("tenant", name, &tenant.residency));
+    for (kind, name, residency) in routes.chain(tenants) {
+        let unknown = residency.unknown_regions(topology);
+        if !unknown.is_empty() {
+            log::warn!(
+                "{kind} {name} has home regions {unknown:?}, to which no zone of the settings \
+                 belongs: nothing of it runs there"
+            );
+        }
+    }
 }
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -6,6 +6,7 @@
 use crate::group::Group;
 use crate::pool::MemberPool;
 use crate::position::LogPosition;
+use crate::residency::{Allowed, Residency};
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -70,27 +71,33 @@
 #[derive(Debug, Clone)]
 pub struct ReadCandidate {
     /// Its connections.
-    pub pool: Arc<MemberPool>,
+    pub pool: Allowed<Arc<MemberPool>>,
     /// Whether nothing speaks against its running the read at once.
     pub is_likely: bool,
 }
 
-/// The members that may run a read that needs `after`, the best first.
+/// The members that may run a read that needs `after`, those that `residency` allows, the
+/// best first.
 pub fn read_candidates(
     engine: &Engine,
     group: &Group,
+    residency: &Residency,
     after: Option<LogPosition>,
     now: Instant,
 ) -> Vec<ReadCandidate> {
     let leader = group.view().leader;
     let members = engine.directory().members_of(group.name());
-    let mut ranked: Vec<(f64, Arc<MemberPool>)> = members
-        .iter()
-        .filter(|member| !is_past_use(engine, member.state, now))
-        .map(|member| {
-            let pool = engine.session_pool(member);
+    let usable = members
+        .into_iter()
+        .filter(|member| !is_past_use(engine, member.state, now));
+    let topology = &engine.settings().topology;
+    let allowed = residency.select(topology, usable);
+    let mut ranked: Vec<(f64, Allowed<Arc<MemberPool>>)> = allowed
+        .map(|allowed| {
+            let member = allowed.get();
+            let pool = engine.session_pool(&allowed);
             let is_leader = leader.as_ref() == Some(&member.id);
-            let cost = cost_ms(engine, &pool, member.state, is_leader, after, now);
+            let cost = cost_ms(engine, pool.get(), member.state, is_leader, after, now);
             (cost, pool)
         })
         .collect();
--- a/crates/engine/src/session/mod.rs
+++ b/crates/engine/src/session/mod.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod offer;
 mod read;
+mod target;
 mod trace;
 mod transaction;
 mod write;
@@ -30,6 +31,7 @@
 use limits::queue_patience;
 use std::collections::HashMap;
 use std::sync::Arc;
+use target::outside_home_regions;
 use tokio::time::Instant;
 use trace::RequestTrace;
 use transaction::Transaction;
@@ -223,9 +225,23 @@
         if transaction.is_of_another(tenant) {
             transaction.fail(Failure::not_run(FailureReason::TransactionLost));
         }
+        self.end_outside_regions();
         Ok(())
     }
 
+    /// Ends a transaction that is open where its home regions allow it no more. The caller is
+    /// told by what becomes of its statement.
+    fn end_outside_regions(&mut self) {
+        let Some(transaction) = &self.transaction else {
+            return;
+        };
+        let residency = self.residency(transaction.route());
+        let is_allowed = transaction.is_allowed(&self.engine, &residency);
+        if let (false, Some(transaction)) = (is_allowed, &mut self.transaction) {
+            transaction.fail(outside_home_regions());
+        }
+    }
+
     async fn set(&mut self, name: &Bytes, value: &Bytes) -> Result<Completion, Failure> {
         let mut values = self.values.as_ref().clone();
         values.insert(name.clone(), value.clone());
@@ -233,6 +249,7 @@
             return Err(Failure::rejected(FailureReason::Overloaded));
         }
         let values = Arc::new(values);
+        self.end_outside_regions();
         if let Some(transaction) = &mut self.transaction {
             transaction.put_values(&values).await?;
         }
--- a/crates/engine/src/session/offer.rs
+++ b/crates/engine/src/session/offer.rs
@@ -1,8 +1,9 @@
 //! Getting a connection to whichever of several members has one first.
 
-use super::read::ReadTarget;
+use super::target::Target;
 use super::trace::RequestTrace;
 use super::write::shed;
+use crate::engine::Engine;
 use crate::names::MemberId;
 use crate::pool::{AcquireError, Claim, PooledConnection};
 use crate::verdict::{Failure, FailureReason};
@@ -37,7 +38,8 @@
 /// the next. Members that are not likely to run it are asked only where no other can be
 /// reached.
 pub(super) async fn first_connection(
-    targets: &[ReadTarget],
+    engine: &Engine,
+    targets: &[Target],
     claim: &Claim,
     until: Instant,
 ) -> Result<Offer, Vec<Declined>> {
@@ -49,7 +51,7 @@
         if next < targets.len() && (waiting.is_empty() || Instant::now() >= next_at) {
             let index = next;
             let target = &targets[index];
-            waiting.push(async move { (index, target.pool.acquire(claim, until).await) });
+            waiting.push(async move { (index, target.acquire(engine, claim, until).await) });
             next += 1;
             next_at = Instant::now() + HEAD_START;
         }
@@ -62,7 +64,7 @@
             Some((index, result)) = waiting.next() => match result {
                 Ok(connection) => return Ok(Offer { index, connection }),
                 Err(error) => {
-                    let member = targets[index].pool.member().id.clone();
+                    let member = targets[index].pool().member().id.clone();
                     declined.push(Declined { member, error });
                     next_at = Instant::now();
                 }
@@ -92,8 +94,10 @@
     let crowded = declined
         .iter()
         .any(|declined| matches!(declined.error, AcquireError::Exhausted));
+    let outside = |declined: &Declined| declined.error == AcquireError::OutsideRegions;
     Ok(match crowded {
         true => FailureReason::Overloaded,
+        false if declined.iter().all(outside) => FailureReason::OutsideHomeRegions,
         false => unreachable,
     })
 }
@@ -105,7 +109,9 @@
         match declined.error {
             AcquireError::Shed(wait) => soonest = Some(soonest.unwrap_or(wait).min(wait)),
             AcquireError::Exhausted => return None,
-            AcquireError::Unreachable(_) | AcquireError::WrongMember => {}
+            AcquireError::Unreachable(_)
+            | AcquireError::WrongMember
+            | AcquireError::OutsideRegions => {}
         }
     }
     soonest
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -4,10 +4,9 @@
 use super::floor::FloorRequirement;
 use super::limits::StatementLimits;
 use super::offer::{Declined, Offer, first_connection, why_declined};
+use super::target::{Target, check_home_regions, leader_target};
 use super::trace::RequestTrace;
-use super::write::{
-    leader_pool, member_failure, not_run_reason, pause_or_refuse, refusal_text, release, shed,
-};
+use super::write::{member_failure, not_run_reason, pause_or_refuse, refusal_text, release, shed};
 use super::{Completion, Session};
 use crate::configuration::{Consistency, Route};
 use crate::group::{Group, UsableLeader};
@@ -16,6 +15,7 @@
 use crate::pool::{Claim, MemberPool, PooledConnection, RunError, Work};
 use crate::ports::{Answer, Refusal, RefusalKind};
 use crate::position::LogPosition;
+use crate::residency::Residency;
 use crate::routing::read_candidates;
 use crate::statement::Request;
 use crate::verdict::{Failure, FailureReason};
@@ -33,17 +33,6 @@
 /// Members that one read is sent to without an answer, at the most.
 const UNANSWERED_LIMIT: usize = 3;
 
-/// A member that may run a read, and what its log must hold for it.
-#[derive(Debug, Clone)]
-pub(super) struct ReadTarget {
-    /// Its connections.
-    pub pool: Arc<MemberPool>,
-    /// The position asked for; `None` at a leader whose term is leased.
-    pub after: Option<LogPosition>,
-    /// Whether nothing speaks against its running the read at once.
-    pub is_likely: bool,
-}
-
 /// One read's needs, the same for every member that it is sent to.
 #[derive(Debug, Clone)]
 struct ReadJob {
@@ -100,7 +89,7 @@
         loop {
             let targets = self
                 .read_targets(&group, route, request.received, limits.offer, trace)
-                .await;
+                .await?;
             let drawn = self.permit(permit, limits).await?;
             permit = Some(drawn);
             let job = ReadJob {
@@ -118,6 +107,10 @@
     }
 
     /// The members that may run a read that was received at `received`, the best first.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] where those that could stand in no home region.
     pub(super) async fn read_targets(
         &self,
         group: &Arc<Group>,
@@ -125,44 +118,43 @@
         received: Instant,
         until: Instant,
         trace: &mut RequestTrace,
-    ) -> Vec<ReadTarget> {
+    ) -> Result<Vec<Target>, Failure> {
+        let residency = &self.residency(route);
+        check_home_regions(&self.engine, group, residency)?;
         if route.consistency == Consistency::Leader {
-            return self.leader_targets(group, Duration::ZERO, until).await;
+            return self
+                .leader_targets(group, residency, Duration::ZERO, until)
+                .await;
         }
         let required = self.required_position(group, route, received, until).await;
         trace.requires(required);
         let Some(after) = required else {
-            return self.leader_targets(group, route.max_staleness, until).await;
+            return self
+                .leader_targets(group, residency, route.max_staleness, until)
+                .await;
         };
-        let after = Some(after);
-        let candidates = read_candidates(&self.engine, group, after, Instant::now());
+        let now = Instant::now();
+        let candidates = read_candidates(&self.engine, group, residency, Some(after), now);
         let targets = candidates.into_iter();
-        targets
-            .map(|candidate| ReadTarget {
-                is_likely: candidate.is_likely,
-                pool: candidate.pool,
-                after,
-            })
-            .collect()
+        let targets = targets.map(|candidate| Target::candidate(candidate, after));
+        Ok(targets.collect())
     }
 
     /// The leader, twice: where an answer is lost it is asked again.
     async fn leader_targets(
         &self,
         group: &Group,
+        residency: &Residency,
         staleness: Duration,
         until: Instant,
-    ) -> Vec<ReadTarget> {
+    ) -> Result<Vec<Target>, Failure> {
         let leader = access::leased_leader(&self.engine, group, staleness, until).await;
-        let pool = leader.and_then(|leader| leader_pool(&self.engine, &leader));
-        let target = |is_likely| {
-            pool.clone().map(|pool| ReadTarget {
-                pool,
-                after: None,
-                is_likely,
-            })
+        let Some(leader) = leader else {
+            return Ok(Vec::new());
         };
-        target(true).into_iter().chain(target(false)).collect()
+        let first = leader_target(&self.engine, &leader, residency)?;
+        let second = first.as_ref().map(Target::again);
+        Ok(first.into_iter().chain(second).collect())
     }
 
     /// The position that a log must hold to be read by this session, or `None` where only
@@ -191,7 +183,7 @@
     async fn run_hedged(
         &self,
         job: &ReadJob,
-        mut targets: Vec<ReadTarget>,
+        mut targets: Vec<Target>,
         trace: &mut RequestTrace,
     ) -> Result<Completion, ReadFailure> {
         let mut running = FuturesUnordered::new();
@@ -210,7 +202,7 @@
                     }
                     wants_member = true;
                 }
-                offered = first_connection(&targets, &job.claim, job.limits.offer),
+                offered = first_connection(&self.engine, &targets, &job.claim, job.limits.offer),
                     if wants_member && !targets.is_empty() => match offered {
                         Ok(Offer { index, connection }) => {
                             let target = targets.remove(index);
@@ -239,9 +231,9 @@
     }
 }
 
-fn hedge_moment(target: &ReadTarget) -> Instant {
+fn hedge_moment(target: &Target) -> Instant {
     let now = Instant::now();
-    let expected_ms = target.pool.health().expected_latency_ms(now);
+    let expected_ms = target.pool().health().expected_latency_ms(now);
     let expected = Duration::from_secs_f64(expected_ms.max(0.0) / 1000.0);
     now + expected.mul_f64(HEDGE_LATENCIES).max(HEDGE_MIN)
 }
@@ -250,12 +242,12 @@
 /// first, the connection is still read to the end of the answer and used again.
 fn spawn_read(
     job: &ReadJob,
-    target: ReadTarget,
+    target: Target,
     connection: PooledConnection,
 ) -> JoinHandle<ReadResult> {
     let job = job.clone();
     tokio::spawn(async move {
-        let member = target.pool.member().id.clone();
+        let member = target.pool().member().id.clone();
         let outcome = read_once(&job, &target, connection).await;
         ReadResult { member, outcome }
     })
@@ -263,10 +255,10 @@
 
 async fn read_once(
     job: &ReadJob,
-    target: &ReadTarget,
+    target: &Target,
     mut connection: PooledConnection,
 ) -> ReadOutcome {
-    let pool = &target.pool;
+    let pool = target.pool();
     let leader = job.group.as_leader(&pool.member().id);
     let sent = Instant::now();
     let running = async {
--- a/crates/engine/src/session/transaction/mod.rs
+++ b/crates/engine/src/session/transaction/mod.rs
@@ -7,10 +7,13 @@
 use super::write::{Awaited, await_answer, await_in_time, member_failure, refusal_text};
 use super::{Completion, Session};
 use crate::configuration::Route;
+use crate::engine::Engine;
 use crate::group::{Group, UsableLeader};
 use crate::names::{RequestId, TenantName};
 use crate::pool::{PooledConnection, RunError, SessionValues, Work};
 use crate::ports::{Answer, Command, Refusal, RefusalKind};
+use crate::residency::Residency;
+use crate::session::target::is_still_allowed;
 use crate::statement::{Access, Request, TransactionState};
 use crate::verdict::{Failure, FailureReason};
 use std::sync::Arc;
@@ -47,6 +50,8 @@
 struct OpenTransaction {
     connection: PooledConnection,
     leader: Option<UsableLeader>,
+    /// The regions that its member was chosen for.
+    residency: Residency,
     wrote: bool,
 }
 
@@ -69,6 +74,14 @@
         matches!(self.stage, Stage::Open(_)) && self.tenant.as_ref() != tenant
     }
 
+    /// Whether it may stay where it is open, if `residency` are the regions that bind.
+    pub(super) fn is_allowed(&self, engine: &Engine, residency: &Residency) -> bool {
+        let Stage::Open(open) = &self.stage else {
+            return true;
+        };
+        is_still_allowed(engine, open.connection.pool(), &open.residency, residency)
+    }
+
     /// Since when it has been resting, unless it has ended.
     pub(super) fn rests_since(&self) -> Option<Instant> {
         match self.stage {
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -7,29 +7,28 @@
 use crate::ports::Command;
 use crate::session::limits::StatementLimits;
 use crate::session::offer::{Offer, first_connection, why_declined};
-use crate::session::read::{ReadTarget, note_position, note_refusal};
+use crate::session::read::{note_position, note_refusal};
+use crate::session::target::{Target, check_home_regions, leader_target};
 use crate::session::trace::RequestTrace;
 use crate::session::write::{
-    Attempt, Unanswered, await_in_time, judge_refusal, leader_pool, pause_or_refuse, refusal_text,
-    release,
+    Attempt, Unanswered, await_in_time, judge_refusal, pause_or_refuse, refusal_text, release,
 };
 use crate::session::{Completion, Session};
 use crate::statement::{Access, Request};
 use crate::verdict::{Failure, FailureReason};
-use std::sync::Arc;
 use tokio::time::Instant;
 
 /// Members where a transaction may be opened, the best first.
 #[derive(Default)]
 struct Places {
-    targets: Vec<ReadTarget>,
+    targets: Vec<Target>,
     /// The leader, where only it will do.
     leader: Option<UsableLeader>,
 }
 
 /// A member chosen for a transaction, and the connection to it.
 struct Place {
-    target: ReadTarget,
+    target: Target,
     leader: Option<UsableLeader>,
     connection: PooledConnection,
 }
@@ -49,14 +48,14 @@
         let claim = self.claim(&transaction.route);
         let mut permit = None;
         loop {
-            let mut places = self.places(transaction, limits, trace).await;
+            let mut places = self.places(transaction, limits, trace).await?;
             let mut reason = FailureReason::NoLeader;
             while !places.targets.is_empty() && Instant::now() < limits.offer {
                 let drawn = self.permit(permit, limits).await?;
                 permit = Some(drawn);
                 let until = limits.under(drawn).offer;
-                let offered = first_connection(&places.targets, &claim, until).await;
-                let Offer { index, connection } = match offered {
+                let offered = first_connection(&self.engine, &places.targets, &claim, until);
+                let Offer { index, connection } = match offered.await {
                     Ok(offer) => offer,
                     Err(declined) => {
                         reason = why_declined(&declined, FailureReason::NoLeader, trace)?;
@@ -84,40 +83,42 @@
     }
 
     /// Members where the transaction may be opened, the best first.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] where those that could stand in no home region.
     async fn places(
         &self,
         transaction: &Transaction,
         limits: StatementLimits,
         trace: &mut RequestTrace,
-    ) -> Places {
+    ) -> Result<Places, Failure> {
         let (route, group) = (&transaction.route, &transaction.group);
         if transaction.read_only {
             let targets = self
                 .read_targets(group, route, transaction.began, limits.offer, trace)
-                .await;
-            return Places {
+                .await?;
+            return Ok(Places {
                 targets,
                 leader: None,
-            };
+            });
         }
+        let residency = self.residency(route);
+        check_home_regions(&self.engine, group, &residency)?;
         let until = limits.offer;
         let Some(writable) = access::writable_leader(group, until).await else {
-            return Places::default();
+            return Ok(Places::default());
         };
         let leased = access::leased_leader(&self.engine, group, route.max_staleness, until).await;
         let leader = leased.filter(|leader| *leader == writable);
-        let pool = leader
-            .as_ref()
-            .and_then(|leader| leader_pool(&self.engine, leader));
-        let target = pool.map(|pool| ReadTarget {
-            pool,
-            after: None,
-            is_likely: true,
-        });
-        Places {
+        let target = match &leader {
+            Some(leader) => leader_target(&self.engine, leader, &residency)?,
+            None => None,
+        };
+        Ok(Places {
             targets: target.into_iter().collect(),
             leader,
-        }
+        })
     }
 }
 
@@ -143,7 +144,7 @@
         leader,
         mut connection,
     } = place;
-    let pool = Arc::clone(&target.pool);
+    let pool = target.pool();
     let member = pool.member().id.clone();
     let begin = Command::Begin {
         read_only: transaction.read_only,
@@ -157,14 +158,14 @@
         connection.run(&begin).await.map_err(RunError::Before)
     };
     let awaited = await_in_time(opening, first.limits.offer).await;
-    let answer = match awaited.told(&pool, sent, trace) {
+    let answer = match awaited.told(pool, sent, trace) {
         Ok(answer) => answer,
         Err(missing) => return Attempt::NotRun(missing.reason()),
     };
     note_position(&transaction.group, known.as_ref(), sent, &answer);
     if let Err(refusal) = answer.outcome {
         trace.attempted(&member, refusal_text(&refusal));
-        note_refusal(&pool, &refusal, target.after);
+        note_refusal(pool, &refusal, target.after);
         release(connection, answer.state);
         return judge_refusal(refusal);
     }
@@ -175,6 +176,7 @@
     let open = OpenTransaction {
         connection,
         leader,
+        residency: target.residency().clone(),
         wrote: false,
     };
     let Some(work) = first.work else {
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -1,16 +1,15 @@
 //! Single writes: at the leader, at most once.
 
 use super::limits::{RETRY_PAUSE, StatementLimits};
+use super::target::{Target, check_home_regions, leader_target};
 use super::trace::RequestTrace;
 use super::{Completion, Session};
 use crate::configuration::Route;
-use crate::engine::Engine;
 use crate::group::{Group, UsableLeader};
 use crate::leadership::access;
 use crate::names::RequestId;
 use crate::pool::{AcquireError, Claim, MemberPool, PooledConnection, RunError, Work};
 use crate::ports::{Answer, Refusal, RefusalKind};
-use crate::routing::is_past_use;
 use crate::statement::{Request, TransactionState};
 use crate::verdict::{Failure, FailureReason, MemberFailure};
 use std::sync::Arc;
@@ -112,12 +111,15 @@
         let limits = self.limits(route, &group, request.received);
         let mut permit = None;
         loop {
+            let residency = self.residency(route);
+            check_home_regions(&self.engine, &group, &residency)?;
             if group.commits_stalled() {
                 return Err(Failure::not_run(FailureReason::NoReplica));
             }
             let Some(leader) = access::writable_leader(&group, limits.offer).await else {
                 return Err(Failure::not_run(FailureReason::NoLeader));
             };
+            let target = leader_target(&self.engine, &leader, &residency)?;
             let drawn = self.permit(permit, limits).await?;
             permit = Some(drawn);
             let job = WriteJob {
@@ -127,7 +129,7 @@
                 group: &group,
                 limits: StatementLimits::new(route, request.received).under(drawn),
             };
-            match self.write_once(job, &leader, trace).await {
+            match self.write_once(job, &leader, target, trace).await {
                 Attempt::Decided(outcome) => return outcome,
                 Attempt::NotRun(reason) => pause_or_refuse(limits, reason).await?,
             }
@@ -138,13 +140,15 @@
         &mut self,
         job: WriteJob<'_>,
         leader: &UsableLeader,
+        target: Option<Target>,
         trace: &mut RequestTrace,
     ) -> Attempt<Completion> {
         let WriteJob { group, limits, .. } = job;
-        let Some(pool) = leader_pool(&self.engine, leader) else {
+        let Some(target) = target else {
             return Attempt::NotRun(FailureReason::NoLeader);
         };
-        let mut connection = match pool.acquire(&job.claim, limits.offer).await {
+        let acquired = target.acquire(&self.engine, &job.claim, limits.offer);
+        let mut connection = match acquired.await {
             Ok(connection) => connection,
             Err(error) => {
                 trace.attempted(&leader.member, error.to_string());
@@ -156,7 +160,7 @@
             return Attempt::NotRun(FailureReason::ConnectionLost);
         }
         let sent = Instant::now();
-        if !pool.is_remote() {
+        if !target.pool().is_remote() {
             group.record_commit_sent(sent);
         }
         let running = connection.run_work(job.id, job.work, None);
@@ -209,14 +213,6 @@
     }
 }
 
-/// The connections to the leader, unless it must not be used any more.
-pub(super) fn leader_pool(engine: &Engine, leader: &UsableLeader) -> Option<Arc<MemberPool>> {
-    let directory = engine.directory();
-    let member = directory.member(&leader.member)?;
-    let past_use = is_past_use(engine, member.state, Instant::now());
-    (!past_use).then(|| engine.session_pool(member))
-}
-
 /// Waits for an answer until `until`, or until another leader is chosen.
 pub(super) async fn await_answer<T>(
     running: impl Future<Output = T>,
@@ -270,6 +266,7 @@
         AcquireError::Unreachable(_) | AcquireError::WrongMember => {
             Attempt::NotRun(FailureReason::NoLeader)
         }
+        AcquireError::OutsideRegions => Attempt::NotRun(FailureReason::OutsideHomeRegions),
     }
 }
 
@@ -287,6 +284,7 @@
         RefusalKind::UnknownPrepared => Some(FailureReason::ConnectionLost),
         RefusalKind::Shed(_) => Some(FailureReason::Overloaded),
         RefusalKind::Unreachable => Some(FailureReason::NoLeader),
+        RefusalKind::OutsideRegions => Some(FailureReason::OutsideHomeRegions),
         RefusalKind::Failed => None,
     }
 }
--- a/crates/engine/src/topology.rs
+++ b/crates/engine/src/topology.rs
@@ -65,6 +65,11 @@
         self.regions.get(zone)
     }
 
+    /// Whether a zone is known that belongs to `region`.
+    pub fn has_region(&self, region: &str) -> bool {
+        self.regions.values().any(|known| &**known == region)
+    }
+
     /// How far `zone` is. Zones whose regions are not known count as of one region.
     pub fn distance(&self, zone: &str) -> Distance {
         if zone == &*self.zone {
--- a/crates/engine/src/verdict.rs
+++ b/crates/engine/src/verdict.rs
@@ -48,6 +48,8 @@
     RateUnknown,
     /// No leader is known or usable now.
     NoLeader,
+    /// No member that could run it stands in a home region of its route and tenant.
+    OutsideHomeRegions,
     /// No replica receives commits: none would be acknowledged.
     NoReplica,
     /// No member that is fresh enough can be reached.
@@ -97,6 +99,7 @@
             FailureReason::RateLimited => "rate_limited",
             FailureReason::RateUnknown => "rate_unknown",
             FailureReason::NoLeader => "no_leader",
+            FailureReason::OutsideHomeRegions => "outside_home_regions",
             FailureReason::NoReplica => "no_replica",
             FailureReason::NoFreshMember => "no_fresh_member",
             FailureReason::Overloaded => "overloaded",
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -9,10 +9,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, Directory, Member};
-use stilequay_engine::engine::StopPhase;
+use stilequay_engine::engine::{Engine, StopPhase};
 use stilequay_engine::home::placement::{CANDIDATES, Capacity, HOMES, Peer, block_of, rank};
 use stilequay_engine::names::GroupName;
+use stilequay_engine::pool::MemberPool;
 use stilequay_engine::ports::{PutOutcome, RecordStore};
+use stilequay_engine::residency::Residency;
 use stilequay_engine::statement::{Access, Reply};
 use stilequay_engine::verdict::Verdict;
 use support::history::History;
@@ -74,6 +76,14 @@
     (0..LARGE).find(|node| !taken.contains(node)).expect("one")
 }
 
+/// What sessions whose statements may run anywhere reach `member` with.
+fn session_pool(engine: &Engine, member: &Arc<Member>) -> Arc<MemberPool> {
+    let topology = &engine.settings().topology;
+    let anywhere = Residency::ANYWHERE.admit(topology, Arc::clone(member));
+    let pool = engine.session_pool(&anywhere.expect("allowed"));
+    Arc::clone(pool.get())
+}
+
 fn verdict(reply: &Reply) -> Option<Verdict> {
     reply.outcome.as_ref().err().map(|failure| failure.verdict)
 }
@@ -255,7 +265,7 @@
             assert!(
                 members
                     .into_iter()
-                    .all(|m| engine.session_pool(m).is_remote())
+                    .all(|m| session_pool(engine, m).is_remote())
             );
         }
     }
