Test that statements stay in home regions under single failures

The stand-in notes at which servers a statement arrives and to which processes a frame that names it is sent. A read or a write that only a leader elsewhere can run no longer waits for evidence of that leader: the test of it failed before.

--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -4,7 +4,7 @@
 use super::floor::FloorRequirement;
 use super::limits::StatementLimits;
 use super::offer::{Declined, Offer, first_connection, why_declined};
-use super::target::{Target, check_home_regions, leader_target};
+use super::target::{Target, check_home_regions, check_leader_region, leader_target};
 use super::trace::RequestTrace;
 use super::write::{member_failure, not_run_reason, pause_or_refuse, refusal_text, release, shed};
 use super::{Completion, Session};
@@ -148,6 +148,7 @@
         staleness: Duration,
         until: Instant,
     ) -> Result<Vec<Target>, Failure> {
+        check_leader_region(&self.engine, group, residency)?;
         let leader = access::leased_leader(&self.engine, group, staleness, until).await;
         let Some(leader) = leader else {
             return Ok(Vec::new());
--- a/crates/engine/src/session/target.rs
+++ b/crates/engine/src/session/target.rs
@@ -150,6 +150,27 @@
     }
 }
 
+/// As [`check_home_regions`], for what only the leader can run, so that nobody waits for
+/// evidence of a leader that won't do. While one is being replaced the next may do.
+///
+/// # Errors
+///
+/// [`Failure`] where it is known to stand elsewhere.
+pub(super) fn check_leader_region(
+    engine: &Engine,
+    group: &Group,
+    residency: &Residency,
+) -> Result<(), Failure> {
+    let view = group.view();
+    let directory = engine.directory();
+    let leader = view.target().and_then(|leader| directory.member(leader));
+    let topology = &engine.settings().topology;
+    match leader.is_none_or(|leader| residency.admit(topology, leader).is_some()) {
+        true => check_home_regions(engine, group, residency),
+        false => Err(outside_home_regions()),
+    }
+}
+
 /// The refusal of a statement for which no member stands in a home region.
 pub(super) fn outside_home_regions() -> Failure {
     Failure::not_run(FailureReason::OutsideHomeRegions).with_retry_after(RETRY_AFTER)
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -8,7 +8,7 @@
 use crate::session::limits::StatementLimits;
 use crate::session::offer::{Offer, first_connection, why_declined};
 use crate::session::read::{note_position, note_refusal};
-use crate::session::target::{Target, check_home_regions, leader_target};
+use crate::session::target::{Target, check_leader_region, leader_target};
 use crate::session::trace::RequestTrace;
 use crate::session::write::{
     Attempt, Unanswered, await_in_time, judge_refusal, pause_or_refuse, refusal_text, release,
@@ -104,7 +104,7 @@
             });
         }
         let residency = self.residency(route);
-        check_home_regions(&self.engine, group, &residency)?;
+        check_leader_region(&self.engine, group, &residency)?;
         let until = limits.offer;
         let Some(writable) = access::writable_leader(group, until).await else {
             return Ok(Places::default());
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -1,7 +1,7 @@
 //! Single writes: at the leader, at most once.
 
 use super::limits::{RETRY_PAUSE, StatementLimits};
-use super::target::{Target, check_home_regions, leader_target};
+use super::target::{Target, check_leader_region, leader_target};
 use super::trace::RequestTrace;
 use super::{Completion, Session};
 use crate::configuration::Route;
@@ -112,7 +112,7 @@
         let mut permit = None;
         loop {
             let residency = self.residency(route);
-            check_home_regions(&self.engine, &group, &residency)?;
+            check_leader_region(&self.engine, &group, &residency)?;
             if group.commits_stalled() {
                 return Err(Failure::not_run(FailureReason::NoReplica));
             }
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -22,6 +22,7 @@
 use stilequay_engine::engine::{Engine, EngineRecords, EngineSettings, SlowStartBounds};
 use stilequay_engine::following::Feed;
 use stilequay_engine::leadership;
+use stilequay_engine::names::{RegionName, ZoneName};
 use stilequay_engine::residency::Residency;
 use stilequay_engine::session::Session;
 use stilequay_engine::statement::{Access, PreparedStatement, Reply, Request, Statement};
@@ -52,6 +53,8 @@
     pub configuration: watch::Sender<Configuration>,
     /// The zones in which processes stand, in turn.
     zones: &'static [&'static str],
+    /// The regions of zones, as the settings of the process called so tell them.
+    regions: fn(&str) -> HashMap<ZoneName, RegionName>,
     /// How callers prove on whose behalf they ask.
     pub tenants: Option<TenantPolicy>,
 }
@@ -130,6 +133,16 @@
         zones: &'static [&'static str],
         nodes: usize,
         tenants: Option<TenantPolicy>,
+    ) -> Self {
+        Self::start_in_regions(zones, nodes, tenants, |_| HashMap::new()).await
+    }
+
+    /// The same, where each process is told the regions of zones.
+    pub async fn start_in_regions(
+        zones: &'static [&'static str],
+        nodes: usize,
+        tenants: Option<TenantPolicy>,
+        regions: fn(&str) -> HashMap<ZoneName, RegionName>,
     ) -> Self {
         print_events_if_asked();
         let world = World::new(&["a", "b", "c"]);
@@ -140,6 +153,7 @@
             records,
             nodes: Vec::new(),
             zones,
+            regions,
             configuration: watch::Sender::new(configuration(1)),
             tenants,
         };
@@ -168,7 +182,7 @@
         let settings = EngineSettings {
             node: Arc::from(name),
             zone: Arc::from(zone),
-            topology: Topology::new(Arc::from(zone), HashMap::new()),
+            topology: Topology::new(Arc::from(zone), (self.regions)(name)),
             peer_address: Some(MemoryPeers::address_of(name)),
             weight: 1.0,
             contact: Duration::from_secs(4),
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -3,7 +3,7 @@
 use super::servers::World;
 use async_trait::async_trait;
 use bytes::Bytes;
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
@@ -36,6 +36,10 @@
     killed: watch::Sender<HashSet<String>>,
     /// Links of an earlier generation carry nothing any more, and don't end.
     generation: AtomicU64,
+    /// Keeps what links carry, for [`MemoryPeers::processes_passed`].
+    pub keeps_frames: AtomicBool,
+    /// To which process which frame was sent.
+    frames: Mutex<Vec<(String, Bytes)>>,
     /// Frames tell a home of another tenant than the one that asks: a planted mistake.
     pub swaps_tenants: AtomicBool,
     /// Delivers each frame of a link once more a moment later: a planted mistake.
@@ -57,6 +61,8 @@
             away: Mutex::default(),
             killed: watch::Sender::new(HashSet::new()),
             generation: AtomicU64::default(),
+            keeps_frames: AtomicBool::default(),
+            frames: Mutex::default(),
             swaps_tenants: AtomicBool::default(),
             repeats_frames: AtomicBool::default(),
         })
@@ -74,6 +80,16 @@
         self.generation.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// The processes to which a frame was sent that names the request `id`.
+    pub fn processes_passed(&self, id: &str) -> BTreeSet<String> {
+        let frames = self.frames.lock().unwrap();
+        let naming = frames.iter().filter(|(_, frame)| {
+            let mut parts = frame.windows(id.len());
+            parts.any(|part| part == id.as_bytes())
+        });
+        naming.map(|(to, _)| to.clone()).collect()
+    }
+
     /// Ends all links of a process; it answers nobody any more.
     pub fn kill(&self, node: &str) {
         let address = Self::address_of(node);
@@ -106,6 +122,10 @@
                 _ = killed.wait_for(|k| k.contains(&from) || k.contains(&to)) => return,
             };
             let Some(mut frame) = frame else { return };
+            if self.keeps_frames.load(Ordering::Relaxed) {
+                let sent = (to.clone(), frame.clone());
+                self.frames.lock().unwrap().push(sent);
+            }
             if self.swaps_tenants.load(Ordering::Relaxed) {
                 frame = with_names_swapped(&frame);
             }
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -73,6 +73,14 @@
     }
 }
 
+/// The caller's request, where `command` is a statement of one.
+fn statement_id(command: &Command) -> Option<&str> {
+    match command {
+        Command::Run { id, .. } | Command::Execute { id, .. } | Command::Commit { id } => Some(id),
+        _ => None,
+    }
+}
+
 #[derive(Debug)]
 struct WorldTransaction {
     read_only: bool,
@@ -263,6 +271,9 @@
     async fn run_at_server(&mut self, command: &Command) -> Result<Answer, LinkError> {
         sleep(ROUND_TRIP).await;
         let server = self.reach().await?;
+        if let Some(id) = statement_id(command) {
+            self.world.note_arrival(id, &self.server);
+        }
         match command {
             Command::Begin { read_only, after } => {
                 if !read_only && server.role != Role::Primary {
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -26,6 +26,8 @@
     pub(super) reads: Mutex<HashMap<String, ReadLog>>,
     /// The tenant that the server was told for each statement that it ran, by request.
     pub(super) tenants: Mutex<HashMap<String, Option<TenantName>>>,
+    /// Which statement has arrived at which server, run or not.
+    pub(super) arrivals: Mutex<Vec<(String, String)>>,
     /// When which tenant's statements have run.
     pub(super) runs: Mutex<Vec<(Instant, TenantName)>>,
     /// Connections of an earlier generation are answered no more, and don't end.
@@ -77,6 +79,7 @@
             promotions: Mutex::default(),
             reads: Mutex::default(),
             tenants: Mutex::default(),
+            arrivals: Mutex::default(),
             runs: Mutex::default(),
             generation: AtomicU64::default(),
             connections: Mutex::default(),
@@ -109,6 +112,18 @@
         of_tenant.map(|(at, _)| *at).collect()
     }
 
+    /// The servers at which the statement `id` has arrived, in order.
+    pub fn servers_reached(&self, id: &str) -> Vec<String> {
+        let arrivals = self.arrivals.lock().unwrap();
+        let of_statement = arrivals.iter().filter(|(statement, _)| statement == id);
+        of_statement.map(|(_, server)| server.clone()).collect()
+    }
+
+    pub(super) fn note_arrival(&self, id: &str, server: &str) {
+        let arrival = (id.to_owned(), server.to_owned());
+        self.arrivals.lock().unwrap().push(arrival);
+    }
+
     pub(super) fn note_tenant(&self, id: &str, tenant: Option<TenantName>) {
         if let Some(tenant) = &tenant {
             let run = (Instant::now(), tenant.clone());
