--- a/crates/engine/tests/residency.rs
+++ b/crates/engine/tests/residency.rs
@@ -10,6 +10,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stilequay_engine::configuration::{Configuration, Route};
+use stilequay_engine::directory::Directory;
 use stilequay_engine::home::placement::{HOMES, Peer};
 use stilequay_engine::names::{RegionName, ZoneName};
 use stilequay_engine::residency::Residency;
@@ -326,6 +327,40 @@
     }
 }
 
+/// Each candidate in the home region knows nothing of the member yet: a statement goes from one
+/// to the next, and not on to the one elsewhere.
+#[tokio::test(start_paused = true)]
+async fn homes_that_do_not_know_the_member_are_not_followed_by_one_elsewhere() {
+    let fleet = fleet_of(LARGE, all_in(2, NORTH)).await;
+    let node = southern_bystander(&fleet);
+    let southern = southern(&fleet);
+    let is_last = |name: &&&str| {
+        candidates_of(&fleet, name)
+            .last()
+            .is_some_and(|last| southern.contains(last))
+    };
+    let name = NORTHERN.iter().find(is_last);
+    let name = name.expect("a server whose last candidate is elsewhere");
+    for candidate in candidates_of(&fleet, name) {
+        if !southern.contains(&candidate) {
+            fleet.nodes[candidate].abort();
+            fleet.nodes[candidate]
+                .engine
+                .set_directory(Directory::default());
+        }
+    }
+    let others = NORTHERN.iter().filter(|other| *other != name);
+    others.for_each(|other| fleet.world.change(other, |server| server.busy = true));
+    let mut client = fleet.session(node, BOUNDED_DATABASE);
+    let mut ids = Vec::new();
+    for _ in 0..5 {
+        let (id, reply) = client.ask_as(read("x")).await;
+        assert!(reply.outcome.is_ok() || reason(&reply).is_some());
+        ids.push((node, id));
+    }
+    assert_eq!(outside(&fleet, &ids), Vec::<String>::new());
+}
+
 /// A session is open: its next statement goes by the newest regions, wherever it stands.
 #[tokio::test(start_paused = true)]
 async fn a_change_binds_open_sessions() {
