Make distance a cost: own zone, own region, other region

One constant stood for every other zone, and what is observed of a member's latency is forgotten within seconds: reads went to idle replicas of another region past the leader in their own. A member of another region costs 60 ms beyond its latency now; other zones of the own region cost 18 ms as before, and so do all where one region or none is known. The last candidate of a member is of its region where that has another zone.

--- a/crates/daemon/src/app/home/routing.rs
+++ b/crates/daemon/src/app/home/routing.rs
@@ -10,6 +10,7 @@
 use stilequay_coordination::identity::ZoneName;
 use stilequay_coordination::position::{Floor, Term};
 use stilequay_engine::routing::MemberCost;
+use stilequay_engine::topology::Distance;
 use tokio::time::{Instant, timeout_at};
 
 /// When a caller should come back while a group has no primary.
@@ -279,13 +280,21 @@
         let cost = MemberCost {
             latency_ms: MEMBER_LATENCY_MS,
             in_use: pool.as_ref().map_or(0, |pool| pool.in_use()),
-            is_remote: member.zone != *self.own_zone,
+            distance: self.distance_of(member),
             is_doubtful: pool.is_some_and(|pool| pool.is_saturated()),
             ..MemberCost::default()
         };
         cost.total_ms()
     }
 
+    /// Regions are not told to this process: other zones count as of its own.
+    fn distance_of(&self, member: &MemberState) -> Distance {
+        match member.zone == *self.own_zone {
+            true => Distance::OwnZone,
+            false => Distance::OwnRegion,
+        }
+    }
+
     async fn wait_for_state<T>(&self, choose: impl FnMut(&GroupState) -> Option<T>) -> Option<T> {
         self.wait_for_state_until(self.deadline, choose).await
     }
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -141,21 +141,38 @@
     first_of(inside, b"follower", FOLLOWERS).cloned().collect()
 }
 
-/// The candidates for `member` among `fleet`, the homes first.
+/// The candidates for `member` among `fleet`, the homes first, where no regions are known.
 pub fn rank(fleet: &[Peer], member: &Member) -> Vec<Peer> {
-    rank_near(fleet, &member.zone, member.id.as_bytes())
+    rank_near(fleet, &member.zone, member.id.as_bytes(), |_| true)
+}
+
+/// The candidates for `member` among `fleet`, the homes first. Those of its zone are followed
+/// by others of its region, so that a statement from this region does not cross the link to
+/// another one twice.
+pub fn rank_by_region(fleet: &[Peer], member: &Member, topology: &Topology) -> Vec<Peer> {
+    let region = topology.region_of(&member.zone);
+    let is_close = |peer: &Peer| topology.region_of(&peer.zone) == region;
+    rank_near(fleet, &member.zone, member.id.as_bytes(), is_close)
 }
 
 /// The candidates among `fleet` for a task that is best done in `zone`. Processes of that
 /// zone come first, but for the last candidate: a cut that takes the whole zone must leave
-/// one that does it from outside.
-fn rank_near(fleet: &[Peer], zone: &str, task: &[u8]) -> Vec<Peer> {
+/// one that does it from outside. Of the processes outside, those that are `close` come first.
+fn rank_near(
+    fleet: &[Peer],
+    zone: &str,
+    task: &[u8],
+    is_close: impl Fn(&Peer) -> bool,
+) -> Vec<Peer> {
     let (inside, outside): (Vec<&Peer>, Vec<&Peer>) =
         fleet.iter().partition(|peer| &*peer.zone == zone);
+    let (close, far): (Vec<&Peer>, Vec<&Peer>) =
+        outside.into_iter().partition(|peer| is_close(peer));
     let inside = first_of(inside.into_iter(), task, CANDIDATES);
     let inside: Vec<&Peer> = inside.collect();
-    let outside = first_of(outside.into_iter(), task, CANDIDATES);
-    let outside: Vec<&Peer> = outside.collect();
+    let close = first_of(close.into_iter(), task, CANDIDATES);
+    let far = first_of(far.into_iter(), task, CANDIDATES);
+    let outside: Vec<&Peer> = close.chain(far).collect();
     let near = match outside.is_empty() {
         true => CANDIDATES,
         false => CANDIDATES - 1,
@@ -170,7 +187,7 @@
     let Some(zone) = zones.get(shard % zones.len().max(1)) else {
         return Vec::new();
     };
-    rank_near(fleet, zone, format!("counter/{shard}").as_bytes())
+    rank_near(fleet, zone, format!("counter/{shard}").as_bytes(), |_| true)
 }
 
 #[derive(Debug, Default)]
@@ -380,7 +397,7 @@
         if let Some(known) = ranking.candidates.get(&member.id) {
             return Arc::clone(known);
         }
-        let candidates: Arc<[Peer]> = rank(&ranking.fleet, member).into();
+        let candidates: Arc<[Peer]> = rank_by_region(&ranking.fleet, member, &self.topology).into();
         let id = member.id.clone();
         ranking.candidates.insert(id, Arc::clone(&candidates));
         candidates
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -7,11 +7,17 @@
 use crate::pool::MemberPool;
 use crate::position::LogPosition;
 use crate::residency::{Allowed, Residency};
+use crate::topology::Distance;
 use std::sync::Arc;
 use tokio::time::Instant;
 
-/// What a member of another zone costs more, ms of latency: links are slower and dear.
+/// What a member of another zone of the region costs more, ms of latency: links are slower
+/// and dear.
 const OTHER_ZONE_MS: f64 = 18.0;
+/// What a member of another region costs more, ms of latency beyond what is observed: the link
+/// there is shared by all traffic, and its bytes are several times as dear as those between
+/// zones. A few statements that wait here weigh more, so callers are not kept waiting for it.
+const OTHER_REGION_MS: f64 = 60.0;
 /// What the leader costs more, ms: it has the writes to itself.
 const LEADER_MS: f64 = 4.0;
 /// What a connection in use here stands for, as a share of one statement's latency.
@@ -30,8 +36,8 @@
     pub latency_ms: f64,
     /// Connections in use here.
     pub in_use: usize,
-    /// It is in another zone.
-    pub is_remote: bool,
+    /// How far it is.
+    pub distance: Distance,
     /// It leads.
     pub is_leader: bool,
     /// It may refuse: it is crowded, or lacks what has to be seen.
@@ -47,23 +53,34 @@
     ///
     /// ```
     /// use stilequay_engine::routing::MemberCost;
+    /// use stilequay_engine::topology::Distance;
     /// let near = MemberCost { latency_ms: 15.0, ..MemberCost::default() };
-    /// let far = MemberCost { is_remote: true, ..near };
+    /// let far = MemberCost { distance: Distance::OwnRegion, ..near };
+    /// let farther = MemberCost { distance: Distance::OtherRegion, ..near };
     /// let crowded = MemberCost { is_doubtful: true, ..near };
     /// assert!(near.total_ms() < far.total_ms());
-    /// assert!(far.total_ms() < crowded.total_ms());
+    /// assert!(far.total_ms() < farther.total_ms());
+    /// assert!(farther.total_ms() < crowded.total_ms());
     /// ```
     pub fn total_ms(&self) -> f64 {
         let waiting = 1.0 + self.in_use as f64 * IN_USE_SHARE;
         let extra = [
-            (self.is_remote, OTHER_ZONE_MS),
             (self.is_leader, LEADER_MS),
             (self.is_doubtful, DOUBTFUL_MS),
             (self.is_leaving, LEAVING_MS),
             (self.is_unreachable, UNREACHABLE_MS),
         ];
         let extra = extra.iter().filter(|(applies, _)| *applies);
-        self.latency_ms * waiting + extra.map(|(_, ms)| ms).sum::<f64>()
+        let extra_ms: f64 = extra.map(|(_, ms)| ms).sum();
+        self.latency_ms * waiting + distance_ms(self.distance) + extra_ms
+    }
+}
+
+fn distance_ms(distance: Distance) -> f64 {
+    match distance {
+        Distance::OwnZone => 0.0,
+        Distance::OwnRegion => OTHER_ZONE_MS,
+        Distance::OtherRegion => OTHER_REGION_MS,
     }
 }
 
@@ -135,7 +152,7 @@
     let cost = MemberCost {
         latency_ms: health.expected_latency_ms(now),
         in_use: pool.in_use(),
-        is_remote: pool.member().zone != engine.settings().zone,
+        distance: engine.settings().topology.distance(&pool.member().zone),
         is_leader,
         is_doubtful: lacks || health.is_busy(now),
         is_leaving: !state.takes_work(),
--- /dev/null
+++ b/crates/engine/tests/regions.rs
@@ -0,0 +1,214 @@
+//! A fleet that stands in several regions: where reads go, and who may hold connections.
+
+mod support;
+
+use rstest::rstest;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::directory::{Member, MemberState, Role};
+use stilequay_engine::home::placement::{CANDIDATES, Peer, rank, rank_by_region};
+use stilequay_engine::names::{RegionName, ZoneName};
+use stilequay_engine::routing::MemberCost;
+use stilequay_engine::topology::{Distance, Topology};
+use stilequay_engine::verdict::Verdict;
+use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, seen};
+use tokio::time::sleep;
+
+/// Zones of the processes, one in each; servers stand in `zone-a`, `zone-b` and `zone-c`.
+const ZONES: &[&str] = &["zone-a", "zone-b", "zone-c", "zone-d"];
+/// The processes in the south.
+const SOUTHERN: &[usize] = &[2, 3];
+
+/// Two zones in each of two regions.
+fn regions(_: &str) -> HashMap<ZoneName, RegionName> {
+    let of_zone = [
+        ("zone-a", "north"),
+        ("zone-b", "north"),
+        ("zone-c", "south"),
+        ("zone-d", "south"),
+    ];
+    let names = |(zone, region): &(&str, &str)| (Arc::from(*zone), Arc::from(*region));
+    of_zone.iter().map(names).collect()
+}
+
+async fn fleet() -> Fleet {
+    Fleet::start_in_regions(ZONES, ZONES.len(), None, regions).await
+}
+
+/// The servers that run 40 bounded reads of one process, a tenth of a second apart: what is
+/// known of the others is forgotten meanwhile.
+async fn readers(fleet: &Fleet, node: usize) -> BTreeSet<String> {
+    let mut client = fleet.session(node, BOUNDED_DATABASE);
+    let mut servers = BTreeSet::new();
+    for _ in 0..40 {
+        servers.insert(seen(&client.read("x").await).0);
+        sleep(Duration::from_millis(100)).await;
+    }
+    servers
+}
+
+#[rstest]
+#[case::beside_its_member(2, &["c"])]
+#[case::in_a_zone_without_members(3, &["c"])]
+#[case::beside_the_leader(0, &["a", "b"])]
+#[case::in_the_leaders_region(1, &["a", "b"])]
+#[tokio::test(start_paused = true)]
+async fn reads_stay_in_the_region(#[case] node: usize, #[case] allowed: &[&str]) {
+    let fleet = fleet().await;
+    let servers = readers(&fleet, node).await;
+    let outside = servers
+        .iter()
+        .any(|server| !allowed.contains(&server.as_str()));
+    assert!(!outside, "{servers:?}");
+}
+
+/// The member of the region answers late: reads in the region's other zone go elsewhere.
+#[tokio::test(start_paused = true)]
+async fn reads_leave_the_region_where_its_members_are_slow() {
+    let fleet = fleet().await;
+    fleet.world.change("c", |server| server.slowness = 60);
+    let servers = readers(&fleet, 3).await;
+    assert!(
+        servers.contains("a") || servers.contains("b"),
+        "{servers:?}"
+    );
+}
+
+#[rstest]
+#[case::refuses(|server: &mut support::servers::Server| server.busy = true)]
+#[case::is_silent(|server: &mut support::servers::Server| server.dark = true)]
+#[tokio::test(start_paused = true)]
+async fn a_read_leaves_the_region_where_its_only_member(
+    #[case] change: fn(&mut support::servers::Server),
+) {
+    let fleet = fleet().await;
+    let mut client = fleet.session(2, BOUNDED_DATABASE);
+    assert_eq!(seen(&client.read("x").await).0, "c");
+    fleet.world.change("c", change);
+    assert_ne!(seen(&client.read("x").await).0, "c");
+}
+
+/// The regions lose each other: reads go on as long as it is known what they must show, are
+/// refused as not run after that, and nobody is promoted.
+#[tokio::test(start_paused = true)]
+async fn a_region_that_is_cut_off_reads_on_for_a_while() {
+    let fleet = fleet().await;
+    let mut northern = fleet.session(0, LEADER_DATABASE);
+    let mut southern = fleet.session(2, BOUNDED_DATABASE);
+    assert!(northern.write("x 1").await.outcome.is_ok());
+    assert!(southern.read("x").await.outcome.is_ok());
+    let southern_nodes = SOUTHERN.iter().map(|node| fleet.nodes[*node].name.clone());
+    for node in southern_nodes {
+        fleet.records.refuse_node(&node, true);
+        let northern_names = ["a", "b", "node-0", "node-1"];
+        northern_names
+            .iter()
+            .for_each(|name| fleet.network().cut(&node, name));
+    }
+    ["a", "b"]
+        .iter()
+        .for_each(|server| fleet.network().cut(server, "c"));
+    assert!(southern.read("x").await.outcome.is_ok());
+    for _ in 0..30 {
+        assert!(northern.write("x 1").await.outcome.is_ok());
+        sleep(Duration::from_millis(100)).await;
+    }
+    let reply = southern.read("x").await;
+    let failure = reply.outcome.expect_err("it is not known what to show");
+    assert_eq!(failure.verdict, Verdict::NotRun);
+    fleet.network().heal();
+    SOUTHERN
+        .iter()
+        .for_each(|node| fleet.records.refuse_node(&fleet.nodes[*node].name, false));
+    sleep(Duration::from_secs(3)).await;
+    assert!(southern.read("x").await.outcome.is_ok());
+    assert!(fleet.world.promotions().is_empty());
+}
+
+fn member_in(zone: &str) -> Member {
+    Member {
+        id: Arc::from("i-1"),
+        group: Arc::from("ledger"),
+        address: SocketAddr::from(([10, 0, 0, 2], 5_432)),
+        zone: Arc::from(zone),
+        role: Role::Replica,
+        slots: 3,
+        cold_until: None,
+        state: MemberState::Ready,
+        changed: 0,
+    }
+}
+
+/// As many processes in each of `zones`.
+fn peers_in(zones: &[&str], count: usize) -> Vec<Peer> {
+    let places = zones
+        .iter()
+        .flat_map(|zone| (0..count).map(move |n| (*zone, n)));
+    let peer = |(index, (zone, n)): (usize, (&str, usize))| Peer {
+        node: Arc::from(format!("{zone}-{n}")),
+        address: SocketAddr::from(([10, 0, 0, 1], 1_000 + u16::try_from(index).expect("few"))),
+        zone: Arc::from(zone),
+        weight: 1.0,
+    };
+    places.enumerate().map(peer).collect()
+}
+
+fn topology() -> Topology {
+    Topology::new(Arc::from("zone-a"), regions(""))
+}
+
+/// Twenty members of each zone: the last candidate is of the other zone of its region.
+#[test]
+fn the_candidate_outside_the_zone_is_of_the_region() {
+    let fleet = peers_in(ZONES, 6);
+    for (zone, other) in [("zone-a", "zone-b"), ("zone-c", "zone-d")] {
+        for number in 0..20 {
+            let member = Member {
+                id: Arc::from(format!("i-{number}")),
+                ..member_in(zone)
+            };
+            let candidates = rank_by_region(&fleet, &member, &topology());
+            let zones: Vec<&str> = candidates.iter().map(|peer| &*peer.zone).collect();
+            assert_eq!(zones, [zone, zone, zone, other]);
+        }
+    }
+}
+
+/// A member whose region has no other zone has its last candidate elsewhere, and one whose
+/// region has no process is reached through others all the same.
+#[test]
+fn candidates_are_of_another_region_where_there_are_no_others() {
+    let fleet = peers_in(&["zone-a", "zone-c"], 6);
+    let candidates = rank_by_region(&fleet, &member_in("zone-a"), &topology());
+    assert_eq!(&*candidates[CANDIDATES - 1].zone, "zone-c");
+    let fleet = peers_in(&["zone-c"], 6);
+    let candidates = rank_by_region(&fleet, &member_in("zone-a"), &topology());
+    assert_eq!(candidates.len(), CANDIDATES);
+}
+
+/// Where there is one region, or none is known, candidates and costs are as without regions.
+#[test]
+fn one_region_changes_nothing() {
+    let fleet = peers_in(ZONES, 6);
+    let one = ZONES
+        .iter()
+        .map(|zone| (Arc::from(*zone), Arc::from("north")));
+    let known = Topology::new(Arc::from("zone-a"), one.collect());
+    let unknown = Topology::new(Arc::from("zone-a"), HashMap::new());
+    for topology in [known, unknown] {
+        for zone in ZONES {
+            let member = member_in(zone);
+            let plain = rank(&fleet, &member);
+            assert_eq!(rank_by_region(&fleet, &member, &topology), plain);
+        }
+        assert_eq!(topology.distance("zone-b"), Distance::OwnRegion);
+    }
+    let cost = MemberCost {
+        latency_ms: 15.0,
+        distance: Distance::OwnRegion,
+        ..MemberCost::default()
+    };
+    assert!((cost.total_ms() - 33.0).abs() < 1e-9);
+}
