Prefer processes and members of the region where others are equal

Keepers of evidence are of the region in which most members of their groups stand, so that questions and calls to the store don't cross a link for nothing. Of replicas that have received as much and stay, one of the old leader's region is promoted; neither commits nor time depend on it. One region, or none known, changes nothing.

--- a/crates/engine/src/home/mod.rs
+++ b/crates/engine/src/home/mod.rs
@@ -31,9 +31,11 @@
 use crate::engine::Engine;
 use crate::group::Group;
 use crate::link::frame::Wanted;
+use crate::names::{GroupName, RegionName};
 use crate::peers;
 use crate::ports::GroupBelief;
 use crate::residency::Residency;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use tokio::time::{Instant, timeout};
 
@@ -60,7 +62,9 @@
         return false;
     };
     let asked = Instant::now();
-    let Some(link) = engine.homes().choose_keeper(block.index).await else {
+    let region = region_of_most(engine, block.groups);
+    let keeper = engine.homes().choose_keeper(block.index, region.as_ref());
+    let Some(link) = keeper.await else {
         return false;
     };
     let beliefs = link.ask(group.name(), Wanted::StoreEvidence);
@@ -76,6 +80,25 @@
     leader.is_some()
 }
 
+/// The region in which most members of `groups` stand, the same everywhere; `None` where there
+/// is one region only.
+fn region_of_most(engine: &Engine, groups: &[GroupName]) -> Option<RegionName> {
+    let topology = &engine.settings().topology;
+    if topology.is_single_region() {
+        return None;
+    }
+    let directory = engine.directory();
+    let members = groups.iter().flat_map(|group| directory.members_of(group));
+    let mut counts: BTreeMap<&RegionName, usize> = BTreeMap::new();
+    for member in members {
+        if let Some(region) = topology.region_of(&member.zone) {
+            *counts.entry(region).or_default() += 1;
+        }
+    }
+    let most = counts.into_iter().max_by_key(|(_, count)| *count);
+    most.map(|(region, _)| region.clone())
+}
+
 async fn ask(engine: &Engine, group: &Group, wanted: Wanted) -> bool {
     let leader = group.view().leader;
     let directory = engine.directory();
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -2,7 +2,7 @@
 
 use crate::directory::Member;
 use crate::link::{Link, Links};
-use crate::names::{GroupName, MemberId, NodeName, TenantName, ZoneName};
+use crate::names::{GroupName, MemberId, NodeName, RegionName, TenantName, ZoneName};
 use crate::ports::PeerNetwork;
 use crate::rate::SHARDS;
 use crate::rate::counter::Shard;
@@ -128,11 +128,14 @@
     ranked.into_iter().take(count).map(|(_, peer)| peer)
 }
 
-/// The candidates for keeping the evidence of one block of groups among `fleet`.
-fn rank_keepers(fleet: &[Peer], block: usize) -> Vec<Peer> {
+/// The candidates for keeping the evidence of one block of groups among `fleet`; those that are
+/// `close` to the groups' members come first.
+fn rank_keepers(fleet: &[Peer], block: usize, is_close: impl Fn(&Peer) -> bool) -> Vec<Peer> {
     let task = format!("keeper/{block}");
-    let first = first_of(fleet.iter(), task.as_bytes(), HOMES);
-    first.cloned().collect()
+    let (close, far): (Vec<&Peer>, Vec<&Peer>) = fleet.iter().partition(|peer| is_close(peer));
+    let close = first_of(close.into_iter(), task.as_bytes(), HOMES);
+    let far = first_of(far.into_iter(), task.as_bytes(), HOMES);
+    close.chain(far).take(HOMES).cloned().collect()
 }
 
 /// The processes of `zone` among `fleet` that follow the store.
@@ -194,7 +197,7 @@
 struct Ranking {
     fleet: Vec<Peer>,
     candidates: HashMap<MemberId, Arc<[Peer]>>,
-    keepers: HashMap<usize, Arc<[Peer]>>,
+    keepers: HashMap<(usize, Option<RegionName>), Arc<[Peer]>>,
     followers: HashMap<ZoneName, Arc<[Peer]>>,
     duty_order: Option<Arc<[Peer]>>,
     zones: Option<Arc<[ZoneName]>>,
@@ -414,21 +417,35 @@
         self.is_among(&self.candidates(member))
     }
 
-    /// The candidates for keeping the evidence of `block`, the keeper first.
+    /// The candidates for keeping the evidence of `block`, the keeper first, where no regions
+    /// are known.
     pub fn keepers(&self, block: usize) -> Arc<[Peer]> {
+        self.keepers_near(block, None)
+    }
+
+    /// The candidates for keeping the evidence of `block`, the keeper first: processes of
+    /// `region`, if there are any.
+    pub fn keepers_near(&self, block: usize, region: Option<&RegionName>) -> Arc<[Peer]> {
         let mut ranking = self.lock();
-        if let Some(known) = ranking.keepers.get(&block) {
+        let key = (block, region.cloned());
+        if let Some(known) = ranking.keepers.get(&key) {
             return Arc::clone(known);
         }
-        let keepers: Arc<[Peer]> = rank_keepers(&ranking.fleet, block).into();
-        ranking.keepers.insert(block, Arc::clone(&keepers));
+        let is_close =
+            |peer: &Peer| region.is_none() || self.topology.region_of(&peer.zone) == region;
+        let keepers: Arc<[Peer]> = rank_keepers(&ranking.fleet, block, is_close).into();
+        ranking.keepers.insert(key, Arc::clone(&keepers));
         keepers
     }
 
-    /// A link to the process that keeps the evidence of `block`, or to the one that follows
-    /// it; `None` where that is this process, or none is reached.
-    pub async fn choose_keeper(&self, block: usize) -> Option<Arc<Link>> {
-        let keepers = self.keepers(block);
+    /// A link to the process that keeps the evidence of `block` near `region`, or to the one
+    /// that follows it; `None` where that is this process, or none is reached.
+    pub async fn choose_keeper(
+        &self,
+        block: usize,
+        region: Option<&RegionName>,
+    ) -> Option<Arc<Link>> {
+        let keepers = self.keepers_near(block, region);
         if keepers.first().is_none_or(|first| first.node == self.own) {
             return None;
         }
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -10,6 +10,7 @@
 use crate::directory::{Member, Role};
 use crate::names::MemberId;
 use crate::position::{LogPosition, Term};
+use crate::topology::Topology;
 use std::net::SocketAddr;
 use tokio::time::Instant;
 
@@ -53,6 +54,8 @@
     pub sync_replicas: usize,
     /// The highest position that the old leader's log is known to have had.
     pub known: Option<LogPosition>,
+    /// The regions of zones.
+    pub topology: &'a Topology,
 }
 
 impl FenceSurvey<'_> {
@@ -135,13 +138,14 @@
         }
     }
 
-    /// The replica that has received most; among equals one that stays.
+    /// The replica that has received most; among equals one that stays, and then one of the old
+    /// leader's region, where those that write have been near it.
     fn best_other(&self) -> Option<(MemberId, LogPosition)> {
         let candidates = self.members.iter().filter_map(|member| {
             let report = member.response.report()?;
             let stays = member.member.state.takes_work();
             let eligible = report.role == Role::Replica && !self.is_previous(member);
-            let rank = (report.received, stays);
+            let rank = (report.received, stays, self.is_near_previous(member));
             eligible.then(|| (rank, member.member.id.clone()))
         });
         let (rank, id) = candidates.max()?;
@@ -154,6 +158,13 @@
         members.filter(move |member| !self.is_previous(member) && !member.has_left(now))
     }
 
+    /// Whether `member` stands in the old leader's region, as far as that is known.
+    fn is_near_previous(&self, member: &Surveyed) -> bool {
+        let region = |member: &Surveyed| self.topology.region_of(&member.member.zone);
+        let mut old = self.members.iter().filter(|other| self.is_previous(other));
+        old.any(|old| region(old).is_some() && region(old) == region(member))
+    }
+
     fn is_previous(&self, member: &Surveyed) -> bool {
         self.previous.is(&member.member)
     }
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -159,6 +159,7 @@
                 term: fencing,
                 sync_replicas,
                 known: self.engine.group(&self.group).newest_known(),
+                topology: &self.engine.settings().topology,
             };
             match survey.choose(Instant::now()) {
                 Ok(target) => {
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -1,6 +1,7 @@
 //! Which member may be promoted, from what the members told.
 
 use rstest::rstest;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use stilequay_engine::leadership::survey::{Response, Surveyed};
 use stilequay_engine::ports::MemberReport;
 use stilequay_engine::position::LogPosition;
+use stilequay_engine::topology::Topology;
 use tokio::time::Instant;
 
 const TERM: u64 = 2;
@@ -91,6 +93,7 @@
         term: TERM,
         sync_replicas,
         known,
+        topology: &Topology::new("zone-a".into(), HashMap::new()),
     };
     survey
         .choose(Instant::now())
--- a/crates/engine/tests/regions.rs
+++ b/crates/engine/tests/regions.rs
@@ -7,14 +7,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::directory::{Member, MemberState, Role};
-use stilequay_engine::home::placement::{CANDIDATES, Peer, rank, rank_by_region};
+use stilequay_engine::directory::{Departure, Member, MemberState, Role};
+use stilequay_engine::home::placement::{CANDIDATES, HOMES, Peer, rank, rank_by_region};
+use stilequay_engine::leadership::choice::{FenceSurvey, PreviousLeader};
+use stilequay_engine::leadership::survey::{Response, Surveyed};
 use stilequay_engine::names::{RegionName, ZoneName};
+use stilequay_engine::ports::MemberReport;
+use stilequay_engine::position::LogPosition;
 use stilequay_engine::routing::MemberCost;
 use stilequay_engine::topology::{Distance, Topology};
 use stilequay_engine::verdict::Verdict;
-use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, seen};
-use tokio::time::sleep;
+use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, seen, until};
+use tokio::time::{Instant, sleep};
 
 /// Zones of the processes, one in each; servers stand in `zone-a`, `zone-b` and `zone-c`.
 const ZONES: &[&str] = &["zone-a", "zone-b", "zone-c", "zone-d"];
@@ -192,6 +196,77 @@
     assert_eq!(candidates.len(), CANDIDATES);
 }
 
+/// Keepers of evidence stand near the members whose evidence they read; one that is lost is
+/// followed by another of the region.
+#[tokio::test(start_paused = true)]
+async fn keepers_are_of_the_region_of_the_members() {
+    let fleet = fleet().await;
+    let homes = fleet.nodes[0].engine.homes();
+    until(|| homes.fleet_len() == ZONES.len()).await;
+    for (region, zones) in [("north", &ZONES[..2]), ("south", &ZONES[2..])] {
+        for block in 0..20 {
+            let keepers = homes.keepers_near(block, Some(&Arc::from(region)));
+            assert_eq!(keepers.len(), HOMES);
+            assert!(keepers.iter().all(|keeper| zones.contains(&&*keeper.zone)));
+        }
+    }
+    let nowhere = homes.keepers_near(0, Some(&Arc::from("nowhere")));
+    assert_eq!(nowhere, homes.keepers(0));
+}
+
+/// The old leader `a` was in the north; `b` is there too, `c` is not.
+#[rstest]
+#[case::equal_logs_to_the_region(7, 7, MemberState::Ready, "b")]
+#[case::a_longer_log_first(7, 8, MemberState::Ready, "c")]
+#[case::one_that_stays_first(7, 7, MemberState::Leaving(Departure::at(Instant::now())), "c")]
+#[tokio::test(start_paused = true)]
+async fn the_next_leader_is_of_the_old_ones_region_among_equals(
+    #[case] northern: u64,
+    #[case] southern: u64,
+    #[case] northern_state: MemberState,
+    #[case] expected: &str,
+) {
+    let member = |name: &str, state, response| Surveyed {
+        member: Arc::new(Member {
+            id: Arc::from(name),
+            address: SocketAddr::from(([10, 0, 0, name.as_bytes()[0]], 5_432)),
+            state,
+            ..member_in(&format!("zone-{name}"))
+        }),
+        response,
+    };
+    let paused = |received| {
+        Response::Report(MemberReport {
+            role: Role::Replica,
+            term: 1,
+            received: LogPosition::new(1, received),
+            paused_for: 2,
+        })
+    };
+    let members = [
+        member(
+            "a",
+            MemberState::Ready,
+            Response::Silent("no answer".to_owned()),
+        ),
+        member("b", northern_state, paused(northern)),
+        member("c", MemberState::Ready, paused(southern)),
+    ];
+    let survey = FenceSurvey {
+        members: &members,
+        previous: &PreviousLeader {
+            id: Some(Arc::from("a")),
+            address: None,
+        },
+        term: 2,
+        sync_replicas: 1,
+        known: None,
+        topology: &topology(),
+    };
+    let chosen = survey.choose(Instant::now()).expect("one");
+    assert_eq!(&*chosen, expected);
+}
+
 /// Where there is one region, or none is known, candidates and costs are as without regions.
 #[test]
 fn one_region_changes_nothing() {
