--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -2,13 +2,16 @@
 
 use crate::directory::Member;
 use crate::link::{Link, Links};
-use crate::names::{GroupName, MemberId, NodeName, TenantName, ZoneName};
+use crate::names::{GroupName, MemberId, NodeName, RegionName, TenantName, ZoneName};
 use crate::ports::PeerNetwork;
 use crate::rate::SHARDS;
 use crate::rate::counter::Shard;
+use crate::residency::{Allowed, Residency};
+use crate::topology::Topology;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::sync::Semaphore;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Processes that hold the connections to one member while all of them live. Two, so that
@@ -131,11 +134,14 @@
     ranked.into_iter().take(count).map(|(_, peer)| peer)
 }
 
-/// The candidates for keeping the evidence of one block of groups among `fleet`.
-fn rank_keepers(fleet: &[Peer], block: usize) -> Vec<Peer> {
+/// The candidates for keeping the evidence of one block of groups among `fleet`; those that are
+/// `close` to the groups' members come first.
+fn rank_keepers(fleet: &[Peer], block: usize, is_close: impl Fn(&Peer) -> bool) -> Vec<Peer> {
     let task = format!("keeper/{block}");
-    let first = first_of(fleet.iter(), task.as_bytes(), HOMES);
-    first.cloned().collect()
+    let (close, far): (Vec<&Peer>, Vec<&Peer>) = fleet.iter().partition(|peer| is_close(peer));
+    let close = first_of(close.into_iter(), task.as_bytes(), HOMES);
+    let far = first_of(far.into_iter(), task.as_bytes(), HOMES);
+    close.chain(far).take(HOMES).cloned().collect()
 }
 
 /// The processes of `zone` among `fleet` that follow the store.
@@ -144,21 +150,38 @@
     first_of(inside, b"follower", FOLLOWERS).cloned().collect()
 }
 
-/// The candidates for `member` among `fleet`, the homes first.
+/// The candidates for `member` among `fleet`, the homes first, where no regions are known.
 pub fn rank(fleet: &[Peer], member: &Member) -> Vec<Peer> {
-    rank_near(fleet, &member.zone, member.id.as_bytes())
+    rank_near(fleet, &member.zone, member.id.as_bytes(), |_| true)
+}
+
+/// The candidates for `member` among `fleet`, the homes first. Those of its zone are followed
+/// by others of its region, so that a statement from this region does not cross the link to
+/// another one twice.
+pub fn rank_by_region(fleet: &[Peer], member: &Member, topology: &Topology) -> Vec<Peer> {
+    let region = topology.region_of(&member.zone);
+    let is_close = |peer: &Peer| topology.region_of(&peer.zone) == region;
+    rank_near(fleet, &member.zone, member.id.as_bytes(), is_close)
 }
 
 /// The candidates among `fleet` for a task that is best done in `zone`. Processes of that
 /// zone come first, but for the last candidate: a cut that takes the whole zone must leave
-/// one that does it from outside.
-fn rank_near(fleet: &[Peer], zone: &str, task: &[u8]) -> Vec<Peer> {
+/// one that does it from outside. Of the processes outside, those that are `close` come first.
+fn rank_near(
+    fleet: &[Peer],
+    zone: &str,
+    task: &[u8],
+    is_close: impl Fn(&Peer) -> bool,
+) -> Vec<Peer> {
     let (inside, outside): (Vec<&Peer>, Vec<&Peer>) =
         fleet.iter().partition(|peer| &*peer.zone == zone);
+    let (close, far): (Vec<&Peer>, Vec<&Peer>) =
+        outside.into_iter().partition(|peer| is_close(peer));
     let inside = first_of(inside.into_iter(), task, CANDIDATES);
     let inside: Vec<&Peer> = inside.collect();
-    let outside = first_of(outside.into_iter(), task, CANDIDATES);
-    let outside: Vec<&Peer> = outside.collect();
+    let close = first_of(close.into_iter(), task, CANDIDATES);
+    let far = first_of(far.into_iter(), task, CANDIDATES);
+    let outside: Vec<&Peer> = close.chain(far).collect();
     let near = match outside.is_empty() {
         true => CANDIDATES,
         false => CANDIDATES - 1,
@@ -203,7 +226,7 @@
 struct Ranking {
     fleet: Vec<Peer>,
     candidates: HashMap<MemberId, Arc<[Peer]>>,
-    keepers: HashMap<usize, Arc<[Peer]>>,
+    keepers: HashMap<(usize, Option<RegionName>), Arc<[Peer]>>,
     followers: HashMap<ZoneName, Arc<[Peer]>>,
     duty_order: Option<Arc<[Peer]>>,
     zones: Option<Arc<[ZoneName]>>,
@@ -297,16 +320,21 @@
 #[derive(Debug)]
 pub struct Homes {
     own: NodeName,
+    topology: Topology,
     ranking: Mutex<Ranking>,
+    /// What bounds this process's own connections to members whose homes it does not reach.
+    direct: Mutex<HashMap<MemberId, Arc<Semaphore>>>,
     links: Links,
 }
 
 impl Homes {
     /// For the process called `own`; it knows of no other yet.
-    pub fn new(own: NodeName, network: Arc<dyn PeerNetwork>) -> Self {
+    pub fn new(own: NodeName, topology: Topology, network: Arc<dyn PeerNetwork>) -> Self {
         Self {
             own,
+            topology,
             ranking: Mutex::default(),
+            direct: Mutex::default(),
             links: Links::new(network),
         }
     }
@@ -383,16 +411,25 @@
 
     /// Forgets members that are no longer there.
     pub fn retain_members(&self, is_known: impl Fn(&str) -> bool) {
+        lock(&self.direct).retain(|id, _| is_known(id));
         self.lock().candidates.retain(|id, _| is_known(id));
     }
 
+    /// The permits for this process's own connections to `member` while it reaches no home:
+    /// [`LEAST_SHARE`] of them, whatever they are used for.
+    pub(super) fn direct_permits(&self, member: &Member) -> Arc<Semaphore> {
+        let mut direct = lock(&self.direct);
+        let permits = direct.entry(member.id.clone());
+        Arc::clone(permits.or_insert_with(|| Arc::new(Semaphore::new(LEAST_SHARE))))
+    }
+
     /// The candidates for `member`, the homes first.
     pub fn candidates(&self, member: &Member) -> Arc<[Peer]> {
         let mut ranking = self.lock();
         if let Some(known) = ranking.candidates.get(&member.id) {
             return Arc::clone(known);
         }
-        let candidates: Arc<[Peer]> = rank(&ranking.fleet, member).into();
+        let candidates: Arc<[Peer]> = rank_by_region(&ranking.fleet, member, &self.topology).into();
         let id = member.id.clone();
         ranking.candidates.insert(id, Arc::clone(&candidates));
         candidates
@@ -409,21 +446,35 @@
         self.is_among(&self.candidates(member))
     }
 
-    /// The candidates for keeping the evidence of `block`, the keeper first.
+    /// The candidates for keeping the evidence of `block`, the keeper first, where no regions
+    /// are known.
     pub fn keepers(&self, block: usize) -> Arc<[Peer]> {
+        self.keepers_near(block, None)
+    }
+
+    /// The candidates for keeping the evidence of `block`, the keeper first: processes of
+    /// `region`, if there are any.
+    pub fn keepers_near(&self, block: usize, region: Option<&RegionName>) -> Arc<[Peer]> {
         let mut ranking = self.lock();
-        if let Some(known) = ranking.keepers.get(&block) {
+        let key = (block, region.cloned());
+        if let Some(known) = ranking.keepers.get(&key) {
             return Arc::clone(known);
         }
-        let keepers: Arc<[Peer]> = rank_keepers(&ranking.fleet, block).into();
-        ranking.keepers.insert(block, Arc::clone(&keepers));
+        let is_close =
+            |peer: &Peer| region.is_none() || self.topology.region_of(&peer.zone) == region;
+        let keepers: Arc<[Peer]> = rank_keepers(&ranking.fleet, block, is_close).into();
+        ranking.keepers.insert(key, Arc::clone(&keepers));
         keepers
     }
 
-    /// A link to the process that keeps the evidence of `block`, or to the one that follows
-    /// it; `None` where that is this process, or none is reached.
-    pub async fn choose_keeper(&self, block: usize) -> Option<Arc<Link>> {
-        let keepers = self.keepers(block);
+    /// A link to the process that keeps the evidence of `block` near `region`, or to the one
+    /// that follows it; `None` where that is this process, or none is reached.
+    pub async fn choose_keeper(
+        &self,
+        block: usize,
+        region: Option<&RegionName>,
+    ) -> Option<Arc<Link>> {
+        let keepers = self.keepers_near(block, region);
         if keepers.first().is_none_or(|first| first.node == self.own) {
             return None;
         }
@@ -490,26 +541,38 @@
     }
 
     /// A link to a process that holds connections to `member`: to one of its homes if one
-    /// answers, else to one of those that follow. Where there are tenants, each has one of the
-    /// homes that the whole fleet asks first, so that the connections which are good for that
-    /// tenant only are found in one place.
-    pub async fn choose(&self, member: &Member, tenant: Option<&TenantName>) -> Option<Arc<Link>> {
+    /// answers, else to one of those that follow, of those that `residency` allows. Where there
+    /// are tenants, each has one of the homes that the whole fleet asks first, so that the
+    /// connections which are good for that tenant only are found in one place.
+    pub async fn choose(
+        &self,
+        member: &Member,
+        tenant: Option<&TenantName>,
+        residency: &Residency,
+    ) -> Option<Allowed<Arc<Link>>> {
         let candidates = self.candidates(member);
         let others = candidates.iter().filter(|peer| peer.node != self.own);
-        let mut addresses: Vec<SocketAddr> = others.map(|peer| peer.address).collect();
+        let others: Vec<Allowed<&Peer>> = residency.select(&self.topology, others).collect();
+        let first = others.first()?;
+        let mut addresses: Vec<SocketAddr> = others.iter().map(|p| p.get().address).collect();
         let homes = HOMES.min(addresses.len());
         match tenant {
             Some(tenant) => spread_by(tenant.as_bytes(), &mut addresses[..homes]),
             None => self.spread(&mut addresses[..homes]),
         }
         let (homes, rest) = addresses.split_at(homes);
-        match self.links.first_usable(homes).await {
-            Some(link) => Some(link),
-            None => self.links.first_usable(rest).await,
-        }
+        let link = match self.links.first_usable(homes).await {
+            Some(link) => link,
+            None => self.links.first_usable(rest).await?,
+        };
+        Some(first.with(link))
     }
 
     fn lock(&self) -> MutexGuard<'_, Ranking> {
-        self.ranking.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.ranking)
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -11,6 +11,7 @@
 use crate::evacuation::Evacuations;
 use crate::names::MemberId;
 use crate::position::{LogPosition, Term};
+use crate::topology::Topology;
 use std::net::SocketAddr;
 use tokio::time::Instant;
 
@@ -56,6 +57,8 @@
     pub known: Option<LogPosition>,
     /// Zones whose members are to lead only where no other holds everything.
     pub evacuations: &'a Evacuations,
+    /// The regions of zones.
+    pub topology: &'a Topology,
 }
 
 impl FenceSurvey<'_> {
@@ -138,15 +141,22 @@
         }
     }
 
-    /// The replica that has received most; among equals one outside evacuated zones, and one
-    /// that stays.
+    /// The replica that has received most; among equals one outside evacuated zones and one that
+    /// stays, and then one of the old leader's region, where those that write have been near it.
     fn best_other(&self) -> Option<(MemberId, LogPosition)> {
         let candidates = self.members.iter().filter_map(|member| {
             let report = member.response.report()?;
             let stays = member.member.state.takes_work();
             let eligible = report.role == Role::Replica && !self.is_previous(member);
             let is_outside = !self.evacuations.contains(&member.member.zone);
-            let rank = (report.received, is_outside && stays, is_outside, stays);
+            let is_near = self.is_near_previous(member);
+            let rank = (
+                report.received,
+                is_outside && stays,
+                is_outside,
+                stays,
+                is_near,
+            );
             eligible.then(|| (rank, member.member.id.clone()))
         });
         let (rank, id) = candidates.max()?;
@@ -159,6 +169,13 @@
         members.filter(move |member| !self.is_previous(member) && !member.has_left(now))
     }
 
+    /// Whether `member` stands in the old leader's region, as far as that is known.
+    fn is_near_previous(&self, member: &Surveyed) -> bool {
+        let region = |member: &Surveyed| self.topology.region_of(&member.member.zone);
+        let mut old = self.members.iter().filter(|other| self.is_previous(other));
+        old.any(|old| region(old).is_some() && region(old) == region(member))
+    }
+
     fn is_previous(&self, member: &Surveyed) -> bool {
         self.previous.is(&member.member)
     }
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -161,6 +161,7 @@
                 sync_replicas,
                 known: self.engine.group(&self.group).newest_known(),
                 evacuations: &evacuations,
+                topology: &self.engine.settings().topology,
             };
             match survey.choose(Instant::now()) {
                 Ok(target) => {
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -256,6 +256,8 @@
     UnknownMember,
     /// The home must not send to the member, or can't tell whether it may.
     MayNotSend(String),
+    /// The home's configuration rules the member's region out.
+    OutsideRegions,
 }
 
 /// What goes over a link one way.
--- a/crates/engine/src/pool/error.rs
+++ b/crates/engine/src/pool/error.rs
@@ -30,6 +30,10 @@
             display("{reason}")
             from()
         }
+        /// The home regions have changed while the request waited, and rule the member out.
+        OutsideRegions {
+            display("no longer in a home region")
+        }
     }
 }
 
--- a/crates/engine/src/verdict.rs
+++ b/crates/engine/src/verdict.rs
@@ -51,6 +51,8 @@
     /// The group's servers stand in zones that are evacuated, or the one that would have to run
     /// it does and no other can lead.
     ZoneEvacuated,
+    /// No member that could run it stands in a home region of its route and tenant.
+    OutsideHomeRegions,
     /// No replica receives commits: none would be acknowledged.
     NoReplica,
     /// No member that is fresh enough can be reached.
@@ -101,6 +103,7 @@
             FailureReason::RateUnknown => "rate_unknown",
             FailureReason::NoLeader => "no_leader",
             FailureReason::ZoneEvacuated => "zone_evacuated",
+            FailureReason::OutsideHomeRegions => "outside_home_regions",
             FailureReason::NoReplica => "no_replica",
             FailureReason::NoFreshMember => "no_fresh_member",
             FailureReason::Overloaded => "overloaded",
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use stilequay_engine::evacuation::Evacuations;
 use stilequay_engine::following::Feed;
 use stilequay_engine::leadership;
+use stilequay_engine::names::{RegionName, ZoneName};
 use stilequay_engine::residency::Residency;
 use stilequay_engine::session::Session;
 use stilequay_engine::statement::{Access, PreparedStatement, Reply, Request, Statement};
@@ -57,6 +58,8 @@
     evacuation_bound: Option<Duration>,
     /// The zones in which processes stand, in turn.
     zones: &'static [&'static str],
+    /// The regions of zones, as the settings of the process called so tell them.
+    regions: fn(&str) -> HashMap<ZoneName, RegionName>,
     /// How callers prove on whose behalf they ask.
     pub tenants: Option<TenantPolicy>,
 }
@@ -136,7 +139,7 @@
         nodes: usize,
         tenants: Option<TenantPolicy>,
     ) -> Self {
-        Self::start_bound(zones, nodes, tenants, None).await
+        Self::start_bound(zones, nodes, tenants, None, |_| HashMap::new()).await
     }
 
     /// The same, where zones are evacuated within `bound`.
@@ -145,7 +148,17 @@
         zones: &'static [&'static str],
         nodes: usize,
     ) -> Self {
-        Self::start_bound(zones, nodes, None, Some(bound)).await
+        Self::start_bound(zones, nodes, None, Some(bound), |_| HashMap::new()).await
+    }
+
+    /// The same, where each process is told the regions of zones.
+    pub async fn start_in_regions(
+        zones: &'static [&'static str],
+        nodes: usize,
+        tenants: Option<TenantPolicy>,
+        regions: fn(&str) -> HashMap<ZoneName, RegionName>,
+    ) -> Self {
+        Self::start_bound(zones, nodes, tenants, None, regions).await
     }
 
     async fn start_bound(
@@ -153,6 +166,7 @@
         nodes: usize,
         tenants: Option<TenantPolicy>,
         evacuation_bound: Option<Duration>,
+        regions: fn(&str) -> HashMap<ZoneName, RegionName>,
     ) -> Self {
         print_events_if_asked();
         let world = World::new(&["a", "b", "c"]);
@@ -163,6 +177,7 @@
             records,
             nodes: Vec::new(),
             zones,
+            regions,
             configuration: watch::Sender::new(configuration(1)),
             evacuations: watch::Sender::new(Evacuations::default()),
             evacuation_bound,
@@ -193,7 +208,7 @@
         let settings = EngineSettings {
             node: Arc::from(name),
             zone: Arc::from(zone),
-            topology: Topology::new(Arc::from(zone), HashMap::new()),
+            topology: Topology::new(Arc::from(zone), (self.regions)(name)),
             peer_address: Some(MemoryPeers::address_of(name)),
             weight: 1.0,
             contact: Duration::from_secs(4),
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -73,6 +73,14 @@
     }
 }
 
+/// The caller's request, where `command` is a statement of one.
+fn statement_id(command: &Command) -> Option<&str> {
+    match command {
+        Command::Run { id, .. } | Command::Execute { id, .. } | Command::Commit { id } => Some(id),
+        _ => None,
+    }
+}
+
 #[derive(Debug)]
 struct WorldTransaction {
     read_only: bool,
@@ -266,6 +274,9 @@
         let arrived = Some(Instant::now());
         self.world
             .change(&self.server, |s| s.last_command = arrived);
+        if let Some(id) = statement_id(command) {
+            self.world.note_arrival(id, &self.server);
+        }
         match command {
             Command::Begin { read_only, after } => {
                 if !read_only && server.role != Role::Primary {
