Rate limits: four questions at once, answers until the deadline, late answers counted

An operation whose first three shards were all lost never came to the others, and one whose time was over while one counter had said that it has none left was told rate_unknown. It asks up to four now, and answers are waited for until the deadline instead of the whole question being dropped at it. Operators see late answers as stilequay_rate_late_answers_total.

--- a/crates/engine/src/rate/asking.rs
+++ b/crates/engine/src/rate/asking.rs
@@ -29,7 +29,7 @@
 const SUCCESSOR_WAIT: Duration = Duration::from_millis(100);
 /// Questions of one operation that may be under way: where this process itself is slow all
 /// answers are late, and each question more would make it slower.
-const QUESTIONS_MAX: usize = 3;
+const QUESTIONS_MAX: usize = 4;
 
 /// What all shards together have said.
 #[derive(Debug)]
@@ -54,19 +54,30 @@
     tenant: &'a TenantName,
     /// How long a permit may be used after it was asked for.
     life: Duration,
+    /// Until when answers are waited for.
+    deadline: Instant,
     under_way: FuturesUnordered<oneshot::Receiver<Answer>>,
+    /// The first shard that was passed by, as another operation waits for its answer.
+    late: Option<Shard>,
     /// Time until a shard that has none left has the next one.
     soonest: Option<Duration>,
 }
 
-/// Asks the counters for a permit that lasts for `life`: that of this process's zone first,
-/// and those that are late last.
-pub(super) async fn ask_all(engine: &Arc<Engine>, tenant: &TenantName, life: Duration) -> Asked {
+/// Asks the counters until `deadline` for a permit that lasts for `life`: those of this
+/// process's zone first, and one that is late last.
+pub(super) async fn ask_all(
+    engine: &Arc<Engine>,
+    tenant: &TenantName,
+    life: Duration,
+    deadline: Instant,
+) -> Asked {
     let mut questions = Questions {
         engine,
         tenant,
         life,
+        deadline,
         under_way: FuturesUnordered::new(),
+        late: None,
         soonest: None,
     };
     let granted = questions.ask_in_turn().await;
@@ -79,56 +90,61 @@
 
 impl Questions<'_> {
     async fn ask_in_turn(&mut self) -> Option<Permit> {
-        let homes = self.engine.homes();
         let zone = &self.engine.settings().zone;
-        let mut late = None;
-        for shard in homes.shards_by_distance(zone, self.tenant) {
-            let now = Instant::now();
-            if let Some(until) = self.engine.refusals().of(self.tenant, shard, now) {
-                self.note_exhausted(until.duration_since(now));
-                continue;
-            }
-            let local = self.engine.counters().draw(self.engine, shard, self.tenant);
-            if local != Draw::NotCounted {
-                let answer = Answer {
-                    shard,
-                    asked: now,
-                    drawn: local,
-                };
-                if let Some(permit) = self.take(&answer) {
-                    return Some(permit);
-                }
-                continue;
-            }
-            match self.engine.refusals().reach.look(shard, now) {
-                Look::Ask => {
-                    if let Some(permit) = self.ask(shard, LATE_AFTER).await {
-                        return Some(permit);
-                    }
-                }
-                Look::Probe => drop(spawn_question(self.engine, shard, self.tenant)),
-                Look::Late => late = late.or(Some(shard)),
-                Look::Lost => {}
+        let shards = self.engine.homes().shards_by_distance(zone, self.tenant);
+        for shard in shards {
+            if let Some(permit) = self.ask_or_pass_by(shard).await {
+                return Some(permit);
             }
-            if self.under_way.len() >= QUESTIONS_MAX {
+            let is_enough = self.under_way.len() >= QUESTIONS_MAX;
+            if is_enough || Instant::now() >= self.deadline {
                 break;
             }
         }
-        self.ask_late(late).await
+        self.ask_late().await
+    }
+
+    async fn ask_or_pass_by(&mut self, shard: Shard) -> Option<Permit> {
+        let asked = Instant::now();
+        let refusals = self.engine.refusals();
+        if let Some(until) = refusals.of(self.tenant, shard, asked) {
+            self.note_exhausted(until.duration_since(asked));
+            return None;
+        }
+        let counters = self.engine.counters();
+        let drawn = counters.draw(self.engine, shard, self.tenant);
+        if drawn != Draw::NotCounted {
+            return self.take(&Answer {
+                shard,
+                asked,
+                drawn,
+            });
+        }
+        match refusals.reach.look(shard, asked) {
+            Look::Ask => return self.ask(shard).await,
+            Look::Probe => drop(spawn_question(self.engine, shard, self.tenant)),
+            Look::Late => self.late = self.late.or(Some(shard)),
+            Look::Lost => {}
+        }
+        None
     }
 
     /// Asks `shard`, and waits for any answer.
-    async fn ask(&mut self, shard: Shard, wait: Duration) -> Option<Permit> {
+    async fn ask(&mut self, shard: Shard) -> Option<Permit> {
         let question = spawn_question(self.engine, shard, self.tenant);
         self.under_way.push(question);
-        let until = Instant::now() + wait;
+        let late_at = Instant::now() + LATE_AFTER;
+        let until = self.deadline.min(late_at);
         loop {
             let answer = match timeout_at(until, self.under_way.next()).await {
                 Ok(answer) => answer,
                 Err(_) => self.look_once_more().await,
             };
             let Some(answer) = answer else {
-                self.engine.refusals().reach.note_late(shard);
+                if Instant::now() >= late_at {
+                    self.engine.refusals().reach.note_late(shard);
+                    metrics::counter!("stilequay_rate_late_answers_total").increment(1);
+                }
                 return None;
             };
             // A question ends without an answer only where the process stops.
@@ -151,14 +167,14 @@
 
     /// Waits for the answers that are late, which may be those of successors, and asks one shard
     /// more that was late before unless others have said that they have none left.
-    async fn ask_late(&mut self, late: Option<Shard>) -> Option<Permit> {
+    async fn ask_late(&mut self) -> Option<Permit> {
         let is_exhausted = self.soonest.is_some();
         let asks = !is_exhausted && self.under_way.len() < QUESTIONS_MAX;
-        if let Some(shard) = late.filter(|_| asks) {
+        if let Some(shard) = self.late.filter(|_| asks) {
             let question = spawn_question(self.engine, shard, self.tenant);
             self.under_way.push(question);
         }
-        let until = Instant::now() + SUCCESSOR_WAIT;
+        let until = self.deadline.min(Instant::now() + SUCCESSOR_WAIT);
         while let Ok(Some(Ok(answer))) = timeout_at(until, self.under_way.next()).await {
             if let Some(permit) = self.take(&answer) {
                 return Some(permit);
--- a/crates/engine/src/rate/permit.rs
+++ b/crates/engine/src/rate/permit.rs
@@ -11,7 +11,7 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 /// Pause before the counters are asked again, where none of them counts.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -133,8 +133,7 @@
     let deadline = deadline.clamp(now + LEAST_PATIENCE, now + COUNTER_PATIENCE);
     let life = bounds.permit_life();
     loop {
-        let asked = timeout_at(deadline, ask_all(engine, &tenant.name, life)).await;
-        match asked.unwrap_or(Asked::Unknown) {
+        match ask_all(engine, &tenant.name, life, deadline).await {
             Asked::Granted(permit) => return Ok(permit),
             Asked::Exhausted(wait) => {
                 let wait = wait.max(LEAST_WAIT);
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -85,6 +85,10 @@
         "stilequay_rate_refusals_total",
         "Operations refused for their tenant's rate, by reason and tenant; tenants beyond the first sixteen are counted as other.",
     ),
+    Metric::counter(
+        "stilequay_rate_late_answers_total",
+        "Questions for permits that a counter had not answered after 25 ms.",
+    ),
     Metric::gauge(
         "stilequay_rate_shards_counted",
         "Shards of the rate limits that this process counts.",
