Look further for what the store holds when the ranked processes tell nothing recent

Cause: a process asked its two sources by rank, two of other zones by rank, and then the store. On a split fleet all of these were on the other side, and 13 of 80 processes stayed refused for 10 s beside 15 that knew everything; an answer counted as good until all feeds were 2.6 s old; a first question at the store waited for changes; a silent link cost 0.75 s.

An answer is recent only while the proof of the configuration is younger than two fifths of the revocation time. Then two of other zones and two drawn from the fleet are asked at once; who is asked by others goes to the store at once, any other after a random part of 400 ms. The first question there, and each after a failure, does not wait. What others tell no longer clears the mark that the store fails to answer, and a late answer no longer makes a link unusable for statements. Questions are counted by step and outcome.

Result: tests/following.rs, 21 cases on the paused clock.

--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -3,19 +3,23 @@
 //! In a small fleet every process follows the store itself. In a larger one two processes do.
 //! The first two of each zone ask one of these for what is newer than what they know, and the
 //! others ask the first two of their zone: so what the store is asked does not grow with the
-//! fleet, and nobody tells more than a zone. A process goes back to the store whenever none
-//! of them tells it, within the time in which it has to know.
+//! fleet, and nobody tells more than a zone. A process that is told nothing recent by these
+//! looks further ([`search`]), and goes back to the store, within the time in which it has to
+//! know.
 //!
 //! | what happens | what comes of it |
 //! | --- | --- |
-//! | one that others ask ends, is cut off, or does not answer | they ask the second, then two of other zones, then the store |
-//! | the store turns one away | it says so, and they do the same; it asks two of other zones itself |
-//! | the store is silent to one | the same once what it knows is too old |
+//! | one that others ask ends, is cut off, or does not answer | they ask the second as soon as its answer is late |
+//! | both are | who is asked by others goes to the store at once; any other asks two of other zones, then a few drawn from the whole fleet, then the store |
+//! | the store turns one away, or is silent to it | it says so once what it knows is old, and looks further itself |
+//! | the network is split | each side has what any of its processes knows |
 //! | a process holds the lease for promotions | it follows the store too |
 //! | the store is away | all ask it, less and less often |
 //! | a process begins to follow the store | it goes on from the version that it was told, and reads whole tables only where the store has forgotten what came after it |
 //! | processes disagree on whom to ask | whoever is asked answers with what it knows, and how old that is |
 
+mod search;
+
 use crate::engine::Engine;
 use crate::events::{DependencyMonitor, millis};
 use crate::home::placement::Source;
@@ -23,11 +27,12 @@
 use crate::link::frame::{FeedVersions, FollowedVersions, News};
 use crate::peers::declared;
 use crate::ports::{Record, RecordChanges};
+use search::{Search, Step};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 /// Processes that may follow the store themselves, each.
 const DIRECT_FLEET: usize = 16;
@@ -37,8 +42,11 @@
 /// A process proves its configuration by way of two others: this share for each of these, and
 /// two waits at the store, leave three fifths of that time for a source that is lost.
 const REVOCATION_SHARE: f64 = 0.1;
-/// What an answer may take longer than that.
-const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+/// Age of a proof of the configuration, as a share of the time within which a removed
+/// credential must be known, from which on a process looks for a better one. A proof that was
+/// just told is three waits old at most where nothing is amiss, three tenths of that time; what
+/// is left suffices for the search and a silent call at the store.
+const PROOF_SHARE: f64 = 0.4;
 /// What the knowledge of a process that follows the store may be older than one of its waits
 /// there.
 const AGE_MARGIN: Duration = Duration::from_millis(600);
@@ -58,6 +66,10 @@
 /// one call. Well below the time in which a change must be known.
 const FEED_PAUSE: Duration = Duration::from_millis(25);
 
+/// Time over which processes turn to the store that others don't ask, when nobody tells them
+/// anything recent: hundreds would begin in one moment, and most find one that was quicker.
+const STORE_SPREAD: Duration = Duration::from_millis(400);
+
 /// Pause before the store is asked again after a failure; a random part of as much is added.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// How often that pause doubles while the store goes on failing, at the most.
@@ -91,6 +103,13 @@
     failing: bool,
 }
 
+impl FeedState {
+    fn advance(&mut self, at: Instant, version: u64) {
+        self.heard = self.heard.max(Some(at));
+        self.version = self.version.max(version);
+    }
+}
+
 /// Where this process learns what the store holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Mode {
@@ -146,15 +165,23 @@
         true
     }
 
-    /// Notes that everything that `feed` holds is known as of `at`, and as of `version` of the
-    /// store, and has been taken.
+    /// Notes that the store has told everything that `feed` holds as of `at`, and as of its
+    /// `version`, and that it has been taken.
     pub fn heard(&self, feed: Feed, at: Instant, version: u64) {
         let state = &mut self.lock()[feed as usize];
-        state.heard = state.heard.max(Some(at));
-        state.version = state.version.max(version);
+        state.advance(at, version);
         state.failing = false;
     }
 
+    /// The same of what another process has told of all feeds. Whether the store fails to
+    /// answer this one stays as it is: it does not tell others what it may not know for long.
+    fn heard_of_others(&self, at: Instant, versions: FeedVersions) {
+        let mut feeds = self.lock();
+        feeds[Feed::Configuration as usize].advance(at, versions.configuration);
+        feeds[Feed::Directory as usize].advance(at, versions.directory);
+        feeds[Feed::Records as usize].advance(at, versions.records);
+    }
+
     /// Notes that the store has failed to tell of `feed`, for the `failures`th time in a row.
     /// One failure says little; the next call may be answered.
     pub fn failed(&self, feed: Feed, failures: u32) {
@@ -223,6 +250,10 @@
     }
 
     fn set_mode(&self, mode: Mode) {
+        if mode == Mode::Indirect {
+            // It does not ask the store any more.
+            self.lock().iter_mut().for_each(|feed| feed.failing = false);
+        }
         self.mode.send_if_modified(|current| {
             let changed = *current != mode;
             *current = mode;
@@ -245,6 +276,7 @@
 /// Whoever holds `duty` follows the store itself: what others report there must reach it soon.
 pub async fn follow(engine: &Engine, duty: &Duty) {
     let mut dependency = DependencyMonitor::new("followers");
+    let mut search = Search::default();
     settle(engine).await;
     loop {
         if !follows_others(engine) {
@@ -257,8 +289,11 @@
             None => engine.homes().source(&engine.settings().zone),
         };
         match source {
-            Source::Store => follow_store(engine).await,
-            Source::Peers(peers) => follow_peers(engine, &peers, &mut dependency).await,
+            Source::Store => follow_store(engine, &mut search).await,
+            Source::Peers(peers) => {
+                let learned = follow_peers(engine, &peers, &mut search).await;
+                dependency.note(engine.events(), learned.err());
+            }
         }
     }
 }
@@ -283,36 +318,57 @@
 }
 
 /// One round of a process that follows the store for others: while the store turns it away,
-/// those of other zones may know more.
-async fn follow_store(engine: &Engine) {
+/// others may know more.
+async fn follow_store(engine: &Engine, search: &mut Search) {
     engine.following().set_mode(Mode::Direct);
-    if engine.following().is_failing() || is_out_of_date(engine, Instant::now()) {
+    if needs_more(engine) {
         // That the store does not answer is told by the tasks that ask it.
-        let _ = learn(engine, &elsewhere(engine)).await;
+        let _ = search.look_further(engine, true).await;
     }
     sleep(PAUSE).await;
 }
 
-/// One round of any other process: it asks `peers`, then two processes of other zones, and
-/// goes to the store itself where none of them knows enough.
-async fn follow_peers(engine: &Engine, peers: &[SocketAddr], dependency: &mut DependencyMonitor) {
-    let mut learned = learn(engine, peers).await;
-    if learned.is_err() {
-        learned = learn(engine, &elsewhere(engine)).await;
+/// One round of any other process: it asks `peers`, looks further where they tell nothing
+/// recent, and goes to the store itself where nobody does. One that others ask goes there at
+/// once: they wait for it.
+///
+/// # Errors
+///
+/// The reason why nothing recent was learned.
+async fn follow_peers(
+    engine: &Engine,
+    peers: &[SocketAddr],
+    search: &mut Search,
+) -> Result<(), String> {
+    let following = engine.following();
+    let learned = search.ask_sources(engine, peers).await;
+    if learned.is_ok() {
+        following.set_mode(Mode::Indirect);
+        return learned;
     }
-    let mode = match learned {
-        Ok(()) => Mode::Indirect,
-        Err(_) => Mode::Direct,
-    };
-    engine.following().set_mode(mode);
-    dependency.note(engine.events(), learned.err());
-    if mode == Mode::Direct {
-        sleep(PAUSE).await;
+    if engine.homes().is_follower(&engine.settings().zone) {
+        follow_store(engine, search).await;
+        return learned;
+    }
+    let with_scouts = !following.is_direct() || needs_more(engine);
+    let learned = search.look_further(engine, with_scouts).await;
+    match learned {
+        Ok(Step::Elsewhere) => {
+            following.set_mode(Mode::Indirect);
+            return Ok(());
+        }
+        // What happens to know something recent now need not know it for long.
+        _ if search.is_store_due() => following.set_mode(Mode::Direct),
+        _ => {}
     }
+    let pause = PAUSE.mul_f64(0.5 + rand::random::<f64>());
+    sleep(search.pause(pause)).await;
+    learned.map(|_| ())
 }
 
-fn elsewhere(engine: &Engine) -> Vec<SocketAddr> {
-    engine.homes().followers_elsewhere(&engine.settings().zone)
+/// Whether a process that follows the store should ask others too.
+fn needs_more(engine: &Engine) -> bool {
+    engine.following().is_failing() || !is_recent(engine, Instant::now())
 }
 
 /// How long to wait before the store is asked again after it has failed `failures` times in
@@ -327,38 +383,18 @@
     pause.mul_f64(1.0 + rand::random::<f64>())
 }
 
-/// Asks the first process of `sources` that answers for news, and takes them.
-///
-/// # Errors
-///
-/// The reason why nothing recent was learned.
-async fn learn(engine: &Engine, sources: &[SocketAddr]) -> Result<(), String> {
-    let link = engine.homes().links().first_usable(sources).await;
-    let link = link.ok_or("no process of the zone that follows the store is reached")?;
-    let known = known_versions(engine);
-    let asked = Instant::now();
-    let wait = news_wait(engine);
-    let answer = timeout(wait + ANSWER_MARGIN, link.follow(known, wait)).await;
-    let Ok(Some(news)) = answer else {
-        link.note_silence(asked);
-        link.distrust();
-        return Err("no news in time".to_owned());
+/// Whether what this process knows at `now` is as recent as it is while nothing is amiss.
+pub fn is_recent(engine: &Engine, now: Instant) -> bool {
+    !is_out_of_date(engine, now) && is_proof_recent(engine, now)
+}
+
+fn is_proof_recent(engine: &Engine, now: Instant) -> bool {
+    let Some(policy) = &engine.settings().tenants else {
+        return true;
     };
-    let (age, versions) = (news.age, news.feeds);
-    take(engine, news, asked);
-    if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
-        let following = engine.following();
-        following.heard(Feed::Configuration, at, versions.configuration);
-        following.heard(Feed::Directory, at, versions.directory);
-        following.heard(Feed::Records, at, versions.records);
-    }
-    if age.is_none() || is_out_of_date(engine, Instant::now()) {
-        link.distrust();
-        return Err(format!(
-            "what was told was {age:?} old when it was asked for"
-        ));
-    }
-    Ok(())
+    let limit = policy.revocation.mul_f64(PROOF_SHARE);
+    let proof = engine.following().configuration_complete_as_of();
+    proof.is_some_and(|at| now.saturating_duration_since(at) < limit)
 }
 
 /// Whether this process has not heard of the store for longer than it should, at `now`.
@@ -394,6 +430,16 @@
     }
 }
 
+/// How long one call waits for changes at the store that usually waits for `wait`. One that
+/// follows after the process has `turned` to the store, or after `failures`, does not wait:
+/// what it answers tells at once that nothing was missed, half a second or more sooner.
+pub fn first_wait(turned: bool, failures: u32, wait: Duration) -> Duration {
+    match turned || failures > 0 {
+        true => Duration::ZERO,
+        false => wait,
+    }
+}
+
 fn known_versions(engine: &Engine) -> FollowedVersions {
     FollowedVersions {
         declared: declared::known_versions(engine),
@@ -428,7 +474,7 @@
         records.mark_unchanged();
         let news = news_since(engine, known, asked);
         let now = Instant::now();
-        let stale = news.age.is_none() || is_out_of_date(engine, now);
+        let stale = news.age.is_none() || !is_recent(engine, now);
         if news.is_any(known) || stale || now >= until {
             return news;
         }
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -6,6 +6,7 @@
 use crate::ports::PeerNetwork;
 use crate::rate::SHARDS;
 use crate::rate::counter::Shard;
+use rand::seq::IndexedRandom;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -342,6 +343,21 @@
         first.map(|peer| peer.address).collect()
     }
 
+    /// Whether other processes of `zone` learn what the store holds from this one.
+    pub fn is_follower(&self, zone: &ZoneName) -> bool {
+        let followers = self.lock().followers_of(zone);
+        self.is_among(&followers)
+    }
+
+    /// Where up to `count` other processes answer, drawn anew each time.
+    pub fn draw_others(&self, count: usize) -> Vec<SocketAddr> {
+        let ranking = self.lock();
+        let fleet = &ranking.fleet;
+        let drawn = (0..count).filter_map(|_| fleet.choose(&mut rand::rng()));
+        let others = drawn.filter(|peer| peer.node != self.own);
+        others.map(|peer| peer.address).collect()
+    }
+
     /// Half of the fleet asks the one of two first, half the other.
     fn spread(&self, addresses: &mut [SocketAddr]) {
         spread_by(self.own.as_bytes(), addresses);
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -112,14 +112,18 @@
         let mut failures = 0;
         let mut dependency = DependencyMonitor::new("term_records");
         loop {
-            if engine.following().until_direct(false).await {
+            let turned = engine.following().until_direct(false).await;
+            if turned {
                 version = engine.following().resume_from(Feed::Records);
                 version = version.filter(|_| self.has_read());
             }
             let begun = Instant::now();
             let result = match version {
                 None => self.records.read("").await,
-                Some(after) => self.records.watch(after, engine.feed_wait()).await,
+                Some(after) => {
+                    let wait = following::first_wait(turned, failures, engine.feed_wait());
+                    self.records.watch(after, wait).await
+                }
             };
             match result {
                 Ok(changes) => {
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -150,7 +150,7 @@
     }
 
     /// Asks for a sign, unless one is asked for already.
-    pub(super) fn ping(&self) {
+    pub(crate) fn ping(&self) {
         let mut state = self.lock();
         if state.closed || state.pinged.is_some() {
             return;
--- a/crates/engine/src/link/links.rs
+++ b/crates/engine/src/link/links.rs
@@ -81,6 +81,24 @@
     /// The first usable link to one of `addresses`, in their order. Links that are not open
     /// are opened, and waited for a moment.
     pub async fn first_usable(&self, addresses: &[SocketAddr]) -> Option<Arc<Link>> {
+        self.first_usable_where(addresses, |_| true).await
+    }
+
+    /// The same for a link other than `taken`.
+    pub async fn first_usable_beside(
+        &self,
+        addresses: &[SocketAddr],
+        taken: &Arc<Link>,
+    ) -> Option<Arc<Link>> {
+        let is_other = |link: &Arc<Link>| !Arc::ptr_eq(link, taken);
+        self.first_usable_where(addresses, is_other).await
+    }
+
+    async fn first_usable_where(
+        &self,
+        addresses: &[SocketAddr],
+        is_wanted: impl Fn(&Arc<Link>) -> bool,
+    ) -> Option<Arc<Link>> {
         let mut changes = self.changes.subscribe();
         let until = Instant::now() + OPEN_PATIENCE;
         loop {
@@ -88,7 +106,7 @@
             let mut opening = false;
             for address in addresses {
                 match self.look_at(*address) {
-                    Place::Open(link) if link.is_usable() => return Some(link),
+                    Place::Open(link) if link.is_usable() && is_wanted(&link) => return Some(link),
                     Place::Opening => opening = true,
                     Place::Open(_) | Place::Failed { .. } => {}
                 }
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -113,6 +113,10 @@
         "stilequay_peer_answers_total",
         "Answers of other processes that were asked for their beliefs.",
     ),
+    Metric::counter(
+        "stilequay_follow_questions_total",
+        "Questions for what the store holds that were put to other processes, by step and outcome.",
+    ),
     Metric::counter(
         "stilequay_events_suppressed_total",
         "Events that were over their budget.",
--- /dev/null
+++ b/crates/engine/tests/following.rs
@@ -0,0 +1,239 @@
+//! What a large fleet knows of the store while a part of it is cut off.
+
+mod support;
+
+use rstest::rstest;
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::configuration::Configuration;
+use stilequay_engine::home::placement::Source;
+use stilequay_engine::names::TenantName;
+use stilequay_engine::residency::Residency;
+use stilequay_engine::tenant::{Credential, Tenant, TenantPolicy};
+use stilequay_engine::verdict::FailureReason;
+use support::{BOUNDED_DATABASE, Client, Fleet, Node, configuration, read, until};
+use tokio::time::{Instant, sleep};
+
+const ZONES: &[&str] = &["zone-a", "zone-b", "zone-c"];
+/// Processes of the fleet.
+const NODES: usize = 21;
+/// Time within which a removed credential must be refused.
+const REVOCATION: Duration = Duration::from_secs(5);
+/// Greatest age of a proof while somebody who follows the store is reached.
+const PROOF_AGE: Duration = Duration::from_millis(2_500);
+/// Longest time after the cut in which a caller of a process that is not cut may be refused.
+const GAP: Duration = Duration::from_millis(1_500);
+/// Interval in which all are looked at.
+const LOOK: Duration = Duration::from_millis(50);
+
+fn credential() -> Credential {
+    Credential::of_key(b"key-1")
+}
+
+fn with_tenant() -> Configuration {
+    let mut configuration = Configuration {
+        version: 2,
+        ..configuration(1)
+    };
+    let name: TenantName = Arc::from("one");
+    let tenant = Tenant {
+        name: Arc::clone(&name),
+        rate: None,
+        residency: Residency::ANYWHERE,
+    };
+    configuration
+        .tenants
+        .insert(Arc::clone(&name), Arc::new(tenant));
+    configuration.credentials.insert(credential(), name);
+    configuration
+}
+
+async fn fleet() -> Fleet {
+    let policy = TenantPolicy {
+        revocation: REVOCATION,
+        rates: None,
+    };
+    let fleet = Fleet::start_with(ZONES, NODES, Some(policy)).await;
+    fleet.configuration.send_replace(with_tenant());
+    let is_ready = |node: &Node| {
+        let known = node.engine.configuration();
+        let knows = known.is_some_and(|known| known.version == 2);
+        knows && node.engine.homes().fleet_len() == NODES
+    };
+    until(|| fleet.nodes.iter().all(is_ready)).await;
+    sleep(Duration::from_secs(4)).await;
+    fleet
+}
+
+/// The processes that follow the store, and those of each zone that the others ask.
+struct Roles {
+    roots: Vec<usize>,
+    followers: Vec<usize>,
+    holder: usize,
+}
+
+impl Roles {
+    fn of(fleet: &Fleet) -> Self {
+        let source = |node: &Node| node.engine.homes().source(&node.engine.settings().zone);
+        let all = 0..fleet.nodes.len();
+        let is_root = |place: &usize| source(&fleet.nodes[*place]) == Source::Store;
+        let is_follower = |place: &usize| {
+            let engine = &fleet.nodes[*place].engine;
+            engine.homes().is_follower(&engine.settings().zone)
+        };
+        let holder = fleet.records.get("lease/promotion").expect("a lease");
+        let holder = String::from_utf8_lossy(&holder.value).into_owned();
+        let holds = |node: &&Node| {
+            let rest = holder.split(node.name.as_str()).nth(1);
+            rest.is_some_and(|rest| !rest.starts_with(|sign: char| sign.is_ascii_digit()))
+        };
+        let holder = fleet.nodes.iter().find(holds).expect("the holder");
+        let holder_place = fleet.nodes.iter().position(|node| node.name == holder.name);
+        Self {
+            roots: all.clone().filter(is_root).collect(),
+            followers: all.filter(is_follower).collect(),
+            holder: holder_place.expect("a place"),
+        }
+    }
+
+    fn is_any(&self, place: usize) -> bool {
+        self.roots.contains(&place) || self.followers.contains(&place) || place == self.holder
+    }
+}
+
+/// Cuts `one` of the fleet from the rest of it; the servers stay in reach.
+fn split(fleet: &Fleet, one: &HashSet<usize>) {
+    for here in one {
+        for there in (0..fleet.nodes.len()).filter(|place| !one.contains(place)) {
+            let (here, there) = (&fleet.nodes[*here].name, &fleet.nodes[there].name);
+            fleet.network().cut(here, there);
+        }
+    }
+}
+
+fn proof_age(node: &Node) -> Duration {
+    let proof = node.engine.following().configuration_complete_as_of();
+    proof.expect("a proof").elapsed()
+}
+
+/// The oldest proof of `places` within `time`.
+async fn oldest_proof(fleet: &Fleet, places: &[usize], time: Duration) -> Duration {
+    let until = Instant::now() + time;
+    let mut oldest = Duration::ZERO;
+    while Instant::now() < until {
+        let ages = places.iter().map(|place| proof_age(&fleet.nodes[*place]));
+        oldest = oldest.max(ages.max().unwrap_or_default());
+        sleep(LOOK).await;
+    }
+    oldest
+}
+
+/// Asks once at each of `places`; why callers were refused.
+async fn refusals(fleet: &Fleet, places: &[usize]) -> Vec<FailureReason> {
+    let mut reasons = Vec::new();
+    for place in places {
+        let engine = &fleet.nodes[*place].engine;
+        let mut client = Client::open_with(engine, BOUNDED_DATABASE, Some(credential()));
+        let reply = client.ask(read("x")).await;
+        reasons.extend(reply.outcome.err().map(|failure| failure.reason));
+    }
+    reasons
+}
+
+/// A third of the fleet loses the store and all others at once, whoever is among it: some of
+/// those that follow the store, of those that others ask, and the holder of the lease.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn a_third_of_the_fleet_may_be_cut(
+    #[values(0, 1, 2)] roots: usize,
+    #[values(0, 2, 4)] followers: usize,
+    #[values(false, true)] holder: bool,
+) {
+    let fleet = fleet().await;
+    let roles = Roles::of(&fleet);
+    let others = roles.followers.iter().filter(|f| !roles.roots.contains(f));
+    let mut cut: HashSet<usize> = roles.roots.iter().take(roots).copied().collect();
+    cut.extend(others.take(followers));
+    cut.extend(holder.then_some(roles.holder));
+    let bystanders = (0..NODES).filter(|place| !roles.is_any(*place));
+    let missing = (NODES / 3).saturating_sub(cut.len());
+    cut.extend(bystanders.take(missing));
+    let left: Vec<usize> = (0..NODES).filter(|place| !cut.contains(place)).collect();
+    split(&fleet, &cut);
+    for place in &cut {
+        fleet.records.ignore_node(&fleet.nodes[*place].name);
+    }
+    let began = Instant::now();
+    let oldest = oldest_proof(&fleet, &left, Duration::from_secs(8)).await;
+    assert!(oldest < PROOF_AGE, "a proof was {oldest:?} old");
+    assert!(began.elapsed() > GAP);
+    assert_eq!(refusals(&fleet, &left).await, Vec::new());
+}
+
+/// The store answers only some processes that nobody asks, and all that are asked stand on the
+/// other side of a split.
+#[tokio::test(start_paused = true)]
+async fn one_side_of_a_split_learns_from_whoever_knows() {
+    let fleet = fleet().await;
+    let roles = Roles::of(&fleet);
+    let side: Vec<usize> = (0..NODES).filter(|place| !roles.is_any(*place)).collect();
+    let here: HashSet<usize> = side.iter().copied().collect();
+    let informed = &side[..side.len() / 3];
+    split(&fleet, &here);
+    let uninformed = (0..NODES).filter(|place| !informed.contains(place));
+    for place in uninformed {
+        fleet.records.refuse_node(&fleet.nodes[place].name, true);
+    }
+    sleep(GAP).await;
+    let oldest = oldest_proof(&fleet, &side, Duration::from_secs(12)).await;
+    assert!(oldest < REVOCATION, "a proof was {oldest:?} old");
+    let reasons = refusals(&fleet, &side).await;
+    assert!(!reasons.contains(&FailureReason::ConfigurationOutdated));
+    // The others know nothing until the network is whole again, and then soon.
+    fleet.network().heal();
+    sleep(GAP).await;
+    let oldest = fleet.nodes.iter().map(proof_age).max();
+    assert!(oldest < Some(REVOCATION), "a proof was {oldest:?} old");
+}
+
+/// The store goes silent to a third of the fleet, those that follow it among them.
+#[tokio::test(start_paused = true)]
+async fn the_store_may_be_silent_to_a_third() {
+    let fleet = fleet().await;
+    let roles = Roles::of(&fleet);
+    let bystanders = (0..NODES).filter(|place| !roles.is_any(*place));
+    let mut ignored: HashSet<usize> = roles.roots.iter().copied().collect();
+    ignored.extend(bystanders.take(NODES / 3 - ignored.len()));
+    for place in &ignored {
+        fleet.records.ignore_node(&fleet.nodes[*place].name);
+    }
+    let all: Vec<usize> = (0..NODES).collect();
+    let oldest = oldest_proof(&fleet, &all, Duration::from_secs(10)).await;
+    assert!(oldest < REVOCATION, "a proof was {oldest:?} old");
+    assert_eq!(refusals(&fleet, &all).await, Vec::new());
+}
+
+/// A process that is cut goes on without a source; the store is not asked more by the others
+/// than by those that take its place.
+#[tokio::test(start_paused = true)]
+async fn few_turn_to_the_store_in_place_of_those_that_are_cut() {
+    let fleet = fleet().await;
+    let roles = Roles::of(&fleet);
+    let cut: HashSet<usize> = roles.roots.iter().copied().collect();
+    split(&fleet, &cut);
+    for place in &cut {
+        fleet.records.ignore_node(&fleet.nodes[*place].name);
+    }
+    sleep(Duration::from_secs(4)).await;
+    let is_direct = |place: &usize| fleet.nodes[*place].engine.following().is_direct();
+    let left = (0..NODES).filter(|place| !cut.contains(place));
+    let direct: HashSet<usize> = left.filter(is_direct).collect();
+    let allowed: HashSet<usize> = roles.followers.iter().copied().collect();
+    let strangers: Vec<&usize> = direct
+        .difference(&allowed)
+        .filter(|p| **p != roles.holder)
+        .collect();
+    assert!(strangers.len() <= 1, "{strangers:?}");
+    assert!(!direct.is_empty());
+}
