--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -4,7 +4,7 @@
 //! The first two of each zone ask one of these for what is newer than what they know, and the
 //! others ask the first two of their zone: so what the store is asked does not grow with the
 //! fleet, and nobody tells more than a zone. A process that is told nothing recent by these
-//! looks further ([`search`]), and goes back to the store, within the time in which it has to
+//! looks further (module `search`), and goes back to the store, within the time in which it has to
 //! know.
 //!
 //! | what happens | what comes of it |
--- a/crates/engine/tests/following.rs
+++ b/crates/engine/tests/following.rs
@@ -5,6 +5,7 @@
 use rstest::rstest;
 use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stilequay_engine::configuration::Configuration;
 use stilequay_engine::home::placement::Source;
@@ -18,6 +19,8 @@
 const ZONES: &[&str] = &["zone-a", "zone-b", "zone-c"];
 /// Processes of the fleet.
 const NODES: usize = 21;
+/// Processes of a larger one.
+const LARGE: usize = 200;
 /// Time within which a removed credential must be refused.
 const REVOCATION: Duration = Duration::from_secs(5);
 /// Greatest age of a proof while somebody who follows the store is reached.
@@ -50,16 +53,20 @@
 }
 
 async fn fleet() -> Fleet {
+    fleet_of(NODES).await
+}
+
+async fn fleet_of(nodes: usize) -> Fleet {
     let policy = TenantPolicy {
         revocation: REVOCATION,
         rates: None,
     };
-    let fleet = Fleet::start_with(ZONES, NODES, Some(policy)).await;
+    let fleet = Fleet::start_with(ZONES, nodes, Some(policy)).await;
     fleet.configuration.send_replace(with_tenant());
     let is_ready = |node: &Node| {
         let known = node.engine.configuration();
         let knows = known.is_some_and(|known| known.version == 2);
-        knows && node.engine.homes().fleet_len() == NODES
+        knows && node.engine.homes().fleet_len() == nodes
     };
     until(|| fleet.nodes.iter().all(is_ready)).await;
     sleep(Duration::from_secs(4)).await;
@@ -237,3 +244,51 @@
     assert!(strangers.len() <= 1, "{strangers:?}");
     assert!(!direct.is_empty());
 }
+
+/// Hundreds of processes that lose a third of the fleet at once ask hardly more than is answered:
+/// what asks again and again is a load of its own.
+#[tokio::test(start_paused = true)]
+async fn questions_are_not_asked_again_and_again() {
+    let fleet = fleet_of(LARGE).await;
+    let roles = Roles::of(&fleet);
+    let bystanders = (0..LARGE).filter(|place| !roles.is_any(*place));
+    let mut cut: HashSet<usize> = roles.roots.iter().copied().collect();
+    cut.extend(bystanders.take(LARGE / 3 - cut.len()));
+    split(&fleet, &cut);
+    for place in &cut {
+        fleet.records.ignore_node(&fleet.nodes[*place].name);
+    }
+    // Those that are cut ask their own side in vain; only the others count.
+    cut.iter().for_each(|place| fleet.nodes[*place].abort());
+    let counts = || {
+        let asked = fleet.peers.news_asked.load(Ordering::Relaxed);
+        (asked, fleet.peers.news_told.load(Ordering::Relaxed))
+    };
+    let before = counts();
+    sleep(Duration::from_secs(6)).await;
+    let after = counts();
+    let (asked, told) = (after.0 - before.0, after.1 - before.1);
+    assert!(told > LARGE as u64, "{told}");
+    assert!(asked * 10 <= told * 13, "{asked} asked, {told} answered");
+}
+
+/// All processes end and start anew at once: each knows the configuration and whom to ask within
+/// the bound, and reads each table in whole once at the most.
+#[tokio::test(start_paused = true)]
+async fn a_restart_of_all_is_over_soon() {
+    let mut fleet = fleet().await;
+    let reads = fleet.records.whole_reads();
+    (0..NODES).for_each(|place| fleet.kill(place));
+    sleep(Duration::from_millis(500)).await;
+    let names: Vec<String> = fleet.nodes.iter().map(|node| node.name.clone()).collect();
+    fleet.nodes = names.iter().map(|name| fleet.respawn_node(name)).collect();
+    let began = Instant::now();
+    let knows = |node: &Node| {
+        let engine = &node.engine;
+        let proof = engine.following().configuration_complete_as_of();
+        proof.is_some() && engine.homes().fleet_len() == NODES
+    };
+    until(|| fleet.nodes.iter().all(knows)).await;
+    assert!(began.elapsed() < GAP, "{:?}", began.elapsed());
+    assert!(fleet.records.whole_reads() - reads <= NODES as u64);
+}
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -9,6 +9,7 @@
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 use stilequay_engine::engine::Engine;
+use stilequay_engine::link::frame::{FromHome, ToHome, decode};
 use stilequay_engine::names::GroupName;
 use stilequay_engine::peers::beliefs;
 use stilequay_engine::peers::declared::newer;
@@ -40,6 +41,10 @@
     pub swaps_tenants: AtomicBool,
     /// Delivers each frame of a link once more a moment later: a planted mistake.
     pub repeats_frames: AtomicBool,
+    /// Questions for news that were sent.
+    pub news_asked: AtomicU64,
+    /// Answers to these that have arrived.
+    pub news_told: AtomicU64,
 }
 
 /// The other processes as one of them reaches them.
@@ -59,6 +64,8 @@
             generation: AtomicU64::default(),
             swaps_tenants: AtomicBool::default(),
             repeats_frames: AtomicBool::default(),
+            news_asked: AtomicU64::default(),
+            news_told: AtomicU64::default(),
         })
     }
 
@@ -109,6 +116,10 @@
             if self.swaps_tenants.load(Ordering::Relaxed) {
                 frame = with_names_swapped(&frame);
             }
+            let is_question = matches!(decode(&frame), Some(ToHome::Follow { .. }));
+            let is_answer = matches!(decode(&frame), Some(FromHome::News { .. }));
+            self.news_asked
+                .fetch_add(u64::from(is_question), Ordering::Relaxed);
             sleep(ONE_WAY).await;
             self.world.freezer.pass(&from).await;
             self.world.freezer.pass(&to).await;
@@ -116,6 +127,8 @@
             let away = *self.away.lock().unwrap();
             let is_silent = generation != self.generation.load(Ordering::Relaxed);
             let arrives = !away && !is_silent && self.world.network.reaches(&from, &to);
+            let told = u64::from(arrives && is_answer);
+            self.news_told.fetch_add(told, Ordering::Relaxed);
             if arrives && tx.send(frame.clone()).await.is_err() {
                 return;
             }
