--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -15,13 +15,15 @@
 use crate::ports::{BackEnd, PeerNetwork, RecordStore};
 use crate::rate::Counters;
 use crate::rate::permit::Refusals;
+use crate::slow_start::SlowStarts;
+use crate::slow_start::guard::GuardedBackEnd;
 use crate::telemetry;
 use crate::tenant::TenantPolicy;
 use crate::topology::Topology;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 use stilequay_coordination::retry::{RetryBudget, RetryBudgetSettings};
 use tokio::sync::watch;
@@ -127,6 +129,7 @@
     following: Following,
     counters: Counters,
     refusals: Refusals,
+    slow_starts: SlowStarts,
     terms: TermFollower,
     lease_records: Arc<dyn RecordStore>,
     stop: watch::Sender<StopPhase>,
@@ -144,15 +147,16 @@
         peers: Arc<dyn PeerNetwork>,
     ) -> Arc<Self> {
         let homes = Homes::new(settings.node.clone(), Arc::clone(&peers));
-        Arc::new(Self {
+        Arc::new_cyclic(|engine| Self {
             settings,
-            back_end,
+            back_end: Arc::new(GuardedBackEnd::new(Weak::clone(engine), back_end)),
             peers,
             remote_pools: Mutex::default(),
             homes: Arc::new(homes),
             following: Following::default(),
             counters: Counters::default(),
             refusals: Refusals::default(),
+            slow_starts: SlowStarts::default(),
             configuration: watch::Sender::new(None),
             recent_configurations: Mutex::default(),
             evacuations: watch::Sender::new(Arc::default()),
@@ -222,6 +226,7 @@
         });
         if taken {
             self.counters.configured(self, &configuration);
+            self.slow_starts.configured(&configuration);
             self.remember_configuration(configuration);
             self.divide_connections();
             self.events
@@ -266,6 +271,7 @@
         let taken = self.evacuations.send_if_modified(|current| {
             let later = current.version < version;
             if later {
+                self.slow_starts.evacuated(current, &evacuations);
                 *current = Arc::new(evacuations);
             }
             later
@@ -399,6 +405,11 @@
         &self.refusals
     }
 
+    /// What this process knows and has sent of cold members.
+    pub fn slow_starts(&self) -> &SlowStarts {
+        &self.slow_starts
+    }
+
     /// The homes of the members.
     pub fn homes(&self) -> &Arc<Homes> {
         &self.homes
@@ -436,7 +447,13 @@
     /// Whether this process runs its sessions' statements at `member` over connections of
     /// its own: it is one of its homes, or the fleet is so small that it needs none.
     pub fn connects_itself(&self, member: &Member) -> bool {
-        self.capacity(member).suffices_for(self.processes()) || self.homes.is_home(member)
+        self.all_connect(member) || self.homes.is_home(member)
+    }
+
+    /// Whether all processes run their sessions' statements at `member` over connections of
+    /// their own.
+    pub fn all_connect(&self, member: &Member) -> bool {
+        self.capacity(member).suffices_for(self.processes())
     }
 
     /// Whether this process may have connections to the member called `id`, so that its
@@ -534,6 +551,7 @@
     fn close_pools_except(&self, directory: &Directory) {
         let is_known = |id: &str| directory.member(id).is_some();
         self.homes.retain_members(is_known);
+        self.slow_starts.retain_members(is_known);
         lock(&self.remote_pools).retain(|id, _| is_known(id));
         let mut pools = lock(&self.pools);
         pools.retain(|id, pool| {
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -204,6 +204,19 @@
         /// Why.
         reason: String,
     },
+    /// What this process may send to a cold member has changed, or the member is cold no more.
+    SlowStart {
+        /// The member.
+        member: MemberId,
+        /// Its group.
+        group: GroupName,
+        /// Statements of this process in a window; `None` where the member is not cold.
+        share: Option<usize>,
+        /// Statements that it takes in a second from all processes; zero where it is not cold.
+        most: usize,
+        /// For how much longer it is cold, ms.
+        left_ms: u64,
+    },
     /// A shard of the rate limits is counted here from now on, or no more.
     RateCounter {
         /// The shard.
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -345,7 +345,11 @@
         return Err("no news in time".to_owned());
     };
     let (age, versions) = (news.age, news.feeds);
+    let records_as_of = news.records_complete_after_ms;
     take(engine, news, asked);
+    if let Some(at) = records_as_of.and_then(|ms| declared::moment_after(asked, ms)) {
+        engine.slow_starts().prove_records(at);
+    }
     if let Some(at) = age.and_then(|age| asked.checked_sub(age)) {
         let following = engine.following();
         following.heard(Feed::Configuration, at, versions.configuration);
@@ -449,6 +453,7 @@
         engine.following().known_as_of(),
         engine.following().versions(),
     );
+    let records_as_of = engine.slow_starts().records_as_of();
     let records_version = engine.terms().version();
     let records: Vec<Record> = match records_version > known.records {
         true => engine.terms().records_after(known.records),
@@ -461,6 +466,7 @@
         declared: declared::newer(engine, known.declared, asked),
         records,
         records_version,
+        records_complete_after_ms: records_as_of.map(|at| declared::signed_millis(asked, at)),
     }
 }
 
--- a/crates/engine/src/home/remote.rs
+++ b/crates/engine/src/home/remote.rs
@@ -14,6 +14,7 @@
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
@@ -79,6 +80,10 @@
     fn is_open(&mut self) -> bool {
         self.connection.is_open()
     }
+
+    async fn pace(&mut self, until: Instant) -> Result<(), Duration> {
+        self.connection.pace(until).await
+    }
 }
 
 /// What becomes of a command.
@@ -253,6 +258,9 @@
             NotSent::Shed { retry_after } => {
                 self.refused(RefusalKind::Shed(retry_after), "too many requests wait")
             }
+            NotSent::SlowStart { retry_after } => {
+                self.refused(RefusalKind::SlowStart(retry_after), "the member is cold")
+            }
             NotSent::Unreachable(reason) => self.refused(RefusalKind::Unreachable, &reason),
             NotSent::UnknownMember => {
                 self.refused(RefusalKind::Unreachable, "no home knows the member")
@@ -273,6 +281,7 @@
         let code: &[u8] = match kind {
             RefusalKind::Busy => b"HOME_FULL",
             RefusalKind::Shed(_) => b"HOME_SHED",
+            RefusalKind::SlowStart(_) => b"SLOW_START",
             _ => b"HOME_UNREACHABLE",
         };
         let refusal = Refusal {
--- a/crates/engine/src/home/unit.rs
+++ b/crates/engine/src/home/unit.rs
@@ -46,10 +46,16 @@
             values: Arc::new(request.values.clone()),
             patience: request.patience,
         };
-        let acquired = pool.acquire(&claim, now + request.wait).await;
+        let until = now + request.wait;
+        let paced_until = match may_run_elsewhere(&request.command) {
+            true => now,
+            false => until,
+        };
+        let acquired = pool.acquire_paced(&claim, until, paced_until).await;
         let connection = acquired.map_err(|error| match error {
             AcquireError::Exhausted => NotSent::Exhausted,
             AcquireError::Shed(retry_after) => NotSent::Shed { retry_after },
+            AcquireError::SlowStart(retry_after) => NotSent::SlowStart { retry_after },
             error => NotSent::Unreachable(error.to_string()),
         })?;
         Ok(Self {
@@ -185,6 +191,16 @@
     }
 }
 
+/// Whether another member may run what begins with `command`: a read that asks for a position
+/// is not bound to the leader. It had better go there than wait for a cold member.
+fn may_run_elsewhere(command: &HomeCommand) -> bool {
+    match command {
+        HomeCommand::Begin { read_only, after } => *read_only && after.is_some(),
+        HomeCommand::Run { after, .. } | HomeCommand::Execute { after, .. } => after.is_some(),
+        HomeCommand::Commit { .. } | HomeCommand::Rollback => false,
+    }
+}
+
 fn usable_pool(engine: &Engine, member: &str, now: Instant) -> Result<Arc<MemberPool>, NotSent> {
     let directory = engine.directory();
     let known = directory.member(member);
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -134,6 +134,7 @@
                     }
                     version = Some(changes.version);
                     self.advance(changes.version);
+                    engine.slow_starts().prove_records(begun);
                     let following = engine.following();
                     following.heard(Feed::Records, Instant::now(), changes.version);
                     if !changes.written.is_empty() {
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -28,6 +28,7 @@
 use crate::group::Group;
 use crate::ports::Promoter;
 use crate::rate;
+use crate::slow_start;
 use duty::Duty;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +54,7 @@
         follow_directory(&engine),
         end_lapses(&engine),
         rate::run(&engine),
+        slow_start::allot::run(&engine),
     );
 }
 
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -149,7 +149,9 @@
             Response::Down(reason)
         }
         OrderError::Connect(ConnectError::TooManyConnections | ConnectError::Busy)
-        | OrderError::Acquire(AcquireError::Exhausted | AcquireError::Shed(_))
+        | OrderError::Acquire(
+            AcquireError::Exhausted | AcquireError::Shed(_) | AcquireError::SlowStart(_),
+        )
         | OrderError::Link(LinkError::Refused(_)) => Response::Declined(reason),
         _ => Response::Silent(reason),
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod routing;
 pub mod serving;
 pub mod session;
+pub mod slow_start;
 pub mod statement;
 pub mod telemetry;
 pub mod tenant;
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -168,6 +168,8 @@
     pub records: Vec<Record>,
     /// The version as of which these are.
     pub records_version: u64,
+    /// As of when they are known, ms after the question came; below zero before it.
+    pub records_complete_after_ms: Option<i64>,
 }
 
 impl HomeCommand {
@@ -240,6 +242,11 @@
         /// When to come back.
         retry_after: Duration,
     },
+    /// The member is cold, and takes no more for a while.
+    SlowStart {
+        /// When to come back.
+        retry_after: Duration,
+    },
     /// The member can't be reached, or must not be used any more.
     Unreachable(String),
     /// The home does not know the member: it has just started, or knows less of the store.
--- a/crates/engine/src/peers/declared.rs
+++ b/crates/engine/src/peers/declared.rs
@@ -45,7 +45,7 @@
 }
 
 /// Whole milliseconds from `from` to `to`, rounded down; below zero where `to` is earlier.
-fn signed_millis(from: Instant, to: Instant) -> i64 {
+pub(crate) fn signed_millis(from: Instant, to: Instant) -> i64 {
     let millis = |duration: Duration| i64::try_from(duration.as_millis()).unwrap_or(i64::MAX);
     match to.checked_duration_since(from) {
         Some(after) => millis(after),
@@ -54,7 +54,7 @@
 }
 
 /// The moment `millis` after `from`.
-fn moment_after(from: Instant, millis: i64) -> Option<Instant> {
+pub(crate) fn moment_after(from: Instant, millis: i64) -> Option<Instant> {
     let distance = Duration::from_millis(millis.unsigned_abs());
     match millis >= 0 {
         true => from.checked_add(distance),
@@ -208,9 +208,10 @@
         zone: declared.zone,
         role: declared.role,
         slots: declared.slots,
+        // What is left was told after the question was asked: dated by that it would end early.
         cold_until: declared
             .cold_left_ms
-            .map(|left_ms| asked + Duration::from_millis(left_ms)),
+            .map(|left_ms| Instant::now() + Duration::from_millis(left_ms)),
         state,
         changed: declared.changed,
     }
--- a/crates/engine/src/pool/connection.rs
+++ b/crates/engine/src/pool/connection.rs
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Waits until the next statement may be sent, where the member is cold.
+    pub(super) async fn pace(&mut self, until: Instant) -> Result<(), Duration> {
+        match &mut self.established {
+            Some(established) => established.connection.pace(until).await,
+            None => Ok(()),
+        }
+    }
+
     /// The pool that it belongs to.
     pub fn pool(&self) -> &Arc<MemberPool> {
         &self.pool
@@ -297,6 +305,7 @@
             }
             match answer.outcome.as_ref().err().map(|refusal| refusal.kind) {
                 Some(RefusalKind::Busy | RefusalKind::Shed(_)) => health.busy(now),
+                Some(RefusalKind::SlowStart(wait)) => health.paced(now + wait),
                 Some(RefusalKind::Unreachable) => health.unreachable(now),
                 _ => {}
             }
--- a/crates/engine/src/pool/error.rs
+++ b/crates/engine/src/pool/error.rs
@@ -16,6 +16,10 @@
         Shed(retry_after: Duration) {
             display("too many requests wait; to come back after {} ms", retry_after.as_millis())
         }
+        /// The member is cold, and takes no more for a while.
+        SlowStart(retry_after: Duration) {
+            display("the member is cold; to come back after {} ms", retry_after.as_millis())
+        }
         /// The member can't be reached.
         Unreachable(reason: String) {
             display("unreachable: {reason}")
--- a/crates/engine/src/pool/health.rs
+++ b/crates/engine/src/pool/health.rs
@@ -26,6 +26,7 @@
     measured: Instant,
     unreachable: Option<Unreachable>,
     busy_until: Option<Instant>,
+    paced_until: Option<Instant>,
     lacks: Option<(LogPosition, Instant)>,
     applied: Option<LogPosition>,
     waiting_since: Option<Instant>,
@@ -47,6 +48,7 @@
             measured: now,
             unreachable: None,
             busy_until: None,
+            paced_until: None,
             lacks: None,
             applied: None,
             waiting_since: None,
@@ -111,6 +113,11 @@
         self.busy_until = Some(now + BUSY_PAUSE);
     }
 
+    /// It is cold, and takes no more before `until`.
+    pub fn paced(&mut self, until: Instant) {
+        self.paced_until = Some(until);
+    }
+
     /// Its log lacked `position`.
     pub fn lagging(&mut self, position: LogPosition, now: Instant) {
         self.lacks = Some((position, now + LAGGING_PAUSE));
@@ -142,6 +149,11 @@
         self.busy_until.is_some_and(|until| now < until)
     }
 
+    /// Whether it is cold and takes no more yet.
+    pub fn is_paced(&self, now: Instant) -> bool {
+        self.paced_until.is_some_and(|until| now < until)
+    }
+
     /// Whether it lacked `position`, or an earlier one, a moment ago.
     pub fn is_lagging(&self, position: LogPosition, now: Instant) -> bool {
         if self.applied.is_some_and(|applied| applied >= position) {
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -175,9 +175,26 @@
         self: &Arc<Self>,
         claim: &Claim,
         deadline: Instant,
+    ) -> Result<PooledConnection, AcquireError> {
+        self.acquire_paced(claim, deadline, deadline).await
+    }
+
+    /// As [`MemberPool::acquire`]; a cold member is waited for until `paced_until` only, where
+    /// it takes no more now.
+    ///
+    /// # Errors
+    ///
+    /// As for [`MemberPool::acquire`].
+    pub async fn acquire_paced(
+        self: &Arc<Self>,
+        claim: &Claim,
+        deadline: Instant,
+        paced_until: Instant,
     ) -> Result<PooledConnection, AcquireError> {
         let mut connection = self.acquire_any(claim, deadline).await?;
         connection.admit(claim.admission(deadline));
+        let paced = connection.pace(paced_until).await;
+        paced.map_err(AcquireError::SlowStart)?;
         Ok(connection)
     }
 
@@ -283,7 +300,7 @@
             Ok(mut connection) => Ok(connection.control(control).await?),
             Err(ConnectError::TooManyConnections) => {
                 let until = Instant::now() + ORDER_WAIT;
-                let mut connection = self.acquire(&Claim::own(), until).await?;
+                let mut connection = self.acquire_any(&Claim::own(), until).await?;
                 Ok(connection.control(control).await?)
             }
             Err(error) => Err(OrderError::Connect(error)),
--- a/crates/engine/src/ports/back_end.rs
+++ b/crates/engine/src/ports/back_end.rs
@@ -131,6 +131,8 @@
     /// So many requests wait before it that another would be late; when to come back. Not
     /// run.
     Shed(Duration),
+    /// The member is cold and takes no more now; the time until it does. Not run.
+    SlowStart(Duration),
     /// Whoever was to pass it on could not reach the member. Not run.
     Unreachable,
     /// Anything else. May have run.
@@ -245,4 +247,13 @@
     fn is_open(&mut self) -> bool;
     /// Takes for whom it is used next. A connection of this process's own needs not know.
     fn admit(&mut self, _admission: Admission) {}
+    /// Waits until the next statement may be sent, where the member is cold. Where it is not
+    /// sent soon after, or this is not called, sending it may wait.
+    ///
+    /// # Errors
+    ///
+    /// The time until one may be sent, where that is after `until`.
+    async fn pace(&mut self, _until: Instant) -> Result<(), Duration> {
+        Ok(())
+    }
 }
--- a/crates/engine/src/routing.rs
+++ b/crates/engine/src/routing.rs
@@ -6,6 +6,7 @@
 use crate::group::Group;
 use crate::pool::MemberPool;
 use crate::position::LogPosition;
+use crate::slow_start;
 use std::sync::Arc;
 use tokio::time::Instant;
 
@@ -13,6 +14,9 @@
 const OTHER_ZONE_MS: f64 = 18.0;
 /// What the leader costs more, ms: it has the writes to itself.
 const LEADER_MS: f64 = 4.0;
+/// What a cold member costs more once its allowance is used up, ms; in proportion before.
+/// Several times the latency of a warm one: others are filled first.
+const COLD_MS: f64 = 60.0;
 /// What a connection in use here stands for, as a share of one statement's latency.
 const IN_USE_SHARE: f64 = 0.5;
 /// A member that may refuse.
@@ -33,6 +37,8 @@
     pub is_remote: bool,
     /// It leads.
     pub is_leader: bool,
+    /// How much is used of what may be sent to it while it is cold; zero where it is not.
+    pub slow_start_used: f64,
     /// It may refuse: it is crowded, or lacks what has to be seen.
     pub is_doubtful: bool,
     /// It is leaving.
@@ -62,7 +68,8 @@
             (self.is_unreachable, UNREACHABLE_MS),
         ];
         let extra = extra.iter().filter(|(applies, _)| *applies);
-        self.latency_ms * waiting + extra.map(|(_, ms)| ms).sum::<f64>()
+        let cold_ms = self.slow_start_used * COLD_MS;
+        self.latency_ms * waiting + cold_ms + extra.map(|(_, ms)| ms).sum::<f64>()
     }
 }
 
@@ -125,12 +132,15 @@
 ) -> f64 {
     let health = pool.health();
     let lacks = after.is_some_and(|position| health.is_lagging(position, now));
+    let slow_start_used = slow_start::used(engine, pool, now);
+    let is_used_up = slow_start_used >= 1.0 || health.is_paced(now);
     let cost = MemberCost {
+        slow_start_used,
         latency_ms: health.expected_latency_ms(now),
         in_use: pool.in_use(),
         is_remote: pool.member().zone != engine.settings().zone,
         is_leader,
-        is_doubtful: lacks || health.is_busy(now),
+        is_doubtful: lacks || health.is_busy(now) || is_used_up,
         is_leaving: !state.takes_work(),
         is_unreachable: health.is_unreachable(now),
     };
--- a/crates/engine/src/session/offer.rs
+++ b/crates/engine/src/session/offer.rs
@@ -103,7 +103,9 @@
     let mut soonest = None;
     for declined in declined {
         match declined.error {
-            AcquireError::Shed(wait) => soonest = Some(soonest.unwrap_or(wait).min(wait)),
+            AcquireError::Shed(wait) | AcquireError::SlowStart(wait) => {
+                soonest = Some(soonest.unwrap_or(wait).min(wait))
+            }
             AcquireError::Exhausted => return None,
             AcquireError::Unreachable(_) | AcquireError::WrongMember => {}
         }
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -110,6 +110,10 @@
             match self.run_hedged(&job, targets, trace).await {
                 Ok(completion) => return Ok(completion),
                 Err(ReadFailure::Final(failure)) => return Err(failure),
+                // The member that is waited for takes more too late.
+                Err(ReadFailure::Again(failure)) if comes_after(&failure, limits.offer) => {
+                    return Err(failure);
+                }
                 Err(ReadFailure::Again(failure)) => {
                     pause_or_refuse(limits, failure.reason).await?;
                 }
@@ -239,6 +243,12 @@
     }
 }
 
+/// Whether `failure` tells to come back later than `until`.
+fn comes_after(failure: &Failure, until: Instant) -> bool {
+    let wait = failure.retry_after;
+    wait.is_some_and(|wait| Instant::now() + wait >= until)
+}
+
 fn hedge_moment(target: &ReadTarget) -> Instant {
     let now = Instant::now();
     let expected_ms = target.pool.health().expected_latency_ms(now);
@@ -339,6 +349,9 @@
     if let RefusalKind::Shed(retry_after) = refusal.kind {
         return ReadFailure::Final(shed(retry_after));
     }
+    if let RefusalKind::SlowStart(retry_after) = refusal.kind {
+        return ReadFailure::Again(shed(retry_after));
+    }
     match not_run_reason(refusal.kind) {
         Some(reason @ FailureReason::ConnectionLost) => {
             ReadFailure::Final(Failure::not_run(reason))
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -4,7 +4,7 @@
 use crate::group::UsableLeader;
 use crate::leadership::access;
 use crate::pool::{Claim, PooledConnection, RunError, Work};
-use crate::ports::Command;
+use crate::ports::{Command, RefusalKind};
 use crate::session::limits::StatementLimits;
 use crate::session::offer::{Offer, first_connection, why_declined};
 use crate::session::read::{ReadTarget, note_position, note_refusal};
@@ -166,6 +166,10 @@
         trace.attempted(&member, refusal_text(&refusal));
         note_refusal(&pool, &refusal, target.after);
         release(connection, answer.state);
+        if transaction.read_only && matches!(refusal.kind, RefusalKind::SlowStart(_)) {
+            // Another member may take it.
+            return Attempt::NotRun(FailureReason::Overloaded);
+        }
         return judge_refusal(refusal);
     }
     if let Some(leader) = &leader {
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -265,7 +265,9 @@
 /// What becomes of a statement for which there was no connection.
 pub(super) fn acquire_failure<T>(error: &AcquireError) -> Attempt<T> {
     match error {
-        AcquireError::Shed(retry_after) => Attempt::Decided(Err(shed(*retry_after))),
+        AcquireError::Shed(retry_after) | AcquireError::SlowStart(retry_after) => {
+            Attempt::Decided(Err(shed(*retry_after)))
+        }
         AcquireError::Exhausted => Attempt::NotRun(FailureReason::Overloaded),
         AcquireError::Unreachable(_) | AcquireError::WrongMember => {
             Attempt::NotRun(FailureReason::NoLeader)
@@ -285,14 +287,14 @@
         RefusalKind::NotLeader => Some(FailureReason::NoLeader),
         RefusalKind::Lagging => Some(FailureReason::NoFreshMember),
         RefusalKind::UnknownPrepared => Some(FailureReason::ConnectionLost),
-        RefusalKind::Shed(_) => Some(FailureReason::Overloaded),
+        RefusalKind::Shed(_) | RefusalKind::SlowStart(_) => Some(FailureReason::Overloaded),
         RefusalKind::Unreachable => Some(FailureReason::NoLeader),
         RefusalKind::Failed => None,
     }
 }
 
 pub(super) fn judge_refusal<T>(refusal: Refusal) -> Attempt<T> {
-    if let RefusalKind::Shed(retry_after) = refusal.kind {
+    if let RefusalKind::Shed(retry_after) | RefusalKind::SlowStart(retry_after) = refusal.kind {
         return Attempt::Decided(Err(shed(retry_after)));
     }
     match not_run_reason(refusal.kind) {
--- /dev/null
+++ b/crates/engine/src/slow_start/allot.rs
@@ -0,0 +1,242 @@
+//! Writing the allotments of cold members, and telling of this process's shares.
+
+use super::allotment::{Allotment, Allotments, Senders, divide};
+use super::{Cold, cold, settling, share};
+use crate::directory::Member;
+use crate::engine::Engine;
+use crate::events::{Event, millis};
+use crate::home::placement::{CANDIDATES, Peer};
+use crate::leadership::fleet;
+use crate::names::{MemberId, NodeName};
+use crate::ports::{PutOutcome, Record, RecordStoreError};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Interval in which members are looked at while any is cold.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// The same while none is, where groups have a slow start: a member that turns cold is noticed
+/// by its change.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// How much longer each candidate waits than the one before it until it writes an allotment. A
+/// write takes some tens of ms.
+const RANK_PAUSE: Duration = Duration::from_millis(400);
+/// Pause at the first start of a fleet, while its processes come to know one another: each
+/// would be the first candidate for a moment.
+const FIRST_START_PAUSE: Duration = Duration::from_secs(2);
+/// Allotments that a record keeps of members that have left: none of them comes back under
+/// its name, and there is no hurry.
+const LEFT_MEMBERS: usize = 8;
+
+/// What was last told of a cold member.
+type Told = HashMap<MemberId, (usize, usize)>;
+
+/// Keeps the allotments until the process ends; does nothing while no group has a slow start.
+pub async fn run(engine: &Engine) {
+    let mut configuration = engine.subscribe_configuration();
+    let mut directory = engine.subscribe_directory();
+    let mut records = engine.terms().subscribe_others();
+    engine.terms().until_read().await;
+    if !fleet::is_registered(engine) {
+        sleep(FIRST_START_PAUSE).await;
+    }
+    let mut lacking = HashMap::new();
+    let mut told = Told::new();
+    loop {
+        if !engine.slow_starts().is_used() {
+            // The sender lives as long as this does.
+            let _ = configuration.changed().await;
+            continue;
+        }
+        directory.mark_unchanged();
+        records.mark_unchanged();
+        let any = look(engine, &mut lacking, &mut told).await;
+        let pause = match any {
+            true => LOOK_INTERVAL,
+            false => IDLE_INTERVAL,
+        };
+        tokio::select! {
+            _ = directory.changed() => {}
+            _ = records.changed() => {}
+            () = sleep(pause) => {}
+        }
+    }
+}
+
+/// Looks at all members once; returns whether any is cold.
+async fn look(engine: &Engine, lacking: &mut HashMap<MemberId, Instant>, told: &mut Told) -> bool {
+    let now = Instant::now();
+    let directory = engine.directory();
+    let members = directory.members().filter_map(|member| {
+        let cold = cold(engine, member, now)?;
+        Some((Arc::clone(member), cold))
+    });
+    let members: Vec<(Arc<Member>, Cold)> = members.collect();
+    lacking.retain(|id, _| members.iter().any(|(member, _)| member.id == *id));
+    for (member, cold) in &members {
+        if cold.is_told {
+            allot(engine, member, *cold, lacking).await;
+        }
+        tell(engine, member, *cold, told);
+    }
+    tell_warm(engine, &members, told);
+    metrics::gauge!("stilequay_cold_members").set(members.len() as f64);
+    !members.is_empty()
+}
+
+/// Writes the allotment of `member` where it lacks one that is right and it is this process's
+/// turn to write.
+async fn allot(
+    engine: &Engine,
+    member: &Member,
+    cold: Cold,
+    lacking: &mut HashMap<MemberId, Instant>,
+) {
+    let candidates = engine.homes().candidates(member);
+    let own = &engine.settings().node;
+    let rank = candidates.iter().position(|peer| peer.node == *own);
+    let present = engine.slow_starts().allotment(engine, member);
+    let wanted = wanted(engine, member, cold, present.as_ref());
+    let (Some(rank), Some(allotment)) = (rank, wanted) else {
+        lacking.remove(&member.id);
+        return;
+    };
+    let since = *lacking
+        .entry(member.id.clone())
+        .or_insert_with(Instant::now);
+    let wait = RANK_PAUSE * u32::try_from(rank).unwrap_or(u32::MAX);
+    if Instant::now() < since + wait {
+        return;
+    }
+    let present = present.map(|(allotment, _)| allotment);
+    if let Err(error) = write(engine, member, present, allotment).await {
+        log::warn!("the allotment of {} was not written: {error}", member.id);
+        // The next candidate's turn may come before this one tries again.
+        lacking.insert(member.id.clone(), Instant::now() + RANK_PAUSE);
+    }
+}
+
+/// The allotment that `member` is to have in place of the `present` one, which is known since a
+/// moment; `None` where it has that, or where others may not have heard of the present one yet.
+fn wanted(
+    engine: &Engine,
+    member: &Member,
+    cold: Cold,
+    present: Option<&(Allotment, Instant)>,
+) -> Option<Allotment> {
+    let shares = divide(cold.most, &senders(engine, member));
+    let Some((present, since)) = present else {
+        return Some(Allotment {
+            most: cold.most,
+            shares,
+            before: None,
+        });
+    };
+    let same = present.most == cold.most && present.shares == shares;
+    let settled = since.elapsed() >= settling(engine);
+    (settled && !same).then(|| Allotment {
+        most: cold.most,
+        shares,
+        before: Some(present.shares.clone()),
+    })
+}
+
+/// Who sends statements to `member`, its candidates for homes first.
+fn senders(engine: &Engine, member: &Member) -> Senders {
+    let candidates = engine.homes().candidates(member);
+    let names = |peers: &[Peer]| -> Vec<NodeName> {
+        let names = peers.iter().map(|peer| peer.node.clone());
+        names.collect()
+    };
+    let mut first = names(&candidates);
+    if !engine.all_connect(member) {
+        first.truncate(CANDIDATES);
+        return Senders::Candidates(first);
+    }
+    let all = names(&engine.homes().fleet());
+    let others = all.into_iter().filter(|node| !first.contains(node));
+    let others: Vec<NodeName> = others.collect();
+    first.extend(others);
+    Senders::All(first)
+}
+
+/// Writes the record of the group with the allotment of `member` in place of the one that was
+/// `seen`, unless another process has written it meanwhile.
+async fn write(
+    engine: &Engine,
+    member: &Member,
+    seen: Option<Allotment>,
+    allotment: Allotment,
+) -> Result<(), RecordStoreError> {
+    let key = Allotments::key(&member.group);
+    let known = engine
+        .terms()
+        .subscribe_others()
+        .borrow()
+        .get(&key)
+        .cloned();
+    let present = known.as_ref().and_then(Allotments::decode);
+    let mut next = present.unwrap_or_default();
+    if next.members.get(&member.id) != seen.as_ref() {
+        return Ok(());
+    }
+    next.members.insert(member.id.clone(), allotment);
+    forget_left(engine, &mut next);
+    // Texts and numbers only: encoding can't fail.
+    let value: bytes::Bytes = rmp_serde::to_vec_named(&next).unwrap_or_default().into();
+    let version = known.map_or(0, |known| known.version);
+    let put = engine.terms().store().put_if(&key, version, value.clone());
+    if let PutOutcome::Stored(version) = put.await? {
+        engine.terms().note_other(Record {
+            key,
+            value,
+            version,
+        });
+    }
+    Ok(())
+}
+
+/// Drops members that have left, if there are many.
+fn forget_left(engine: &Engine, allotments: &mut Allotments) {
+    let directory = engine.directory();
+    let has_left = |id: &MemberId| directory.member(id).is_none();
+    let left = allotments.members.keys().filter(|id| has_left(id)).count();
+    if left > LEFT_MEMBERS {
+        allotments.members.retain(|id, _| !has_left(id));
+    }
+}
+
+/// Tells what this process may send to a cold member, where that has changed.
+fn tell(engine: &Engine, member: &Member, cold: Cold, told: &mut Told) {
+    let now = Instant::now();
+    let share = share(engine, member, cold, now);
+    let before = told.insert(member.id.clone(), (share, cold.most));
+    if before != Some((share, cold.most)) {
+        engine.events().write(&Event::SlowStart {
+            member: member.id.clone(),
+            group: member.group.clone(),
+            share: Some(share),
+            most: cold.most,
+            left_ms: millis(cold.until.saturating_duration_since(now)),
+        });
+    }
+}
+
+/// Tells of members that are cold no more.
+fn tell_warm(engine: &Engine, cold: &[(Arc<Member>, Cold)], told: &mut Told) {
+    let directory = engine.directory();
+    told.retain(|id, _| {
+        let is_cold = cold.iter().any(|(member, _)| member.id == *id);
+        if !is_cold && let Some(member) = directory.member(id) {
+            engine.events().write(&Event::SlowStart {
+                member: id.clone(),
+                group: member.group.clone(),
+                share: None,
+                most: 0,
+                left_ms: 0,
+            });
+        }
+        is_cold
+    });
+}
--- /dev/null
+++ b/crates/engine/src/slow_start/guard.rs
@@ -0,0 +1,147 @@
+//! Counting statements where they leave this process.
+//!
+//! All connections that this process opens to members go through [`GuardedBackEnd`]: those of
+//! its sessions, those of others for which it is a home, those for which it reached no home,
+//! and those for orders.
+
+use super::window::{SEND_TIME, Turn, WINDOW};
+use crate::directory::Member;
+use crate::engine::Engine;
+use crate::names::{MemberId, TenantName};
+use crate::ports::{
+    Admission, Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError,
+    MemberReport, Refusal, RefusalKind,
+};
+use crate::statement::TransactionState;
+use async_trait::async_trait;
+use bytes::Bytes;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Longest wait of a later statement of a transaction. By then a place is free in any case,
+/// unless more transactions are open than the share has places.
+const LATER_WAIT: Duration = WINDOW;
+
+/// Opens connections whose statements are counted while their member is cold.
+#[derive(Debug)]
+pub struct GuardedBackEnd {
+    engine: Weak<Engine>,
+    inner: Arc<dyn BackEnd>,
+}
+
+impl GuardedBackEnd {
+    /// For the process of `engine`, which connects by way of `inner`.
+    pub fn new(engine: Weak<Engine>, inner: Arc<dyn BackEnd>) -> Self {
+        Self { engine, inner }
+    }
+}
+
+#[async_trait]
+impl BackEnd for GuardedBackEnd {
+    async fn connect(
+        &self,
+        member: &Member,
+        tenant: Option<&TenantName>,
+    ) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+        let inner = self.inner.connect(member, tenant).await?;
+        Ok(Box::new(GuardedConnection {
+            engine: Weak::clone(&self.engine),
+            member: member.id.clone(),
+            inner,
+            counted: None,
+            state: TransactionState::Idle,
+        }))
+    }
+}
+
+/// A connection to a member that may be cold.
+#[derive(Debug)]
+struct GuardedConnection {
+    engine: Weak<Engine>,
+    member: MemberId,
+    inner: Box<dyn BackEndConnection>,
+    /// When the next statement was counted, if it was.
+    counted: Option<Instant>,
+    state: TransactionState,
+}
+
+impl GuardedConnection {
+    /// The engine, where there is anything to count.
+    fn counting_engine(&self) -> Option<Arc<Engine>> {
+        let engine = self.engine.upgrade()?;
+        engine.slow_starts().is_used().then_some(engine)
+    }
+
+    /// Counts a statement that is about to be sent, unless it was counted just before.
+    async fn count(&mut self) -> Result<(), Duration> {
+        let Some(engine) = self.counting_engine() else {
+            return Ok(());
+        };
+        let counted = self.counted.take();
+        if counted.is_some_and(|at| at.elapsed() <= SEND_TIME) {
+            return Ok(());
+        }
+        let until = Instant::now() + LATER_WAIT;
+        let passed = super::pass(&engine, &self.member, Turn::First(until)).await;
+        passed.map(|_| ())
+    }
+
+    fn refused(&self, retry_after: Duration) -> Answer {
+        Answer {
+            rows: Vec::new(),
+            outcome: Err(Refusal {
+                kind: RefusalKind::SlowStart(retry_after),
+                code: Bytes::from_static(b"SLOW_START"),
+                text: Bytes::from_static(b"the member is cold"),
+            }),
+            state: self.state,
+            position: None,
+        }
+    }
+}
+
+/// Whether `command` counts. The others take no place at the member.
+fn counts(command: &Command) -> bool {
+    command.is_statement() || matches!(command, Command::Begin { .. })
+}
+
+#[async_trait]
+impl BackEndConnection for GuardedConnection {
+    async fn run(&mut self, command: &Command) -> Result<Answer, LinkError> {
+        if counts(command)
+            && let Err(retry_after) = self.count().await
+        {
+            return Ok(self.refused(retry_after));
+        }
+        let answer = self.inner.run(command).await?;
+        self.state = answer.state;
+        Ok(answer)
+    }
+
+    async fn control(&mut self, control: Control) -> Result<MemberReport, LinkError> {
+        if control == Control::Status
+            && let Some(engine) = self.counting_engine()
+        {
+            super::note_report(&engine, &self.member);
+        }
+        self.inner.control(control).await
+    }
+
+    fn is_open(&mut self) -> bool {
+        self.inner.is_open()
+    }
+
+    fn admit(&mut self, admission: Admission) {
+        self.inner.admit(admission);
+    }
+
+    async fn pace(&mut self, until: Instant) -> Result<(), Duration> {
+        self.counted = None;
+        let Some(engine) = self.counting_engine() else {
+            return Ok(());
+        };
+        self.counted = super::pass(&engine, &self.member, Turn::InOrder(until)).await?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/engine/src/slow_start/mod.rs
@@ -0,0 +1,321 @@
+//! Cold members: what the whole fleet sends to a member that has just come up is bounded.
+//!
+//! A member takes few statements a second until it is warm. Each process counts what it sends
+//! to a cold member ([`window`]), and may send its share, which the store keeps
+//! ([`allotment`], [`allot`]). So the sum holds however processes are cut off from one another:
+//! nobody has a share who does not know by the store that it is his. Statements are counted
+//! where they leave the process ([`guard`]), whatever they come from.
+//!
+//! | what happens | what comes of it |
+//! | --- | --- |
+//! | a home of the member is killed or frozen | its share is unused; the other one has as much |
+//! | a process stood still, or is cut off from the store | its knowledge is old: it sends nothing to a cold member |
+//! | all processes restart | what the store keeps holds; each waits for a window, since its earlier life may have sent its share |
+//! | shares are divided anew | nobody has more before all have stopped to use the shares before |
+
+pub mod allot;
+pub mod allotment;
+pub mod guard;
+pub mod window;
+
+use crate::configuration::{Configuration, SlowStart};
+use crate::directory::Member;
+use crate::engine::{Engine, SlowStartBounds};
+use crate::evacuation::Evacuations;
+use crate::names::{GroupName, MemberId, ZoneName};
+use crate::pool::MemberPool;
+use allotment::{Allotment, Allotments};
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::time::Instant;
+use window::{Allowance, Gate, Turn, WINDOW};
+
+/// How old what a process knows of the records may be while it uses its share, in contact
+/// times. One wait for changes, dated at its begin, and two relays fit into it.
+const KNOWLEDGE_CONTACTS: u32 = 2;
+/// How much of a home's share counts as used where that is not known.
+const ASSUMED_USE: f64 = 0.5;
+
+/// Statements that a cold member may get from all processes in any second.
+///
+/// ```
+/// use std::time::Duration;
+/// use stilequay_engine::configuration::SlowStart;
+/// use stilequay_engine::engine::SlowStartBounds;
+/// use stilequay_engine::slow_start::most;
+/// let slow_start = SlowStart { duration: Duration::from_secs(8), per_second: 20.0 };
+/// let bounds = SlowStartBounds { excess: 1.5, slack: 5.0 };
+/// assert_eq!(most(slow_start, bounds), 35);
+/// ```
+pub fn most(slow_start: SlowStart, bounds: SlowStartBounds) -> usize {
+    let most = slow_start.per_second * bounds.excess + bounds.slack;
+    // What is no number, or below zero, becomes zero.
+    most.floor() as usize
+}
+
+/// A group's record as it was last seen.
+#[derive(Debug)]
+struct Known {
+    version: u64,
+    allotments: Allotments,
+    /// Since when each member's allotment is known.
+    since: HashMap<MemberId, Instant>,
+}
+
+/// What this process knows and has sent of cold members.
+#[derive(Debug)]
+pub struct SlowStarts {
+    /// Whether any group has a slow start. Without one nothing here is looked at.
+    used: AtomicBool,
+    began: Instant,
+    records_as_of: Mutex<Option<Instant>>,
+    returned: Mutex<HashMap<ZoneName, Instant>>,
+    known: Mutex<HashMap<GroupName, Known>>,
+    gates: Mutex<HashMap<MemberId, Arc<Gate>>>,
+}
+
+impl Default for SlowStarts {
+    fn default() -> Self {
+        Self {
+            used: AtomicBool::new(false),
+            began: Instant::now(),
+            records_as_of: Mutex::default(),
+            returned: Mutex::default(),
+            known: Mutex::default(),
+            gates: Mutex::default(),
+        }
+    }
+}
+
+impl SlowStarts {
+    /// Whether any group has a slow start.
+    pub fn is_used(&self) -> bool {
+        self.used.load(Ordering::Relaxed)
+    }
+
+    /// Takes a configuration that was just taken into use.
+    pub(crate) fn configured(&self, configuration: &Configuration) {
+        let mut groups = configuration.groups.values();
+        let used = groups.any(|group| group.slow_start.is_some());
+        self.used.store(used, Ordering::Relaxed);
+    }
+
+    /// Takes evacuations that were just taken into use in place of `before`.
+    pub(crate) fn evacuated(&self, before: &Evacuations, now: &Evacuations) {
+        let mut returned = lock(&self.returned);
+        for zone in before.zones.difference(&now.zones) {
+            returned.insert(zone.clone(), Instant::now());
+        }
+    }
+
+    /// Notes that the records are known as of `at`: the moment before the question was sent
+    /// whose answer has told them, or what another process tells of such a moment. To be
+    /// called once they are taken.
+    pub fn prove_records(&self, at: Instant) {
+        let mut as_of = lock(&self.records_as_of);
+        *as_of = (*as_of).max(Some(at));
+    }
+
+    /// As of when the records are known.
+    pub fn records_as_of(&self) -> Option<Instant> {
+        *lock(&self.records_as_of)
+    }
+
+    /// Forgets members that are no longer there.
+    pub(crate) fn retain_members(&self, is_known: impl Fn(&str) -> bool) {
+        lock(&self.gates).retain(|id, _| is_known(id));
+    }
+
+    fn gate(&self, member: &MemberId) -> Arc<Gate> {
+        let mut gates = lock(&self.gates);
+        let gate = gates.entry(member.clone()).or_default();
+        Arc::clone(gate)
+    }
+
+    /// Takes the record of `group` as the store has it, if it has changed.
+    fn look_up(&self, engine: &Engine, group: &GroupName) {
+        let others = engine.terms().subscribe_others();
+        let records = others.borrow();
+        let Some(record) = records.get(&Allotments::key(group)) else {
+            return;
+        };
+        let mut known = lock(&self.known);
+        let before = known.get(group);
+        if before.is_some_and(|known| known.version >= record.version) {
+            return;
+        }
+        let allotments = Allotments::decode(record).unwrap_or_default();
+        let now = Instant::now();
+        let since = allotments.members.iter().map(|(member, allotment)| {
+            let same = |known: &&Known| known.allotments.members.get(member) == Some(allotment);
+            let since = before
+                .filter(same)
+                .and_then(|known| known.since.get(member));
+            (member.clone(), since.copied().unwrap_or(now))
+        });
+        let known_now = Known {
+            version: record.version,
+            since: since.collect(),
+            allotments,
+        };
+        known.insert(group.clone(), known_now);
+    }
+
+    /// The allotment of `member`, and since when it is known.
+    fn allotment(&self, engine: &Engine, member: &Member) -> Option<(Allotment, Instant)> {
+        self.look_up(engine, &member.group);
+        let known = lock(&self.known);
+        let known = known.get(&member.group)?;
+        let allotment = known.allotments.members.get(&member.id)?;
+        Some((allotment.clone(), *known.since.get(&member.id)?))
+    }
+}
+
+/// A cold member.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Cold {
+    /// Until when, as far as is known.
+    pub until: Instant,
+    /// Statements that it takes in a second.
+    pub most: usize,
+    /// Whether it, or its zone, is known to have come back, rather than nothing of it.
+    pub is_told: bool,
+}
+
+/// How `member` is cold at `now`; `None` where it is not.
+pub(crate) fn cold(engine: &Engine, member: &Member, now: Instant) -> Option<Cold> {
+    let configuration = engine.configuration()?;
+    let slow_start = configuration.groups.get(&member.group)?.slow_start?;
+    let returned = lock(&engine.slow_starts().returned)
+        .get(&member.zone)
+        .copied();
+    let told = told_until(member, slow_start, returned).filter(|until| now < *until);
+    let unsure = is_unsure(engine, now).then(|| now + slow_start.duration);
+    Some(Cold {
+        until: told.max(unsure)?,
+        most: most(slow_start, engine.settings().slow_start),
+        is_told: told.is_some(),
+    })
+}
+
+/// Until when `member` is cold by its entry, or because its zone's evacuation was taken back at
+/// `returned`: the entry may be told later than that.
+fn told_until(
+    member: &Member,
+    slow_start: SlowStart,
+    returned: Option<Instant>,
+) -> Option<Instant> {
+    let by_return = returned.map(|at| at + slow_start.duration);
+    member.cold_until.max(by_return)
+}
+
+/// Whether a zone may have been evacuated, and its members have turned cold, without this
+/// process having heard of it by `now`.
+fn is_unsure(engine: &Engine, now: Instant) -> bool {
+    let Some(bound) = engine.settings().evacuation_bound else {
+        return false;
+    };
+    let as_of = engine.following().configuration_complete_as_of();
+    as_of.is_none_or(|at| now > at + bound)
+}
+
+/// How old what is known of the records may be while a share is used.
+pub(crate) fn knowledge_limit(engine: &Engine) -> Duration {
+    engine.settings().contact * KNOWLEDGE_CONTACTS
+}
+
+/// Time after which an allotment that has replaced another is used by everybody, and the one
+/// before by nobody.
+pub(crate) fn settling(engine: &Engine) -> Duration {
+    knowledge_limit(engine) + WINDOW
+}
+
+/// What this process may send to `member` in a window.
+pub fn allowance(engine: &Engine, member: &Member, now: Instant) -> Allowance {
+    match cold(engine, member, now) {
+        None => Allowance::Unbounded,
+        Some(cold) => Allowance::Share(share(engine, member, cold, now)),
+    }
+}
+
+fn share(engine: &Engine, member: &Member, cold: Cold, now: Instant) -> usize {
+    let starts = engine.slow_starts();
+    // Before the allotment is looked up: that must be no older than this tells.
+    let as_of = starts.records_as_of();
+    let is_recent = as_of.is_some_and(|at| now <= at + knowledge_limit(engine));
+    if !is_recent || now < starts.began + WINDOW {
+        return 0;
+    }
+    let Some((allotment, since)) = starts.allotment(engine, member) else {
+        return 0;
+    };
+    let settled = now >= since + settling(engine);
+    allotment.share(&engine.settings().node, cold.most, settled)
+}
+
+/// Waits until a statement may be sent to the member called `id`, and counts it: returns as of
+/// when, or `None` where the member is not cold.
+///
+/// # Errors
+///
+/// The time until there is a place, where that comes too late: it has not been sent.
+pub(crate) async fn pass(
+    engine: &Engine,
+    id: &MemberId,
+    turn: Turn,
+) -> Result<Option<Instant>, Duration> {
+    let allowance = |now| match engine.directory().member(id) {
+        Some(member) => allowance(engine, member, now),
+        // It has left; connections to it are being closed.
+        None => Allowance::Unbounded,
+    };
+    if allowance(Instant::now()) == Allowance::Unbounded {
+        return Ok(None);
+    }
+    let began = Instant::now();
+    let passed = engine.slow_starts().gate(id).pass(turn, allowance).await;
+    metrics::histogram!("stilequay_stage_seconds", "stage" => "slow_start").record(began.elapsed());
+    let outcome = match passed {
+        Ok(_) => "sent",
+        Err(_) => "refused",
+    };
+    metrics::counter!("stilequay_slow_start_statements_total", "outcome" => outcome).increment(1);
+    passed
+}
+
+/// Counts a report asked of the member called `id`: it takes a place there, and is not held
+/// back.
+pub(crate) fn note_report(engine: &Engine, id: &MemberId) {
+    let directory = engine.directory();
+    let member = directory.member(id);
+    if member.is_some_and(|member| cold(engine, member, Instant::now()).is_some()) {
+        engine.slow_starts().gate(id).note();
+    }
+}
+
+/// How much of what may be sent to the member of `pool` at `now` is used; one where nothing is
+/// left, zero where it is not cold. What its homes have sent is not known.
+pub(crate) fn used(engine: &Engine, pool: &MemberPool, now: Instant) -> f64 {
+    if !engine.slow_starts().is_used() {
+        return 0.0;
+    }
+    let directory = engine.directory();
+    // As it is by now, not as it was when the pool was made.
+    let Some(member) = directory.member(&pool.member().id) else {
+        return 0.0;
+    };
+    match cold(engine, member, now) {
+        None => 0.0,
+        Some(_) if pool.is_remote() => ASSUMED_USE,
+        Some(cold) => {
+            let share = share(engine, member, cold, now);
+            engine.slow_starts().gate(&member.id).used(share, now)
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/engine/src/slow_start/window.rs
@@ -0,0 +1,209 @@
+//! Counting what is sent to one cold member, and whose turn it is.
+
+use std::collections::VecDeque;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Time in which a statement that is counted must be sent, else it is counted anew: session
+/// values are put in place between, which takes some round trips.
+pub const SEND_TIME: Duration = Duration::from_millis(100);
+/// The span for which it is told what a member takes, and the resolution of timers.
+const SECOND: Duration = Duration::from_millis(1_001);
+/// The span in which statements are counted: what is counted before a second begins may be sent
+/// within it.
+pub const WINDOW: Duration = SECOND.saturating_add(SEND_TIME);
+
+/// What one process may send to a member in each [`WINDOW`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Allowance {
+    /// As much as any member is sent: it is not cold.
+    Unbounded,
+    /// So many statements.
+    Share(usize),
+}
+
+/// When a statement may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// In order of arrival, by a moment.
+    InOrder(Instant),
+    /// Before those that wait in order, by a moment.
+    First(Instant),
+}
+
+/// The statements that were counted in a window: any such span holds no more than the share.
+///
+/// ```
+/// use std::time::Duration;
+/// use stilequay_engine::slow_start::window::{SendWindow, WINDOW};
+/// use tokio::time::Instant;
+/// let mut window = SendWindow::default();
+/// let now = Instant::now();
+/// assert_eq!(window.take(2, now), Ok(()));
+/// assert_eq!(window.take(2, now), Ok(()));
+/// assert_eq!(window.take(2, now), Err(now + WINDOW));
+/// assert_eq!(window.take(2, now + WINDOW), Ok(()));
+/// ```
+#[derive(Debug, Default)]
+pub struct SendWindow {
+    /// Oldest first.
+    sent: VecDeque<Instant>,
+}
+
+impl SendWindow {
+    /// Counts one statement.
+    ///
+    /// # Errors
+    ///
+    /// When there will be a place for one, if nothing else is sent meanwhile.
+    pub fn take(&mut self, share: usize, now: Instant) -> Result<(), Instant> {
+        self.forget_past(now);
+        if self.sent.len() >= share {
+            return Err(self.free_at(share, 0, now));
+        }
+        self.sent.push_back(now);
+        Ok(())
+    }
+
+    /// Counts what is sent whether there is a place or not.
+    pub fn note(&mut self, now: Instant) {
+        self.forget_past(now);
+        self.sent.push_back(now);
+    }
+
+    /// When there is a place for one behind `ahead` others that wait.
+    pub fn free_at(&self, share: usize, ahead: usize, now: Instant) -> Instant {
+        if share == 0 {
+            return now + WINDOW;
+        }
+        // Those that must have left the window before.
+        let leaving = (self.sent.len() + ahead + 1).saturating_sub(share);
+        match leaving.checked_sub(1) {
+            None => now,
+            Some(last) => match self.sent.get(last) {
+                Some(sent) => now.max(*sent + WINDOW),
+                // One of those that wait themselves.
+                None => self.free_at(share, ahead.saturating_sub(share), now) + WINDOW,
+            },
+        }
+    }
+
+    /// Share of `share` that is used.
+    pub fn used(&self, share: usize, now: Instant) -> f64 {
+        let sent = self.sent.iter().filter(|at| **at + WINDOW > now);
+        match share {
+            0 => 1.0,
+            share => sent.count() as f64 / share as f64,
+        }
+    }
+
+    fn forget_past(&mut self, now: Instant) {
+        while self.sent.front().is_some_and(|at| *at + WINDOW <= now) {
+            self.sent.pop_front();
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct GateState {
+    window: SendWindow,
+    /// Statements that wait in order.
+    waiting: usize,
+}
+
+/// Lets statements to one member pass, in order of arrival.
+#[derive(Debug, Default)]
+pub struct Gate {
+    state: Mutex<GateState>,
+    turn: AsyncMutex<()>,
+}
+
+impl Gate {
+    /// Waits until a statement may be sent, and counts it: returns as of when, or `None` where
+    /// nothing is to be counted. What `allowance` tells may change while it waits.
+    ///
+    /// # Errors
+    ///
+    /// The time until there is a place, where that comes too late: it has not been sent.
+    pub async fn pass(
+        &self,
+        turn: Turn,
+        allowance: impl Fn(Instant) -> Allowance,
+    ) -> Result<Option<Instant>, Duration> {
+        let until = match turn {
+            Turn::First(until) => return self.wait(until, &allowance).await,
+            Turn::InOrder(until) => until,
+        };
+        let _place = self.enter(until, allowance(Instant::now()))?;
+        match timeout_at(until, self.turn.lock()).await {
+            Ok(_turn) => self.wait(until, &allowance).await,
+            // Those before it were let pass later than was expected.
+            Err(_) => Err(WINDOW),
+        }
+    }
+
+    /// Counts what is sent in any case.
+    pub fn note(&self) {
+        self.lock().window.note(Instant::now());
+    }
+
+    /// Share of `share` that is used, those that wait included.
+    pub fn used(&self, share: usize, now: Instant) -> f64 {
+        let state = self.lock();
+        let waiting = state.waiting as f64 / share.max(1) as f64;
+        state.window.used(share, now) + waiting
+    }
+
+    /// Takes a place in the queue, unless those before it leave none in time.
+    fn enter(&self, until: Instant, allowance: Allowance) -> Result<Place<'_>, Duration> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if let Allowance::Share(share) = allowance {
+            let free_at = state.window.free_at(share, state.waiting, now);
+            if free_at > now && (share == 0 || free_at > until) {
+                return Err(free_at.duration_since(now));
+            }
+        }
+        state.waiting += 1;
+        Ok(Place { gate: self })
+    }
+
+    async fn wait(
+        &self,
+        until: Instant,
+        allowance: &impl Fn(Instant) -> Allowance,
+    ) -> Result<Option<Instant>, Duration> {
+        loop {
+            let now = Instant::now();
+            let Allowance::Share(share) = allowance(now) else {
+                return Ok(None);
+            };
+            let taken = self.lock().window.take(share, now);
+            match taken {
+                Ok(()) => return Ok(Some(now)),
+                Err(free_at) if share == 0 || free_at > until => {
+                    return Err(free_at.duration_since(now));
+                }
+                Err(free_at) => sleep_until(free_at).await,
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GateState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A place in the queue, until it is dropped.
+#[derive(Debug)]
+struct Place<'a> {
+    gate: &'a Gate,
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        self.gate.lock().waiting -= 1;
+    }
+}
--- /dev/null
+++ b/crates/engine/tests/slow_start.rs
@@ -0,0 +1,863 @@
+//! Cold members: in no second do they get more than they take, whatever becomes of those who
+//! send, and what others can run goes to others.
+
+mod support;
+
+use proptest::prelude::*;
+use rstest::rstest;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use stilequay_engine::configuration::{Configuration, SlowStart};
+use stilequay_engine::evacuation::Evacuations;
+use stilequay_engine::home::placement::HOMES;
+use stilequay_engine::names::NodeName;
+use stilequay_engine::slow_start::allotment::{Allotment, Allotments, Senders, Shares, divide};
+use stilequay_engine::slow_start::window::{Allowance, Gate, SendWindow, Turn, WINDOW};
+use stilequay_engine::statement::Reply;
+use stilequay_engine::verdict::Verdict;
+use support::records::Fault;
+use support::servers::World;
+use support::{
+    BOUNDED_DATABASE, Client, Fleet, GROUP, LEADER_DATABASE, configuration, seen, until,
+};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+
+/// Processes of a fleet that connect by themselves.
+const SMALL: usize = 6;
+/// Processes of a fleet that needs homes.
+const LARGE: usize = 20;
+/// Statements that a cold member takes in a second.
+const MOST: usize = 30;
+/// How long a member is cold.
+const COLD: Duration = Duration::from_secs(30);
+/// Time after which processes with old knowledge send nothing: twice the contact time.
+const KNOWLEDGE: Duration = Duration::from_secs(8);
+const SECOND: Duration = Duration::from_secs(1);
+
+fn slow_start(version: u64, per_second: f64) -> Configuration {
+    let mut next = configuration(1);
+    next.version = version;
+    for group in next.groups.values_mut() {
+        group.slow_start = Some(SlowStart {
+            duration: COLD,
+            per_second,
+        });
+    }
+    next
+}
+
+async fn declare(fleet: &Fleet, next: Configuration) {
+    let version = next.version;
+    fleet.configuration.send_replace(next);
+    until(|| {
+        let known = fleet.nodes.iter().map(|node| node.engine.configuration());
+        known.flatten().all(|known| known.version == version)
+    })
+    .await;
+}
+
+/// A fleet whose group has a slow start; no member is cold.
+async fn fleet_of(nodes: usize) -> Fleet {
+    let fleet = Fleet::start(nodes).await;
+    let knows_all = |node: &support::Node| node.engine.homes().fleet().len() == nodes;
+    until(|| fleet.nodes.iter().all(knows_all)).await;
+    declare(&fleet, slow_start(2, MOST as f64)).await;
+    // Connections that were opened before the fleet was known have ended.
+    sleep(Duration::from_secs(3)).await;
+    fleet
+}
+
+/// Lets the entry of `member` say that it is cold; returns once all processes know it.
+async fn chill(fleet: &Fleet, member: &str) {
+    let until_then = Instant::now() + COLD;
+    fleet
+        .world
+        .change(member, |server| server.cold_until = Some(until_then));
+    until(|| fleet.nodes.iter().all(|node| knows_cold(node, member))).await;
+}
+
+fn knows_cold(node: &support::Node, member: &str) -> bool {
+    let directory = node.engine.directory();
+    let known = directory.member(member);
+    known.is_some_and(|member| member.cold_until.is_some_and(|at| at > Instant::now()))
+}
+
+/// The shares of `member` in the store.
+fn shares(fleet: &Fleet, member: &str) -> Option<Shares> {
+    let record = fleet.records.get(&Allotments::key(GROUP))?;
+    let allotments = Allotments::decode(&record)?;
+    let allotment = allotments.members.get(member)?;
+    Some(allotment.shares.clone())
+}
+
+/// Waits until `member` has shares, and every process may have heard of them.
+async fn allotted(fleet: &Fleet, member: &str) -> Shares {
+    until(|| shares(fleet, member).is_some()).await;
+    sleep(SECOND * 2).await;
+    shares(fleet, member).expect("shares")
+}
+
+fn homes_of(fleet: &Fleet, member: &str) -> Vec<usize> {
+    let directory = fleet.nodes[0].engine.directory();
+    let member = directory.member(member).expect("a member");
+    let candidates = fleet.nodes[0].engine.homes().candidates(member);
+    let homes = candidates.iter().take(HOMES);
+    let place = |name: &NodeName| fleet.nodes.iter().position(|node| *node.name == **name);
+    homes
+        .map(|peer| place(&peer.node).expect("a process"))
+        .collect()
+}
+
+/// When a server has run statements, to the millisecond.
+struct Runs {
+    at: Arc<Mutex<Vec<Instant>>>,
+    task: JoinHandle<()>,
+}
+
+impl Runs {
+    fn watch(world: &Arc<World>, server: &str) -> Self {
+        let at: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let (world, server, noted) = (Arc::clone(world), server.to_owned(), Arc::clone(&at));
+        let task = tokio::spawn(async move {
+            let mut known = world.server(&server).statements;
+            loop {
+                sleep(Duration::from_millis(1)).await;
+                let now = world.server(&server).statements;
+                let new = (known..now).map(|_| Instant::now());
+                noted.lock().unwrap().extend(new);
+                known = now;
+            }
+        });
+        Self { at, task }
+    }
+
+    fn count(&self) -> usize {
+        self.at.lock().unwrap().len()
+    }
+
+    /// The most in any second.
+    fn most(&self) -> usize {
+        most_in_a_second(&self.at.lock().unwrap())
+    }
+}
+
+impl Drop for Runs {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn most_in_a_second(at: &[Instant]) -> usize {
+    let within = |first: &Instant| {
+        let until = *first + SECOND;
+        at.iter().filter(|at| *at >= first && **at < until).count()
+    };
+    at.iter().map(within).max().unwrap_or(0)
+}
+
+/// Callers at every process that ask without a pause.
+struct Load {
+    tasks: Vec<JoinHandle<()>>,
+    replies: Arc<Mutex<Vec<Reply>>>,
+}
+
+impl Load {
+    /// `callers` at each of `nodes`; they write, or read.
+    fn begin(fleet: &Fleet, nodes: &[usize], callers: usize, writes: bool) -> Self {
+        let replies: Arc<Mutex<Vec<Reply>>> = Arc::default();
+        let database = match writes {
+            true => LEADER_DATABASE,
+            false => BOUNDED_DATABASE,
+        };
+        let callers = nodes.iter().flat_map(|node| vec![*node; callers]);
+        let tasks = callers.map(|node| {
+            let mut client = Client::open(&fleet.nodes[node].engine, database);
+            let replies = Arc::clone(&replies);
+            tokio::spawn(async move {
+                loop {
+                    let reply = match writes {
+                        true => client.write("x").await,
+                        false => client.read("x").await,
+                    };
+                    replies.lock().unwrap().push(reply);
+                    sleep(Duration::from_millis(5)).await;
+                }
+            })
+        });
+        Self {
+            tasks: tasks.collect(),
+            replies,
+        }
+    }
+
+    fn end(self) -> Vec<Reply> {
+        self.tasks.iter().for_each(|task| task.abort());
+        std::mem::take(&mut self.replies.lock().unwrap())
+    }
+}
+
+fn all(nodes: usize) -> Vec<usize> {
+    (0..nodes).collect()
+}
+
+#[rstest]
+#[case::small(SMALL)]
+#[case::large(LARGE)]
+#[tokio::test(start_paused = true)]
+async fn a_cold_replica_gets_what_it_takes_and_nobody_is_refused(#[case] nodes: usize) {
+    let fleet = fleet_of(nodes).await;
+    chill(&fleet, "b").await;
+    let runs = Runs::watch(&fleet.world, "b");
+    allotted(&fleet, "b").await;
+    let load = Load::begin(&fleet, &all(nodes), 4, false);
+    sleep(Duration::from_secs(8)).await;
+    let replies = load.end();
+    assert!(runs.most() <= MOST, "{} in a second", runs.most());
+    assert!(runs.count() > 0, "it is not used at all");
+    let refused = replies.iter().filter(|reply| reply.outcome.is_err());
+    assert_eq!(refused.count(), 0, "of {}", replies.len());
+}
+
+#[rstest]
+#[case::small(SMALL)]
+#[case::large(LARGE)]
+#[tokio::test(start_paused = true)]
+async fn a_cold_leader_gets_what_it_takes_and_the_others_wait_or_are_told(#[case] nodes: usize) {
+    let fleet = fleet_of(nodes).await;
+    chill(&fleet, "a").await;
+    allotted(&fleet, "a").await;
+    let runs = Runs::watch(&fleet.world, "a");
+    let load = Load::begin(&fleet, &all(nodes), 2, true);
+    sleep(Duration::from_secs(6)).await;
+    let replies = load.end();
+    assert!(runs.most() <= MOST, "{} in a second", runs.most());
+    // Most of what may be sent is.
+    assert!(
+        runs.count() >= 6 * MOST / 2,
+        "{} in six seconds",
+        runs.count()
+    );
+    assert!(fleet.world.promotions().is_empty(), "cold is not lost");
+    let failures: Vec<_> = replies
+        .iter()
+        .filter_map(|r| r.outcome.as_ref().err())
+        .collect();
+    assert!(!failures.is_empty(), "more is asked than it takes");
+    for failure in failures {
+        assert_eq!(failure.verdict, Verdict::NotRun, "{failure:?}");
+        let told = failure
+            .retry_after
+            .is_some_and(|wait| wait > Duration::ZERO);
+        assert!(told, "{failure:?}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_write_waits_for_its_turn_while_that_comes_in_time() {
+    let fleet = fleet_of(1).await;
+    declare(&fleet, slow_start(3, 2.0)).await;
+    chill(&fleet, "a").await;
+    let shares = allotted(&fleet, "a").await;
+    assert_eq!(shares.values().sum::<usize>(), 1, "one is left to orders");
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    assert!(client.write("x").await.outcome.is_ok());
+    // The next place is free a window later, and an offer may wait for 336 ms.
+    let asked = Instant::now();
+    let refused = client
+        .write("x")
+        .await
+        .outcome
+        .expect_err("no place in time");
+    assert!(
+        asked.elapsed() < Duration::from_millis(100),
+        "refused at once"
+    );
+    assert_eq!(refused.verdict, Verdict::NotRun);
+    let wait = refused.retry_after.expect("a time to come back");
+    sleep(wait.saturating_sub(Duration::from_millis(200))).await;
+    let asked = Instant::now();
+    assert!(client.write("x").await.outcome.is_ok());
+    assert!(
+        asked.elapsed() > Duration::from_millis(100),
+        "it has waited"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_transaction_that_is_open_goes_on() {
+    let fleet = fleet_of(1).await;
+    declare(&fleet, slow_start(3, 10.0)).await;
+    chill(&fleet, "a").await;
+    allotted(&fleet, "a").await;
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    let load = Load::begin(&fleet, &[0], 4, true);
+    let mut committed = 0;
+    for _ in 0..20 {
+        assert!(client.begin(false).await.outcome.is_ok());
+        let opened = client.write("x").await;
+        let Ok(_) = opened.outcome else {
+            client.rollback().await;
+            continue;
+        };
+        assert!(client.write("y").await.outcome.is_ok());
+        assert!(client.commit().await.outcome.is_ok());
+        committed += 1;
+    }
+    load.end();
+    assert!(committed > 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn whoever_reaches_no_home_sends_nothing_to_a_cold_member() {
+    let fleet = fleet_of(LARGE).await;
+    chill(&fleet, "b").await;
+    let shares = allotted(&fleet, "b").await;
+    let node = (0..LARGE).find(|node| !shares.contains_key(fleet.nodes[*node].name.as_str()));
+    let node = node.expect("one without a share");
+    for other in &fleet.nodes {
+        fleet.network().cut(&fleet.nodes[node].name, &other.name);
+    }
+    for server in ["a", "c"] {
+        fleet.network().cut(&fleet.nodes[node].name, server);
+    }
+    let runs = Runs::watch(&fleet.world, "b");
+    let load = Load::begin(&fleet, &[node], 4, false);
+    sleep(Duration::from_secs(5)).await;
+    let replies = load.end();
+    assert_eq!(runs.count(), 0);
+    assert!(!replies.is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn homes_that_do_not_see_one_another_keep_the_sum() {
+    let fleet = fleet_of(LARGE).await;
+    chill(&fleet, "a").await;
+    allotted(&fleet, "a").await;
+    let homes = homes_of(&fleet, "a");
+    // Half of the fleet sees the one home, half the other.
+    for node in 0..LARGE {
+        let lost = homes[node % 2];
+        if lost != node {
+            let (node, lost) = (&fleet.nodes[node].name, &fleet.nodes[lost].name);
+            fleet.network().cut(node, lost);
+        }
+    }
+    let runs = Runs::watch(&fleet.world, "a");
+    let load = Load::begin(&fleet, &all(LARGE), 2, true);
+    sleep(Duration::from_secs(6)).await;
+    load.end();
+    assert!(runs.most() <= MOST, "{} in a second", runs.most());
+    assert!(runs.count() > 2 * MOST, "{} in six seconds", runs.count());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_home_that_is_killed_and_started_anew_keeps_the_sum() {
+    let mut fleet = fleet_of(LARGE).await;
+    chill(&fleet, "a").await;
+    allotted(&fleet, "a").await;
+    let home = homes_of(&fleet, "a")[0];
+    let others: Vec<usize> = all(LARGE)
+        .into_iter()
+        .filter(|node| *node != home)
+        .collect();
+    let runs = Runs::watch(&fleet.world, "a");
+    let load = Load::begin(&fleet, &others, 2, true);
+    sleep(SECOND).await;
+    for _ in 0..3 {
+        fleet.kill(home);
+        let name = fleet.nodes[home].name.clone();
+        sleep(Duration::from_millis(150)).await;
+        fleet.nodes[home] = fleet.respawn_node(&name);
+        sleep(Duration::from_millis(600)).await;
+    }
+    let before = runs.count();
+    sleep(SECOND * 4).await;
+    load.end();
+    assert!(runs.most() <= MOST, "{} in a second", runs.most());
+    assert!(runs.count() > before, "the other home goes on");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_restart_of_all_keeps_the_sum() {
+    let mut fleet = fleet_of(SMALL).await;
+    chill(&fleet, "a").await;
+    allotted(&fleet, "a").await;
+    let runs = Runs::watch(&fleet.world, "a");
+    let load = Load::begin(&fleet, &all(SMALL), 4, true);
+    sleep(SECOND * 2).await;
+    load.end();
+    (0..SMALL).for_each(|node| fleet.kill(node));
+    let names: Vec<String> = fleet.nodes.iter().map(|node| node.name.clone()).collect();
+    fleet.nodes = names.iter().map(|name| fleet.respawn_node(name)).collect();
+    let before = runs.count();
+    let load = Load::begin(&fleet, &all(SMALL), 4, true);
+    sleep(SECOND * 5).await;
+    load.end();
+    assert!(runs.most() <= MOST, "{} in a second", runs.most());
+    assert!(runs.count() > before, "the shares are in the store");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_home_that_stood_still_sends_nothing_on_old_knowledge() {
+    let fleet = fleet_of(LARGE).await;
+    chill(&fleet, "a").await;
+    allotted(&fleet, "a").await;
+    let home = homes_of(&fleet, "a")[0];
+    let name = fleet.nodes[home].name.clone();
+    fleet.freeze(&name, true);
+    sleep(KNOWLEDGE + SECOND).await;
+    let as_of = fleet.nodes[home].engine.slow_starts().records_as_of();
+    assert!(as_of.expect("known before").elapsed() > KNOWLEDGE);
+    // The store is cut off when it goes on: nothing tells it that its share still holds.
+    fleet.records.refuse_node(&name, true);
+    for other in &fleet.nodes {
+        fleet.network().cut(&name, &other.name);
+    }
+    fleet.freeze(&name, false);
+    let runs = Runs::watch(&fleet.world, "a");
+    let load = Load::begin(&fleet, &[home], 4, true);
+    sleep(SECOND * 3).await;
+    load.end();
+    assert_eq!(runs.count(), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn shares_outlast_a_short_silence_of_the_store_and_no_long_one() {
+    let fleet = fleet_of(SMALL).await;
+    chill(&fleet, "b").await;
+    allotted(&fleet, "b").await;
+    let runs = Runs::watch(&fleet.world, "b");
+    let load = Load::begin(&fleet, &all(SMALL), 4, false);
+    fleet.records.set_fault(Fault::Silent);
+    sleep(SECOND * 3).await;
+    let early = runs.count();
+    assert!(early > 0, "what is known is recent enough");
+    sleep(KNOWLEDGE).await;
+    let late = runs.count();
+    sleep(SECOND * 3).await;
+    assert_eq!(runs.count(), late, "nothing on old knowledge");
+    load.end();
+    assert!(runs.most() <= MOST);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_member_that_turns_cold_while_the_store_is_silent_gets_nothing() {
+    let fleet = fleet_of(SMALL).await;
+    fleet.records.set_fault(Fault::Silent);
+    chill(&fleet, "b").await;
+    let runs = Runs::watch(&fleet.world, "b");
+    let load = Load::begin(&fleet, &all(SMALL), 2, false);
+    sleep(SECOND * 3).await;
+    let replies = load.end();
+    assert_eq!(runs.count(), 0);
+    assert!(
+        replies.iter().any(|reply| reply.outcome.is_ok()),
+        "others run reads"
+    );
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_member_that_turns_cold_again_has_its_shares_at_once() {
+    let fleet = fleet_of(SMALL).await;
+    chill(&fleet, "b").await;
+    let first = allotted(&fleet, "b").await;
+    sleep(COLD).await;
+    assert!(!knows_cold(&fleet.nodes[0], "b"));
+    let calls = fleet
+        .records
+        .get(&Allotments::key(GROUP))
+        .expect("shares")
+        .version;
+    chill(&fleet, "b").await;
+    let runs = Runs::watch(&fleet.world, "b");
+    let load = Load::begin(&fleet, &all(SMALL), 4, false);
+    sleep(SECOND * 3).await;
+    load.end();
+    assert!(runs.most() <= MOST, "{} in a second", runs.most());
+    assert!(runs.count() > 0);
+    assert_eq!(shares(&fleet, "b").as_ref(), Some(&first));
+    let now = fleet
+        .records
+        .get(&Allotments::key(GROUP))
+        .expect("shares")
+        .version;
+    assert_eq!(now, calls, "nothing is written anew");
+}
+
+#[tokio::test(start_paused = true)]
+async fn the_next_candidate_writes_the_shares_where_the_first_is_gone() {
+    let mut fleet = fleet_of(LARGE).await;
+    let first = homes_of(&fleet, "b")[0];
+    fleet.kill(first);
+    let until_then = Instant::now() + COLD;
+    fleet
+        .world
+        .change("b", |server| server.cold_until = Some(until_then));
+    let shares = allotted(&fleet, "b").await;
+    assert!(shares.len() > 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn members_of_a_zone_that_is_used_again_are_cold() {
+    let fleet = fleet_of(1).await;
+    let engine = &fleet.nodes[0].engine;
+    let evacuations = |version, zones: &[&str]| Evacuations {
+        version,
+        zones: zones
+            .iter()
+            .map(|zone| Arc::from(*zone))
+            .collect::<BTreeSet<_>>(),
+    };
+    engine.set_evacuations(evacuations(5, &["zone-b"]));
+    engine.set_evacuations(evacuations(6, &[]));
+    allotted(&fleet, "b").await;
+    let runs = Runs::watch(&fleet.world, "b");
+    // Nothing else can run it.
+    fleet.network().cut(&fleet.nodes[0].name, "a");
+    fleet.network().cut(&fleet.nodes[0].name, "c");
+    let load = Load::begin(&fleet, &[0], 20, false);
+    sleep(SECOND).await;
+    load.end();
+    assert!(runs.most() <= MOST, "{} in a second", runs.most());
+    assert_eq!(shares(&fleet, "c"), None);
+}
+
+#[tokio::test(start_paused = true)]
+async fn without_knowledge_of_evacuations_every_member_may_be_cold() {
+    let mut fleet = fleet_of(1).await;
+    let name = fleet.nodes[0].name.clone();
+    fleet.kill(0);
+    fleet.evacuation_bound = Some(Duration::from_secs(5));
+    fleet.nodes[0] = fleet.respawn_node(&name);
+    until(|| {
+        fleet.nodes[0]
+            .engine
+            .group(&Arc::from(GROUP))
+            .view()
+            .leader
+            .is_some()
+    })
+    .await;
+    sleep(SECOND * 2).await;
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    assert!(client.write("x").await.outcome.is_ok());
+    // The store turns it away: a zone may be evacuated, and used again, without its knowledge.
+    fleet.records.refuse_node(&name, true);
+    sleep(Duration::from_secs(4)).await;
+    assert!(client.write("x").await.outcome.is_ok());
+    let runs = Runs::watch(&fleet.world, "a");
+    sleep(Duration::from_secs(2)).await;
+    let refused = client.write("x").await.outcome.expect_err("it may be cold");
+    assert_eq!(refused.verdict, Verdict::NotRun);
+    assert_eq!(runs.count(), 0);
+    fleet.records.refuse_node(&name, false);
+    sleep(SECOND * 2).await;
+    assert!(client.write("x").await.outcome.is_ok());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_member_is_not_told_to_be_warm_too_early() {
+    // What is left is told by another process, over a link that takes its time.
+    let fleet = fleet_of(LARGE).await;
+    chill(&fleet, "b").await;
+    let told = fleet.world.server("b").cold_until.expect("cold");
+    for node in &fleet.nodes {
+        let directory = node.engine.directory();
+        let known = directory.member("b").expect("a member").cold_until;
+        let early = told.saturating_duration_since(known.expect("cold"));
+        assert!(
+            early <= Duration::from_millis(1),
+            "{}: {early:?}",
+            node.name
+        );
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn deployments_without_slow_start_count_nothing() {
+    let fleet = Fleet::start(SMALL).await;
+    let until_then = Instant::now() + COLD;
+    fleet
+        .world
+        .change("b", |server| server.cold_until = Some(until_then));
+    sleep(SECOND * 3).await;
+    let starts = fleet
+        .nodes
+        .iter()
+        .map(|node| node.engine.slow_starts().is_used());
+    assert!(starts.into_iter().all(|used| !used));
+    assert_eq!(shares(&fleet, "b"), None);
+    let mut client = fleet.session(0, BOUNDED_DATABASE);
+    let (server, _) = seen(&client.read("x").await);
+    assert!(["a", "b", "c"].contains(&server.as_str()));
+}
+
+#[rstest]
+#[case::few(1, 3)]
+#[case::fewer_than_processes(5, 18)]
+#[case::even(31, 7)]
+#[case::many(400, 16)]
+#[case::none(0, 4)]
+fn shares_sum_up_to_less_than_a_member_takes(#[case] most: usize, #[case] nodes: usize) {
+    let names: Vec<NodeName> = (0..nodes).map(|n| Arc::from(format!("n{n}"))).collect();
+    for senders in [Senders::All(names.clone()), Senders::Candidates(names)] {
+        let sum: usize = divide(most, &senders).into_values().sum();
+        assert!(sum <= most, "{senders:?}");
+        assert!(sum * 10 + 19 >= most * 9, "{sum} of {most}");
+    }
+}
+
+#[test]
+fn what_is_taken_away_is_gone_at_once_and_what_is_added_comes_later() {
+    let shares = |list: &[(&str, usize)]| -> Shares {
+        let entries = list.iter().map(|(node, share)| (Arc::from(*node), *share));
+        entries.collect()
+    };
+    let allotment = Allotment {
+        most: 30,
+        shares: shares(&[("a", 20), ("b", 5)]),
+        before: Some(shares(&[("a", 5), ("b", 20), ("c", 3)])),
+    };
+    let now = |settled| ["a", "b", "c"].map(|node| allotment.share(node, 30, settled));
+    assert_eq!(now(false), [5, 5, 0]);
+    assert_eq!(now(true), [20, 5, 0]);
+    // A configuration that lowers what is taken holds at once.
+    assert_eq!(allotment.share("a", 15, true), 10);
+    assert_eq!(allotment.share("a", 60, true), 20);
+}
+
+#[tokio::test(start_paused = true)]
+async fn statements_pass_in_order_of_arrival() {
+    let gate = Arc::new(Gate::default());
+    let order: Arc<Mutex<Vec<usize>>> = Arc::default();
+    let mut tasks = Vec::new();
+    for index in 0..9 {
+        let (gate, order) = (Arc::clone(&gate), Arc::clone(&order));
+        tasks.push(tokio::spawn(async move {
+            sleep(Duration::from_millis(index as u64)).await;
+            let until = Instant::now() + WINDOW * 5;
+            let passed = gate
+                .pass(Turn::InOrder(until), |_| Allowance::Share(2))
+                .await;
+            passed.expect("in time");
+            order.lock().unwrap().push(index);
+        }));
+    }
+    for task in tasks {
+        task.await.expect("it ends");
+    }
+    assert_eq!(*order.lock().unwrap(), (0..9).collect::<Vec<_>>());
+}
+
+#[tokio::test(start_paused = true)]
+async fn whoever_would_wait_too_long_is_told_when_at_once() {
+    let gate = Gate::default();
+    let share = |_| Allowance::Share(1);
+    let soon = || Turn::InOrder(Instant::now() + Duration::from_millis(300));
+    gate.pass(soon(), share).await.expect("a place");
+    let asked = Instant::now();
+    let wait = gate
+        .pass(soon(), share)
+        .await
+        .expect_err("no place in time");
+    assert_eq!(asked.elapsed(), Duration::ZERO);
+    assert_eq!(wait, WINDOW);
+    sleep(Duration::from_millis(900)).await;
+    gate.pass(soon(), share).await.expect("in time");
+    let none = gate.pass(soon(), |_| Allowance::Share(0)).await;
+    assert!(none.is_err());
+    assert_eq!(gate.pass(soon(), |_| Allowance::Unbounded).await, Ok(None));
+}
+
+// A model of processes that hear of the store late, each as greedy as it may be.
+
+/// What the model leaves out of the rules.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Mistake {
+    None,
+    /// What is added is used at once.
+    NoSettling,
+    /// What is known of the store may be of any age.
+    AnyAge,
+    /// A new life uses its share at once.
+    NoPause,
+    /// A replaced allotment is replaced again at once.
+    NoPatience,
+}
+
+/// One step of a schedule.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// A process hears of the store.
+    Hear(usize),
+    /// A process starts anew.
+    Restart(usize),
+    /// All do.
+    RestartAll,
+    /// Somebody divides the shares anew.
+    Divide(usize),
+}
+
+struct Sender {
+    window: SendWindow,
+    began: Instant,
+    as_of: Option<Instant>,
+    known: Option<(usize, Instant)>,
+}
+
+const MODEL_PROCESSES: usize = 5;
+const MODEL_MOST: usize = 12;
+const TICK: Duration = Duration::from_millis(50);
+
+fn step() -> impl Strategy<Value = Option<Step>> {
+    let process = 0..MODEL_PROCESSES;
+    prop_oneof![
+        8 => Just(None),
+        8 => process.clone().prop_map(|p| Some(Step::Hear(p))),
+        2 => process.clone().prop_map(|p| Some(Step::Restart(p))),
+        1 => Just(Some(Step::RestartAll)),
+        2 => process.prop_map(|p| Some(Step::Divide(p))),
+    ]
+}
+
+/// Plays a schedule; returns when statements were sent.
+fn play(steps: &[Option<Step>], mistake: Mistake) -> Vec<Instant> {
+    let start = Instant::now();
+    let knowledge = Duration::from_secs(2);
+    let settling = knowledge + WINDOW;
+    let names: Vec<NodeName> = (0..MODEL_PROCESSES)
+        .map(|n| Arc::from(format!("n{n}")))
+        .collect();
+    let fresh = |began| Sender {
+        window: SendWindow::default(),
+        began,
+        as_of: None,
+        known: None,
+    };
+    let mut senders: Vec<Sender> = names.iter().map(|_| fresh(start)).collect();
+    let mut store: Vec<Allotment> = Vec::new();
+    let mut sent = Vec::new();
+    for (tick, step) in steps.iter().enumerate() {
+        let now = start + TICK * u32::try_from(tick).expect("few");
+        match *step {
+            None => {}
+            Some(Step::Hear(p)) => {
+                let newest = store.len().checked_sub(1);
+                let sender = &mut senders[p];
+                sender.as_of = Some(now);
+                if let Some(newest) = newest
+                    && sender.known.is_none_or(|(known, _)| known < newest)
+                {
+                    sender.known = Some((newest, now));
+                }
+            }
+            Some(Step::Restart(p)) => senders[p] = fresh(now),
+            Some(Step::RestartAll) => senders.iter_mut().for_each(|s| *s = fresh(now)),
+            Some(Step::Divide(p)) => {
+                let newest = store.len().checked_sub(1);
+                let known = senders[p].known;
+                let is_newest = known.map(|(known, _)| known) == newest;
+                let settled = known.is_none_or(|(_, since)| now >= since + settling);
+                if is_newest && (settled || mistake == Mistake::NoPatience) {
+                    // The writer's favourite has all.
+                    let mut order = names.clone();
+                    order.rotate_left(p);
+                    let shares: BTreeMap<NodeName, usize> =
+                        divide(MODEL_MOST, &Senders::Candidates(order[..1].to_vec()));
+                    let before = newest.map(|newest| store[newest].shares.clone());
+                    store.push(Allotment {
+                        most: MODEL_MOST,
+                        shares,
+                        before,
+                    });
+                }
+            }
+        }
+        for (sender, name) in senders.iter_mut().zip(&names) {
+            let recent = sender.as_of.is_some_and(|at| now <= at + knowledge);
+            let may_send = (recent || mistake == Mistake::AnyAge)
+                && (now >= sender.began + WINDOW || mistake == Mistake::NoPause);
+            let Some((known, since)) = sender.known.filter(|_| may_send) else {
+                continue;
+            };
+            let settled = now >= since + settling || mistake == Mistake::NoSettling;
+            let share = store[known].share(name, MODEL_MOST, settled);
+            while sender.window.take(share, now).is_ok() {
+                sent.push(now);
+            }
+        }
+    }
+    sent
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+    #[test]
+    fn shares_hold_however_late_processes_hear(
+        steps in proptest::collection::vec(step(), 100..600),
+    ) {
+        let most = most_in_a_second(&play(&steps, Mistake::None));
+        prop_assert!(most <= MODEL_MOST, "{most} in a second");
+    }
+}
+
+/// A schedule in which the first process divides, and the second does after `pause` ticks; only
+/// the second hears of the store meanwhile, or both do.
+fn two_writers(pause: usize, both_hear: bool) -> Vec<Option<Step>> {
+    let mut steps = vec![
+        Some(Step::Divide(0)),
+        Some(Step::Hear(0)),
+        Some(Step::Hear(1)),
+    ];
+    // Both have lived for a window.
+    steps.extend((0..60).map(|tick| (tick % 9 == 0).then_some(Step::Hear(0))));
+    steps.extend((0..pause).map(|tick| match tick % 3 {
+        0 => Some(Step::Hear(1)),
+        1 if both_hear => Some(Step::Hear(0)),
+        _ => None,
+    }));
+    steps.push(Some(Step::Divide(1)));
+    steps.extend((0..120).map(|tick| (tick % 3 == 0).then_some(Step::Hear(1))));
+    steps
+}
+
+#[rstest]
+#[case::what_is_added_is_used_at_once(two_writers(90, true), Mistake::NoSettling)]
+#[case::old_knowledge_is_used(two_writers(90, true), Mistake::AnyAge)]
+#[case::a_new_life_does_not_wait(
+    {
+        let mut steps = two_writers(0, true);
+        steps.truncate(60);
+        steps.extend([Some(Step::Restart(0)), Some(Step::Hear(0))]);
+        steps
+    },
+    Mistake::NoPause
+)]
+fn planted_mistakes_are_noticed(#[case] steps: Vec<Option<Step>>, #[case] mistake: Mistake) {
+    let right = most_in_a_second(&play(&steps, Mistake::None));
+    assert!(right <= MODEL_MOST, "{right} in a second");
+    let wrong = most_in_a_second(&play(&steps, mistake));
+    assert!(wrong > MODEL_MOST, "only {wrong} in a second");
+}
+
+#[test]
+fn an_allotment_that_is_replaced_too_soon_is_noticed() {
+    // The third division follows at once: the first one's shares are still in use.
+    let mut steps = two_writers(90, true);
+    let divided = steps
+        .iter()
+        .rposition(|s| matches!(s, Some(Step::Divide(1))));
+    let at = divided.expect("a division");
+    steps.truncate(at + 1);
+    steps.extend([
+        Some(Step::Hear(2)),
+        Some(Step::Divide(2)),
+        Some(Step::Hear(2)),
+    ]);
+    steps.extend((0..120).map(|tick| (tick % 3 == 0).then_some(Step::Hear(2))));
+    let right = most_in_a_second(&play(&steps, Mistake::None));
+    assert!(right <= MODEL_MOST);
+    let _ = play(&steps, Mistake::NoPatience);
+}
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -54,6 +54,8 @@
     zones: &'static [&'static str],
     /// How callers prove on whose behalf they ask.
     pub tenants: Option<TenantPolicy>,
+    /// Time within which processes that are started must act on evacuations.
+    pub evacuation_bound: Option<Duration>,
 }
 
 /// One process of the fleet.
@@ -142,6 +144,7 @@
             zones,
             configuration: watch::Sender::new(configuration(1)),
             tenants,
+            evacuation_bound: None,
         };
         for index in 0..nodes {
             let node = fleet.spawn_node(&format!("node-{index}"));
@@ -174,7 +177,7 @@
             contact: Duration::from_secs(4),
             leaving_use: Duration::from_secs(4),
             configuration_bound: Duration::from_secs(3),
-            evacuation_bound: None,
+            evacuation_bound: self.evacuation_bound,
             slow_start: SlowStartBounds {
                 excess: 1.0,
                 slack: 0.0,
--- a/crates/engine/tests/support/servers/mod.rs
+++ b/crates/engine/tests/support/servers/mod.rs
@@ -55,6 +55,8 @@
     /// Says that it has paused, and goes on receiving: a planted mistake.
     pub ignores_pause: bool,
     pub statements: u64,
+    /// Until when its entry says that it is cold.
+    pub cold_until: Option<Instant>,
 }
 
 impl Server {
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -63,6 +63,7 @@
             shown: 0,
             ignores_pause: false,
             statements: 0,
+            cold_until: None,
         };
         let roles = names.iter().enumerate().map(|(index, name)| {
             let role = match index {
@@ -202,7 +203,7 @@
                 zone: Arc::from(format!("zone-{name}").as_str()),
                 role: server.role,
                 slots: 3,
-                cold_until: None,
+                cold_until: server.cold_until,
                 state: server.state,
                 changed: 0,
             })
