--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -67,7 +67,7 @@
     ),
     Metric::histogram(
         "stilequay_stage_seconds",
-        "Time of one stage of a statement: permit (of the tenant's rate), queue (waiting for a connection) or member.",
+        "Time of one stage of a statement: permit (of the tenant's rate), queue (waiting for a connection), slow_start (waiting for a cold member) or member.",
     ),
     Metric::counter(
         "stilequay_pool_connections_opened_total",
@@ -85,6 +85,14 @@
         "stilequay_rate_refusals_total",
         "Operations refused for their tenant's rate, by reason and tenant; tenants beyond the first sixteen are counted as other.",
     ),
+    Metric::counter(
+        "stilequay_slow_start_statements_total",
+        "Statements that were to be sent to cold members, by outcome.",
+    ),
+    Metric::gauge(
+        "stilequay_cold_members",
+        "Members that are cold, or may be, as far as this process knows.",
+    ),
     Metric::gauge(
         "stilequay_rate_shards_counted",
         "Shards of the rate limits that this process counts.",
