--- a/crates/engine/src/slow_start/allot.rs
+++ b/crates/engine/src/slow_start/allot.rs
@@ -93,9 +93,7 @@
     cold: Cold,
     lacking: &mut HashMap<MemberId, Instant>,
 ) {
-    let candidates = engine.homes().candidates(member);
-    let own = &engine.settings().node;
-    let rank = candidates.iter().position(|peer| peer.node == *own);
+    let rank = rank(engine, member);
     let present = engine.slow_starts().allotment(engine, member);
     let wanted = wanted(engine, member, cold, present.as_ref());
     let (Some(rank), Some(allotment)) = (rank, wanted) else {
@@ -117,6 +115,17 @@
     }
 }
 
+/// This process's place among those that write the allotment of `member`. One that knows no
+/// other process is the first.
+fn rank(engine: &Engine, member: &Member) -> Option<usize> {
+    let candidates = engine.homes().candidates(member);
+    let own = &engine.settings().node;
+    match candidates.is_empty() {
+        true => Some(0),
+        false => candidates.iter().position(|peer| peer.node == *own),
+    }
+}
+
 /// The allotment that `member` is to have in place of the `present` one, which is known since a
 /// moment; `None` where it has that, or where others may not have heard of the present one yet.
 fn wanted(
@@ -150,6 +159,9 @@
         names.collect()
     };
     let mut first = names(&candidates);
+    if first.is_empty() {
+        return Senders::All(vec![engine.settings().node.clone()]);
+    }
     if !engine.all_connect(member) {
         first.truncate(CANDIDATES);
         return Senders::Candidates(first);
