--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -22,7 +22,6 @@
 use crate::leadership::record::{TermPhase, TermRecord};
 use crate::names::{GroupName, MemberId};
 use crate::position::LogPosition;
-use crate::waiting::Hope;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Mutex as AsyncMutex, watch};
@@ -83,8 +82,6 @@
 #[derive(Debug)]
 struct GroupState {
     view: LeaderView,
-    /// When the fence of the present epoch was heard of; `None` once its leader is chosen.
-    fenced_at: Option<Instant>,
     evidence: Option<Instant>,
     samples: PositionSamples,
     commit_waiting_since: Option<Instant>,
@@ -114,7 +111,6 @@
             name,
             state: Mutex::new(GroupState {
                 view,
-                fenced_at: None,
                 evidence: None,
                 samples: PositionSamples::default(),
                 commit_waiting_since: None,
@@ -169,11 +165,6 @@
                 .filter(|_| record.phase == TermPhase::Fencing);
         }
         state.view = next_view(&before, record, now);
-        state.fenced_at = match record.phase {
-            TermPhase::Fencing if record.epoch > known => Some(now),
-            TermPhase::Fencing => state.fenced_at,
-            TermPhase::Promoting | TermPhase::Active => None,
-        };
         if record.phase != TermPhase::Fencing {
             state.evidence = state.evidence.max(begun);
         }
@@ -207,17 +198,6 @@
         usable(&state.view)
     }
 
-    /// When a leader that may be given writes can be there.
-    pub fn hope(&self) -> Hope {
-        let state = self.lock();
-        let fenced = || {
-            let at = state.fenced_at?;
-            Some(at + TERM_LEASE + TERM_LEASE_MARGIN)
-        };
-        let at = state.view.writable_from.or_else(fenced);
-        at.map_or(Hope::Unknown, Hope::NotBefore)
-    }
-
     /// The member that holds, at `now`, every commit acknowledged longer than
     /// `staleness` ago, by the evidence for its term.
     pub fn leased_leader(&self, now: Instant, staleness: Duration) -> Option<UsableLeader> {
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -5,8 +5,6 @@
 use crate::group::{Epoch, Group, UsableLeader};
 use crate::home;
 use crate::peers;
-use crate::verdict::{Failure, FailureReason};
-use crate::waiting::{self, Decision};
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
@@ -18,25 +16,16 @@
 const STORE_PATIENCE: Duration = Duration::from_millis(20);
 
 /// The leader that may be given writes, if there is one by `until`.
-///
-/// # Errors
-///
-/// The refusal where there is none, as soon as there can't be one by then.
-pub async fn writable_leader(group: &Group, until: Instant) -> Result<UsableLeader, Failure> {
-    let no_leader = Failure::not_run(FailureReason::NoLeader);
-    let chance = rand::random();
+pub async fn writable_leader(group: &Group, until: Instant) -> Option<UsableLeader> {
     let mut changes = group.subscribe();
     loop {
         changes.mark_unchanged();
         let now = Instant::now();
         if let Some(leader) = group.writable_leader(now) {
-            return Ok(leader);
-        }
-        if let Decision::Refuse(wait) = waiting::decide(group.hope(), until, now, chance) {
-            return Err(no_leader.with_retry_after(wait));
+            return Some(leader);
         }
         if now >= until {
-            return Err(no_leader);
+            return None;
         }
         let usable_at = group.view().writable_from.filter(|from| *from > now);
         let wake = usable_at.unwrap_or(until).min(until);
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -35,4 +35,3 @@
 pub mod tenant;
 pub mod topology;
 pub mod verdict;
-pub mod waiting;
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -73,6 +73,8 @@
 enum ReadFailure {
     /// It may be tried again, while there is time.
     Again(Failure),
+    /// It may be tried again once the time has passed that is told.
+    Later(Failure),
     /// It is refused.
     Final(Failure),
 }
@@ -110,11 +112,10 @@
             match self.run_hedged(&job, targets, trace).await {
                 Ok(completion) => return Ok(completion),
                 Err(ReadFailure::Final(failure)) => return Err(failure),
-                // The member that is waited for takes more too late.
-                Err(ReadFailure::Again(failure)) if comes_after(&failure, limits.offer) => {
+                Err(ReadFailure::Later(failure)) if comes_after(&failure, limits.offer) => {
                     return Err(failure);
                 }
-                Err(ReadFailure::Again(failure)) => {
+                Err(ReadFailure::Again(failure) | ReadFailure::Later(failure)) => {
                     pause_or_refuse(limits, failure.reason).await?;
                 }
             }
@@ -350,7 +351,7 @@
         return ReadFailure::Final(shed(retry_after));
     }
     if let RefusalKind::SlowStart(retry_after) = refusal.kind {
-        return ReadFailure::Again(shed(retry_after));
+        return ReadFailure::Later(shed(retry_after));
     }
     match not_run_reason(refusal.kind) {
         Some(reason @ FailureReason::ConnectionLost) => {
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -49,7 +49,7 @@
         let claim = self.claim(&transaction.route);
         let mut permit = None;
         loop {
-            let mut places = self.places(transaction, limits, trace).await?;
+            let mut places = self.places(transaction, limits, trace).await;
             let mut reason = FailureReason::NoLeader;
             while !places.targets.is_empty() && Instant::now() < limits.offer {
                 let drawn = self.permit(permit, limits).await?;
@@ -89,19 +89,21 @@
         transaction: &Transaction,
         limits: StatementLimits,
         trace: &mut RequestTrace,
-    ) -> Result<Places, Failure> {
+    ) -> Places {
         let (route, group) = (&transaction.route, &transaction.group);
         if transaction.read_only {
             let targets = self
                 .read_targets(group, route, transaction.began, limits.offer, trace)
                 .await;
-            return Ok(Places {
+            return Places {
                 targets,
                 leader: None,
-            });
+            };
         }
         let until = limits.offer;
-        let writable = access::writable_leader(group, until).await?;
+        let Some(writable) = access::writable_leader(group, until).await else {
+            return Places::default();
+        };
         let leased = access::leased_leader(&self.engine, group, route.max_staleness, until).await;
         let leader = leased.filter(|leader| *leader == writable);
         let pool = leader
@@ -112,10 +114,10 @@
             after: None,
             is_likely: true,
         });
-        Ok(Places {
+        Places {
             targets: target.into_iter().collect(),
             leader,
-        })
+        }
     }
 }
 
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -115,7 +115,9 @@
             if group.commits_stalled() {
                 return Err(Failure::not_run(FailureReason::NoReplica));
             }
-            let leader = access::writable_leader(&group, limits.offer).await?;
+            let Some(leader) = access::writable_leader(&group, limits.offer).await else {
+                return Err(Failure::not_run(FailureReason::NoLeader));
+            };
             let drawn = self.permit(permit, limits).await?;
             permit = Some(drawn);
             let job = WriteJob {
