--- a/crates/engine/tests/slow_start.rs
+++ b/crates/engine/tests/slow_start.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 use stilequay_engine::configuration::{Configuration, SlowStart};
 use stilequay_engine::evacuation::Evacuations;
+use stilequay_engine::events::Event;
 use stilequay_engine::home::placement::HOMES;
 use stilequay_engine::names::NodeName;
 use stilequay_engine::slow_start::allotment::{Allotment, Allotments, Senders, Shares, divide};
@@ -606,6 +607,22 @@
     assert!(["a", "b", "c"].contains(&server.as_str()));
 }
 
+/// What operators read of a share.
+#[test]
+fn the_event_of_a_share_has_its_fields() {
+    let event = Event::SlowStart {
+        member: "i-7f".into(),
+        group: "ledger".into(),
+        share: Some(11),
+        most: 30,
+        left_ms: 7_200,
+    };
+    let written = serde_json::to_value(&event).expect("JSON");
+    let expected = serde_json::json!({"event": "slow_start", "member": "i-7f",
+        "group": "ledger", "share": 11, "most": 30, "left_ms": 7_200});
+    assert_eq!(written, expected);
+}
+
 #[rstest]
 #[case::few(1, 3)]
 #[case::fewer_than_processes(5, 18)]
