Keep the arithmetic of shares in a test file of its own

Cause: tests/slow_start.rs held the fleet's tests and those of windows and shares, 976 lines.

Change: tests/slow_start_shares.rs has the latter, unchanged.

--- a/crates/engine/tests/slow_start.rs
+++ b/crates/engine/tests/slow_start.rs
@@ -3,11 +3,10 @@
 
 mod support;
 
-use proptest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use rstest::rstest;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use stilequay_engine::configuration::{Configuration, SlowStart};
@@ -15,8 +14,7 @@
 use stilequay_engine::events::Event;
 use stilequay_engine::home::placement::HOMES;
 use stilequay_engine::names::NodeName;
-use stilequay_engine::slow_start::allotment::{Allotment, Allotments, Senders, Shares, divide};
-use stilequay_engine::slow_start::window::{Allowance, Gate, SendWindow, Turn, WINDOW};
+use stilequay_engine::slow_start::allotment::{Allotments, Shares};
 use stilequay_engine::statement::Reply;
 use stilequay_engine::verdict::Verdict;
 use support::records::Fault;
@@ -623,83 +621,6 @@
     assert_eq!(written, expected);
 }
 
-#[rstest]
-#[case::few(1, 3)]
-#[case::fewer_than_processes(5, 18)]
-#[case::even(31, 7)]
-#[case::many(400, 16)]
-#[case::none(0, 4)]
-fn shares_sum_up_to_less_than_a_member_takes(#[case] most: usize, #[case] nodes: usize) {
-    let names: Vec<NodeName> = (0..nodes).map(|n| Arc::from(format!("n{n}"))).collect();
-    for senders in [Senders::All(names.clone()), Senders::Candidates(names)] {
-        let sum: usize = divide(most, &senders).into_values().sum();
-        assert!(sum <= most, "{senders:?}");
-        assert!(sum * 10 + 19 >= most * 9, "{sum} of {most}");
-    }
-}
-
-#[test]
-fn what_is_taken_away_is_gone_at_once_and_what_is_added_comes_later() {
-    let shares = |list: &[(&str, usize)]| -> Shares {
-        let entries = list.iter().map(|(node, share)| (Arc::from(*node), *share));
-        entries.collect()
-    };
-    let allotment = Allotment {
-        most: 30,
-        shares: shares(&[("a", 20), ("b", 5)]),
-        before: Some(shares(&[("a", 5), ("b", 20), ("c", 3)])),
-    };
-    let now = |settled| ["a", "b", "c"].map(|node| allotment.share(node, 30, settled));
-    assert_eq!(now(false), [5, 5, 0]);
-    assert_eq!(now(true), [20, 5, 0]);
-    // A configuration that lowers what is taken holds at once.
-    assert_eq!(allotment.share("a", 15, true), 10);
-    assert_eq!(allotment.share("a", 60, true), 20);
-}
-
-#[tokio::test(start_paused = true)]
-async fn statements_pass_in_order_of_arrival() {
-    let gate = Arc::new(Gate::default());
-    let order: Arc<Mutex<Vec<usize>>> = Arc::default();
-    let mut tasks = Vec::new();
-    for index in 0..9 {
-        let (gate, order) = (Arc::clone(&gate), Arc::clone(&order));
-        tasks.push(tokio::spawn(async move {
-            sleep(Duration::from_millis(index as u64)).await;
-            let until = Instant::now() + WINDOW * 5;
-            let passed = gate
-                .pass(Turn::InOrder(until), |_| Allowance::Share(2))
-                .await;
-            passed.expect("in time");
-            order.lock().unwrap().push(index);
-        }));
-    }
-    for task in tasks {
-        task.await.expect("it ends");
-    }
-    assert_eq!(*order.lock().unwrap(), (0..9).collect::<Vec<_>>());
-}
-
-#[tokio::test(start_paused = true)]
-async fn whoever_would_wait_too_long_is_told_when_at_once() {
-    let gate = Gate::default();
-    let share = |_| Allowance::Share(1);
-    let soon = || Turn::InOrder(Instant::now() + Duration::from_millis(300));
-    gate.pass(soon(), share).await.expect("a place");
-    let asked = Instant::now();
-    let wait = gate
-        .pass(soon(), share)
-        .await
-        .expect_err("no place in time");
-    assert_eq!(asked.elapsed(), Duration::ZERO);
-    assert_eq!(wait, WINDOW);
-    sleep(Duration::from_millis(900)).await;
-    gate.pass(soon(), share).await.expect("in time");
-    let none = gate.pass(soon(), |_| Allowance::Share(0)).await;
-    assert!(none.is_err());
-    assert_eq!(gate.pass(soon(), |_| Allowance::Unbounded).await, Ok(None));
-}
-
 /// What strikes a fleet while a member is cold.
 #[derive(Debug, Clone, Copy)]
 enum Trouble {
@@ -792,185 +713,3 @@
         assert!(runs.count() > 0, "{member}: nothing at all");
     }
 }
-
-// A model of processes that hear of the store late, each as greedy as it may be.
-
-/// What the model leaves out of the rules.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Mistake {
-    None,
-    /// What is added is used at once.
-    NoSettling,
-    /// What is known of the store may be of any age.
-    AnyAge,
-    /// A new life uses its share at once.
-    NoPause,
-    /// A replaced allotment is replaced again at once.
-    NoPatience,
-}
-
-/// One step of a schedule.
-#[derive(Debug, Clone, Copy)]
-enum Step {
-    /// A process hears of the store.
-    Hear(usize),
-    /// A process starts anew.
-    Restart(usize),
-    /// All do.
-    RestartAll,
-    /// Somebody divides the shares anew.
-    Divide(usize),
-}
-
-struct Sender {
-    window: SendWindow,
-    began: Instant,
-    as_of: Option<Instant>,
-    known: Option<(usize, Instant)>,
-}
-
-const MODEL_PROCESSES: usize = 5;
-const MODEL_MOST: usize = 12;
-const TICK: Duration = Duration::from_millis(50);
-
-fn step() -> impl Strategy<Value = Option<Step>> {
-    let process = 0..MODEL_PROCESSES;
-    prop_oneof![
-        8 => Just(None),
-        8 => process.clone().prop_map(|p| Some(Step::Hear(p))),
-        2 => process.clone().prop_map(|p| Some(Step::Restart(p))),
-        1 => Just(Some(Step::RestartAll)),
-        2 => process.prop_map(|p| Some(Step::Divide(p))),
-    ]
-}
-
-/// Plays a schedule; returns when statements were sent.
-fn play(steps: &[Option<Step>], mistake: Mistake) -> Vec<Instant> {
-    let start = Instant::now();
-    let knowledge = Duration::from_secs(2);
-    let settling = knowledge + WINDOW;
-    let names: Vec<NodeName> = (0..MODEL_PROCESSES)
-        .map(|n| Arc::from(format!("n{n}")))
-        .collect();
-    let fresh = |began| Sender {
-        window: SendWindow::default(),
-        began,
-        as_of: None,
-        known: None,
-    };
-    let mut senders: Vec<Sender> = names.iter().map(|_| fresh(start)).collect();
-    let mut store: Vec<Allotment> = Vec::new();
-    let mut sent = Vec::new();
-    for (tick, step) in steps.iter().enumerate() {
-        let now = start + TICK * u32::try_from(tick).expect("few");
-        match *step {
-            None => {}
-            Some(Step::Hear(p)) => {
-                let newest = store.len().checked_sub(1);
-                let sender = &mut senders[p];
-                sender.as_of = Some(now);
-                if let Some(newest) = newest
-                    && sender.known.is_none_or(|(known, _)| known < newest)
-                {
-                    sender.known = Some((newest, now));
-                }
-            }
-            Some(Step::Restart(p)) => senders[p] = fresh(now),
-            Some(Step::RestartAll) => senders.iter_mut().for_each(|s| *s = fresh(now)),
-            Some(Step::Divide(p)) => {
-                let newest = store.len().checked_sub(1);
-                let known = senders[p].known;
-                let is_newest = known.map(|(known, _)| known) == newest;
-                let settled = known.is_none_or(|(_, since)| now >= since + settling);
-                if is_newest && (settled || mistake == Mistake::NoPatience) {
-                    // The writer's favourite has all.
-                    let mut order = names.clone();
-                    order.rotate_left(p);
-                    let shares: BTreeMap<NodeName, usize> =
-                        divide(MODEL_MOST, &Senders::Candidates(order[..1].to_vec()));
-                    let before = newest.map(|newest| store[newest].shares.clone());
-                    store.push(Allotment {
-                        most: MODEL_MOST,
-                        shares,
-                        before,
-                    });
-                }
-            }
-        }
-        for (sender, name) in senders.iter_mut().zip(&names) {
-            let recent = sender.as_of.is_some_and(|at| now <= at + knowledge);
-            let may_send = (recent || mistake == Mistake::AnyAge)
-                && (now >= sender.began + WINDOW || mistake == Mistake::NoPause);
-            let Some((known, since)) = sender.known.filter(|_| may_send) else {
-                continue;
-            };
-            let settled = now >= since + settling || mistake == Mistake::NoSettling;
-            let share = store[known].share(name, MODEL_MOST, settled);
-            while sender.window.take(share, now).is_ok() {
-                sent.push(now);
-            }
-        }
-    }
-    sent
-}
-
-proptest! {
-    #![proptest_config(ProptestConfig::with_cases(400))]
-    #[test]
-    fn shares_hold_however_late_processes_hear(
-        steps in proptest::collection::vec(step(), 100..600),
-    ) {
-        let most = most_in_a_second(&play(&steps, Mistake::None));
-        prop_assert!(most <= MODEL_MOST, "{most} in a second");
-    }
-}
-
-/// A schedule in which the first process divides, and the second does after `pause` ticks; only
-/// the second hears of the store meanwhile, or both do.
-fn two_writers(pause: usize, both_hear: bool) -> Vec<Option<Step>> {
-    let mut steps = vec![
-        Some(Step::Divide(0)),
-        Some(Step::Hear(0)),
-        Some(Step::Hear(1)),
-    ];
-    // Both have lived for a window.
-    steps.extend((0..60).map(|tick| (tick % 9 == 0).then_some(Step::Hear(0))));
-    steps.extend((0..pause).map(|tick| match tick % 3 {
-        0 => Some(Step::Hear(1)),
-        1 if both_hear => Some(Step::Hear(0)),
-        _ => None,
-    }));
-    steps.push(Some(Step::Divide(1)));
-    steps.extend((0..120).map(|tick| (tick % 3 == 0).then_some(Step::Hear(1))));
-    steps
-}
-
-#[rstest]
-#[case::what_is_added_is_used_at_once(two_writers(90, true), Mistake::NoSettling)]
-#[case::old_knowledge_is_used(two_writers(90, true), Mistake::AnyAge)]
-#[case::a_new_life_does_not_wait(
-    {
-        let mut steps = two_writers(0, true);
-        steps.truncate(60);
-        steps.extend([Some(Step::Restart(0)), Some(Step::Hear(0))]);
-        steps
-    },
-    Mistake::NoPause
-)]
-#[case::an_allotment_is_replaced_too_soon(
-    {
-        // The same process divides twice: what it has got just before counts as settled.
-        let mut steps = two_writers(90, true);
-        let divided = steps.iter().rposition(|step| matches!(step, Some(Step::Divide(_))));
-        steps.truncate(divided.expect("a division") + 1);
-        steps.extend([Some(Step::Hear(1)), Some(Step::Divide(1)), Some(Step::Hear(1))]);
-        steps
-    },
-    Mistake::NoPatience
-)]
-fn planted_mistakes_are_noticed(#[case] steps: Vec<Option<Step>>, #[case] mistake: Mistake) {
-    let right = most_in_a_second(&play(&steps, Mistake::None));
-    assert!(right <= MODEL_MOST, "{right} in a second");
-    let wrong = most_in_a_second(&play(&steps, mistake));
-    assert!(wrong > MODEL_MOST, "only {wrong} in a second");
-}
