--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -390,10 +390,10 @@
 }
 
 fn is_proof_recent(engine: &Engine, now: Instant) -> bool {
-    let Some(policy) = &engine.settings().tenants else {
+    let Some(bound) = proof_bound(engine) else {
         return true;
     };
-    let limit = policy.revocation.mul_f64(PROOF_SHARE);
+    let limit = bound.mul_f64(PROOF_SHARE);
     let proof = engine.following().configuration_complete_as_of();
     proof.is_some_and(|at| now.saturating_duration_since(at) < limit)
 }
@@ -419,12 +419,19 @@
     proof_wait(engine).map_or(NEWS_WAIT, |wait| NEWS_WAIT.min(wait))
 }
 
-/// Longest wait for news where what is in use must be proven; `None` where it need not.
-fn proof_wait(engine: &Engine) -> Option<Duration> {
+/// How old the proof of what is in use may be; `None` where none is needed.
+fn proof_bound(engine: &Engine) -> Option<Duration> {
     let settings = engine.settings();
     let revocation = settings.tenants.as_ref().map(|policy| policy.revocation);
-    let bounds = revocation.into_iter().chain(settings.evacuation_bound);
-    bounds.min().map(|bound| bound.mul_f64(REVOCATION_SHARE))
+    revocation
+        .into_iter()
+        .chain(settings.evacuation_bound)
+        .min()
+}
+
+/// Longest wait for news where what is in use must be proven.
+fn proof_wait(engine: &Engine) -> Option<Duration> {
+    proof_bound(engine).map(|bound| bound.mul_f64(REVOCATION_SHARE))
 }
 
 /// How long one call waits for changes of the configuration at the store.
@@ -498,6 +505,7 @@
         engine.following().known_as_of(),
         engine.following().versions(),
     );
+    let records_as_of = engine.slow_starts().records_as_of();
     let records_version = engine.terms().version();
     let records: Vec<Record> = match records_version > known.records {
         true => engine.terms().records_after(known.records),
@@ -510,6 +518,7 @@
         declared: declared::newer(engine, known.declared, asked),
         records,
         records_version,
+        records_complete_after_ms: records_as_of.map(|at| declared::signed_millis(asked, at)),
     }
 }
 
--- a/crates/engine/src/following/search.rs
+++ b/crates/engine/src/following/search.rs
@@ -7,6 +7,7 @@
 use super::{STORE_SPREAD, is_recent, known_versions, news_wait, take};
 use crate::engine::Engine;
 use crate::link::Link;
+use crate::peers::declared;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use std::net::SocketAddr;
@@ -198,7 +199,11 @@
         return Err("no news in time".to_owned());
     };
     let (age, versions) = (news.age, news.feeds);
+    let records_as_of = news.records_complete_after_ms;
     take(engine, news, asked);
+    if let Some(at) = records_as_of.and_then(|ms| declared::moment_after(asked, ms)) {
+        engine.slow_starts().prove_records(at);
+    }
     let Some(at) = age.and_then(|age| asked.checked_sub(age)) else {
         count(step, "failing");
         return Err("who was asked is turned away by the store".to_owned());
--- a/crates/engine/src/home/remote.rs
+++ b/crates/engine/src/home/remote.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 
@@ -79,6 +80,10 @@
     fn is_open(&mut self) -> bool {
         self.connection.is_open()
     }
+
+    async fn pace(&mut self, until: Instant) -> Result<(), Duration> {
+        self.connection.pace(until).await
+    }
 }
 
 /// What becomes of a command.
@@ -258,6 +263,9 @@
             NotSent::Shed { retry_after } => {
                 self.refused(RefusalKind::Shed(retry_after), "too many requests wait")
             }
+            NotSent::SlowStart { retry_after } => {
+                self.refused(RefusalKind::SlowStart(retry_after), "the member is cold")
+            }
             NotSent::Unreachable(reason) | NotSent::MayNotSend(reason) => {
                 self.refused(RefusalKind::Unreachable, &reason)
             }
@@ -285,6 +293,7 @@
             RefusalKind::Busy => b"HOME_FULL",
             RefusalKind::Shed(_) => b"HOME_SHED",
             RefusalKind::OutsideRegions => b"HOME_REGIONS",
+            RefusalKind::SlowStart(_) => b"SLOW_START",
             _ => b"HOME_UNREACHABLE",
         };
         let refusal = Refusal {
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -30,6 +30,7 @@
 use crate::group::Group;
 use crate::ports::Promoter;
 use crate::rate;
+use crate::slow_start;
 use duty::Duty;
 use std::sync::Arc;
 use std::time::Duration;
@@ -56,6 +57,7 @@
         end_lapses(&engine),
         rate::run(&engine),
         evacuation::keep(&engine),
+        slow_start::allot::run(&engine),
     );
 }
 
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -196,6 +196,21 @@
         self: &Arc<Self>,
         claim: &Claim,
         deadline: Instant,
+    ) -> Result<PooledConnection, AcquireError> {
+        self.acquire_paced(claim, deadline, deadline).await
+    }
+
+    /// As [`MemberPool::acquire`]; a cold member is waited for until `paced_until` only, where
+    /// it takes no more now.
+    ///
+    /// # Errors
+    ///
+    /// As for [`MemberPool::acquire`].
+    pub async fn acquire_paced(
+        self: &Arc<Self>,
+        claim: &Claim,
+        deadline: Instant,
+        paced_until: Instant,
     ) -> Result<PooledConnection, AcquireError> {
         self.check_sending()?;
         let permit = self.admit(claim, deadline).await?;
@@ -203,6 +218,8 @@
         self.check_sending()?;
         let mut connection = self.connection(claim, permit, deadline).await?;
         connection.admit(claim.admission(deadline));
+        let paced = connection.pace(paced_until).await;
+        paced.map_err(AcquireError::SlowStart)?;
         Ok(connection)
     }
 
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -63,6 +63,8 @@
 enum ReadFailure {
     /// It may be tried again, while there is time.
     Again(Failure),
+    /// It may be tried again once the time has passed that is told.
+    Later(Failure),
     /// It is refused.
     Final(Failure),
 }
@@ -106,7 +108,10 @@
             match self.run_hedged(&job, targets, trace).await {
                 Ok(completion) => return Ok(completion),
                 Err(ReadFailure::Final(failure)) => return Err(failure),
-                Err(ReadFailure::Again(failure)) => {
+                Err(ReadFailure::Later(failure)) if comes_after(&failure, limits.offer) => {
+                    return Err(failure);
+                }
+                Err(ReadFailure::Again(failure) | ReadFailure::Later(failure)) => {
                     pause_or_refuse(limits, failure.reason).await?;
                 }
             }
@@ -239,6 +244,12 @@
     }
 }
 
+/// Whether `failure` tells to come back later than `until`.
+fn comes_after(failure: &Failure, until: Instant) -> bool {
+    let wait = failure.retry_after;
+    wait.is_some_and(|wait| Instant::now() + wait >= until)
+}
+
 fn hedge_moment(target: &Target) -> Instant {
     let now = Instant::now();
     let expected_ms = target.pool().health().expected_latency_ms(now);
@@ -339,6 +350,9 @@
     if let RefusalKind::Shed(retry_after) = refusal.kind {
         return ReadFailure::Final(shed(retry_after));
     }
+    if let RefusalKind::SlowStart(retry_after) = refusal.kind {
+        return ReadFailure::Later(shed(retry_after));
+    }
     match not_run_reason(refusal.kind) {
         Some(reason @ FailureReason::ConnectionLost) => {
             ReadFailure::Final(Failure::not_run(reason))
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -5,7 +5,7 @@
 use crate::group::UsableLeader;
 use crate::leadership::access;
 use crate::pool::{Claim, PooledConnection, RunError, Work};
-use crate::ports::Command;
+use crate::ports::{Command, RefusalKind};
 use crate::session::evacuated::check_route;
 use crate::session::limits::StatementLimits;
 use crate::session::offer::{Offer, first_connection, why_declined};
@@ -174,6 +174,10 @@
         trace.attempted(&member, refusal_text(&refusal));
         note_refusal(pool, &refusal, target.after);
         release(connection, answer.state);
+        if transaction.read_only && matches!(refusal.kind, RefusalKind::SlowStart(_)) {
+            // Another member may take it.
+            return Attempt::NotRun(FailureReason::Overloaded);
+        }
         return judge_refusal(refusal);
     }
     if let Some(leader) = &leader {
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -68,7 +68,7 @@
     ),
     Metric::histogram(
         "stilequay_stage_seconds",
-        "Time of one stage of a statement: permit (of the tenant's rate), queue (waiting for a connection) or member.",
+        "Time of one stage of a statement: permit (of the tenant's rate), queue (waiting for a connection), slow_start (waiting for a cold member) or member.",
     ),
     Metric::counter(
         "stilequay_placements_total",
@@ -94,6 +94,14 @@
         "stilequay_rate_late_answers_total",
         "Questions for permits that a counter had not answered after 25 ms.",
     ),
+    Metric::counter(
+        "stilequay_slow_start_statements_total",
+        "Statements that were to be sent to cold members, by outcome.",
+    ),
+    Metric::gauge(
+        "stilequay_cold_members",
+        "Members that are cold, or may be, as far as this process knows.",
+    ),
     Metric::gauge(
         "stilequay_rate_shards_counted",
         "Shards of the rate limits that this process counts.",
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -54,8 +54,8 @@
     pub configuration: watch::Sender<Configuration>,
     /// The zones that are evacuated, as the store holds them.
     pub evacuations: watch::Sender<Evacuations>,
-    /// Time within which evacuations must be acted on.
-    evacuation_bound: Option<Duration>,
+    /// Time within which processes that are started must act on evacuations.
+    pub evacuation_bound: Option<Duration>,
     /// The zones in which processes stand, in turn.
     zones: &'static [&'static str],
     /// The regions of zones, as the settings of the process called so tell them.
--- a/crates/engine/tests/support/servers/mod.rs
+++ b/crates/engine/tests/support/servers/mod.rs
@@ -57,6 +57,8 @@
     pub statements: u64,
     /// When it was last sent a command of a session.
     pub last_command: Option<Instant>,
+    /// Until when its entry says that it is cold.
+    pub cold_until: Option<Instant>,
 }
 
 impl Server {
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -66,6 +66,7 @@
             ignores_pause: false,
             statements: 0,
             last_command: None,
+            cold_until: None,
         };
         let roles = names.iter().enumerate().map(|(index, name)| {
             let role = match index {
@@ -218,7 +219,7 @@
                 zone: Arc::from(format!("zone-{name}").as_str()),
                 role: server.role,
                 slots: 3,
-                cold_until: None,
+                cold_until: server.cold_until,
                 state: server.state,
                 changed: 0,
             })
