--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -26,6 +26,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
+use stilequay_coordination::lease::LeaseRecord;
 use stilequay_coordination::retry::{RetryBudget, RetryBudgetSettings};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -128,6 +129,8 @@
     pools: Mutex<HashMap<MemberId, Arc<MemberPool>>>,
     remote_pools: Mutex<HashMap<(MemberId, Residency), Arc<MemberPool>>>,
     homes: Arc<Homes>,
+    /// The lease for promotions as its holder has told it last.
+    promotion_lease_told: watch::Sender<Option<LeaseRecord>>,
     following: Following,
     counters: Counters,
     refusals: Refusals,
@@ -159,6 +162,7 @@
             remote_pools: Mutex::default(),
             homes: Arc::new(homes),
             following,
+            promotion_lease_told: watch::Sender::new(None),
             counters: Counters::default(),
             refusals: Refusals::default(),
             slow_starts: SlowStarts::default(),
@@ -430,6 +434,11 @@
         &self.slow_starts
     }
 
+    /// The lease for promotions as its holder has told this process last.
+    pub fn promotion_lease_told(&self) -> &watch::Sender<Option<LeaseRecord>> {
+        &self.promotion_lease_told
+    }
+
     /// The homes of the members.
     pub fn homes(&self) -> &Arc<Homes> {
         &self.homes
