Mend what a reading of the joined parts has found

Cause: the parts were built side by side; read as one, they had slips at their seams. Knowledge of evacuations could be replaced by older knowledge; a zone that came back was open for a moment before its members counted as cold; a configuration that brings a slow start was in use before it was counted; a home without a configuration knew no bound; reads for an evacuated home region waited for nothing; a read that was held back was refused for good; a group whose successor is silent kept others from moving; resting connections made while no home was reached stayed open.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -230,6 +230,8 @@
         let taken = self.configuration.send_if_modified(|current| {
             let later = current.as_ref().is_none_or(|known| known.version < version);
             if later {
+                // Before anybody learns of it: cold members are counted from then on.
+                self.slow_starts.configured(&configuration);
                 *current = Some(Arc::clone(&configuration));
             }
             later
@@ -238,7 +240,6 @@
             report_unknown_regions(&self.settings.topology, &configuration);
             self.forget_restricted_pools();
             self.counters.configured(self, &configuration);
-            self.slow_starts.configured(&configuration);
             self.remember_configuration(configuration);
             self.divide_connections();
             self.events
@@ -280,16 +281,19 @@
     /// Takes evacuations into use, unless later ones are. Returns whether they were taken.
     pub fn set_evacuations(&self, evacuations: Evacuations) -> bool {
         let (version, zones) = (evacuations.version, evacuations.zones.clone());
+        let mut changed = false;
         let taken = self.evacuations.send_if_modified(|current| {
             let later = current.version < version;
             if later {
-                self.evacuation_schedule.take(&zones, Instant::now());
+                changed = current.zones != zones;
+                // First: the zone's members are cold by the moment at which it is open again.
                 self.slow_starts.evacuated(current, &evacuations);
+                self.evacuation_schedule.take(&zones, Instant::now());
                 *current = Arc::new(evacuations);
             }
             later
         });
-        if taken {
+        if changed {
             self.events
                 .write(&Event::EvacuationsTaken { version, zones });
         }
@@ -570,6 +574,15 @@
         lock(&self.pools).values().cloned().collect()
     }
 
+    /// Closes resting connections to the members of `zone`, those made while no home was
+    /// reached included.
+    pub fn close_resting_in(&self, zone: &ZoneName) {
+        let mut pools = self.pools();
+        pools.extend(lock(&self.remote_pools).values().cloned());
+        let there = pools.iter().filter(|pool| pool.member().zone == *zone);
+        there.for_each(|pool| pool.close_resting());
+    }
+
     /// How far the process is from its end.
     pub fn stop_phase(&self) -> StopPhase {
         *self.stop.borrow()
--- a/crates/engine/src/evacuation/keeper.rs
+++ b/crates/engine/src/evacuation/keeper.rs
@@ -50,9 +50,7 @@
 }
 
 fn close(engine: &Engine, zone: &ZoneName, learned: Option<Instant>) {
-    let pools = engine.pools();
-    let there = pools.iter().filter(|pool| pool.member().zone == *zone);
-    there.for_each(|pool| pool.close_resting());
+    engine.close_resting_in(zone);
     engine.events().write(&Event::ZoneClosed {
         zone: zone.clone(),
         version: engine.evacuations().version,
--- a/crates/engine/src/evacuation/mod.rs
+++ b/crates/engine/src/evacuation/mod.rs
@@ -18,7 +18,8 @@
 /// The zones that are evacuated, as of one version.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Evacuations {
-    /// The store's version of the newest request that is told here; zero where none is known.
+    /// The store's version as of which these were learned; zero where nothing is known.
+    /// Processes that know the same zones may differ in it.
     pub version: u64,
     /// The zones.
     pub zones: BTreeSet<ZoneName>,
--- a/crates/engine/src/evacuation/schedule.rs
+++ b/crates/engine/src/evacuation/schedule.rs
@@ -42,9 +42,9 @@
 /// Who sends to a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sender {
-    /// A session of this process, directly or by way of a home.
+    /// A session of this process where it chooses a member, and its connections by way of homes.
     Session,
-    /// Whoever holds the connection, for this process's sessions or another's.
+    /// Whoever holds a connection to the member itself, for this process's sessions or another's.
     Home,
 }
 
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -47,7 +47,7 @@
 /// credential must be known, from which on a process looks for a better one. A proof that was
 /// just told is three waits old at most where nothing is amiss, three tenths of that time; what
 /// is left suffices for the search and a silent call at the store.
-const PROOF_SHARE: f64 = 0.4;
+const RECENT_PROOF_SHARE: f64 = 0.4;
 /// What the knowledge of a process that follows the store may be older than one of its waits
 /// there.
 const AGE_MARGIN: Duration = Duration::from_millis(600);
@@ -393,7 +393,7 @@
     let Some(bound) = proof_bound(engine) else {
         return true;
     };
-    let limit = bound.mul_f64(PROOF_SHARE);
+    let limit = bound.mul_f64(RECENT_PROOF_SHARE);
     let proof = engine.following().configuration_complete_as_of();
     proof.is_some_and(|at| now.saturating_duration_since(at) < limit)
 }
--- a/crates/engine/src/home/unit.rs
+++ b/crates/engine/src/home/unit.rs
@@ -226,7 +226,9 @@
 fn check_regions(engine: &Engine, request: &RunRequest, pool: &MemberPool) -> Result<(), NotSent> {
     let residency = engine.residency(&request.database, request.tenant.as_ref());
     let topology = &engine.settings().topology;
+    let passes_here = residency.allows(topology.region().map(AsRef::as_ref));
     let member = residency.admit(topology, pool.member());
+    let member = member.filter(|_| passes_here);
     member.map(|_| ()).ok_or(NotSent::OutsideRegions)
 }
 
@@ -241,6 +243,10 @@
 }
 
 fn usable_pool(engine: &Engine, member: &str, now: Instant) -> Result<Arc<MemberPool>, NotSent> {
+    // Without a configuration it knows neither home regions nor cold members.
+    if engine.configuration().is_none() {
+        return Err(NotSent::UnknownMember);
+    }
     let directory = engine.directory();
     let known = directory.member(member);
     let unknown = || NotSent::UnknownMember;
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -200,6 +200,8 @@
         }
         let answers = evacuating::successor_answers(&self.engine, group).await;
         if !answers {
+            // Another group may move meanwhile.
+            self.memory().moving.remove(group);
             sleep(VERIFIED_PAUSE).await;
         }
         answers
--- a/crates/engine/src/session/evacuated.rs
+++ b/crates/engine/src/session/evacuated.rs
@@ -5,6 +5,7 @@
 use crate::evacuation::{MayNotSend, Sender};
 use crate::group::Group;
 use crate::leadership::evacuating;
+use crate::residency::Residency;
 use crate::verdict::{Failure, FailureReason};
 use tokio::time::Instant;
 
@@ -18,10 +19,11 @@
     engine: &Engine,
     group: &Group,
     consistency: Consistency,
+    residency: &Residency,
 ) -> Result<(), Failure> {
     match consistency {
         Consistency::Leader => check_leader(engine, group),
-        _ => check_any(engine, group),
+        _ => check_any(engine, group, residency),
     }
 }
 
@@ -50,12 +52,14 @@
     }
 }
 
-fn check_any(engine: &Engine, group: &Group) -> Result<(), Failure> {
+fn check_any(engine: &Engine, group: &Group, residency: &Residency) -> Result<(), Failure> {
     let schedule = engine.evacuation_schedule();
     let now = Instant::now();
     let mut held_back = None;
-    for member in engine.directory().members_of(group.name()) {
-        match schedule.check(&member.zone, Sender::Session, now) {
+    let topology = &engine.settings().topology;
+    let members = engine.directory().members_of(group.name());
+    for member in residency.select(topology, members) {
+        match schedule.check(&member.get().zone, Sender::Session, now) {
             Ok(()) => return Ok(()),
             Err(reason) => held_back = Some(reason),
         }
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -55,6 +55,8 @@
 enum ReadOutcome {
     Completed(Completion),
     Refused(Refusal),
+    /// Nothing was sent: another member may take it.
+    NotSent(String),
     Lost(String),
 }
 
@@ -90,13 +92,18 @@
         self.engine.hedges().record_request();
         let mut permit = None;
         loop {
-            check_route(&self.engine, &group, route.consistency)?;
+            let residency = self.residency(route);
+            check_route(&self.engine, &group, route.consistency, &residency)?;
             let targets = self
                 .read_targets(&group, route, request.received, limits.offer, trace)
                 .await?;
             // A permit would be drawn for nothing, and its lack told as the reason.
             if targets.is_empty() {
-                pause_or_refuse(limits, FailureReason::NoLeader).await?;
+                let reason = match route.consistency {
+                    Consistency::Leader => FailureReason::NoLeader,
+                    _ => FailureReason::NoFreshMember,
+                };
+                pause_or_refuse(limits, reason).await?;
                 continue;
             }
             let drawn = self.permit(permit, limits).await?;
@@ -287,6 +294,7 @@
     };
     let answer = match timeout_at(job.limits.answer, running).await {
         Ok(Ok(answer)) => answer,
+        Ok(Err(RunError::Before(error))) => return ReadOutcome::NotSent(error.to_string()),
         Ok(Err(error)) => return ReadOutcome::Lost(error.to_string()),
         Err(_) => {
             pool.note_unanswered(sent);
@@ -338,6 +346,11 @@
             trace.attempted(member, refusal_text(&refusal));
             Err(refusal_failure(refusal))
         }
+        ReadOutcome::NotSent(reason) => {
+            trace.attempted(member, reason);
+            let failure = Failure::not_run(FailureReason::ConnectionLost);
+            Err(ReadFailure::Again(failure))
+        }
         ReadOutcome::Lost(reason) => {
             trace.attempted(member, reason);
             let failure = Failure::not_run(FailureReason::ConnectionLost);
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -54,7 +54,8 @@
                 true => transaction.route.consistency,
                 false => Consistency::Leader,
             };
-            check_route(&self.engine, &transaction.group, consistency)?;
+            let residency = self.residency(&transaction.route);
+            check_route(&self.engine, &transaction.group, consistency, &residency)?;
             let mut places = self.places(transaction, limits, trace).await?;
             let mut reason = FailureReason::NoLeader;
             while !places.targets.is_empty() && Instant::now() < limits.offer {
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -121,7 +121,11 @@
                 return Err(Failure::not_run(FailureReason::NoLeader));
             };
             check_leader(&self.engine, &group)?;
-            let target = leader_target(&self.engine, &leader, &residency)?;
+            // A permit would be drawn for nothing, and its lack told as the reason.
+            let Some(target) = leader_target(&self.engine, &leader, &residency)? else {
+                pause_or_refuse(limits, FailureReason::NoLeader).await?;
+                continue;
+            };
             let drawn = self.permit(permit, limits).await?;
             permit = Some(drawn);
             let job = WriteJob {
@@ -142,13 +146,10 @@
         &mut self,
         job: WriteJob<'_>,
         leader: &UsableLeader,
-        target: Option<Target>,
+        target: Target,
         trace: &mut RequestTrace,
     ) -> Attempt<Completion> {
         let WriteJob { group, limits, .. } = job;
-        let Some(target) = target else {
-            return Attempt::NotRun(FailureReason::NoLeader);
-        };
         let acquired = target.acquire(&self.engine, &job.claim, limits.offer);
         let mut connection = match acquired.await {
             Ok(connection) => connection,
--- a/crates/engine/src/slow_start/allot.rs
+++ b/crates/engine/src/slow_start/allot.rs
@@ -45,6 +45,8 @@
     let mut told = Told::new();
     loop {
         if !engine.slow_starts().is_used() {
+            tell_warm(engine, &[], &mut told);
+            metrics::gauge!("stilequay_cold_members").set(0.0);
             // The sender lives as long as this does.
             let _ = configuration.changed().await;
             continue;
@@ -188,8 +190,18 @@
         .borrow()
         .get(&key)
         .cloned();
-    let present = known.as_ref().and_then(Allotments::decode);
-    let mut next = present.unwrap_or_default();
+    let mut next = match known.as_ref().map(Allotments::decode) {
+        None => Allotments::default(),
+        Some(Some(present)) => present,
+        Some(None) => {
+            // Processes of another release may read it, and use the shares in it.
+            log::error!(
+                "the allotments of {} can't be read; they are left",
+                member.group
+            );
+            return Ok(());
+        }
+    };
     if next.members.get(&member.id) != seen.as_ref() {
         return Ok(());
     }
--- a/crates/engine/src/slow_start/guard.rs
+++ b/crates/engine/src/slow_start/guard.rs
@@ -90,6 +90,7 @@
         // The wait may have reached over the end of an evacuation.
         let schedule = engine.evacuation_schedule();
         let may_send = schedule.check(&self.zone, Sender::Home, Instant::now());
+        // Told as if it were cold: nothing was sent, and it may come back.
         may_send.map_err(|_| WINDOW)
     }
 
--- a/crates/engine/src/slow_start/mod.rs
+++ b/crates/engine/src/slow_start/mod.rs
@@ -180,7 +180,8 @@
     pub until: Instant,
     /// Statements that it takes in a second.
     pub most: usize,
-    /// Whether it, or its zone, is known to have come back, rather than nothing of it.
+    /// Whether its entry or its zone's return tells so. Otherwise it only may be cold: this
+    /// process has not heard of the store for too long.
     pub is_told: bool,
 }
 
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -113,7 +113,7 @@
     Metric::gauge("stilequay_evacuated_zones", "Zones that are evacuated."),
     Metric::gauge(
         "stilequay_evacuation_version",
-        "The store's version of the newest request to evacuate a zone, or to end that.",
+        "The store's version as of which the evacuated zones are known.",
     ),
     Metric::gauge(
         "stilequay_evacuated_leaders",
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -161,7 +161,8 @@
         Self::start_bound(zones, nodes, tenants, None, regions).await
     }
 
-    async fn start_bound(
+    /// The same, with all of these.
+    pub async fn start_bound(
         zones: &'static [&'static str],
         nodes: usize,
         tenants: Option<TenantPolicy>,
