Write records and tell candidates in one place each

Cause: the roster and the allotments of cold members wrote a record under its version and noted it in the same lines; both kinds of lease told candidates in the same loop.

Change: TermFollower::put_other and Links::tell_each. Behaviour is as before.

Conclusion: two twins fewer.

--- a/crates/engine/src/leadership/duty.rs
+++ b/crates/engine/src/leadership/duty.rs
@@ -4,7 +4,7 @@
 use super::lease_records::RecordLeases;
 use crate::engine::{Engine, StopPhase};
 use crate::events::Event;
-use futures::future::join_all;
+use crate::link::Link;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::clock::Clock;
@@ -206,14 +206,9 @@
 /// is killed one of them has it within 1.5 s in place of 1.6 to 1.9 s, in a fleet of 21 processes
 /// in memory, and none reads it from the store meanwhile.
 async fn tell_candidates(engine: &Engine, record: &LeaseRecord) {
-    let links = engine.homes().links();
-    let addresses = engine.homes().duty_addresses(CANDIDATES).into_iter();
-    let told = addresses.map(|address| async move {
-        if let Some(link) = links.first_usable(&[address]).await {
-            link.tell_promotion_lease(record);
-        }
-    });
-    join_all(told).await;
+    let addresses = engine.homes().duty_addresses(CANDIDATES);
+    let tell = |link: &Link| link.tell_promotion_lease(record);
+    engine.homes().links().tell_each(addresses, tell).await;
 }
 
 /// How long the candidate of `rank` waits for those that come before it; the first is the
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -10,7 +10,8 @@
 use crate::home::placement::block_of;
 use crate::names::{GroupName, MemberId};
 use crate::peers;
-use crate::ports::{Record, RecordChanges, RecordStore, RecordStoreError};
+use crate::ports::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::Mutex as AsyncMutex;
@@ -211,6 +212,30 @@
         });
     }
 
+    /// Writes `value` in place of `known`, a record other than a leadership's, and notes it. One
+    /// that another process has written meanwhile is left.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordStoreError`] where the store gave no answer.
+    pub async fn put_other(
+        &self,
+        key: String,
+        known: Option<&Record>,
+        value: Bytes,
+    ) -> Result<(), RecordStoreError> {
+        let version = known.map_or(0, |known| known.version);
+        let put = self.records.put_if(&key, version, value.clone());
+        if let PutOutcome::Stored(version) = put.await? {
+            self.note_other(Record {
+                key,
+                value,
+                version,
+            });
+        }
+        Ok(())
+    }
+
     /// Takes a changed directory: a leader may have come back under another name.
     pub fn directory_changed(&self, engine: &Engine) {
         let directory = engine.directory();
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -11,7 +11,7 @@
 use crate::directory::{Departure, Member, MemberState, Role};
 use crate::engine::Engine;
 use crate::names::{GroupName, MemberId, ZoneName};
-use crate::ports::{PutOutcome, Record, RecordStoreError};
+use crate::ports::{Record, RecordStoreError};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -94,16 +94,7 @@
     }
     // Texts and numbers only: encoding can't fail.
     let value: Bytes = rmp_serde::to_vec_named(&current).unwrap_or_default().into();
-    let version = known.map_or(0, |known| known.version);
-    let put = engine.terms().store().put_if(&key, version, value.clone());
-    if let PutOutcome::Stored(version) = put.await? {
-        engine.terms().note_other(Record {
-            key,
-            value,
-            version,
-        });
-    }
-    Ok(())
+    engine.terms().put_other(key, known.as_ref(), value).await
 }
 
 /// Takes a record that was read or has changed, if it is a roster: its members are known
--- a/crates/engine/src/link/links.rs
+++ b/crates/engine/src/link/links.rs
@@ -3,6 +3,7 @@
 use super::client::{Link, OnSilence};
 use super::frame::{FromHome, ToHome, decode, encode};
 use crate::ports::{PeerLink, PeerNetwork};
+use futures::future::join_all;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -84,7 +85,20 @@
         self.first_usable_where(addresses, |_| true).await
     }
 
-    /// The same for a link other than `taken`.
+    /// Gives `tell` a usable link to each of `addresses` that has one, all side by side.
+    pub async fn tell_each(&self, addresses: Vec<SocketAddr>, tell: impl Fn(&Link)) {
+        let told = addresses.into_iter().map(|address| {
+            let tell = &tell;
+            async move {
+                if let Some(link) = self.first_usable(&[address]).await {
+                    tell(&link);
+                }
+            }
+        });
+        join_all(told).await;
+    }
+
+    /// As [`Links::first_usable`], for a link other than `taken`.
     pub async fn first_usable_beside(
         &self,
         addresses: &[SocketAddr],
--- a/crates/engine/src/rate/pursuit.rs
+++ b/crates/engine/src/rate/pursuit.rs
@@ -6,7 +6,7 @@
 use crate::events::Event;
 use crate::leadership::fleet;
 use crate::leadership::lease_records::RecordLeases;
-use crate::link::SUSPECT_AFTER;
+use crate::link::{Link, SUSPECT_AFTER};
 use futures::future::join_all;
 use std::sync::Arc;
 use std::time::Duration;
@@ -278,14 +278,9 @@
 /// know how long it lasts without a call of the store: a successor comes as soon as it lapses, though
 /// nobody asks it.
 async fn tell_candidates(engine: &Engine, shard: Shard, record: &LeaseRecord) {
-    let links = engine.homes().links();
-    let told = engine.homes().counter_addresses(shard).into_iter();
-    let told = told.map(|address| async move {
-        if let Some(link) = links.first_usable(&[address]).await {
-            link.tell_lease(shard, record);
-        }
-    });
-    join_all(told).await;
+    let addresses = engine.homes().counter_addresses(shard);
+    let tell = |link: &Link| link.tell_lease(shard, record);
+    engine.homes().links().tell_each(addresses, tell).await;
 }
 
 /// Renews a lease. A store that is silent to this process only is found out by the call's
--- a/crates/engine/src/slow_start/allot.rs
+++ b/crates/engine/src/slow_start/allot.rs
@@ -8,7 +8,7 @@
 use crate::home::placement::{CANDIDATES, Peer};
 use crate::leadership::fleet;
 use crate::names::{MemberId, NodeName};
-use crate::ports::{PutOutcome, Record, RecordStoreError};
+use crate::ports::RecordStoreError;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -209,16 +209,7 @@
     forget_left(engine, &mut next);
     // Texts and numbers only: encoding can't fail.
     let value: bytes::Bytes = rmp_serde::to_vec_named(&next).unwrap_or_default().into();
-    let version = known.map_or(0, |known| known.version);
-    let put = engine.terms().store().put_if(&key, version, value.clone());
-    if let PutOutcome::Stored(version) = put.await? {
-        engine.terms().note_other(Record {
-            key,
-            value,
-            version,
-        });
-    }
-    Ok(())
+    engine.terms().put_other(key, known.as_ref(), value).await
 }
 
 /// Drops members that have left, if there are many.
