--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -61,10 +61,12 @@
     reclaims: bool,
 }
 
-/// A record of another holding, and when it was first read.
+/// A record of another holding, and when it was first read in an era of the store.
 #[derive(Debug)]
 struct Observation {
     record: LeaseRecord,
+    /// `None` where the record was told by others before the store has answered.
+    era: Option<u64>,
     since: Duration,
 }
 
@@ -117,15 +119,16 @@
     /// write was lost, a later attempt finds out whether it took effect.
     pub async fn try_acquire(&mut self) -> Result<Acquisition, LeaseError> {
         let current = self.store.get(&self.name).await?;
-        let fencing = match &current {
-            None => FencingNumber(1),
+        let era = self.store.era();
+        let before = match &current {
+            None => FencingNumber::default(),
             Some(record) => match self.time_until_free(record) {
-                Duration::ZERO => record.fencing.next(),
+                Duration::ZERO => record.fencing,
                 retry_after => return Ok(Acquisition::Taken { retry_after }),
             },
         };
-        let record = self.first_record(fencing, false);
-        match self.write(current.as_ref(), record).await {
+        let record = self.first_record(before.next_in(era), false);
+        match self.write(current.as_ref(), record, era).await {
             Ok(lease) => {
                 self.replaced = current;
                 Ok(Acquisition::Held(lease))
@@ -149,14 +152,15 @@
         suspect: &LeaseRecord,
     ) -> Result<Option<TakenOver>, LeaseError> {
         let current = self.store.get(&self.name).await?;
+        let era = self.store.era();
         let Some(current) = current.filter(|current| current.fencing == suspect.fencing) else {
             return Ok(None);
         };
         let remaining = self.time_until_free(&current);
         let shared_until = self.clock.now() + remaining;
         let taken_early = remaining > Duration::ZERO;
-        let record = self.first_record(current.fencing.next(), taken_early);
-        match self.write(Some(&current), record).await {
+        let record = self.first_record(current.fencing.next_in(era), taken_early);
+        match self.write(Some(&current), record, era).await {
             Ok(lease) => {
                 self.replaced = Some(current);
                 Ok(Some(TakenOver {
@@ -194,7 +198,8 @@
     ///
     /// # Errors
     ///
-    /// [`LeaseError::Lost`] where another has taken it; [`LeaseError::Lapsed`] and
+    /// [`LeaseError::Lost`] where another has taken it, or may have: the store has entered
+    /// another era since it was acquired; [`LeaseError::Lapsed`] and
     /// [`LeaseError::Store`] as for [`LeaseCandidate::try_acquire`]: the lease given
     /// is then good for no longer than before.
     pub async fn renew(&self, lease: &Lease) -> Result<Lease, LeaseError> {
@@ -206,7 +211,7 @@
         let current = self.store.get(&self.name).await?;
         let own = current.filter(|current| {
             let same_holding = current.fencing == lease.record.fencing && !current.released;
-            self.is_own(current) && same_holding
+            self.is_own(current) && same_holding && self.store.era() == lease.era
         });
         let own = own.ok_or(LeaseError::Lost)?;
         self.renew_from(lease, &own).await
@@ -220,7 +225,7 @@
             held: self.clock.now().saturating_sub(lease.began),
             ..expected.clone()
         };
-        self.write(Some(expected), record).await
+        self.write(Some(expected), record, lease.era).await
     }
 
     /// Gives the lease back, so that another need not wait for its end.
@@ -243,24 +248,27 @@
     }
 
     /// Writes `record`. The lease counts from before the request is sent, and is
-    /// checked once more when the answer has come.
+    /// checked once more when the answer has come. What was read in `era` holds only in that:
+    /// in a later one others may have taken the lease, and the store has forgotten it.
     async fn write(
         &self,
         expected: Option<&LeaseRecord>,
         record: LeaseRecord,
+        era: Option<u64>,
     ) -> Result<Lease, LeaseError> {
         let sent = self.clock.now();
         let outcome = match self.store.put_if(&self.name, expected, &record).await {
             Err(LeaseStoreError::Unknown(_)) => self.find_outcome(&record).await?,
             outcome => outcome?,
         };
-        if outcome == PutOutcome::Conflict {
+        if outcome == PutOutcome::Conflict || self.store.era() != era {
             return Err(LeaseError::Lost);
         }
         let held_for = record.duration.saturating_sub(self.settings.margin);
         let lease = Lease {
             name: self.name.clone(),
             began: sent.saturating_sub(record.held),
+            era,
             record,
             ends: sent + held_for,
         };
@@ -288,13 +296,18 @@
             return Duration::ZERO;
         }
         let now = self.clock.now();
-        match &self.observed {
-            Some(observed) if observed.record == *record => {
+        let era = self.store.era();
+        match &mut self.observed {
+            Some(observed)
+                if observed.record == *record && observed.era.is_none_or(|at| Some(at) == era) =>
+            {
+                observed.era = era;
                 (observed.since + record.duration).saturating_sub(now)
             }
             _ => {
                 self.observed = Some(Observation {
                     record: record.clone(),
+                    era,
                     since: now,
                 });
                 record.duration
--- a/crates/coordination/src/lease/fencing.rs
+++ b/crates/coordination/src/lease/fencing.rs
@@ -4,7 +4,10 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// Rises by one with each new holding of a lease, and not with renewals.
+/// Holdings that one era of the store can count: no number of an era reaches the next one's.
+const HOLDINGS_OF_AN_ERA: u64 = 1 << 32;
+
+/// Rises with each new holding of a lease, and not with renewals.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
 )]
@@ -16,6 +19,13 @@
     pub fn next(self) -> Self {
         Self(self.0 + 1)
     }
+
+    /// The number of the next holding, acquired in `era` of the [store](super::LeaseStore::era):
+    /// greater than all of earlier eras, those included that the store has forgotten.
+    pub fn next_in(self, era: Option<u64>) -> Self {
+        let first = era.unwrap_or(0).saturating_mul(HOLDINGS_OF_AN_ERA);
+        self.next().max(Self(first + 1))
+    }
 }
 
 impl fmt::Display for FencingNumber {
--- a/crates/coordination/src/lease/mod.rs
+++ b/crates/coordination/src/lease/mod.rs
@@ -67,6 +67,8 @@
 pub struct Lease {
     name: LeaseName,
     record: LeaseRecord,
+    /// The era of the store in which it was acquired.
+    era: Option<u64>,
     /// When the holding began, on the clock of the candidate.
     began: Duration,
     ends: Duration,
--- a/crates/coordination/src/lease/port.rs
+++ b/crates/coordination/src/lease/port.rs
@@ -57,9 +57,16 @@
     }
 }
 
-/// A store of lease records. Both calls must be linearizable.
+/// A store of lease records. Both calls must be linearizable within one [era](Self::era).
 #[async_trait]
 pub trait LeaseStore: Send + Sync + 'static {
+    /// How often the store has lost what it had acknowledged, by its latest answer: it was
+    /// restored from a copy. A store that never loses anything has one era; `None` before any
+    /// answer.
+    fn era(&self) -> Option<u64> {
+        Some(0)
+    }
+
     /// The present record.
     async fn get(&self, name: &LeaseName) -> Result<Option<LeaseRecord>, LeaseStoreError>;
 
--- a/crates/coordination/tests/lease.rs
+++ b/crates/coordination/tests/lease.rs
@@ -30,10 +30,22 @@
 struct MemoryStore {
     record: Mutex<Option<LeaseRecord>>,
     fault: Mutex<Fault>,
+    era: Mutex<Option<u64>>,
     clock: Arc<ManualClock>,
 }
 
 impl MemoryStore {
+    /// Goes back to `copy`: what was acknowledged since is lost.
+    fn restore(&self, copy: Option<LeaseRecord>) {
+        *self.record.lock().unwrap() = copy;
+        let mut era = self.era.lock().unwrap();
+        *era = Some(era.unwrap_or(0) + 1);
+    }
+
+    fn copy(&self) -> Option<LeaseRecord> {
+        self.record.lock().unwrap().clone()
+    }
+
     fn fail_next_write(&self, fault: Fault) {
         *self.fault.lock().unwrap() = fault;
     }
@@ -41,6 +53,10 @@
 
 #[async_trait]
 impl LeaseStore for MemoryStore {
+    fn era(&self) -> Option<u64> {
+        *self.era.lock().unwrap()
+    }
+
     async fn get(&self, _: &LeaseName) -> Result<Option<LeaseRecord>, LeaseStoreError> {
         Ok(self.record.lock().unwrap().clone())
     }
@@ -77,6 +93,7 @@
     let store = MemoryStore {
         record: Mutex::default(),
         fault: Mutex::new(Fault::None),
+        era: Mutex::new(Some(0)),
         clock: clock.clone(),
     };
     (Arc::new(store), clock)
@@ -217,3 +234,65 @@
         (outcome, expected) => panic!("{outcome:?}, expected {expected:?}"),
     }
 }
+
+#[tokio::test]
+async fn a_lease_of_an_earlier_era_is_not_renewed() {
+    let (store, clock) = store();
+    let mut a = candidate("a", &store);
+    let lease = acquire(&mut a).await;
+    let copy = store.copy();
+    let lease = a.renew(&lease).await.expect("a renewal");
+    store.restore(copy);
+    assert_eq!(a.renew(&lease).await, Err(LeaseError::Lost));
+    // Nor is it taken again before every holder that the store may have forgotten has ended.
+    assert_taken(&mut a, 10).await;
+    clock.advance(Duration::from_secs(10));
+    let again = acquire(&mut a).await;
+    assert!(again.fencing() > lease.fencing());
+}
+
+#[tokio::test]
+async fn a_number_that_the_store_has_forgotten_is_not_given_out_again() {
+    let (store, clock) = store();
+    let (mut a, mut b) = (candidate("a", &store), candidate("b", &store));
+    let copy = store.copy();
+    let forgotten = acquire(&mut a).await.fencing();
+    store.restore(copy);
+    let mut highest = forgotten;
+    for _ in 0..3 {
+        let copy = store.copy();
+        clock.advance(Duration::from_secs(10));
+        let lease = acquire(&mut b).await;
+        assert!(lease.fencing() > highest);
+        highest = lease.fencing();
+        b.release(lease).await.expect("given back");
+        store.restore(copy);
+    }
+}
+
+#[tokio::test]
+async fn a_record_is_watched_anew_in_a_later_era() {
+    let (store, clock) = store();
+    let (mut a, mut b) = (candidate("a", &store), candidate("b", &store));
+    let lease = acquire(&mut a).await;
+    assert_taken(&mut b, 10).await;
+    let copy = store.copy();
+    clock.advance(Duration::from_secs(9));
+    // Renewed without notice of `b`, and lost with the store.
+    a.renew(&lease).await.expect("a renewal");
+    store.restore(copy);
+    clock.advance(Duration::from_secs(1));
+    assert_taken(&mut b, 10).await;
+}
+
+#[tokio::test]
+async fn a_record_that_was_told_before_the_store_answered_counts_from_then() {
+    let (store, clock) = store();
+    let (mut a, mut b) = (candidate("a", &store), candidate("b", &store));
+    *store.era.lock().unwrap() = None;
+    let lease = acquire(&mut a).await;
+    b.observe(lease.record());
+    *store.era.lock().unwrap() = Some(3);
+    clock.advance(Duration::from_secs(10));
+    acquire(&mut b).await;
+}
--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -1,6 +1,7 @@
 //! The directory of members: which servers there are, as of when.
 
-use crate::names::{GroupName, MemberId, ZoneName};
+use crate::names::{GroupName, MemberId, ZoneName, are_lives_of_one};
+use crate::version::{StoreVersion, era_of};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -124,7 +125,7 @@
     pub state: MemberState,
     /// The store's version of the last change that is told here; zero where that is not
     /// known. The same wherever the change is known.
-    pub changed: u64,
+    pub changed: StoreVersion,
 }
 
 impl Member {
@@ -153,7 +154,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     /// The newest version of a change that is told here.
-    pub version: u64,
+    pub version: StoreVersion,
     members: HashMap<MemberId, Arc<Member>>,
     /// The same by group; made anew after each change.
     groups: BTreeMap<GroupName, Vec<Arc<Member>>>,
@@ -161,7 +162,7 @@
     names: Arc<[GroupName]>,
     /// The newest version of a change that is forgotten: what came after an older version
     /// can't be told.
-    forgotten: u64,
+    forgotten: StoreVersion,
 }
 
 /// How long an entry that went away is remembered.
@@ -191,13 +192,23 @@
             return known;
         }
         let address = known.map(|member| member.address).or(address);
+        let id = known.map(|member| &member.id);
         let successor = self.members.values().find(|member| {
             let in_place = Some(member.address) == address && &*member.group == group;
-            in_place && member.role == Role::Primary && member.has_entry()
+            let has_log = id.is_none_or(|id| !are_lives_of_one(id, &member.id));
+            in_place && has_log && member.role == Role::Primary && member.has_entry()
         });
         successor.or(known)
     }
 
+    /// Whether the server of `member` has started again: what answers there now is a later
+    /// life, which holds nothing of what this one held.
+    pub fn has_ended(&self, member: &Member) -> bool {
+        let group = self.groups.get(&member.group);
+        let mut others = group.into_iter().flatten();
+        others.any(|other| other.has_entry() && are_lives_of_one(&member.id, &other.id))
+    }
+
     /// All members.
     pub fn members(&self) -> impl Iterator<Item = &Arc<Member>> {
         self.members.values()
@@ -261,7 +272,12 @@
             forgotten: self.forgotten,
             ..Self::default()
         };
+        let restored = era_of(version) > era_of(self.version);
         for member in present {
+            let member = match restored {
+                true => self.keep_leaving(member),
+                false => member,
+            };
             next.insert(self.dated(self.keep_since(member), version));
         }
         for (id, member) in &self.members {
@@ -357,6 +373,16 @@
         member
     }
 
+    /// A member that was leaving is leaving still, whatever a copy of the store says that was
+    /// made before.
+    fn keep_leaving(&self, mut member: Member) -> Member {
+        let before = self.members.get(&member.id).map(|known| known.state);
+        if let Some(known @ MemberState::Leaving(_)) = before {
+            member.state = known;
+        }
+        member
+    }
+
     /// Whether another server's entry stands for the address of `member`.
     fn is_replaced(&self, member: &Member) -> bool {
         let mut others = self.members.values();
@@ -434,6 +460,6 @@
         /// Whose.
         id: MemberId,
         /// The store's version of the change.
-        changed: u64,
+        changed: StoreVersion,
     },
 }
--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -389,6 +389,17 @@
         group
     }
 
+    /// The groups that have members and are configured. Entries may name others, which nobody
+    /// asks for and which may never have a leader.
+    pub fn configured_groups(&self) -> Vec<GroupName> {
+        let Some(configuration) = self.configuration() else {
+            return Vec::new();
+        };
+        let mut names = self.directory().groups();
+        names.retain(|name| configuration.groups.contains_key(name));
+        names
+    }
+
     /// Replicas that must have received a commit of `group` before its acknowledgement.
     pub fn sync_replicas(&self, group: &str) -> usize {
         let configuration = self.configuration.borrow();
@@ -554,6 +565,9 @@
         let pool = MemberPool::new(Arc::clone(member), Arc::clone(&self.back_end));
         let pool = Arc::new(pool.behind(self.gate(member, Sender::Home)));
         pool.set_limit(self.connection_share(member));
+        if self.directory().has_ended(member) {
+            pool.end();
+        }
         pools.insert(member.id.clone(), Arc::clone(&pool));
         pool
     }
@@ -625,6 +639,8 @@
             if !known {
                 pool.close();
                 telemetry::forget_member(id);
+            } else if directory.has_ended(pool.member()) {
+                pool.end();
             }
             known
         });
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -296,6 +296,12 @@
         }
     }
 
+    /// The position that the log of `leader` is known to have reached.
+    pub fn reached_by(&self, leader: &UsableLeader) -> Option<LogPosition> {
+        let newest = self.lock().samples.newest()?;
+        (newest.epoch == leader.epoch).then_some(newest.position)
+    }
+
     /// Takes evidence for the term of `leader` that another process had at `at`.
     pub fn record_evidence(&self, leader: &UsableLeader, at: Instant) {
         let mut state = self.lock();
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -9,7 +9,7 @@
 use super::survey::{Response, Surveyed};
 use crate::directory::{Member, Role};
 use crate::evacuation::Evacuations;
-use crate::names::MemberId;
+use crate::names::{MemberId, are_lives_of_one};
 use crate::position::{LogPosition, Term};
 use crate::topology::Topology;
 use std::net::SocketAddr;
@@ -31,7 +31,7 @@
 pub struct PreviousLeader {
     /// The member, if there was one.
     pub id: Option<MemberId>,
-    /// Where it listens: a server that comes back there has its log.
+    /// Where it listens: a server that comes back there under another name has its log.
     pub address: Option<SocketAddr>,
 }
 
@@ -40,6 +40,12 @@
     pub fn is(&self, member: &Member) -> bool {
         self.id.as_ref() == Some(&member.id) || self.address == Some(member.address)
     }
+
+    /// Whether `member` is a later life of the old leader's server.
+    fn has_ended(&self, member: &Member) -> bool {
+        let id = self.id.as_ref();
+        id.is_some_and(|id| are_lives_of_one(id, &member.id))
+    }
 }
 
 /// What the members told after they were paused and the old leader demoted.
@@ -97,19 +103,27 @@
         Some(staying.member.id.clone())
     }
 
-    /// The old leader's log, if it has given up the lead: nothing more is acknowledged.
+    /// The old leader's log, if it has given up the lead: nothing more is acknowledged. A log
+    /// shorter than what others have, or empty, is not the one that it led with: its server has
+    /// started again and holds nothing of before.
     fn demoted_log(&self) -> Option<LogPosition> {
         let old = self.members.iter().filter(|m| self.is_previous(m));
+        let old = old.filter(|member| !self.previous.has_ended(&member.member));
         let mut reports = old.filter_map(|member| member.response.report());
         let report = reports.next()?;
-        (report.role == Role::Replica).then_some(report.received)
+        let is_whole = report.received.number > 0
+            && self.known.is_none_or(|known| report.received >= known)
+            && self
+                .best_other()
+                .is_none_or(|(_, other)| report.received >= other);
+        (report.role == Role::Replica && is_whole).then_some(report.received)
     }
 
     /// Every other member is paused, does not run, or has left.
     fn check_fence(&self, now: Instant) -> Result<(), Obstacle> {
         let unfenced = self.others(now).find(|member| match &member.response {
             Response::Report(report) => report.paused_for < self.term,
-            Response::Down(_) => false,
+            Response::Down(_) | Response::Ended => false,
             Response::Declined(_) | Response::Silent(_) => true,
         });
         match unfenced {
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -6,12 +6,13 @@
 use crate::engine::Engine;
 use crate::home::placement::{LEAST_SHARE, Peer, RESERVED};
 use crate::names::{NodeName, ZoneName};
-use crate::ports::Record;
+use crate::ports::{PutOutcome, Record};
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Prefix of the keys of these records.
 const KEY_PREFIX: &str = "node/";
@@ -99,20 +100,39 @@
         && let Ok(earlier) = rmp_serde::from_slice::<NodeRecord>(&known.value)
         && earlier.is_same(&NodeRecord::of(engine))
     {
-        sleep(RENEWAL_INTERVAL.mul_f64(0.5 + rand::random::<f64>() / 2.0)).await;
+        let pause = RENEWAL_INTERVAL.mul_f64(0.5 + rand::random::<f64>() / 2.0);
+        until_due(engine, &key, pause).await;
     }
     loop {
         let version = own_record(engine, &key).map_or(0, |known| known.version);
         // Texts and numbers only: encoding can't fail.
         let value = rmp_serde::to_vec_named(&NodeRecord::of(engine)).unwrap_or_default();
-        let put = engine.terms().store().put_if(&key, version, value.into());
+        let value = Bytes::from(value);
+        let put = engine.terms().store().put_if(&key, version, value.clone());
         match put.await {
-            Ok(crate::ports::PutOutcome::Stored(_)) => sleep(RENEWAL_INTERVAL).await,
+            Ok(PutOutcome::Stored(version)) => {
+                engine.terms().note_other(Record {
+                    key: key.clone(),
+                    value,
+                    version,
+                });
+                until_due(engine, &key, RENEWAL_INTERVAL).await;
+            }
             _ => sleep(RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await,
         }
     }
 }
 
+/// Returns after `pause`, or soon after the store has lost the record called `key`: a process
+/// without one gets no work of others.
+async fn until_due(engine: &Engine, key: &str, pause: Duration) {
+    let mut records = engine.terms().subscribe_others();
+    let lost = records.wait_for(|records| !records.contains_key(key));
+    if timeout(pause, lost).await.is_ok() {
+        sleep(RETRY_PAUSE.mul_f64(rand::random())).await;
+    }
+}
+
 /// Whether an earlier life of this process, or this one, has written its record.
 pub fn is_registered(engine: &Engine) -> bool {
     let key = format!("{KEY_PREFIX}{}", engine.settings().node);
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -11,8 +11,9 @@
 use crate::names::{GroupName, MemberId};
 use crate::peers;
 use crate::ports::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
+use crate::version::{StoreEra, StoreVersion, era_of};
 use bytes::Bytes;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::{Instant, sleep};
@@ -22,8 +23,8 @@
 pub struct VersionedTerm {
     /// The record.
     pub record: TermRecord,
-    /// Its version.
-    pub version: u64,
+    /// Its version in the store; zero where the store has lost it.
+    pub version: StoreVersion,
 }
 
 impl VersionedTerm {
@@ -45,7 +46,9 @@
     known: Mutex<HashMap<GroupName, VersionedTerm>>,
     has_read: tokio::sync::watch::Sender<bool>,
     others: tokio::sync::watch::Sender<HashMap<String, Record>>,
-    version: tokio::sync::watch::Sender<u64>,
+    version: tokio::sync::watch::Sender<StoreVersion>,
+    /// Groups whose record the store has lost, or shows as it was before.
+    lost: tokio::sync::watch::Sender<BTreeSet<GroupName>>,
 }
 
 impl TermFollower {
@@ -58,6 +61,7 @@
             has_read: tokio::sync::watch::Sender::new(false),
             others: tokio::sync::watch::Sender::new(HashMap::new()),
             version: tokio::sync::watch::Sender::new(0),
+            lost: tokio::sync::watch::Sender::new(BTreeSet::new()),
         }
     }
 
@@ -134,6 +138,7 @@
                     self.apply(engine, &changes, whole.then_some(begun));
                     self.has_read.send_replace(true);
                     if whole {
+                        self.forget_lost(era_of(changes.version));
                         let groups = engine.directory().groups();
                         self.apply_first_leaders(engine, &groups, begun);
                     }
@@ -161,17 +166,27 @@
     }
 
     /// The store's version as of which the records are known.
-    pub fn version(&self) -> u64 {
+    pub fn version(&self) -> StoreVersion {
         *self.version.borrow()
     }
 
     /// Tells of later versions.
-    pub fn subscribe_version(&self) -> tokio::sync::watch::Receiver<u64> {
+    pub fn subscribe_version(&self) -> tokio::sync::watch::Receiver<StoreVersion> {
         self.version.subscribe()
     }
 
+    /// Tells of groups whose record the store has lost.
+    pub fn subscribe_lost(&self) -> tokio::sync::watch::Receiver<BTreeSet<GroupName>> {
+        self.lost.subscribe()
+    }
+
+    /// Notes that the record of `group` is in the store again, or another in its place.
+    pub fn found(&self, group: &GroupName) {
+        self.lost.send_if_modified(|lost| lost.remove(group));
+    }
+
     /// The records that were written after `version`, as far as they are known.
-    pub fn records_after(&self, version: u64) -> Vec<Record> {
+    pub fn records_after(&self, version: StoreVersion) -> Vec<Record> {
         let known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
         let terms = known.values().map(|term| term.to_record());
         let others = self.others.borrow();
@@ -181,11 +196,40 @@
 
     /// Takes changes that another process has learned from the store.
     pub fn take_changes(&self, engine: &Engine, changes: &RecordChanges) {
+        let era = era_of(changes.version);
+        let entered = era > era_of(self.version());
         self.apply(engine, changes, None);
+        // All that there is in a later era is newer than what was known.
+        if entered {
+            self.forget_lost(era);
+        }
         self.advance(changes.version);
     }
 
-    fn advance(&self, version: u64) {
+    /// Forgets what the store has lost: what was not seen in `era`, of which everything is
+    /// known. Terms are not forgotten: a number that was given to one leader must not be given
+    /// to another.
+    fn forget_lost(&self, era: StoreEra) {
+        let is_lost = |version: StoreVersion| version > 0 && era_of(version) < era;
+        self.others.send_if_modified(|others| {
+            let before = others.len();
+            others.retain(|_, record| !is_lost(record.version));
+            others.len() < before
+        });
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        for term in known.values_mut().filter(|term| is_lost(term.version)) {
+            term.version = 0;
+            self.note_lost(&term.record.group);
+        }
+    }
+
+    fn note_lost(&self, group: &GroupName) {
+        self.lost.send_modify(|lost| {
+            lost.insert(group.clone());
+        });
+    }
+
+    fn advance(&self, version: StoreVersion) {
         self.version.send_if_modified(|known| {
             let later = *known < version;
             *known = version.max(*known);
@@ -304,16 +348,25 @@
         }
     }
 
-    /// Remembers `term` unless a later version is known; returns whether none is.
+    /// Remembers `term` unless a later version is known; returns whether none is. A store that
+    /// was restored may show a later version of an earlier term: that is only noted as what
+    /// is to be written over.
     fn keep(&self, term: &VersionedTerm) -> bool {
         let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
-        let newer = known
-            .get(&term.record.group)
-            .is_none_or(|before| before.version <= term.version);
-        if newer {
-            known.insert(term.record.group.clone(), term.clone());
+        let group = &term.record.group;
+        match known.get_mut(group) {
+            Some(before) if before.version > term.version => false,
+            Some(before) if before.record.is_ahead_of(&term.record) => {
+                before.version = term.version;
+                self.note_lost(group);
+                false
+            }
+            _ => {
+                known.insert(group.clone(), term.clone());
+                self.found(group);
+                true
+            }
         }
-        newer
     }
 }
 
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -6,6 +6,7 @@
 use crate::evacuation::Sender;
 use crate::group::Group;
 use crate::home;
+use crate::names::are_lives_of_one;
 use crate::peers;
 use crate::pool::Claim;
 use crate::ports::{Command, Control};
@@ -81,7 +82,9 @@
     let reports = members.iter().filter_map(|m| m.response.report());
     let silent = members.iter().filter(|member| {
         let answered = member.response.report().is_some();
-        !answered && !member.has_left(sent) && !is_succeeded(member, &members)
+        // A life that has ended took its log along, however long ago: nobody tells how far it was.
+        let has_left = member.has_left(sent) && member.response != Response::Ended;
+        !answered && !has_left && !is_succeeded(member, &members)
     });
     if silent.count() <= engine.sync_replicas(group.name())
         && let Some(position) = reports.map(|report| report.received).max()
@@ -93,7 +96,9 @@
 /// Whether another server has come back in the member's place, with its log.
 fn is_succeeded(member: &Surveyed, members: &[Surveyed]) -> bool {
     let in_place = |other: &Surveyed| {
-        other.member.id != member.member.id && other.member.address == member.member.address
+        let is_other = other.member.id != member.member.id
+            && !are_lives_of_one(&other.member.id, &member.member.id);
+        is_other && other.member.address == member.member.address
     };
     member.member.is_gone() && members.iter().any(in_place)
 }
--- a/crates/engine/src/leadership/lease_records.rs
+++ b/crates/engine/src/leadership/lease_records.rs
@@ -1,6 +1,7 @@
 //! Leases of the fleet, kept as records of the store.
 
 use crate::ports::{PutOutcome, Record, RecordStore, RecordStoreError};
+use crate::version::{StoreEra, StoreVersion, era_of};
 use async_trait::async_trait;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use stilequay_coordination::lease::{
@@ -15,7 +16,9 @@
 pub(crate) struct RecordLeases {
     records: Arc<dyn RecordStore>,
     /// The record as it was last read or written: a renewal needs no reading before it.
-    last: Mutex<Option<(LeaseRecord, u64)>>,
+    last: Mutex<Option<(LeaseRecord, StoreVersion)>>,
+    /// The store's era, by its latest answer.
+    era: Mutex<Option<StoreEra>>,
 }
 
 impl RecordLeases {
@@ -24,6 +27,7 @@
         Self {
             records,
             last: Mutex::new(None),
+            era: Mutex::new(None),
         }
     }
 
@@ -33,7 +37,7 @@
         &self,
         key: &str,
         expected: Option<&LeaseRecord>,
-    ) -> Result<Option<u64>, RecordStoreError> {
+    ) -> Result<Option<StoreVersion>, RecordStoreError> {
         let last = self.last().clone();
         if let (Some((record, version)), Some(expected)) = (last, expected)
             && record == *expected
@@ -49,14 +53,28 @@
         self.last.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn note_era(&self, answered: StoreVersion) {
+        let mut era = self.lock_era();
+        *era = (*era).max(Some(era_of(answered)));
+    }
+
+    fn lock_era(&self) -> MutexGuard<'_, Option<StoreEra>> {
+        self.era.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     async fn find(&self, key: &str) -> Result<Option<Record>, RecordStoreError> {
         let records = self.records.read(key).await?;
+        self.note_era(records.version);
         Ok(records.written.into_iter().find(|record| record.key == key))
     }
 }
 
 #[async_trait]
 impl LeaseStore for RecordLeases {
+    fn era(&self) -> Option<u64> {
+        *self.lock_era()
+    }
+
     async fn get(&self, name: &LeaseName) -> Result<Option<LeaseRecord>, LeaseStoreError> {
         let found = self.find(&key(name)).await.map_err(translate)?;
         Ok(found.and_then(|record| decode(&record)))
@@ -77,6 +95,7 @@
         let put = self.records.put_if(&key, version, value.into()).await;
         match put.map_err(translate)? {
             PutOutcome::Stored(version) => {
+                self.note_era(version);
                 *self.last() = Some((record.clone(), version));
                 Ok(LeasePutOutcome::Stored)
             }
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -17,6 +17,7 @@
 pub mod promotion;
 pub mod record;
 mod report;
+mod rewriting;
 pub mod roster;
 mod settling;
 pub mod survey;
@@ -50,6 +51,7 @@
         duty.pursue(&engine),
         watcher::watch(&engine, &promoter, &duty),
         fleet::register(&engine),
+        rewriting::rewrite_lost(&engine),
         roster::keep(&engine, &duty),
         fleet::follow(&engine),
         following::follow(&engine, &duty),
@@ -80,6 +82,7 @@
 /// Reads the records anew while the directory knows a group whose leader is not known.
 async fn learn_first_leaders(engine: &Engine) {
     let mut directory = engine.subscribe_directory();
+    let mut configuration = engine.subscribe_configuration();
     loop {
         while let Some(group) = group_without_leader(engine)
             && engine.following().is_direct()
@@ -88,14 +91,16 @@
             let _ = engine.terms().refresh(engine, &group, Instant::now()).await;
             sleep(FIRST_LEADER_PAUSE).await;
         }
-        if directory.changed().await.is_err() {
-            return;
+        // The senders live as long as the engine does.
+        tokio::select! {
+            _ = directory.changed() => {}
+            _ = configuration.changed() => {}
         }
     }
 }
 
 fn group_without_leader(engine: &Engine) -> Option<Arc<Group>> {
-    let names = engine.directory().groups();
+    let names = engine.configured_groups();
     let mut groups = names.iter().map(|name| engine.group(name));
     groups.find(|group| {
         let view = group.view();
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -22,9 +22,10 @@
 use super::survey::{self, Patience};
 use crate::directory::{Member, Role};
 use crate::engine::Engine;
-use crate::group::{TERM_LEASE, TERM_LEASE_MARGIN};
+use crate::group::{Epoch, TERM_LEASE, TERM_LEASE_MARGIN};
 use crate::names::{GroupName, MemberId};
 use crate::ports::{Control, PromoteError, Promoter, PromotionOrder, PutOutcome, RecordStoreError};
+use crate::version::{StoreVersion, era_of};
 use quick_error::quick_error;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -41,6 +42,8 @@
 const ORDER_AGAIN: Duration = Duration::from_millis(900);
 /// Time after which a target that does not take the lead is given up.
 const TARGET_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Changes of leader of a group that one era of the store can count.
+const EPOCHS_OF_AN_ERA: Epoch = 1 << 32;
 /// Pause after the store gave no answer.
 const STORE_PAUSE: Duration = Duration::from_millis(80);
 
@@ -110,7 +113,7 @@
 
     async fn begin(&self, known: Option<VersionedTerm>) -> Result<VersionedTerm, PromotionError> {
         let view = self.engine.group(&self.group).view();
-        let epoch = known.as_ref().map_or(0, |term| term.record.epoch) + 1;
+        let epoch = next_epoch(known.as_ref(), self.engine.terms().version());
         let record = TermRecord {
             group: self.group.clone(),
             epoch,
@@ -267,7 +270,7 @@
     async fn store(
         &self,
         record: TermRecord,
-        expected: u64,
+        expected: StoreVersion,
     ) -> Result<VersionedTerm, PromotionError> {
         let key = TermRecord::key(&self.group);
         let value = record.encode();
@@ -305,7 +308,7 @@
 
     /// The version of `record`, if that is what the store has: an earlier write whose
     /// answer was lost may have been done.
-    async fn find_own(&self, record: &TermRecord) -> Result<u64, PromotionError> {
+    async fn find_own(&self, record: &TermRecord) -> Result<StoreVersion, PromotionError> {
         let key = TermRecord::key(&self.group);
         let changes = self.engine.terms().store().read(&key).await;
         let changes = changes.map_err(|_| PromotionError::Superseded)?;
@@ -320,3 +323,11 @@
         held.map(|_| ()).ok_or(PromotionError::LeaseLost)
     }
 }
+
+/// The number of the leadership after `known`, where the records are known as of `version`.
+/// That of an era of the store is greater than all of earlier eras: one that the store has lost
+/// is not given to another leader.
+fn next_epoch(known: Option<&VersionedTerm>, version: StoreVersion) -> Epoch {
+    let before = known.map_or(0, |term| term.record.epoch);
+    (before + 1).max(era_of(version).saturating_mul(EPOCHS_OF_AN_ERA))
+}
--- a/crates/engine/src/leadership/record.rs
+++ b/crates/engine/src/leadership/record.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 
 /// How far a change of leader has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum TermPhase {
     /// The old leader is being fenced off. It gets no more writes.
@@ -61,6 +61,11 @@
         format!("{}{group}", Self::KEY_PREFIX)
     }
 
+    /// Whether this tells of a later step than `other` of the same group does.
+    pub fn is_ahead_of(&self, other: &Self) -> bool {
+        (self.epoch, self.phase) > (other.epoch, other.phase)
+    }
+
     /// The record as it is stored.
     pub fn encode(&self) -> Bytes {
         // Texts and numbers only: encoding can't fail.
--- /dev/null
+++ b/crates/engine/src/leadership/rewriting.rs
@@ -0,0 +1,56 @@
+//! Writes records of leaderships again that a restored store has lost.
+
+use super::follower::VersionedTerm;
+use super::record::TermRecord;
+use crate::engine::Engine;
+use crate::names::GroupName;
+use crate::ports::{PutOutcome, RecordStoreError};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// Pause after a failed write.
+const RETRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Writes lost records again until the process ends. In a large fleet many know them: those do
+/// that follow the store themselves, and who wrote a record last.
+pub async fn rewrite_lost(engine: &Engine) {
+    let mut lost = engine.terms().subscribe_lost();
+    // The sender lives as long as this does.
+    while lost.wait_for(|groups| !groups.is_empty()).await.is_ok() {
+        let groups = lost.borrow_and_update().clone();
+        let mut failed = false;
+        for group in groups {
+            failed |= rewrite(engine, &group).await.is_err();
+        }
+        if failed {
+            sleep(RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await;
+        }
+    }
+}
+
+/// Writes the record of `group` over what the store has, if that is for this process to do. Where
+/// another process has written meanwhile, what it wrote will be told.
+async fn rewrite(engine: &Engine, group: &GroupName) -> Result<(), RecordStoreError> {
+    let terms = engine.terms();
+    let known = terms.known(group);
+    let writes = |term: &VersionedTerm| {
+        engine.following().is_direct() || term.record.holder == engine.settings().node
+    };
+    let Some(term) = known.filter(writes) else {
+        terms.found(group);
+        return Ok(());
+    };
+    let begun = Instant::now();
+    let key = TermRecord::key(group);
+    let put = terms
+        .store()
+        .put_if(&key, term.version, term.record.encode());
+    let outcome = put.await?;
+    terms.found(group);
+    if let PutOutcome::Stored(version) = outcome {
+        log::info!("the record of {group} was lost with its store's copy, and is written again");
+        let term = VersionedTerm { version, ..term };
+        terms.apply_one(engine, term, Some(begun));
+    }
+    Ok(())
+}
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -74,7 +74,7 @@
         if duty.check().is_none() {
             continue;
         }
-        for group in engine.directory().groups() {
+        for group in engine.configured_groups() {
             if keep_one(engine, &group).await.is_err() {
                 sleep(RETRY_PAUSE).await;
             }
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -27,6 +27,8 @@
     /// It runs, and did not take the order: it is too busy, accepts no more connections, or
     /// has refused.
     Declined(String),
+    /// Its server has started again without its log.
+    Ended,
     /// Nothing is known.
     Silent(String),
 }
@@ -56,8 +58,11 @@
         let MemberState::Gone(departure) = self.member.state else {
             return false;
         };
-        matches!(self.response, Response::Down(_))
-            && now.duration_since(departure.learned) > GONE_WAIT
+        match self.response {
+            Response::Ended => true,
+            Response::Down(_) => now.duration_since(departure.learned) > GONE_WAIT,
+            _ => false,
+        }
     }
 
     /// Whether it answered as a replica.
@@ -69,6 +74,9 @@
 
 /// Gives `control` to one member.
 pub async fn order(engine: &Engine, member: &Arc<Member>, control: Control) -> Response {
+    if engine.directory().has_ended(member) {
+        return Response::Ended;
+    }
     let pool = engine.pool(member);
     match timeout(ORDER_TIMEOUT, pool.order(control)).await {
         Ok(Ok(report)) => {
--- a/crates/engine/src/leadership/suspicion.rs
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -68,7 +68,10 @@
 ) -> Option<Suspicion> {
     match leader.state {
         MemberState::Leaving(_) => return Some(Suspicion::Leaving),
-        MemberState::Gone(gone) if now.duration_since(gone.learned) > GONE_GRACE => {
+        MemberState::Gone(gone)
+            if now.duration_since(gone.learned) > GONE_GRACE
+                || engine.directory().has_ended(leader) =>
+        {
             return Some(Suspicion::EntryGone);
         }
         _ => {}
@@ -127,6 +130,7 @@
                 return verify_replication(engine, group, leader).await;
             }
             Response::Report(_) | Response::Declined(_) => return None,
+            Response::Ended => return Some(Suspicion::EntryGone),
             Response::Down(_) | Response::Silent(_) => sleep(QUESTION_PAUSE).await,
         }
     }
@@ -146,6 +150,7 @@
     let report = match ask(engine, leader).await {
         Response::Report(report) => report,
         Response::Declined(_) => return None,
+        Response::Ended => return Some(Suspicion::EntryGone),
         Response::Down(_) | Response::Silent(_) => return Some(Suspicion::Unreachable),
     };
     let mut suspicion = None;
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -80,7 +80,7 @@
     fn look_around(&self) {
         let holds_duty = self.duty.check().is_some();
         let mut names = match holds_duty {
-            true => self.engine.directory().groups(),
+            true => self.engine.configured_groups(),
             false => {
                 let pools = self.engine.pools();
                 let groups = pools.iter().map(|pool| pool.member().group.clone());
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod tenant;
 pub mod topology;
 pub mod verdict;
+pub mod version;
--- a/crates/engine/src/pool/member.rs
+++ b/crates/engine/src/pool/member.rs
@@ -11,6 +11,7 @@
 use crate::evacuation::{Gate, MayNotSend};
 use crate::names::{DatabaseName, TenantName};
 use crate::ports::{BackEnd, BackEndConnection, ConnectError, Control, MemberReport};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::limit::{
@@ -66,6 +67,8 @@
     back_end: Arc<dyn BackEnd>,
     remote: bool,
     gate: Gate,
+    /// The server has started again: a connection would lead to its next life.
+    ended: AtomicBool,
     connections: ConnectionSet<Established, DatabaseName>,
     state: Mutex<PoolState>,
 }
@@ -92,6 +95,7 @@
             back_end,
             remote,
             gate: Gate::default(),
+            ended: AtomicBool::new(false),
             connections: ConnectionSet::new(LimiterSettings {
                 slots: limit,
                 queue_length: QUEUE_LENGTH,
@@ -303,6 +307,9 @@
         &self,
         tenant: Option<&TenantName>,
     ) -> Result<Box<dyn BackEndConnection>, ConnectError> {
+        if self.ended.load(Ordering::Relaxed) {
+            return Err(ConnectError::WrongMember);
+        }
         let connecting = self.back_end.connect(&self.member, tenant);
         let connected = timeout(CONNECT_TIMEOUT, connecting).await;
         let result = connected.unwrap_or(Err(ConnectError::TimedOut));
@@ -354,6 +361,12 @@
         self.connections.close();
     }
 
+    /// Takes it that this life of the member's server has ended: no connection is opened any more.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        self.close();
+    }
+
     /// Closes the connections that are not in use: the member does not answer on them.
     pub fn lose_idle(&self) {
         self.close_resting();
--- a/crates/engine/src/ports/record_store.rs
+++ b/crates/engine/src/ports/record_store.rs
@@ -1,5 +1,6 @@
 //! A linearizable store of small records.
 
+use crate::version::StoreVersion;
 use async_trait::async_trait;
 use bytes::Bytes;
 use quick_error::quick_error;
@@ -14,7 +15,7 @@
     /// Its content.
     pub value: Bytes,
     /// Rises with each change of the record; never zero.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// Changes since a version.
@@ -23,14 +24,14 @@
     /// Records that were written.
     pub written: Vec<Record>,
     /// The store's version as of which this holds; the next watch goes on from it.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// What became of a conditional write.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PutOutcome {
     /// It took effect, and gave the record this version.
-    Stored(u64),
+    Stored(StoreVersion),
     /// It did not: the record has another version.
     Conflict,
 }
@@ -70,14 +71,20 @@
         last: &str,
     ) -> Result<RecordChanges, RecordStoreError>;
 
-    /// Waits up to `wait` for changes after `version`.
-    async fn watch(&self, version: u64, wait: Duration) -> Result<RecordChanges, RecordStoreError>;
+    /// Waits up to `wait` for changes after `version`. Where that is of an earlier
+    /// [era](crate::version) of the store, the history is forgotten.
+    async fn watch(
+        &self,
+        version: StoreVersion,
+        wait: Duration,
+    ) -> Result<RecordChanges, RecordStoreError>;
 
-    /// Writes `value` if the record has `expected` as its version (zero: is not there).
+    /// Writes `value` if the record has `expected` as its version (zero: is not there). One of an
+    /// earlier era is no record's version any more.
     async fn put_if(
         &self,
         key: &str,
-        expected: u64,
+        expected: StoreVersion,
         value: Bytes,
     ) -> Result<PutOutcome, RecordStoreError>;
 }
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -58,6 +58,8 @@
     /// Nothing was sent: another member may take it.
     NotSent(String),
     Lost(String),
+    /// It ran on a log that is shorter than the leader's was before: the rows may be old.
+    Outdated,
 }
 
 /// A read that no member has completed.
@@ -286,6 +288,7 @@
 ) -> ReadOutcome {
     let pool = target.pool();
     let leader = job.group.as_leader(&pool.member().id);
+    let reached = leader.as_ref().and_then(|at| job.group.reached_by(at));
     let sent = Instant::now();
     let running = async {
         let put = connection.put_values(&job.claim.values).await;
@@ -301,6 +304,10 @@
             return ReadOutcome::Lost("no answer in time".to_owned());
         }
     };
+    if answer.position.is_some() && answer.position < reached {
+        // What answers has started again. The connection is not used any more.
+        return ReadOutcome::Outdated;
+    }
     note_position(&job.group, leader.as_ref(), sent, &answer);
     release(connection, answer.state);
     match answer.outcome {
@@ -346,6 +353,12 @@
             trace.attempted(member, refusal_text(&refusal));
             Err(refusal_failure(refusal))
         }
+        ReadOutcome::Outdated => {
+            trace.attempted(member, "its log is shorter than it was");
+            Err(ReadFailure::Again(Failure::not_run(
+                FailureReason::NoFreshMember,
+            )))
+        }
         ReadOutcome::NotSent(reason) => {
             trace.attempted(member, reason);
             let failure = Failure::not_run(FailureReason::ConnectionLost);
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -214,3 +214,74 @@
         .collect();
     assert_eq!(fencing_term(&members), term);
 }
+
+fn in_life(name: &str, response: Response) -> Surveyed {
+    let mut known = surveyed(name, MemberState::Ready, response);
+    let member = Arc::make_mut(&mut known.member);
+    member.address = address(&name[..1]);
+    known
+}
+
+fn ended(name: &str) -> Surveyed {
+    let mut known = in_life(name, Response::Ended);
+    let departure = Departure::at(Instant::now());
+    Arc::make_mut(&mut known.member).state = MemberState::Gone(departure);
+    known
+}
+
+/// The old leader is `a`. A server that has started again holds nothing of before; its entry may
+/// not have told yet.
+#[rstest]
+#[case::the_leader_is_empty([demoted(0), paused(5), paused(7)], None, Ok("c".to_owned()))]
+#[case::the_leader_is_empty_and_one_unread([demoted(0), paused(5), silent()], None, not_fenced("c"))]
+#[case::the_leader_is_empty_and_one_down([demoted(0), paused(5), down()], None, may_hold_more("c"))]
+#[case::the_leader_has_less_than_a_replica([demoted(4), paused(5), silent()], None, not_fenced("c"))]
+#[case::the_leader_has_less_than_is_known([demoted(6), paused(5), silent()], Some(8), not_fenced("c"))]
+#[case::nobody_has_anything([demoted(0), paused(0), paused(0)], None, Ok("c".to_owned()))]
+fn a_log_that_cant_be_the_old_leaders_proves_nothing(
+    #[case] responses: [Response; 3],
+    #[case] known: Option<u64>,
+    #[case] expected: Result<String, Obstacle>,
+) {
+    let names = ["a", "b", "c"].iter().zip(responses);
+    let members: Vec<Surveyed> = names
+        .map(|(name, response)| surveyed(name, MemberState::Ready, response))
+        .collect();
+    let known = known.map(|number| LogPosition::new(1, number));
+    assert_eq!(choose_knowing(&members, 1, known), expected);
+}
+
+/// The old leader is `a`, of whose server a later life answers.
+#[rstest]
+#[case::and_is_empty(demoted(0))]
+#[case::and_has_received_from_another(demoted(9))]
+fn a_later_life_of_the_old_leader_has_not_its_log(#[case] response: Response) {
+    let members = [
+        ended("a"),
+        in_life("a@2", response),
+        surveyed("b", MemberState::Ready, paused(5)),
+        surveyed("c", MemberState::Ready, silent()),
+    ];
+    assert_eq!(choose_from(&members, 1), not_fenced("c"));
+}
+
+/// The old leader is `a`. The life of `c` that had received its commits has ended.
+#[rstest]
+#[case::and_the_other_lacks_some([silent(), paused(5)], Some(7), may_hold_more("c"))]
+#[case::and_the_other_has_all([silent(), paused(7)], Some(7), Ok("b".to_owned()))]
+#[case::and_the_leader_has_less([demoted(5), paused(5)], Some(7), may_hold_more("c"))]
+fn what_a_life_that_has_ended_may_have_held_is_asked_of_the_others(
+    #[case] responses: [Response; 2],
+    #[case] known: Option<u64>,
+    #[case] expected: Result<String, Obstacle>,
+) {
+    let [leader, other] = responses;
+    let members = [
+        surveyed("a", MemberState::Ready, leader),
+        surveyed("b", MemberState::Ready, other),
+        ended("c"),
+        in_life("c@2", paused(0)),
+    ];
+    let known = known.map(|number| LogPosition::new(1, number));
+    assert_eq!(choose_knowing(&members, 1, known), expected);
+}
--- /dev/null
+++ b/crates/engine/tests/restored_store.rs
@@ -0,0 +1,171 @@
+//! A store that comes back from a copy: what it has lost is written again, nothing that it gives
+//! out anew is taken for what it was, and no number is used twice.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::directory::{Departure, MemberState};
+use stilequay_engine::leadership::record::{TermPhase, TermRecord};
+use stilequay_engine::version::{era_of, number_of, version};
+use support::{Fleet, GROUP, LEADER_DATABASE, until};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Time within which a fleet has written again what it knows.
+const WRITTEN_AGAIN_WITHIN: Duration = Duration::from_secs(5);
+
+fn stored_term(fleet: &Fleet) -> Option<TermRecord> {
+    let record = fleet.records.get(&TermRecord::key(GROUP))?;
+    TermRecord::decode(&record.value).ok()
+}
+
+fn epoch(fleet: &Fleet, node: usize) -> u64 {
+    let group = fleet.nodes[node].engine.group(&Arc::from(GROUP));
+    group.view().epoch
+}
+
+async fn write(fleet: &Fleet) {
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    let written = async {
+        while client.write("x 1").await.outcome.is_err() {
+            sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let written = timeout(Duration::from_secs(20), written).await;
+    written.expect("a write is acknowledged");
+}
+
+/// Replaces the leader; returns once the next one is in use.
+async fn change_leader(fleet: &Fleet) {
+    let leader = fleet.world.leader();
+    let before = epoch(fleet, 0);
+    let leaving = MemberState::Leaving(Departure::at(Instant::now()));
+    fleet.world.change(&leader, |server| server.state = leaving);
+    let is_active = || {
+        let term = stored_term(fleet);
+        term.is_some_and(|term| term.epoch > before && term.phase == TermPhase::Active)
+    };
+    until(is_active).await;
+    fleet
+        .world
+        .change(&leader, |server| server.state = MemberState::Ready);
+    until(|| epoch(fleet, 0) > before).await;
+}
+
+#[test]
+fn a_version_of_a_later_era_is_newer() {
+    let (before, after) = (version(3, 900), version(4, 17));
+    assert!(before < after);
+    assert_eq!((era_of(after), number_of(after)), (4, 17));
+    assert_eq!(version(0, 17), 17);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_promotion_that_the_store_has_lost_is_recorded_again() {
+    let fleet = Fleet::start(3).await;
+    write(&fleet).await;
+    let copy = fleet.records.copy();
+    change_leader(&fleet).await;
+    let promoted = stored_term(&fleet).expect("a record");
+    fleet.records.restore(copy);
+    assert_eq!(stored_term(&fleet), None);
+    let began = Instant::now();
+    until(|| stored_term(&fleet).as_ref() == Some(&promoted)).await;
+    assert!(
+        began.elapsed() < WRITTEN_AGAIN_WITHIN,
+        "{:?}",
+        began.elapsed()
+    );
+    write(&fleet).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_later_step_than_the_store_shows_is_kept_and_recorded_again() {
+    let fleet = Fleet::start(3).await;
+    write(&fleet).await;
+    change_leader(&fleet).await;
+    let copy = fleet.records.copy();
+    change_leader(&fleet).await;
+    let promoted = stored_term(&fleet).expect("a record");
+    let known = epoch(&fleet, 1);
+    fleet.records.restore(copy);
+    until(|| stored_term(&fleet).as_ref() == Some(&promoted)).await;
+    assert!(epoch(&fleet, 1) >= known);
+}
+
+#[tokio::test(start_paused = true)]
+async fn neither_an_epoch_nor_a_fencing_number_is_given_out_twice() {
+    let fleet = Fleet::start(3).await;
+    write(&fleet).await;
+    let mut epochs = Vec::new();
+    for _ in 0..3 {
+        let copy = fleet.records.copy();
+        change_leader(&fleet).await;
+        epochs.push(stored_term(&fleet).expect("a record").epoch);
+        fleet.records.restore(copy);
+        sleep(WRITTEN_AGAIN_WITHIN).await;
+    }
+    change_leader(&fleet).await;
+    epochs.push(stored_term(&fleet).expect("a record").epoch);
+    assert!(epochs.is_sorted_by(|a, b| a < b), "{epochs:?}");
+    let orders = fleet.world.promotions();
+    let fencing: Vec<u64> = orders.iter().map(|order| order.fencing.0).collect();
+    assert!(fencing.is_sorted(), "{fencing:?}");
+    for pair in orders
+        .windows(2)
+        .filter(|pair| pair[0].holder != pair[1].holder)
+    {
+        assert_ne!(pair[0].fencing, pair[1].fencing);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn processes_whose_records_are_lost_write_them_again() {
+    let fleet = Fleet::start(3).await;
+    let copy = fleet.records.copy();
+    let late = fleet.spawn_node("node-9");
+    until(|| fleet.records.get("node/node-9").is_some()).await;
+    until(|| fleet.nodes[0].engine.processes() == 4).await;
+    fleet.records.restore(copy);
+    let began = Instant::now();
+    until(|| fleet.records.get("node/node-9").is_some()).await;
+    assert!(
+        began.elapsed() < WRITTEN_AGAIN_WITHIN,
+        "{:?}",
+        began.elapsed()
+    );
+    until(|| fleet.nodes[0].engine.processes() == 4).await;
+    drop(late);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_large_fleet_hears_of_what_was_lost() {
+    let fleet = Fleet::start(20).await;
+    write(&fleet).await;
+    let copy = fleet.records.copy();
+    change_leader(&fleet).await;
+    let promoted = stored_term(&fleet).expect("a record");
+    until(|| (0..20).all(|node| epoch(&fleet, node) == promoted.epoch)).await;
+    fleet.records.restore(copy);
+    until(|| stored_term(&fleet).as_ref() == Some(&promoted)).await;
+    sleep(WRITTEN_AGAIN_WITHIN).await;
+    let versions = (0..20).map(|node| fleet.nodes[node].engine.terms().version());
+    assert!(versions.clone().all(|version| era_of(version) == 1));
+    assert!((0..20).all(|node| epoch(&fleet, node) == promoted.epoch));
+    write(&fleet).await;
+}
+
+#[test]
+fn a_member_that_leaves_goes_on_leaving_whatever_a_copy_says() {
+    let world = support::servers::World::new(&["a", "b"]);
+    let now = Instant::now();
+    let departure = Departure::at(now);
+    let known = stilequay_engine::directory::Directory::default();
+    let known = known.replaced(version(1, 4), world.entries(), departure);
+    world.change("b", |server| server.state = MemberState::Leaving(departure));
+    let known = known.replaced(version(1, 5), world.entries(), departure);
+    world.change("b", |server| server.state = MemberState::Ready);
+    let restored = known.replaced(version(2, 4), world.entries(), departure);
+    let state = restored.member("b").expect("a member").state;
+    assert_eq!(state, MemberState::Leaving(departure));
+}
--- /dev/null
+++ b/crates/engine/tests/server_lives.rs
@@ -0,0 +1,161 @@
+//! Servers that start again under their names and hold nothing of before.
+
+mod support;
+
+use rstest::rstest;
+use std::sync::Arc;
+use std::time::Duration;
+use stilequay_engine::directory::{Departure, Directory, DirectoryChange, MemberState, Role};
+use stilequay_engine::names::{MemberId, are_lives_of_one, life_of, server_of};
+use support::history::History;
+use support::servers::World;
+use support::{BOUNDED_DATABASE, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, until};
+use tokio::time::{Instant, sleep};
+
+#[rstest]
+#[case::with_a_start("s-1", Some(17), "s-1@17")]
+#[case::without("s-1", None, "s-1")]
+#[case::like_one_with_a_start("s-1@17", None, "s-1@17@")]
+#[case::like_one_and_with_a_start("s-1@17", Some(4), "s-1@17@4")]
+fn a_life_names_its_server(#[case] server: &str, #[case] born: Option<u64>, #[case] life: &str) {
+    assert_eq!(&*life_of(server, born), life);
+    assert_eq!(server_of(life), server);
+}
+
+#[test]
+fn only_other_lives_of_the_same_server_are_told_apart() {
+    let id = |text: &str| MemberId::from(text);
+    assert!(are_lives_of_one(&id("s@1"), &id("s@2")));
+    assert!(are_lives_of_one(&id("s@2"), &id("s")));
+    assert!(!are_lives_of_one(&id("s@1"), &id("s@1")));
+    assert!(!are_lives_of_one(&id("s@1"), &id("t@2")));
+}
+
+fn known(world: &World) -> Directory {
+    Directory::default().replaced(1, world.entries(), Departure::at(Instant::now()))
+}
+
+#[test]
+fn a_life_ends_when_the_next_one_is_told() {
+    let world = World::new(&["a", "b"]);
+    world.change("a", |server| server.born = Some(1));
+    let before = known(&world);
+    let first = before.member("a@1").expect("a member").clone();
+    world.start_anew("a");
+    world.change("a", |server| server.role = Role::Primary);
+    let members = world.entries().into_iter();
+    let next = members.map(DirectoryChange::Present);
+    let ended = DirectoryChange::Gone {
+        id: first.id.clone(),
+        changed: 2,
+    };
+    let changes = next.chain([ended]).collect();
+    let after = before.updated(2, changes, Departure::at(Instant::now()));
+    assert!(!before.has_ended(&first));
+    assert!(after.has_ended(&first));
+    assert!(after.member("a@1").is_some_and(|member| member.is_gone()));
+    // It says that it leads, and is not taken for the leader that it was.
+    let acting = after.acting_member(GROUP, "a@1", Some(first.address));
+    assert_eq!(acting.map(|member| &*member.id), Some("a@1"));
+    assert_eq!(after.member("a@2").map(|m| m.role), Some(Role::Primary));
+}
+
+fn spawn_callers(fleet: &Fleet, history: &Arc<History>) {
+    for (index, node) in fleet.nodes.iter().enumerate() {
+        for (kind, database) in [LEADER_DATABASE, OWN_DATABASE, BOUNDED_DATABASE]
+            .iter()
+            .enumerate()
+        {
+            history.spawn_caller(&node.engine, database, index * 3 + kind);
+        }
+    }
+}
+
+/// Commits of callers go on after the fault, and none before it is lost or read too late.
+async fn play(processes: usize, fault: impl AsyncFn(&Fleet)) {
+    let fleet = Fleet::start(processes).await;
+    for name in ["a", "b", "c"] {
+        fleet.world.change(name, |server| server.born = Some(1));
+    }
+    sleep(Duration::from_millis(500)).await;
+    let history = Arc::new(History::default());
+    spawn_callers(&fleet, &history);
+    sleep(Duration::from_secs(2)).await;
+    fault(&fleet).await;
+    sleep(Duration::from_secs(4)).await;
+    let before = history.counts().0;
+    sleep(Duration::from_secs(4)).await;
+    assert!(history.counts().0 > before, "no write after the fault");
+    assert_eq!(history.violations(&fleet.world), Vec::<String>::new());
+}
+
+/// Crashes `server` and starts it again after `down`, with nothing of before.
+async fn start_anew(fleet: &Fleet, server: &str, down: Duration) {
+    fleet.world.crash(server);
+    sleep(down).await;
+    fleet.world.start_anew(server);
+}
+
+#[rstest]
+#[case::at_once(Duration::from_millis(10))]
+#[case::before_it_is_replaced(Duration::from_millis(300))]
+#[case::after_it_was_replaced(Duration::from_secs(3))]
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_starts_again_empty_loses_nothing(
+    #[case] down: Duration,
+    #[values(3, 20)] processes: usize,
+) {
+    play(processes, async |fleet| start_anew(fleet, "a", down).await).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_replica_that_starts_again_empty_is_not_promoted() {
+    play(3, async |fleet| {
+        start_anew(fleet, "b", Duration::from_millis(200)).await;
+        fleet.world.crash("a");
+        sleep(Duration::from_secs(3)).await;
+        fleet.world.restart("a");
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_server_that_starts_again_twice_is_its_last_life() {
+    play(3, async |fleet| {
+        start_anew(fleet, "a", Duration::from_millis(15)).await;
+        start_anew(fleet, "a", Duration::from_millis(15)).await;
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_starts_again_behind_a_cut_is_replaced() {
+    play(3, async |fleet| {
+        for node in &fleet.nodes {
+            fleet.network().cut(&node.name, "a");
+        }
+        start_anew(fleet, "a", Duration::from_secs(1)).await;
+        sleep(Duration::from_secs(2)).await;
+        fleet.network().heal();
+    })
+    .await;
+}
+
+/// Whoever connects to a life that has ended would reach the next one.
+#[tokio::test(start_paused = true)]
+async fn no_connection_is_opened_to_a_life_that_has_ended() {
+    let fleet = Fleet::start(1).await;
+    fleet.world.change("b", |server| server.born = Some(1));
+    let engine = &fleet.nodes[0].engine;
+    until(|| engine.directory().member("b@1").is_some()).await;
+    let life = Arc::clone(engine.directory().member("b@1").expect("a member"));
+    let pool = engine.pool(&life);
+    fleet.world.start_anew("b");
+    until(|| engine.directory().has_ended(&life)).await;
+    let order = pool.order(stilequay_engine::ports::Control::Status).await;
+    assert!(order.is_err(), "{order:?}");
+    assert!(matches!(
+        engine.directory().member("b@1").map(|member| member.state),
+        Some(MemberState::Gone(_))
+    ));
+}
--- a/crates/engine/tests/support/records.rs
+++ b/crates/engine/tests/support/records.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use stilequay_engine::ports::{PutOutcome, Record, RecordChanges, RecordStore, RecordStoreError};
+use stilequay_engine::version::{era_of, number_of, version};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
 
@@ -41,6 +42,13 @@
     whole_reads: u64,
 }
 
+/// What the store held at a moment.
+#[derive(Debug, Clone)]
+pub struct Copy {
+    rows: BTreeMap<String, Record>,
+    number: u64,
+}
+
 /// The store, shared by all processes.
 #[derive(Debug)]
 pub struct MemoryRecords {
@@ -106,6 +114,28 @@
         state.fault == Fault::None && !is_refused && !self.freezer.is_frozen(node)
     }
 
+    pub fn copy(&self) -> Copy {
+        let state = self.state.lock().unwrap();
+        Copy {
+            rows: state.rows.clone(),
+            number: number_of(state.version),
+        }
+    }
+
+    /// Goes back to a copy: what was written since is lost, and its versions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let mut state = self.state.lock().unwrap();
+        let era = era_of(state.version) + 1;
+        state.rows = copy.rows;
+        for row in state.rows.values_mut() {
+            row.version = version(era, number_of(row.version));
+        }
+        state.version = version(era, copy.number);
+        let newest = state.version;
+        drop(state);
+        self.changes.send_replace(newest);
+    }
+
     pub fn get(&self, key: &str) -> Option<Record> {
         self.state.lock().unwrap().rows.get(key).cloned()
     }
@@ -207,6 +237,9 @@
                 version,
             });
         }
+        if version > state.version || era_of(version) < era_of(state.version) {
+            return Err(RecordStoreError::HistoryGone);
+        }
         let written = state.rows.values().filter(|row| row.version > version);
         Ok(RecordChanges {
             written: written.cloned().collect(),
--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stilequay_engine::directory::{Member, Role};
-use stilequay_engine::names::TenantName;
+use stilequay_engine::names::{TenantName, server_of};
 use stilequay_engine::ports::{
     Answer, BackEnd, BackEndConnection, Command, ConnectError, Control, LinkError, MemberReport,
     Refusal, RefusalKind,
@@ -42,28 +42,31 @@
         tenant: Option<&TenantName>,
     ) -> Result<Box<dyn BackEndConnection>, ConnectError> {
         sleep(ROUND_TRIP).await;
-        let server = self.world.glimpse(&member.id);
-        if server.dark || !self.world.network.reaches(&self.node, &member.id) {
+        // Servers are called by their names only: the next life answers for the one before.
+        let name = server_of(&member.id);
+        let server = self.world.glimpse(name);
+        if server.dark || !self.world.network.reaches(&self.node, name) {
             pending::<()>().await;
         }
         if !server.running {
             return Err(ConnectError::Refused("connection refused".to_owned()));
         }
-        let accepts = self.world.lock()[&*member.id].accepts;
-        let open = self.world.open_connections(&member.id);
+        let accepts = self.world.lock()[name].accepts;
+        let open = self.world.open_connections(name);
         if server.full || accepts.is_some_and(|most| open >= most) {
             return Err(ConnectError::TooManyConnections);
         }
-        if enter(&self.world, &member.id).await.is_none() {
+        if enter(&self.world, name).await.is_none() {
             return Err(ConnectError::Busy);
         }
         let mut connections = self.world.connections.lock().unwrap();
-        *connections.entry(member.id.to_string()).or_default() += 1;
+        *connections.entry(name.to_owned()).or_default() += 1;
         drop(connections);
         Ok(Box::new(WorldConnection {
             world: Arc::clone(&self.world),
             node: self.node.clone(),
-            server: member.id.to_string(),
+            server: name.to_owned(),
+            life: server.born,
             tenant: tenant.cloned(),
             generation: self.world.generation.load(Ordering::Relaxed),
             transaction: None,
@@ -92,6 +95,7 @@
     world: Arc<World>,
     node: String,
     server: String,
+    life: Option<u64>,
     tenant: Option<TenantName>,
     generation: u64,
     transaction: Option<WorldTransaction>,
@@ -116,7 +120,7 @@
         if is_silent || server.dark || !self.world.network.reaches(&self.node, &self.server) {
             pending::<()>().await;
         }
-        if !server.running {
+        if !server.running || server.born != self.life {
             return Err(LinkError::Closed("the server is gone".to_owned()));
         }
         Ok(server)
@@ -263,7 +267,8 @@
     }
 
     fn is_open(&mut self) -> bool {
-        self.world.glimpse(&self.server).running
+        let server = self.world.glimpse(&self.server);
+        server.running && server.born == self.life
     }
 }
 
--- a/crates/engine/tests/support/servers/mod.rs
+++ b/crates/engine/tests/support/servers/mod.rs
@@ -28,6 +28,8 @@
     /// The terms of the log's entries, with the ids of the requests that wrote them.
     pub log: Vec<(u64, String)>,
     pub paused_for: u64,
+    /// Its life: the start that its entry tells, if it tells one.
+    pub born: Option<u64>,
     /// Process is there.
     pub running: bool,
     /// Says nothing to anybody.
@@ -78,6 +80,19 @@
         applied.max(self.shown).min(self.log.len())
     }
 
+    /// Starts it again under its name: it holds nothing of before, and knows of no lead.
+    pub fn start_anew(&mut self) {
+        self.born = Some(self.born.map_or(1, |born| born + 1));
+        self.role = Role::Replica;
+        self.term = 1;
+        self.log.clear();
+        self.received_at.clear();
+        self.shown = 0;
+        self.paused_for = 0;
+        self.running = true;
+        self.dark = false;
+    }
+
     /// Takes the lead away from it: its log stays, and so does what reads see of it.
     pub fn step_down(&mut self) {
         if self.role == Role::Primary {
@@ -94,6 +109,7 @@
     pub term: u64,
     pub paused_for: u64,
     pub position: LogPosition,
+    pub born: Option<u64>,
     pub running: bool,
     pub dark: bool,
     pub full: bool,
@@ -110,6 +126,7 @@
             term: server.term,
             paused_for: server.paused_for,
             position: server.position(),
+            born: server.born,
             running: server.running,
             dark: server.dark,
             full: server.full,
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 use stilequay_engine::directory::{Member, MemberState, Role};
-use stilequay_engine::names::TenantName;
+use stilequay_engine::names::{TenantName, life_of};
 use stilequay_engine::ports::PromotionOrder;
 use tokio::time::{Instant, sleep};
 
@@ -50,6 +50,7 @@
             term: 1,
             log: Vec::new(),
             paused_for: 0,
+            born: None,
             running: true,
             dark: false,
             deaf: false,
@@ -181,6 +182,11 @@
         });
     }
 
+    /// Back under its name after a crash, with nothing of before.
+    pub fn start_anew(&self, name: &str) {
+        self.change(name, Server::start_anew);
+    }
+
     fn newest_leader(&self) -> Option<(String, u64)> {
         let servers = self.lock();
         let leaders = servers.iter().filter(|(_, s)| s.role == Role::Primary);
@@ -213,7 +219,7 @@
         let listed = servers.iter().filter(|(name, _)| !hidden.contains(*name));
         listed
             .map(|(name, server)| Member {
-                id: Arc::from(name.as_str()),
+                id: life_of(name, server.born),
                 group: Arc::from(crate::support::GROUP),
                 address: address_of(name),
                 zone: Arc::from(format!("zone-{name}").as_str()),
