Start by way of the fleet's index in place of whole tables

Change: a process that starts reads one record that lists the followers, kept by whoever holds the lease for promotions, and asks these for the rest. A new fleet reads the records of its processes until it knows enough to ask. Strong machines follow the store, pauses after changes grow while changes go on, rosters of new groups are written once their members have joined, a refused record is written again later and later.

--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -15,6 +15,8 @@
 //! | the network is split | each side has what any of its processes knows |
 //! | a process holds the lease for promotions | it follows the store too |
 //! | the store is away | all ask it, less and less often |
+//! | a process starts | it reads the index of the fleet only, and asks those that are listed for all else |
+//! | a fleet starts for the first time | its processes read each other's records until they know enough to ask |
 //! | a process begins to follow the store | it goes on from the version that it was told, and reads whole tables only where the store has forgotten what came after it |
 //! | processes disagree on whom to ask | whoever is asked answers with what it knows, and how old that is |
 
@@ -24,6 +26,7 @@
 use crate::events::{DependencyMonitor, millis};
 use crate::home::placement::Source;
 use crate::leadership::duty::Duty;
+use crate::leadership::fleet;
 use crate::link::frame::{FeedVersions, FollowedVersions, News};
 use crate::peers::declared;
 use crate::ports::{Record, RecordChanges};
@@ -32,7 +35,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
 /// Processes that may follow the store themselves, each.
 const DIRECT_FLEET: usize = 16;
@@ -56,16 +59,18 @@
 const SETTLING: Duration = Duration::from_secs(3);
 /// Time without another process after which such a fleet counts as known.
 const SETTLED_AFTER: Duration = Duration::from_millis(400);
-/// Interval in which it is looked at.
-const SETTLING_LOOK: Duration = Duration::from_millis(20);
+/// Pause between two readings of its processes; a random part of as much is added.
+const SETTLING_PAUSE: Duration = Duration::from_millis(150);
+/// Interval in which a process that starts looks whether it has taken the fleet in.
+const TAKING_LOOK: Duration = Duration::from_millis(1);
 /// Pause after nobody told anything, and of a process that follows by itself.
 const PAUSE: Duration = Duration::from_millis(250);
-/// Pause after an answer with changes, before the store is asked for more, while the whole
-/// fleet may be starting: each change wakes every process that follows the store.
-const SETTLING_PAUSE: Duration = Duration::from_millis(250);
-/// The same in a large fleet that knows itself: changes that come close together are told by
-/// one call. Well below the time in which a change must be known.
+/// Pause after an answer with changes, in a large fleet, before more is asked for: changes that
+/// come close together are told at once.
 const FEED_PAUSE: Duration = Duration::from_millis(25);
+/// The same while changes go on and on, as thousands of entries do that are written at a start:
+/// each answer wakes whoever asks here. Well below the time in which a change must be known.
+const LONGEST_FEED_PAUSE: Duration = Duration::from_millis(250);
 
 /// Time over which processes turn to the store that others don't ask, when nobody tells them
 /// anything recent: hundreds would begin in one moment, and most find one that was quicker.
@@ -102,6 +107,8 @@
     version: u64,
     /// Whether the store has failed to answer lately.
     failing: bool,
+    /// When the answer before came that brought changes, and the pause after it.
+    changed: Option<(Instant, Duration)>,
 }
 
 impl FeedState {
@@ -146,24 +153,23 @@
 impl Following {
     /// Whether this process follows the store itself.
     pub fn is_direct(&self) -> bool {
-        *self.mode.borrow() != Mode::Indirect
+        *self.mode.borrow() == Mode::Direct
     }
 
-    /// Returns once this process is to follow the store itself; whether it had to wait, so
-    /// that what it knew of the store before is old. What is `known` already may wait a
-    /// moment after the start, until the fleet is known too.
-    pub async fn until_direct(&self, known: bool) -> bool {
+    /// Returns once this process is to follow the store itself; whether it has learned from
+    /// others before, so that it goes on from what they have told.
+    pub async fn until_direct(&self) -> bool {
         let mut mode = self.mode.subscribe();
-        // The sender lives as long as this does.
-        if known {
-            let settled = mode.wait_for(|mode| *mode != Mode::Settling);
-            let _ = timeout_at(self.began + SETTLING, settled).await;
-        }
-        if self.is_direct() {
-            return false;
+        let mut has_learned = false;
+        loop {
+            match *mode.borrow_and_update() {
+                Mode::Direct => return has_learned,
+                Mode::Indirect => has_learned = true,
+                Mode::Settling => {}
+            }
+            // The sender lives as long as this does.
+            let _ = mode.changed().await;
         }
-        let _ = mode.wait_for(|mode| *mode != Mode::Indirect).await;
-        true
     }
 
     /// Notes that the store has told everything that `feed` holds as of `at`, and as of its
@@ -238,16 +244,18 @@
         }
     }
 
-    /// How long to wait after an answer with changes, in a fleet of `processes`, before the
-    /// store is asked for more.
-    pub fn pause_after_changes(&self, processes: usize) -> Duration {
-        if *self.mode.borrow() == Mode::Settling {
-            SETTLING_PAUSE
-        } else if processes <= DIRECT_FLEET {
-            Duration::ZERO
-        } else {
-            FEED_PAUSE
+    /// How long to wait after an answer with changes of `feed`, which came `now`, in a fleet of
+    /// `processes`, before more is asked for: longer while one comes right after the other.
+    pub fn pause_after_changes(&self, feed: Feed, processes: usize, now: Instant) -> Duration {
+        if processes <= DIRECT_FLEET {
+            return Duration::ZERO;
         }
+        let state = &mut self.lock()[feed as usize];
+        let before = state.changed.filter(|(at, pause)| now < *at + *pause * 2);
+        let pause = before.map_or(FEED_PAUSE, |(_, pause)| pause * 2);
+        let pause = pause.min(LONGEST_FEED_PAUSE);
+        state.changed = Some((now, pause));
+        pause
     }
 
     fn set_mode(&self, mode: Mode) {
@@ -299,22 +307,40 @@
     }
 }
 
-/// Returns once the fleet is known. Where an earlier life has left the records of a large
-/// one, it is at once.
+/// Returns once the fleet is known, or so much of it that others are asked. Until then only its
+/// index is read, or where there is none the records of its processes: whole tables, read by
+/// hundreds that start in one moment, are more than the store can send.
 async fn settle(engine: &Engine) {
-    engine.terms().until_read().await;
     let until = engine.following().began + SETTLING;
     let (mut known, mut since) = (0, Instant::now());
-    sleep(SETTLING_LOOK).await;
-    if follows_others(engine) {
-        return;
-    }
-    while since.elapsed() < SETTLED_AFTER && Instant::now() < until {
+    let mut is_restart = None;
+    loop {
+        // A failure is told by the tasks that follow the store from here on.
+        if let Ok(true) = engine.terms().read_index().await {
+            until_taken(engine).await;
+        } else if engine.terms().read_processes().await.is_ok() {
+            is_restart.get_or_insert_with(|| fleet::is_registered(engine));
+            until_taken(engine).await;
+        }
+        if follows_others(engine) || is_restart == Some(true) {
+            return;
+        }
         let processes = engine.homes().fleet_len();
         if processes != known {
             (known, since) = (processes, Instant::now());
         }
-        sleep(SETTLING_LOOK).await;
+        if since.elapsed() >= SETTLED_AFTER || Instant::now() >= until {
+            return;
+        }
+        sleep(SETTLING_PAUSE.mul_f64(1.0 + rand::random::<f64>())).await;
+    }
+}
+
+/// Returns once the processes that were read count as the fleet.
+async fn until_taken(engine: &Engine) {
+    let read = fleet::count(engine);
+    while engine.processes() < read {
+        sleep(TAKING_LOOK).await;
     }
 }
 
@@ -342,9 +368,15 @@
     search: &mut Search,
 ) -> Result<(), String> {
     let following = engine.following();
+    let known = known_versions(engine);
     let learned = search.ask_sources(engine, peers).await;
     if learned.is_ok() {
         following.set_mode(Mode::Indirect);
+        if known != known_versions(engine) {
+            let processes = engine.processes();
+            let now = Instant::now();
+            sleep(following.pause_after_changes(Feed::Directory, processes, now)).await;
+        }
         return learned;
     }
     if engine.homes().is_follower(&engine.settings().zone) {
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -45,6 +45,8 @@
 const ROOTS: usize = 2;
 /// What they are ranked for.
 const ROOT_TASK: &[u8] = b"root";
+/// Share of the cores of a zone's strongest machine from which on another one counts as strong.
+const STRONG_SHARE: f64 = 0.5;
 /// Least weight of a process: one that tells less, or nothing that makes sense, has this.
 const LEAST_WEIGHT: f64 = 0.01;
 
@@ -145,10 +147,17 @@
     close.chain(far).take(HOMES).cloned().collect()
 }
 
-/// The processes of `zone` among `fleet` that follow the store.
+/// The processes of `zone` among `fleet` that follow the store: strong ones, since they tell all
+/// others of the zone. What a follower sends grows with the zone; a machine with an eighth of the
+/// cores of others can be given an eighth of their work, but not an eighth of this.
 fn rank_followers(fleet: &[Peer], zone: &str) -> Vec<Peer> {
-    let inside = fleet.iter().filter(|peer| &*peer.zone == zone);
-    first_of(inside, b"follower", FOLLOWERS).cloned().collect()
+    let inside = || fleet.iter().filter(|peer| &*peer.zone == zone);
+    let greatest = inside().map(|peer| peer.weight).fold(0.0, f64::max);
+    let (strong, weak): (Vec<&Peer>, Vec<&Peer>) =
+        inside().partition(|peer| peer.weight >= greatest * STRONG_SHARE);
+    let strong = first_of(strong.into_iter(), b"follower", FOLLOWERS);
+    let weak = first_of(weak.into_iter(), b"follower", FOLLOWERS);
+    strong.chain(weak).take(FOLLOWERS).cloned().collect()
 }
 
 /// The candidates for `member` among `fleet`, the homes first, where no regions are known.
@@ -226,6 +235,8 @@
 #[derive(Debug, Default)]
 struct Ranking {
     fleet: Vec<Peer>,
+    /// How many there are, known or not.
+    processes: usize,
     candidates: HashMap<MemberId, Arc<[Peer]>>,
     keepers: HashMap<(usize, Option<RegionName>), Arc<[Peer]>>,
     followers: HashMap<ZoneName, Arc<[Peer]>>,
@@ -340,9 +351,11 @@
         }
     }
 
-    /// Takes the processes of the fleet, this one included.
-    pub fn set_fleet(&self, fleet: Vec<Peer>) {
+    /// Takes the processes of the fleet, this one included, of which there are `processes`:
+    /// more than are known, for a process that has just started.
+    pub fn set_fleet(&self, fleet: Vec<Peer>, processes: usize) {
         let mut ranking = self.lock();
+        ranking.processes = processes;
         if ranking.fleet != fleet {
             ranking.candidates.clear();
             ranking.keepers.clear();
@@ -359,9 +372,15 @@
         self.lock().fleet.clone()
     }
 
-    /// How many processes of the fleet are known, this one included.
+    /// How many processes the fleet has, as far as is known, this one included.
     pub fn fleet_len(&self) -> usize {
-        self.lock().fleet.len()
+        let ranking = self.lock();
+        ranking.fleet.len().max(ranking.processes)
+    }
+
+    /// The processes that learn what the store holds first in their zones, of all zones.
+    pub fn all_followers(&self) -> Vec<Peer> {
+        self.lock().all_followers()
     }
 
     /// Where a process of `zone` learns what the store holds.
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -3,6 +3,7 @@
 //! A member accepts a bounded number of connections from all processes together; the
 //! share of each follows from their number.
 
+use super::fleet_index::{self, FleetIndex};
 use crate::engine::Engine;
 use crate::home::placement::{LEAST_SHARE, Peer, RESERVED};
 use crate::names::{NodeName, ZoneName};
@@ -15,21 +16,24 @@
 use tokio::time::{Instant, sleep, timeout};
 
 /// Prefix of the keys of these records.
-const KEY_PREFIX: &str = "node/";
+pub(super) const KEY_PREFIX: &str = "node/";
 /// Interval in which a process renews its record.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(120);
 /// Time after which a process whose record was not renewed no longer counts.
 const RECORD_LIFE: Duration = Duration::from_secs(400);
 /// Weight of a process that does not tell how many cores it may use.
 const DEFAULT_WEIGHT: f64 = 1.0;
-/// Pause after a failed write.
+/// Pause after a failed write; longer after each one that follows, up to [`MAX_DOUBLINGS`] times:
+/// a fleet that starts writes more records at once than the store takes in a second.
 const RETRY_PAUSE: Duration = Duration::from_millis(700);
+/// How often that pause doubles at the most.
+const MAX_DOUBLINGS: u32 = 2;
 /// Greatest number: more than one process needs would only wait in the member's queue.
 const GREATEST_SHARE: usize = 6;
 
 /// What a process tells of itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-struct NodeRecord {
+pub(super) struct NodeRecord {
     /// Where it answers other processes.
     address: Option<SocketAddr>,
     /// Its zone.
@@ -81,6 +85,26 @@
         }
     }
 
+    /// What is known of `peer`.
+    pub(super) fn of_peer(peer: &Peer) -> Self {
+        Self {
+            address: Some(peer.address),
+            zone: Some(peer.zone.clone()),
+            weight: Some(peer.weight),
+            nonce: 0,
+        }
+    }
+
+    /// The process called `node`; `None` where it answers nobody.
+    pub(super) fn peer(&self, node: NodeName) -> Option<Peer> {
+        Some(Peer {
+            node,
+            address: self.address?,
+            zone: self.zone.clone()?,
+            weight: self.weight.unwrap_or(DEFAULT_WEIGHT),
+        })
+    }
+
     /// Whether both tell the same.
     fn is_same(&self, other: &Self) -> bool {
         let nonce = other.nonce;
@@ -94,7 +118,7 @@
 /// Keeps this process's record. One that an earlier life has written and that still holds
 /// is left for a while: where a whole fleet starts anew, nobody has to write.
 pub async fn register(engine: &Engine) {
-    engine.terms().until_read().await;
+    engine.terms().until_own_known().await;
     let key = format!("{KEY_PREFIX}{}", engine.settings().node);
     if let Some(known) = own_record(engine, &key)
         && let Ok(earlier) = rmp_serde::from_slice::<NodeRecord>(&known.value)
@@ -103,6 +127,7 @@
         let pause = RENEWAL_INTERVAL.mul_f64(0.5 + rand::random::<f64>() / 2.0);
         until_due(engine, &key, pause).await;
     }
+    let mut failures = 0;
     loop {
         let version = own_record(engine, &key).map_or(0, |known| known.version);
         // Texts and numbers only: encoding can't fail.
@@ -116,9 +141,14 @@
                     value,
                     version,
                 });
+                failures = 0;
                 until_due(engine, &key, RENEWAL_INTERVAL).await;
             }
-            _ => sleep(RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())).await,
+            _ => {
+                let pause = RETRY_PAUSE * 2_u32.pow(failures.min(MAX_DOUBLINGS));
+                failures += 1;
+                sleep(pause.mul_f64(0.5 + rand::random::<f64>())).await;
+            }
         }
     }
 }
@@ -133,6 +163,18 @@
     }
 }
 
+/// How many processes the fleet has, by its index or the records that are known.
+pub fn count(engine: &Engine) -> usize {
+    let others = engine.terms().subscribe_others();
+    let records = others.borrow();
+    let nodes = records.keys().filter(|key| key.starts_with(KEY_PREFIX));
+    let index = records.get(fleet_index::KEY).and_then(FleetIndex::decode);
+    match nodes.count() {
+        0 => index.map_or(0, |index| index.processes),
+        known => known,
+    }
+}
+
 /// Whether an earlier life of this process, or this one, has written its record.
 pub fn is_registered(engine: &Engine) -> bool {
     let key = format!("{KEY_PREFIX}{}", engine.settings().node);
@@ -158,8 +200,19 @@
     let mut seen = HashMap::new();
     loop {
         note_processes(&records.borrow_and_update(), &mut seen, Instant::now());
-        engine.homes().set_fleet(home_peers(engine, &seen));
-        engine.set_processes(seen.len().max(1));
+        let index = match seen.is_empty() {
+            true => records
+                .borrow()
+                .get(fleet_index::KEY)
+                .and_then(FleetIndex::decode),
+            false => None,
+        };
+        let (peers, processes) = match index {
+            Some(index) => (index.peers().collect(), index.processes),
+            None => (peers_of(&seen), seen.len()),
+        };
+        engine.homes().set_fleet(with_own(engine, peers), processes);
+        engine.set_processes(processes.max(1));
         if records.changed().await.is_err() {
             return;
         }
@@ -167,20 +220,25 @@
 }
 
 /// The processes that can be homes, this one included, in an order that is always the same.
-fn home_peers(engine: &Engine, seen: &HashMap<String, SeenProcess>) -> Vec<Peer> {
+fn with_own(engine: &Engine, peers: Vec<Peer>) -> Vec<Peer> {
     let own = engine.settings().peer_address.map(|address| Peer {
         node: engine.settings().node.clone(),
         address,
         zone: engine.settings().zone.clone(),
         weight: engine.settings().weight,
     });
-    let others = seen.values().filter_map(|process| process.peer.clone());
+    let others = peers.into_iter();
     let others = others.filter(|peer| peer.node != engine.settings().node);
     let mut peers: Vec<Peer> = others.chain(own).collect();
     peers.sort_by(|left, right| left.node.cmp(&right.node));
     peers
 }
 
+fn peers_of(seen: &HashMap<String, SeenProcess>) -> Vec<Peer> {
+    let peers = seen.values().filter_map(|process| process.peer.clone());
+    peers.collect()
+}
+
 /// Takes note of the processes whose record has changed lately, and forgets the others.
 fn note_processes(
     records: &HashMap<String, Record>,
@@ -207,10 +265,5 @@
 fn read_peer(record: &Record) -> Option<Peer> {
     let node = NodeName::from(record.key.strip_prefix(KEY_PREFIX)?);
     let read: NodeRecord = rmp_serde::from_slice(&record.value).ok()?;
-    Some(Peer {
-        node,
-        address: read.address?,
-        zone: read.zone?,
-        weight: read.weight.unwrap_or(DEFAULT_WEIGHT),
-    })
+    read.peer(node)
 }
--- /dev/null
+++ b/crates/engine/src/leadership/fleet_index.rs
@@ -0,0 +1,85 @@
+//! The index of a large fleet: whom a process that starts is to ask for all else.
+//!
+//! Reading the records of all processes costs each that starts more than everything else that it
+//! asks the store; after a loss of all power hundreds would read them in one moment. So whoever
+//! holds the lease for promotions keeps one record with the few that follow the store and tell
+//! the others. A process that starts reads only that, and learns of the rest from these.
+
+use super::duty::Duty;
+use super::fleet::NodeRecord;
+use crate::engine::Engine;
+use crate::following;
+use crate::home::placement::Peer;
+use crate::names::NodeName;
+use crate::ports::Record;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The key of the record.
+pub(super) const KEY: &str = "fleet";
+/// Interval in which the holder of the lease compares the record with the fleet. A process that
+/// starts meanwhile asks those that were listed before, and any of them will do.
+const COMPARE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What a process that starts is told of the fleet.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub(super) struct FleetIndex {
+    /// Processes that the fleet has.
+    pub processes: usize,
+    /// Those that others ask.
+    followers: Vec<(NodeName, NodeRecord)>,
+}
+
+impl FleetIndex {
+    fn of(engine: &Engine) -> Self {
+        let mut followers = engine.homes().all_followers();
+        followers.sort_by(|left, right| left.node.cmp(&right.node));
+        let followers = followers.iter();
+        Self {
+            processes: engine.processes(),
+            followers: followers
+                .map(|peer| (peer.node.clone(), NodeRecord::of_peer(peer)))
+                .collect(),
+        }
+    }
+
+    /// Reads the record, if it is one.
+    pub fn decode(record: &Record) -> Option<Self> {
+        let decoded = rmp_serde::from_slice(&record.value);
+        decoded
+            .inspect_err(|error| log::error!("record {}: {error}", record.key))
+            .ok()
+    }
+
+    /// Those that others ask.
+    pub fn peers(&self) -> impl Iterator<Item = Peer> + '_ {
+        let peers = self.followers.iter();
+        peers.filter_map(|(node, record)| record.peer(node.clone()))
+    }
+}
+
+/// Keeps the record while this process holds the lease for promotions.
+pub async fn keep(engine: &Engine, duty: &Duty) {
+    loop {
+        sleep(COMPARE_INTERVAL).await;
+        if duty.check().is_none() || !following::follows_others(engine) {
+            continue;
+        }
+        let others = engine.terms().subscribe_others();
+        let known = others.borrow().get(KEY).cloned();
+        let current = FleetIndex::of(engine);
+        if known.as_ref().and_then(FleetIndex::decode).as_ref() == Some(&current) {
+            continue;
+        }
+        // Texts and numbers only: encoding can't fail.
+        let value: Bytes = rmp_serde::to_vec_named(&current).unwrap_or_default().into();
+        let put = engine
+            .terms()
+            .put_other(KEY.to_owned(), known.as_ref(), value);
+        if let Err(error) = put.await {
+            log::warn!("the index of the fleet was not written: {error}");
+        }
+    }
+}
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -1,5 +1,7 @@
 //! Follows the records of leaderships, and reads them when evidence is needed.
 
+use super::fleet;
+use super::fleet_index;
 use super::record::{TermPhase, TermRecord};
 use super::roster;
 use crate::directory::{Directory, Role};
@@ -45,6 +47,8 @@
     reading: AsyncMutex<()>,
     known: Mutex<HashMap<GroupName, VersionedTerm>>,
     has_read: tokio::sync::watch::Sender<bool>,
+    /// Whether it is known which record this process has.
+    knows_own: tokio::sync::watch::Sender<bool>,
     others: tokio::sync::watch::Sender<HashMap<String, Record>>,
     version: tokio::sync::watch::Sender<StoreVersion>,
     /// Groups whose record the store has lost, or shows as it was before.
@@ -59,6 +63,7 @@
             reading: AsyncMutex::new(()),
             known: Mutex::default(),
             has_read: tokio::sync::watch::Sender::new(false),
+            knows_own: tokio::sync::watch::Sender::new(false),
             others: tokio::sync::watch::Sender::new(HashMap::new()),
             version: tokio::sync::watch::Sender::new(0),
             lost: tokio::sync::watch::Sender::new(BTreeSet::new()),
@@ -111,13 +116,52 @@
         Ok(())
     }
 
+    /// Reads the index of the fleet, and no other records; returns whether there is one.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordStoreError`] where the store gave no answer.
+    pub async fn read_index(&self) -> Result<bool, RecordStoreError> {
+        let key = fleet_index::KEY;
+        let read = self.records.read_between(key, key).await?;
+        let found = !read.written.is_empty();
+        self.note_others(read.written);
+        Ok(found)
+    }
+
+    /// Reads the records of the processes of the fleet, and no others.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordStoreError`] where the store gave no answer.
+    pub async fn read_processes(&self) -> Result<(), RecordStoreError> {
+        let read = self.records.read(fleet::KEY_PREFIX).await?;
+        self.note_others(read.written);
+        self.knows_own.send_replace(true);
+        Ok(())
+    }
+
+    fn note_others(&self, records: Vec<Record>) {
+        let records = records.into_iter();
+        self.others.send_modify(|others| {
+            others.extend(records.map(|record| (record.key.clone(), record)));
+        });
+    }
+
+    /// Resolves once it is known whether this process has a record.
+    pub async fn until_own_known(&self) {
+        let mut knows_own = self.knows_own.subscribe();
+        // The sender lives as long as this does.
+        let _ = knows_own.wait_for(|known| *known).await;
+    }
+
     /// Follows the records until the process ends.
     pub async fn follow(&self, engine: &Engine) {
         let mut version = None;
         let mut failures = 0;
         let mut dependency = DependencyMonitor::new("term_records");
         loop {
-            let turned = engine.following().until_direct(false).await;
+            let turned = engine.following().until_direct().await;
             if turned {
                 version = engine.following().resume_from(Feed::Records);
                 version = version.filter(|_| self.has_read());
@@ -136,7 +180,7 @@
                     dependency.note(engine.events(), None);
                     let whole = version.is_none();
                     self.apply(engine, &changes, whole.then_some(begun));
-                    self.has_read.send_replace(true);
+                    self.note_read();
                     if whole {
                         self.forget_lost(era_of(changes.version));
                         let groups = engine.directory().groups();
@@ -148,7 +192,9 @@
                     let following = engine.following();
                     following.heard(Feed::Records, Instant::now(), changes.version);
                     if !changes.written.is_empty() {
-                        sleep(following.pause_after_changes(engine.processes())).await;
+                        let now = Instant::now();
+                        let processes = engine.processes();
+                        sleep(following.pause_after_changes(Feed::Records, processes, now)).await;
                     }
                 }
                 Err(RecordStoreError::HistoryGone) => version = None,
@@ -204,6 +250,10 @@
             self.forget_lost(era);
         }
         self.advance(changes.version);
+        // Whoever knows nothing is told everything: groups without a record were never promoted.
+        if changes.version > 0 && !self.note_read() {
+            self.directory_changed(engine);
+        }
     }
 
     /// Forgets what the store has lost: what was not seen in `era`, of which everything is
@@ -319,6 +369,12 @@
         *self.has_read.borrow()
     }
 
+    /// Notes that all records are known; returns whether they were.
+    fn note_read(&self) -> bool {
+        self.knows_own.send_replace(true);
+        self.has_read.send_replace(true)
+    }
+
     /// Resolves once the records were read in whole.
     pub async fn until_read(&self) {
         let mut has_read = self.has_read.subscribe();
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -11,6 +11,7 @@
 pub mod duty;
 pub mod evacuating;
 pub mod fleet;
+mod fleet_index;
 pub mod follower;
 pub mod freshness;
 pub(crate) mod lease_records;
@@ -54,6 +55,7 @@
         rewriting::rewrite_lost(&engine),
         roster::keep(&engine, &duty),
         fleet::follow(&engine),
+        fleet_index::keep(&engine, &duty),
         following::follow(&engine, &duty),
         follow_directory(&engine),
         end_lapses(&engine),
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -14,6 +14,7 @@
 use crate::ports::{Record, RecordStoreError};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
@@ -22,6 +23,9 @@
 const KEY_PREFIX: &str = "roster/";
 /// Interval in which the holder of the lease compares the records with the entries.
 const COMPARE_INTERVAL: Duration = Duration::from_millis(150);
+/// Time without a further member after which a group that has no record is complete: servers of
+/// one group start together.
+const JOINING: Duration = Duration::from_secs(1);
 /// Pause after a failed write.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
 
@@ -67,34 +71,71 @@
     }
 }
 
+/// Groups without a record, and since when their members are what they are.
+type NewGroups = HashMap<GroupName, (Roster, Instant)>;
+
 /// Keeps the records while this process holds the lease.
 pub async fn keep(engine: &Engine, duty: &Duty) {
+    let mut new_groups = NewGroups::new();
+    let mut compared = None;
     loop {
         sleep(COMPARE_INTERVAL).await;
         if duty.check().is_none() {
             continue;
         }
+        let versions = (engine.directory().version, engine.terms().version());
+        if compared == Some(versions) {
+            continue;
+        }
+        let mut is_done = true;
         for group in engine.configured_groups() {
-            if keep_one(engine, &group).await.is_err() {
-                sleep(RETRY_PAUSE).await;
+            match keep_one(engine, &group, &mut new_groups).await {
+                Ok(is_kept) => is_done &= is_kept,
+                Err(error) => {
+                    is_done = false;
+                    log::warn!("the members of {group} were not recorded: {error}");
+                    sleep(RETRY_PAUSE).await;
+                }
             }
         }
+        compared = is_done.then_some(versions);
     }
 }
 
-/// Writes the record of `group` where it differs. What another process has written
-/// meanwhile is seen at the next comparison.
-async fn keep_one(engine: &Engine, group: &GroupName) -> Result<(), RecordStoreError> {
+/// Writes the record of `group` where it differs; returns whether it is kept now. What another
+/// process has written meanwhile is seen at the next comparison.
+async fn keep_one(
+    engine: &Engine,
+    group: &GroupName,
+    new_groups: &mut NewGroups,
+) -> Result<bool, RecordStoreError> {
     let key = Roster::key(group);
     let others = engine.terms().subscribe_others();
     let known = others.borrow().get(&key).cloned();
     let current = Roster::of(engine, group);
     if known.as_ref().and_then(Roster::decode).as_ref() == Some(&current) {
-        return Ok(());
+        return Ok(true);
+    }
+    if known.is_none() && is_joining(group, &current, new_groups) {
+        return Ok(false);
     }
     // Texts and numbers only: encoding can't fail.
     let value: Bytes = rmp_serde::to_vec_named(&current).unwrap_or_default().into();
-    engine.terms().put_other(key, known.as_ref(), value).await
+    engine.terms().put_other(key, known.as_ref(), value).await?;
+    new_groups.remove(group);
+    Ok(true)
+}
+
+/// Whether the members of a group without a record still join it: its servers have just started,
+/// and each of them would cost a further record.
+fn is_joining(group: &GroupName, current: &Roster, new_groups: &mut NewGroups) -> bool {
+    let now = Instant::now();
+    let first = (Roster::default(), now);
+    let (members, since) = new_groups.entry(group.clone()).or_insert(first);
+    if members != current {
+        (*members, *since) = (current.clone(), now);
+    }
+    now.duration_since(*since) < JOINING
 }
 
 /// Takes a record that was read or has changed, if it is a roster: its members are known
--- /dev/null
+++ b/crates/engine/tests/fleet_start.rs
@@ -0,0 +1,113 @@
+//! What a start costs the store: of a fleet that is new, of one that starts again, and of single
+//! processes.
+
+mod support;
+
+use std::time::Duration;
+use stilequay_engine::home::placement::Source;
+use support::{Client, Fleet, Node, OWN_DATABASE, until};
+use tokio::time::{Instant, sleep, timeout};
+
+/// Processes of the fleet, in five zones.
+const PROCESSES: usize = 100;
+const ZONES: &[&str] = &["zone-a", "zone-b", "zone-c", "zone-d", "zone-e"];
+/// Processes that may read whole tables: the first two of all, the holder of the lease, and two of
+/// each zone while the fleet is not known.
+const READERS: u64 = 13;
+/// Calls of the store for each process in a start: of its index and records, and the writing of
+/// its own, with room for one that is done again.
+const CALLS: u64 = 6;
+/// Time from a start of all until each process serves.
+const SERVING_WITHIN: Duration = Duration::from_secs(4);
+
+fn knows_fleet(node: &Node) -> bool {
+    node.engine.processes() == PROCESSES && node.engine.terms().has_read()
+}
+
+async fn until_known(fleet: &Fleet) {
+    until(|| fleet.nodes.iter().all(knows_fleet)).await;
+}
+
+/// The calls and the whole readings since `before`.
+fn cost(fleet: &Fleet, before: (u64, u64)) -> (u64, u64) {
+    let records = &fleet.records;
+    (records.calls() - before.0, records.whole_reads() - before.1)
+}
+
+async fn until_all_serve(fleet: &Fleet) {
+    for node in &fleet.nodes {
+        let serving = async {
+            let mut client = Client::open(&node.engine, OWN_DATABASE);
+            while client.write("x 1").await.outcome.is_err() {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(Duration::from_secs(30), serving)
+            .await
+            .expect("it serves");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_new_fleet_reads_whole_tables_at_a_few_processes_only() {
+    let fleet = Fleet::start_in(ZONES, PROCESSES).await;
+    until_known(&fleet).await;
+    let (calls, whole) = cost(&fleet, (0, 0));
+    assert!(whole <= READERS, "{whole}");
+    assert!(calls <= CALLS * PROCESSES as u64, "{calls}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_fleet_that_starts_again_asks_the_few_that_its_index_lists() {
+    let mut fleet = Fleet::start_in(ZONES, PROCESSES).await;
+    until_known(&fleet).await;
+    until(|| fleet.records.get("fleet").is_some()).await;
+    // The index lists the followers of the whole fleet.
+    sleep(Duration::from_secs(3)).await;
+    (0..PROCESSES).for_each(|node| fleet.kill(node));
+    let before = (fleet.records.calls(), fleet.records.whole_reads());
+    let began = Instant::now();
+    let names: Vec<String> = fleet.nodes.iter().map(|node| node.name.clone()).collect();
+    for (index, name) in names.iter().enumerate() {
+        fleet.nodes[index] = fleet.respawn_node(name);
+    }
+    until_known(&fleet).await;
+    let (calls, whole) = cost(&fleet, before);
+    assert!(whole <= READERS, "{whole}");
+    assert!(calls <= 3 * PROCESSES as u64, "{calls}");
+    until_all_serve(&fleet).await;
+    assert!(began.elapsed() < SERVING_WITHIN, "{:?}", began.elapsed());
+}
+
+/// Those that the index lists have all gone for good.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_finds_nobody_of_the_index_goes_to_the_store() {
+    let mut fleet = Fleet::start_in(ZONES, PROCESSES).await;
+    until_known(&fleet).await;
+    sleep(Duration::from_secs(3)).await;
+    (0..PROCESSES).for_each(|node| fleet.kill(node));
+    let late = fleet.spawn_node("node-104");
+    let began = Instant::now();
+    until(|| late.engine.terms().has_read()).await;
+    assert!(began.elapsed() < SERVING_WITHIN, "{:?}", began.elapsed());
+    assert!(late.engine.processes() > 16);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_single_process_that_starts_costs_the_store_two_calls() {
+    let mut fleet = Fleet::start_in(ZONES, PROCESSES).await;
+    until_known(&fleet).await;
+    sleep(Duration::from_secs(3)).await;
+    let is_bystander = |node: &Node| {
+        let zone = &node.engine.settings().zone;
+        let homes = node.engine.homes();
+        homes.source(zone) != Source::Store && !homes.is_follower(zone)
+    };
+    let node = fleet.nodes.iter().rposition(is_bystander).expect("one");
+    let name = fleet.nodes[node].name.clone();
+    let whole = fleet.records.whole_reads();
+    fleet.kill(node);
+    fleet.nodes[node] = fleet.respawn_node(&name);
+    until(|| knows_fleet(&fleet.nodes[node])).await;
+    assert_eq!(fleet.records.whole_reads(), whole);
+}
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -8,9 +8,12 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use stilequay_coordination::lease::LeaseRecord;
 use stilequay_engine::directory::{Departure, Directory, Member};
 use stilequay_engine::engine::{Engine, StopPhase};
-use stilequay_engine::home::placement::{CANDIDATES, Capacity, HOMES, Peer, block_of, rank};
+use stilequay_engine::home::placement::{
+    CANDIDATES, Capacity, HOMES, Peer, Source, block_of, rank,
+};
 use stilequay_engine::names::GroupName;
 use stilequay_engine::pool::MemberPool;
 use stilequay_engine::ports::{PutOutcome, RecordStore};
@@ -31,6 +34,37 @@
     large_fleet_in(&["zone-a"]).await
 }
 
+/// The process that holds the lease for promotions.
+fn holder_of(fleet: &Fleet) -> String {
+    let record = fleet.records.get("lease/promotion").expect("a lease");
+    let lease: LeaseRecord = rmp_serde::from_slice(&record.value).expect("a lease record");
+    lease.holder.to_string()
+}
+
+/// The processes that follow the store, once these are the first two of all and whoever holds the
+/// lease for promotions, and no others.
+async fn until_few_follow(fleet: &Fleet) -> Vec<usize> {
+    let is_direct = |node: &Node| node.engine.following().is_direct();
+    let is_to = |node: &Node| {
+        let zone = &node.engine.settings().zone;
+        let holds = holder_of(fleet) == node.name;
+        (node.engine.homes().source(zone) == Source::Store, holds)
+    };
+    until(|| {
+        fleet.nodes.iter().all(|node| match is_to(node) {
+            (true, _) => is_direct(node),
+            (false, true) => true,
+            (false, false) => !is_direct(node),
+        })
+    })
+    .await;
+    let roots = fleet.nodes.iter().filter(|node| is_to(node).0);
+    assert_eq!(roots.count(), 2);
+    let nodes = fleet.nodes.iter().enumerate();
+    let direct = nodes.filter(|(_, node)| is_direct(node));
+    direct.map(|(index, _)| index).collect()
+}
+
 /// A large fleet whose processes stand in `zones` in turn.
 async fn large_fleet_in(zones: &'static [&'static str]) -> Fleet {
     let fleet = Fleet::start_in(zones, LARGE).await;
@@ -449,8 +483,7 @@
         let direct = nodes.filter(|(_, node)| node.engine.following().is_direct());
         direct.map(|(index, _)| index).collect()
     };
-    until(|| direct(&fleet).len() == 2).await;
-    let followers = direct(&fleet);
+    let followers = until_few_follow(&fleet).await;
     let mut newer = configuration(1);
     newer.version = 7;
     for node in &followers {
@@ -497,8 +530,7 @@
 async fn a_follower_that_the_store_turns_away_is_not_followed() {
     let fleet = large_fleet().await;
     let is_direct = |node: usize| fleet.nodes[node].engine.following().is_direct();
-    until(|| (0..LARGE).filter(|node| is_direct(*node)).count() == 2).await;
-    let followers: Vec<usize> = (0..LARGE).filter(|node| is_direct(*node)).collect();
+    let followers = until_few_follow(&fleet).await;
     for node in &followers {
         let name = &fleet.nodes[*node].name;
         fleet.records.refuse_node(name, true);
@@ -602,9 +634,7 @@
 async fn a_process_that_goes_back_to_the_store_goes_on_from_what_it_knows() {
     let mut fleet = large_fleet().await;
     let is_direct = |fleet: &Fleet, node: usize| fleet.nodes[node].engine.following().is_direct();
-    until(|| (0..LARGE).filter(|node| is_direct(&fleet, *node)).count() == 2).await;
-    let followers = (0..LARGE).filter(|node| is_direct(&fleet, *node));
-    let followers: Vec<usize> = followers.collect();
+    let followers = until_few_follow(&fleet).await;
     let before = fleet.records.whole_reads();
     followers.iter().for_each(|node| fleet.kill(*node));
     let others = (0..LARGE).filter(|node| !followers.contains(node));
