Try a link that has said nothing for long before it is given a request

Cause: the first request after a pause found out by itself that the process on the other side of a link was lost: after 336 ms it was refused as if all connections were taken.

--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -10,11 +10,12 @@
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::fmt;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::lease::LeaseRecord;
 use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// How long other links are preferred to one whose far end knows too little; doubled each time
 /// that it still does.
@@ -29,6 +30,9 @@
 pub const SUSPECT_AFTER: Duration = Duration::from_millis(200);
 /// Silence after a ping that ends the link.
 const LOST_AFTER: Duration = Duration::from_secs(3);
+/// Time without a word after which a link is tried before a request is given to it: the other
+/// side may be lost, and the request would be the one to find out.
+const DOUBTED_AFTER: Duration = Duration::from_secs(2);
 /// How long a link is kept that nothing is asked on.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
 
@@ -46,6 +50,8 @@
     next: u64,
     waiters: HashMap<ExchangeId, Waiter>,
     heard: Instant,
+    /// When the last word came; `heard` may count from a question.
+    last_word: Instant,
     pinged: Option<Instant>,
     used: Instant,
     /// Whether the other links were told that this one has gone silent.
@@ -64,6 +70,8 @@
     state: Mutex<LinkState>,
     /// Wakes the task that looks after the link.
     asked: Notify,
+    /// Wakes those that wait for a word.
+    spoke: Notify,
     /// What is done once it has gone silent.
     on_silence: OnSilence,
 }
@@ -87,6 +95,7 @@
                 next: 1,
                 waiters: HashMap::new(),
                 heard: now,
+                last_word: now,
                 pinged: None,
                 used: now,
                 told: false,
@@ -96,6 +105,7 @@
                 closed: false,
             }),
             asked: Notify::new(),
+            spoke: Notify::new(),
             on_silence,
         });
         let reading = Arc::clone(&opened);
@@ -161,6 +171,18 @@
         self.send(&ToHome::Ping);
     }
 
+    /// Whether the other side has said something lately, or says something by `until`.
+    pub(super) async fn is_confirmed(&self, until: Instant) -> bool {
+        let began = Instant::now();
+        if began < self.lock().last_word + DOUBTED_AFTER {
+            return true;
+        }
+        let mut spoke = pin!(self.spoke.notified());
+        spoke.as_mut().enable();
+        self.ping();
+        timeout_at(until, spoke).await.is_ok()
+    }
+
     /// Whether what was begun here may go on here.
     pub fn is_open(&self) -> bool {
         !self.lock().closed
@@ -307,6 +329,8 @@
     fn take(&self, frame: FromHome) {
         let mut state = self.lock();
         state.heard = Instant::now();
+        state.last_word = state.heard;
+        self.spoke.notify_waiters();
         state.pinged = None;
         state.told = false;
         match frame {
--- a/crates/engine/src/link/links.rs
+++ b/crates/engine/src/link/links.rs
@@ -120,7 +120,11 @@
             let mut opening = false;
             for address in addresses {
                 match self.look_at(*address) {
-                    Place::Open(link) if link.is_usable() && is_wanted(&link) => return Some(link),
+                    Place::Open(link) if link.is_usable() && is_wanted(&link) => {
+                        if link.is_confirmed(until).await {
+                            return Some(link);
+                        }
+                    }
                     Place::Opening => opening = true,
                     Place::Open(_) | Place::Failed { .. } => {}
                 }
