Keep a leader that answers while its entry is away, for a time

Change: a leader whose entry has gone is asked first, and kept while it answers as leader for three quarters of the time for which members that leave are used.

--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -314,11 +314,17 @@
     let until = engine.following().began + SETTLING;
     let (mut known, mut since) = (0, Instant::now());
     let mut is_restart = None;
+    let mut has_index = None;
     loop {
         // A failure is told by the tasks that follow the store from here on.
-        if let Ok(true) = engine.terms().read_index().await {
+        if has_index.is_none() {
+            has_index = engine.terms().read_index().await.ok();
+        }
+        if has_index == Some(true) {
             until_taken(engine).await;
-        } else if engine.terms().read_processes().await.is_ok() {
+            return;
+        }
+        if has_index.is_some() && engine.terms().read_processes().await.is_ok() {
             is_restart.get_or_insert_with(|| fleet::is_registered(engine));
             until_taken(engine).await;
         }
--- a/crates/engine/src/leadership/suspicion.rs
+++ b/crates/engine/src/leadership/suspicion.rs
@@ -21,6 +21,10 @@
 const COMMIT_STALL: Duration = Duration::from_millis(450);
 /// How long an entry may be away before its member is replaced as leader.
 const GONE_GRACE: Duration = Duration::from_millis(2_600);
+/// How much longer one that answers as leader is kept, as a share of the time for which members
+/// that leave are still used. Entries also go because the store takes too few of them, hundreds in
+/// one moment, and come back; a leader that has really left serves on for longer than this.
+const ANSWERING_SHARE: f64 = 0.75;
 /// Longest wait for the answer to one question.
 const QUESTION_TIMEOUT: Duration = Duration::from_millis(220);
 /// Pause between two questions.
@@ -105,15 +109,28 @@
     let hinted = hint(engine, group, member, Instant::now());
     let hint = hinted.or(asked_to.then_some(Suspicion::Unreachable))?;
     match hint {
-        Suspicion::Leaving
-        | Suspicion::EntryGone
-        | Suspicion::NotLeading
-        | Suspicion::ZoneEvacuated => Some(hint),
+        Suspicion::Leaving | Suspicion::NotLeading | Suspicion::ZoneEvacuated => Some(hint),
+        Suspicion::EntryGone => verify_gone(engine, member).await,
         Suspicion::Unreachable => verify_reachable(engine, group, member, asked_to).await,
         Suspicion::CommitsStalled => verify_replication(engine, group, member).await,
     }
 }
 
+/// Whether a leader whose entry has gone is to be replaced: not while it answers as one, for a time.
+async fn verify_gone(engine: &Engine, leader: &Arc<Member>) -> Option<Suspicion> {
+    let MemberState::Gone(gone) = leader.state else {
+        return Some(Suspicion::EntryGone);
+    };
+    let patience = engine.settings().leaving_use.mul_f64(ANSWERING_SHARE);
+    if gone.may_be_older_than(patience, Instant::now()) {
+        return Some(Suspicion::EntryGone);
+    }
+    match ask(engine, leader).await {
+        Response::Report(report) if report.role == Role::Primary => None,
+        _ => Some(Suspicion::EntryGone),
+    }
+}
+
 async fn verify_reachable(
     engine: &Engine,
     group: &Group,
--- a/crates/engine/tests/leadership.rs
+++ b/crates/engine/tests/leadership.rs
@@ -421,3 +421,28 @@
     let leased = access::leased_leader(&engine, &group, Duration::ZERO, until).await;
     assert!(leased.is_some());
 }
+
+/// Entries may go away because the store takes too few of them, and come back: a leader that
+/// answers as one is kept meanwhile, and replaced in time if it has really left.
+#[rstest]
+#[case::and_comes_back(true)]
+#[case::and_stays_away(false)]
+#[tokio::test(start_paused = true)]
+async fn a_leader_that_answers_is_kept_while_its_entry_is_away(#[case] comes_back: bool) {
+    let fleet = Fleet::start(3).await;
+    write(&fleet, 1).await;
+    keep_writing(&fleet);
+    let hide = || fleet.world.hidden.lock().unwrap().insert("a".to_owned());
+    hide();
+    sleep(Duration::from_millis(2_850)).await;
+    assert_eq!(epoch(&fleet, 0), 0);
+    if comes_back {
+        fleet.world.hidden.lock().unwrap().remove("a");
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(epoch(&fleet, 0), 0);
+    } else {
+        // While it is still used: nobody is without a leader.
+        sleep(Duration::from_millis(1_000)).await;
+        assert!(epoch(&fleet, 0) > 0);
+    }
+}
