--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -147,9 +147,8 @@
     close.chain(far).take(HOMES).cloned().collect()
 }
 
-/// The processes of `zone` among `fleet` that follow the store: strong ones, since they tell all
-/// others of the zone. What a follower sends grows with the zone; a machine with an eighth of the
-/// cores of others can be given an eighth of their work, but not an eighth of this.
+/// The processes of `zone` among `fleet` that follow the store: strong ones, since each tells half
+/// of the zone whatever its cores are. Other work for the fleet can be dealt by cores.
 fn rank_followers(fleet: &[Peer], zone: &str) -> Vec<Peer> {
     let inside = || fleet.iter().filter(|peer| &*peer.zone == zone);
     let greatest = inside().map(|peer| peer.weight).fold(0.0, f64::max);
