Have fleets of tests start as the program does

a_database_without_a_route_gets_no_session failed in the suite, and in 12 of 15 repeats: since a process learns who it is to ask before it follows the store, it has no proof of its configuration for some tenths of a second, and refuses an unknown database for the time being. The program has no configuration either until then; the stand-in sets one beforehand. It waits for the proof now.

--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -193,6 +193,13 @@
         let nodes = fleet.nodes.iter().collect::<Vec<_>>();
         until(|| nodes.iter().all(|node| knows_leader(node))).await;
         until(|| fleet.records.get("lease/promotion").is_some()).await;
+        // The program serves nobody before it has learned the configuration from the store or
+        // from another process; here it is set beforehand.
+        let is_proven = |node: &Node| {
+            let proof = node.engine.following().configuration_complete_as_of();
+            proof.is_some()
+        };
+        until(|| fleet.nodes.iter().all(is_proven)).await;
         fleet
     }
 
