Let one piece serve where the last changes wrote a second

Cause: reading the change once more. In tests, callers of all databases, a write until one is acknowledged, the epoch and the lease were written again.

No bound, check or expectation is changed.

--- a/crates/engine/src/directory.rs
+++ b/crates/engine/src/directory.rs
@@ -274,11 +274,7 @@
         };
         let restored = era_of(version) > era_of(self.version);
         for member in present {
-            let member = match restored {
-                true => self.keep_leaving(member),
-                false => member,
-            };
-            next.insert(self.dated(self.keep_since(member), version));
+            next.insert(self.dated(self.keep_since(member, restored), version));
         }
         for (id, member) in &self.members {
             if !next.members.contains_key(id) {
@@ -299,7 +295,7 @@
         for change in changes {
             match change {
                 DirectoryChange::Present(member) => {
-                    next.insert(self.dated(self.keep_since(member), version));
+                    next.insert(self.dated(self.keep_since(member, false), version));
                 }
                 DirectoryChange::Gone { id, changed } => {
                     if let Some(member) = self.members.get(&id) {
@@ -316,7 +312,7 @@
     pub fn merged(&self, version: u64, changed: Vec<Member>, now: Instant) -> Self {
         let mut next = self.clone();
         for member in changed {
-            next.insert(self.keep_since(member));
+            next.insert(self.keep_since(member, false));
         }
         next.version = next.version.max(version);
         next.forget_long_gone(now);
@@ -362,27 +358,19 @@
         past.iter().for_each(|id| self.forget(id));
     }
 
-    /// A member that was leaving already has been so since then.
-    fn keep_since(&self, mut member: Member) -> Member {
+    /// A member that was leaving already has been so since then: where the store was `restored`
+    /// from a copy, whatever that says.
+    fn keep_since(&self, mut member: Member, restored: bool) -> Member {
         let before = self.members.get(&member.id).map(|known| known.state);
-        if let (MemberState::Leaving(_), Some(known @ MemberState::Leaving(_))) =
-            (member.state, before)
+        let leaves = matches!(member.state, MemberState::Leaving(_));
+        if let Some(known @ MemberState::Leaving(_)) = before
+            && (leaves || restored)
         {
             member.state = known;
         }
         member
     }
 
-    /// A member that was leaving is leaving still, whatever a copy of the store says that was
-    /// made before.
-    fn keep_leaving(&self, mut member: Member) -> Member {
-        let before = self.members.get(&member.id).map(|known| known.state);
-        if let Some(known @ MemberState::Leaving(_)) = before {
-            member.state = known;
-        }
-        member
-    }
-
     /// Whether another server's entry stands for the address of `member`.
     fn is_replaced(&self, member: &Member) -> bool {
         let mut others = self.members.values();
--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -244,12 +244,9 @@
         }
     }
 
-    /// How long to wait after an answer with changes of `feed`, which came `now`, in a fleet of
-    /// `processes`, before more is asked for: longer while one comes right after the other.
-    pub fn pause_after_changes(&self, feed: Feed, processes: usize, now: Instant) -> Duration {
-        if processes <= DIRECT_FLEET {
-            return Duration::ZERO;
-        }
+    /// How long to wait after an answer with changes of `feed`, which was taken `now`: longer while
+    /// one comes right after the other.
+    fn lengthen_pause(&self, feed: Feed, now: Instant) -> Duration {
         let state = &mut self.lock()[feed as usize];
         let before = state.changed.filter(|(at, pause)| now < *at + *pause * 2);
         let pause = before.map_or(FEED_PAUSE, |(_, pause)| pause * 2);
@@ -379,9 +376,7 @@
     if learned.is_ok() {
         following.set_mode(Mode::Indirect);
         if known != known_versions(engine) {
-            let processes = engine.processes();
-            let now = Instant::now();
-            sleep(following.pause_after_changes(Feed::Directory, processes, now)).await;
+            pause_after_changes(engine, Feed::Directory).await;
         }
         return learned;
     }
@@ -410,6 +405,13 @@
     engine.following().is_failing() || !is_recent(engine, Instant::now())
 }
 
+/// Waits after an answer with changes of `feed`, in a large fleet, before more is asked for.
+pub async fn pause_after_changes(engine: &Engine, feed: Feed) {
+    if engine.processes() > DIRECT_FLEET {
+        sleep(engine.following().lengthen_pause(feed, Instant::now())).await;
+    }
+}
+
 /// How long to wait before the store is asked again after it has failed `failures` times in
 /// a row. In a large fleet the wait grows: what is refused costs the store too.
 pub fn retry_pause(engine: &Engine, failures: u32) -> Duration {
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -9,6 +9,7 @@
 use crate::residency::{Allowed, Residency};
 use crate::topology::Topology;
 use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -104,7 +105,7 @@
 }
 
 /// A process of the fleet.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
     /// Its name.
     pub node: NodeName,
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -3,12 +3,11 @@
 //! A member accepts a bounded number of connections from all processes together; the
 //! share of each follows from their number.
 
-use super::fleet_index::{self, FleetIndex};
+use super::fleet_index::FleetIndex;
 use crate::engine::Engine;
 use crate::home::placement::{LEAST_SHARE, Peer, RESERVED};
 use crate::names::{NodeName, ZoneName};
 use crate::ports::{PutOutcome, Record};
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -33,7 +32,7 @@
 
 /// What a process tells of itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub(super) struct NodeRecord {
+struct NodeRecord {
     /// Where it answers other processes.
     address: Option<SocketAddr>,
     /// Its zone.
@@ -85,26 +84,6 @@
         }
     }
 
-    /// What is known of `peer`.
-    pub(super) fn of_peer(peer: &Peer) -> Self {
-        Self {
-            address: Some(peer.address),
-            zone: Some(peer.zone.clone()),
-            weight: Some(peer.weight),
-            nonce: 0,
-        }
-    }
-
-    /// The process called `node`; `None` where it answers nobody.
-    pub(super) fn peer(&self, node: NodeName) -> Option<Peer> {
-        Some(Peer {
-            node,
-            address: self.address?,
-            zone: self.zone.clone()?,
-            weight: self.weight.unwrap_or(DEFAULT_WEIGHT),
-        })
-    }
-
     /// Whether both tell the same.
     fn is_same(&self, other: &Self) -> bool {
         let nonce = other.nonce;
@@ -129,18 +108,14 @@
     }
     let mut failures = 0;
     loop {
-        let version = own_record(engine, &key).map_or(0, |known| known.version);
+        let known = own_record(engine, &key);
         // Texts and numbers only: encoding can't fail.
         let value = rmp_serde::to_vec_named(&NodeRecord::of(engine)).unwrap_or_default();
-        let value = Bytes::from(value);
-        let put = engine.terms().store().put_if(&key, version, value.clone());
+        let put = engine
+            .terms()
+            .put_other(key.clone(), known.as_ref(), value.into());
         match put.await {
-            Ok(PutOutcome::Stored(version)) => {
-                engine.terms().note_other(Record {
-                    key: key.clone(),
-                    value,
-                    version,
-                });
+            Ok(PutOutcome::Stored(_)) => {
                 failures = 0;
                 until_due(engine, &key, RENEWAL_INTERVAL).await;
             }
@@ -168,9 +143,8 @@
     let others = engine.terms().subscribe_others();
     let records = others.borrow();
     let nodes = records.keys().filter(|key| key.starts_with(KEY_PREFIX));
-    let index = records.get(fleet_index::KEY).and_then(FleetIndex::decode);
     match nodes.count() {
-        0 => index.map_or(0, |index| index.processes),
+        0 => FleetIndex::among(&records).map_or(0, |index| index.processes),
         known => known,
     }
 }
@@ -201,14 +175,11 @@
     loop {
         note_processes(&records.borrow_and_update(), &mut seen, Instant::now());
         let index = match seen.is_empty() {
-            true => records
-                .borrow()
-                .get(fleet_index::KEY)
-                .and_then(FleetIndex::decode),
+            true => FleetIndex::among(&records.borrow()),
             false => None,
         };
         let (peers, processes) = match index {
-            Some(index) => (index.peers().collect(), index.processes),
+            Some(index) => (index.followers, index.processes),
             None => (peers_of(&seen), seen.len()),
         };
         engine.homes().set_fleet(with_own(engine, peers), processes);
@@ -265,5 +236,10 @@
 fn read_peer(record: &Record) -> Option<Peer> {
     let node = NodeName::from(record.key.strip_prefix(KEY_PREFIX)?);
     let read: NodeRecord = rmp_serde::from_slice(&record.value).ok()?;
-    read.peer(node)
+    Some(Peer {
+        node,
+        address: read.address?,
+        zone: read.zone?,
+        weight: read.weight.unwrap_or(DEFAULT_WEIGHT),
+    })
 }
--- a/crates/engine/src/leadership/fleet_index.rs
+++ b/crates/engine/src/leadership/fleet_index.rs
@@ -6,14 +6,13 @@
 //! the others. A process that starts reads only that, and learns of the rest from these.
 
 use super::duty::Duty;
-use super::fleet::NodeRecord;
 use crate::engine::Engine;
 use crate::following;
 use crate::home::placement::Peer;
-use crate::names::NodeName;
 use crate::ports::Record;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::sleep;
 
@@ -29,35 +28,30 @@
     /// Processes that the fleet has.
     pub processes: usize,
     /// Those that others ask.
-    followers: Vec<(NodeName, NodeRecord)>,
+    pub followers: Vec<Peer>,
 }
 
 impl FleetIndex {
     fn of(engine: &Engine) -> Self {
         let mut followers = engine.homes().all_followers();
         followers.sort_by(|left, right| left.node.cmp(&right.node));
-        let followers = followers.iter();
         Self {
             processes: engine.processes(),
-            followers: followers
-                .map(|peer| (peer.node.clone(), NodeRecord::of_peer(peer)))
-                .collect(),
+            followers,
         }
     }
 
-    /// Reads the record, if it is one.
-    pub fn decode(record: &Record) -> Option<Self> {
+    /// The index among `records`, if there is one.
+    pub fn among(records: &HashMap<String, Record>) -> Option<Self> {
+        Self::decode(records.get(KEY)?)
+    }
+
+    fn decode(record: &Record) -> Option<Self> {
         let decoded = rmp_serde::from_slice(&record.value);
         decoded
             .inspect_err(|error| log::error!("record {}: {error}", record.key))
             .ok()
     }
-
-    /// Those that others ask.
-    pub fn peers(&self) -> impl Iterator<Item = Peer> + '_ {
-        let peers = self.followers.iter();
-        peers.filter_map(|(node, record)| record.peer(node.clone()))
-    }
 }
 
 /// Keeps the record while this process holds the lease for promotions.
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -189,12 +189,12 @@
                     version = Some(changes.version);
                     self.advance(changes.version);
                     engine.slow_starts().prove_records(begun);
-                    let following = engine.following();
-                    following.heard(Feed::Records, Instant::now(), changes.version);
+                    let now = Instant::now();
+                    engine
+                        .following()
+                        .heard(Feed::Records, now, changes.version);
                     if !changes.written.is_empty() {
-                        let now = Instant::now();
-                        let processes = engine.processes();
-                        sleep(following.pause_after_changes(Feed::Records, processes, now)).await;
+                        following::pause_after_changes(engine, Feed::Records).await;
                     }
                 }
                 Err(RecordStoreError::HistoryGone) => version = None,
@@ -299,13 +299,6 @@
         }
     }
 
-    /// Takes a record other than a leadership's that this process has just written.
-    pub fn note_other(&self, record: Record) {
-        self.others.send_modify(|others| {
-            others.insert(record.key.clone(), record);
-        });
-    }
-
     /// Writes `value` in place of `known`, a record other than a leadership's, and notes it. One
     /// that another process has written meanwhile is left.
     ///
@@ -317,17 +310,18 @@
         key: String,
         known: Option<&Record>,
         value: Bytes,
-    ) -> Result<(), RecordStoreError> {
-        let version = known.map_or(0, |known| known.version);
-        let put = self.records.put_if(&key, version, value.clone());
-        if let PutOutcome::Stored(version) = put.await? {
-            self.note_other(Record {
+    ) -> Result<PutOutcome, RecordStoreError> {
+        let expected = known.map_or(0, |known| known.version);
+        let put = self.records.put_if(&key, expected, value.clone());
+        let outcome = put.await?;
+        if let PutOutcome::Stored(version) = outcome {
+            self.note_others(vec![Record {
                 key,
                 value,
                 version,
-            });
+            }]);
         }
-        Ok(())
+        Ok(outcome)
     }
 
     /// Takes a changed directory: a leader may have come back under another name.
--- a/crates/engine/src/slow_start/allot.rs
+++ b/crates/engine/src/slow_start/allot.rs
@@ -209,7 +209,8 @@
     forget_left(engine, &mut next);
     // Texts and numbers only: encoding can't fail.
     let value: bytes::Bytes = rmp_serde::to_vec_named(&next).unwrap_or_default().into();
-    engine.terms().put_other(key, known.as_ref(), value).await
+    let put = engine.terms().put_other(key, known.as_ref(), value);
+    put.await.map(drop)
 }
 
 /// Drops members that have left, if there are many.
--- a/crates/engine/tests/fleet_start.rs
+++ b/crates/engine/tests/fleet_start.rs
@@ -5,8 +5,8 @@
 
 use std::time::Duration;
 use stilequay_engine::home::placement::Source;
-use support::{Client, Fleet, Node, OWN_DATABASE, until};
-use tokio::time::{Instant, sleep, timeout};
+use support::{Fleet, Node, OWN_DATABASE, until};
+use tokio::time::{Instant, sleep};
 
 /// Processes of the fleet, in five zones.
 const PROCESSES: usize = 100;
@@ -35,16 +35,11 @@
 }
 
 async fn until_all_serve(fleet: &Fleet) {
-    for node in &fleet.nodes {
-        let serving = async {
-            let mut client = Client::open(&node.engine, OWN_DATABASE);
-            while client.write("x 1").await.outcome.is_err() {
-                sleep(Duration::from_millis(20)).await;
-            }
-        };
-        timeout(Duration::from_secs(30), serving)
-            .await
-            .expect("it serves");
+    for node in 0..PROCESSES {
+        let mut client = fleet.session(node, OWN_DATABASE);
+        client
+            .write_until_acknowledged(Duration::from_secs(30))
+            .await;
     }
 }
 
--- a/crates/engine/tests/following.rs
+++ b/crates/engine/tests/following.rs
@@ -89,18 +89,13 @@
             let engine = &fleet.nodes[*place].engine;
             engine.homes().is_follower(&engine.settings().zone)
         };
-        let holder = fleet.records.get("lease/promotion").expect("a lease");
-        let holder = String::from_utf8_lossy(&holder.value).into_owned();
-        let holds = |node: &&Node| {
-            let rest = holder.split(node.name.as_str()).nth(1);
-            rest.is_some_and(|rest| !rest.starts_with(|sign: char| sign.is_ascii_digit()))
-        };
-        let holder = fleet.nodes.iter().find(holds).expect("the holder");
-        let holder_place = fleet.nodes.iter().position(|node| node.name == holder.name);
+        let lease = fleet.lease();
+        let mut nodes = fleet.nodes.iter();
+        let holder = nodes.position(|node| node.name == lease.holder.as_str());
         Self {
             roots: all.clone().filter(is_root).collect(),
             followers: all.filter(is_follower).collect(),
-            holder: holder_place.expect("a place"),
+            holder: holder.expect("the holder"),
         }
     }
 
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -8,7 +8,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_coordination::lease::LeaseRecord;
 use stilequay_engine::directory::{Departure, Directory, Member};
 use stilequay_engine::engine::{Engine, StopPhase};
 use stilequay_engine::home::placement::{
@@ -34,20 +33,13 @@
     large_fleet_in(&["zone-a"]).await
 }
 
-/// The process that holds the lease for promotions.
-fn holder_of(fleet: &Fleet) -> String {
-    let record = fleet.records.get("lease/promotion").expect("a lease");
-    let lease: LeaseRecord = rmp_serde::from_slice(&record.value).expect("a lease record");
-    lease.holder.to_string()
-}
-
 /// The processes that follow the store, once these are the first two of all and whoever holds the
 /// lease for promotions, and no others.
 async fn until_few_follow(fleet: &Fleet) -> Vec<usize> {
     let is_direct = |node: &Node| node.engine.following().is_direct();
     let is_to = |node: &Node| {
         let zone = &node.engine.settings().zone;
-        let holds = holder_of(fleet) == node.name;
+        let holds = fleet.lease().holder.as_str() == node.name;
         (node.engine.homes().source(zone) == Source::Store, holds)
     };
     until(|| {
--- a/crates/engine/tests/leader_change.rs
+++ b/crates/engine/tests/leader_change.rs
@@ -4,7 +4,6 @@
 
 use rstest::rstest;
 use std::time::Duration;
-use stilequay_coordination::lease::LeaseRecord;
 use stilequay_engine::engine::StopPhase;
 use support::Fleet;
 use tokio::time::{Instant, sleep};
@@ -27,14 +26,8 @@
     fleet
 }
 
-/// The lease for promotions as the store has it.
-fn lease(fleet: &Fleet) -> LeaseRecord {
-    let record = fleet.records.get("lease/promotion").expect("a lease");
-    rmp_serde::from_slice(&record.value).expect("a lease's record")
-}
-
 fn holder(fleet: &Fleet) -> usize {
-    let lease = lease(fleet);
+    let lease = fleet.lease();
     let mut nodes = fleet.nodes.iter();
     let holder = nodes.position(|node| node.name == lease.holder.as_str());
     holder.expect("a process of the fleet")
@@ -44,7 +37,7 @@
 async fn until_another_holds(fleet: &Fleet, before: usize) -> Duration {
     let began = Instant::now();
     let name = fleet.nodes[before].name.clone();
-    while lease(fleet).holder.as_str() == name {
+    while fleet.lease().holder.as_str() == name {
         assert!(began.elapsed() < Duration::from_secs(10), "nobody took it");
         sleep(Duration::from_millis(1)).await;
     }
--- a/crates/engine/tests/leadership.rs
+++ b/crates/engine/tests/leadership.rs
@@ -13,7 +13,7 @@
 use stilequay_engine::verdict::{FailureReason, Verdict};
 use support::records::Fault;
 use support::{Client, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, seen, until};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Longest time in which a lost leader is replaced, on the paused clock.
 const REPLACED_WITHIN: Duration = Duration::from_millis(2_500);
@@ -31,16 +31,12 @@
     }
 }
 
-/// Writes until one is acknowledged, as a caller that comes back does.
+/// Writes at one process until one is acknowledged.
 async fn write_until_acknowledged(fleet: &Fleet, node: usize) {
     let mut client = fleet.session(node, LEADER_DATABASE);
-    let written = async {
-        while client.write("x 1").await.outcome.is_err() {
-            sleep(Duration::from_millis(50)).await;
-        }
-    };
-    let written = timeout(Duration::from_secs(30), written).await;
-    written.expect("a write is acknowledged");
+    client
+        .write_until_acknowledged(Duration::from_secs(30))
+        .await;
 }
 
 async fn write(fleet: &Fleet, count: usize) {
@@ -50,14 +46,6 @@
     }
 }
 
-fn epoch(fleet: &Fleet, node: usize) -> u64 {
-    fleet.nodes[node]
-        .engine
-        .group(&Arc::from(GROUP))
-        .view()
-        .epoch
-}
-
 fn crash(fleet: &Fleet) {
     fleet.world.crash("a");
 }
@@ -95,7 +83,7 @@
     fault(&fleet);
     let began = Instant::now();
     keep_writing(&fleet);
-    until(|| epoch(&fleet, 0) > 0).await;
+    until(|| fleet.epoch(0) > 0).await;
     let writers = (0..3).map(|node| write_until_acknowledged(&fleet, node));
     futures::future::join_all(writers).await;
     assert!(began.elapsed() < REPLACED_WITHIN, "{:?}", began.elapsed());
@@ -355,7 +343,7 @@
     write_until_acknowledged(&fleet, 0).await;
     fleet.records.refuse_node("node-2", false);
     write_until_acknowledged(&fleet, 2).await;
-    assert_eq!(epoch(&fleet, 2), epoch(&fleet, 0));
+    assert_eq!(fleet.epoch(2), fleet.epoch(0));
 }
 
 /// All processes end while the leader and a replica are away and their entries have gone:
@@ -435,14 +423,14 @@
     let hide = || fleet.world.hidden.lock().unwrap().insert("a".to_owned());
     hide();
     sleep(Duration::from_millis(2_850)).await;
-    assert_eq!(epoch(&fleet, 0), 0);
+    assert_eq!(fleet.epoch(0), 0);
     if comes_back {
         fleet.world.hidden.lock().unwrap().remove("a");
         sleep(Duration::from_secs(4)).await;
-        assert_eq!(epoch(&fleet, 0), 0);
+        assert_eq!(fleet.epoch(0), 0);
     } else {
         // While it is still used: nobody is without a leader.
         sleep(Duration::from_millis(1_000)).await;
-        assert!(epoch(&fleet, 0) > 0);
+        assert!(fleet.epoch(0) > 0);
     }
 }
--- a/crates/engine/tests/restored_store.rs
+++ b/crates/engine/tests/restored_store.rs
@@ -3,13 +3,12 @@
 
 mod support;
 
-use std::sync::Arc;
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, MemberState};
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::version::{era_of, number_of, version};
 use support::{Fleet, GROUP, LEADER_DATABASE, until};
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Time within which a fleet has written again what it knows.
 const WRITTEN_AGAIN_WITHIN: Duration = Duration::from_secs(5);
@@ -19,26 +18,17 @@
     TermRecord::decode(&record.value).ok()
 }
 
-fn epoch(fleet: &Fleet, node: usize) -> u64 {
-    let group = fleet.nodes[node].engine.group(&Arc::from(GROUP));
-    group.view().epoch
-}
-
 async fn write(fleet: &Fleet) {
     let mut client = fleet.session(0, LEADER_DATABASE);
-    let written = async {
-        while client.write("x 1").await.outcome.is_err() {
-            sleep(Duration::from_millis(50)).await;
-        }
-    };
-    let written = timeout(Duration::from_secs(20), written).await;
-    written.expect("a write is acknowledged");
+    client
+        .write_until_acknowledged(Duration::from_secs(20))
+        .await;
 }
 
 /// Replaces the leader; returns once the next one is in use.
 async fn change_leader(fleet: &Fleet) {
     let leader = fleet.world.leader();
-    let before = epoch(fleet, 0);
+    let before = fleet.epoch(0);
     let leaving = MemberState::Leaving(Departure::at(Instant::now()));
     fleet.world.change(&leader, |server| server.state = leaving);
     let is_active = || {
@@ -49,7 +39,7 @@
     fleet
         .world
         .change(&leader, |server| server.state = MemberState::Ready);
-    until(|| epoch(fleet, 0) > before).await;
+    until(|| fleet.epoch(0) > before).await;
 }
 
 #[test]
@@ -87,10 +77,10 @@
     let copy = fleet.records.copy();
     change_leader(&fleet).await;
     let promoted = stored_term(&fleet).expect("a record");
-    let known = epoch(&fleet, 1);
+    let known = fleet.epoch(1);
     fleet.records.restore(copy);
     until(|| stored_term(&fleet).as_ref() == Some(&promoted)).await;
-    assert!(epoch(&fleet, 1) >= known);
+    assert!(fleet.epoch(1) >= known);
 }
 
 #[tokio::test(start_paused = true)]
@@ -145,13 +135,13 @@
     let copy = fleet.records.copy();
     change_leader(&fleet).await;
     let promoted = stored_term(&fleet).expect("a record");
-    until(|| (0..20).all(|node| epoch(&fleet, node) == promoted.epoch)).await;
+    until(|| (0..20).all(|node| fleet.epoch(node) == promoted.epoch)).await;
     fleet.records.restore(copy);
     until(|| stored_term(&fleet).as_ref() == Some(&promoted)).await;
     sleep(WRITTEN_AGAIN_WITHIN).await;
     let versions = (0..20).map(|node| fleet.nodes[node].engine.terms().version());
     assert!(versions.clone().all(|version| era_of(version) == 1));
-    assert!((0..20).all(|node| epoch(&fleet, node) == promoted.epoch));
+    assert!((0..20).all(|node| fleet.epoch(node) == promoted.epoch));
     write(&fleet).await;
 }
 
--- a/crates/engine/tests/server_lives.rs
+++ b/crates/engine/tests/server_lives.rs
@@ -9,7 +9,7 @@
 use stilequay_engine::names::{MemberId, are_lives_of_one, life_of, server_of};
 use support::history::History;
 use support::servers::World;
-use support::{BOUNDED_DATABASE, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, until};
+use support::{Fleet, GROUP, until};
 use tokio::time::{Instant, sleep};
 
 #[rstest]
@@ -60,17 +60,6 @@
     assert_eq!(after.member("a@2").map(|m| m.role), Some(Role::Primary));
 }
 
-fn spawn_callers(fleet: &Fleet, history: &Arc<History>) {
-    for (index, node) in fleet.nodes.iter().enumerate() {
-        for (kind, database) in [LEADER_DATABASE, OWN_DATABASE, BOUNDED_DATABASE]
-            .iter()
-            .enumerate()
-        {
-            history.spawn_caller(&node.engine, database, index * 3 + kind);
-        }
-    }
-}
-
 /// Commits of callers go on after the fault, and none before it is lost or read too late.
 async fn play(processes: usize, fault: impl AsyncFn(&Fleet)) {
     let fleet = Fleet::start(processes).await;
@@ -79,7 +68,7 @@
     }
     sleep(Duration::from_millis(500)).await;
     let history = Arc::new(History::default());
-    spawn_callers(&fleet, &history);
+    fleet.spawn_callers(&history);
     sleep(Duration::from_secs(2)).await;
     fault(&fleet).await;
     sleep(Duration::from_secs(4)).await;
--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -12,24 +12,15 @@
 use stilequay_engine::directory::{Departure, GONE_MEMORY, MemberState};
 use support::history::History;
 use support::records::Fault;
-use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, OWN_DATABASE, until};
+use support::{Fleet, until};
 use tokio::time::{Instant, sleep};
 
 const SERVERS: [&str; 3] = ["a", "b", "c"];
-const DATABASES: [&str; 3] = [LEADER_DATABASE, OWN_DATABASE, BOUNDED_DATABASE];
 /// Faults in one run.
 const FAULTS: usize = 10;
 /// Time after the last fault in which everything recovers.
 const RECOVERY: Duration = Duration::from_secs(12);
 
-fn spawn_callers(fleet: &Fleet, history: &Arc<History>) {
-    for (index, node) in fleet.nodes.iter().enumerate() {
-        for (kind, database) in DATABASES.iter().enumerate() {
-            history.spawn_caller(&node.engine, database, index * DATABASES.len() + kind);
-        }
-    }
-}
-
 /// Processes of a fleet in which homes hold the connections.
 const LARGE: usize = 20;
 
@@ -127,7 +118,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let fleet = Fleet::start(processes).await;
     let history = Arc::new(History::default());
-    spawn_callers(&fleet, &history);
+    fleet.spawn_callers(&history);
     for _ in 0..FAULTS {
         sleep(Duration::from_millis(rng.random_range(50..800))).await;
         strike(&fleet, &mut rng).await;
@@ -184,7 +175,7 @@
     let fleet = Fleet::start(LARGE).await;
     let history = Arc::new(History::default());
     fleet.peers.repeats_frames.store(true, Ordering::Relaxed);
-    spawn_callers(&fleet, &history);
+    fleet.spawn_callers(&history);
     sleep(Duration::from_secs(5)).await;
     let violations = history.violations(&fleet.world);
     assert!(
@@ -198,7 +189,7 @@
 async fn evidence_of_a_keeper_that_is_shown_the_past_is_found() {
     let fleet = Fleet::start(LARGE).await;
     let history = Arc::new(History::default());
-    spawn_callers(&fleet, &history);
+    fleet.spawn_callers(&history);
     sleep(Duration::from_secs(2)).await;
     let holder = fleet.records.get("lease/promotion").expect("a lease");
     let holder = String::from_utf8_lossy(&holder.value).into_owned();
@@ -237,7 +228,7 @@
 
 /// One process keeps the old leader and loses the store; the others promote another.
 async fn split(fleet: &Fleet, history: &Arc<History>) {
-    spawn_callers(fleet, history);
+    fleet.spawn_callers(history);
     sleep(Duration::from_secs(2)).await;
     let keeper = cut_all_but_one(fleet);
     fleet.records.refuse_node(&keeper, true);
@@ -274,7 +265,7 @@
     let fleet = Fleet::start(3).await;
     let history = Arc::new(History::default());
     fleet.world.change("b", |s| s.deaf = true);
-    spawn_callers(&fleet, &history);
+    fleet.spawn_callers(&history);
     sleep(Duration::from_secs(2)).await;
     fleet.world.hidden.lock().unwrap().insert("c".to_owned());
     // The entry is forgotten, as one that went away long ago is.
@@ -293,7 +284,7 @@
 async fn evidence_from_a_store_that_shows_the_past_is_found() {
     let fleet = Fleet::start(3).await;
     let history = Arc::new(History::default());
-    spawn_callers(&fleet, &history);
+    fleet.spawn_callers(&history);
     sleep(Duration::from_secs(2)).await;
     let keeper = cut_all_but_one(&fleet);
     fleet.records.show_past_to(&keeper);
@@ -311,7 +302,7 @@
 async fn a_holder_that_does_not_check_its_lease_is_found() {
     let fleet = Fleet::start(3).await;
     let history = Arc::new(History::default());
-    spawn_callers(&fleet, &history);
+    fleet.spawn_callers(&history);
     let lease = fleet.records.get("lease/promotion").expect("a lease");
     let lease = String::from_utf8_lossy(&lease.value).into_owned();
     let holder = fleet.nodes.iter().find(|node| lease.contains(&node.name));
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -11,12 +11,14 @@
 
 use bytes::Bytes;
 use futures::FutureExt;
+use history::History;
 use peers::MemoryPeers;
 use records::MemoryRecords;
 use servers::{Network, World, WorldBackEnd, WorldPromoter};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use stilequay_coordination::lease::LeaseRecord;
 use stilequay_engine::configuration::{Configuration, Consistency, GroupSettings, Route};
 use stilequay_engine::directory::{Departure, Directory};
 use stilequay_engine::engine::{Engine, EngineRecords, EngineSettings, SlowStartBounds};
@@ -31,7 +33,7 @@
 use stilequay_engine::topology::Topology;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 /// The database of each consistency.
 pub const LEADER_DATABASE: &str = "orders";
@@ -284,6 +286,28 @@
         self.nodes[node].kill();
     }
 
+    /// The lease for promotions as the store has it.
+    pub fn lease(&self) -> LeaseRecord {
+        let record = self.records.get("lease/promotion").expect("a lease");
+        rmp_serde::from_slice(&record.value).expect("a lease's record")
+    }
+
+    /// The epoch of the group's leadership as one process knows it.
+    pub fn epoch(&self, node: usize) -> u64 {
+        let group = self.nodes[node].engine.group(&Arc::from(GROUP));
+        group.view().epoch
+    }
+
+    /// A caller of each database at each process, whose requests `history` remembers.
+    pub fn spawn_callers(&self, history: &Arc<History>) {
+        let databases = [LEADER_DATABASE, OWN_DATABASE, BOUNDED_DATABASE];
+        for (index, node) in self.nodes.iter().enumerate() {
+            for (kind, database) in databases.iter().enumerate() {
+                history.spawn_caller(&node.engine, database, index * databases.len() + kind);
+            }
+        }
+    }
+
     /// A session at one process.
     pub fn session(&self, node: usize, database: &str) -> Client {
         Client::open(&self.nodes[node].engine, database)
@@ -386,6 +410,18 @@
         self.ask(write(thing)).await
     }
 
+    /// Writes until one is acknowledged, as a caller that comes back does, and fails unless one
+    /// is `within` that time.
+    pub async fn write_until_acknowledged(&mut self, within: Duration) {
+        let written = async {
+            while self.write("x 1").await.outcome.is_err() {
+                sleep(Duration::from_millis(50)).await;
+            }
+        };
+        let written = timeout(within, written).await;
+        written.expect("a write is acknowledged");
+    }
+
     pub async fn begin(&mut self, read_only: bool) -> Reply {
         self.ask(Statement::Begin { read_only }).await
     }
