Compare rosters again when the configuration has changed

Cause: members are recorded for configured groups only, and the comparison was passed over while neither the directory nor the records had a later version. A group that is configured after its servers have registered was compared only because renewals of leases advance the store's version.

Change: the configuration's version counts too, so that this rests on nothing else. The test says what must hold; it passes without the change as well, for that reason.

Measured: the tests of restored_store, leadership, fleet_start and simulation, without a failure; clippy of the engine clean.

--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -83,7 +83,11 @@
         if duty.check().is_none() {
             continue;
         }
-        let versions = (engine.directory().version, engine.terms().version());
+        let versions = (
+            engine.configuration().map(|known| known.version),
+            engine.directory().version,
+            engine.terms().version(),
+        );
         if compared == Some(versions) {
             continue;
         }
--- a/crates/engine/tests/restored_store.rs
+++ b/crates/engine/tests/restored_store.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, MemberState};
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
+use stilequay_engine::leadership::roster::Roster;
 use stilequay_engine::version::{era_of, number_of, version};
 use support::{Fleet, GROUP, LEADER_DATABASE, until};
 use tokio::time::{Instant, sleep};
@@ -159,3 +160,22 @@
     let state = restored.member("b").expect("a member").state;
     assert_eq!(state, MemberState::Leaving(departure));
 }
+
+/// A group whose servers have registered before it was configured has its members recorded all the
+/// same: a change of leader reads them.
+#[tokio::test(start_paused = true)]
+async fn members_of_a_group_that_is_configured_later_are_recorded() {
+    let fleet = Fleet::start(1).await;
+    let mut without = support::configuration(1);
+    without.version = 2;
+    without.groups.clear();
+    fleet.configuration.send_replace(without);
+    let key = Roster::key(GROUP);
+    sleep(Duration::from_secs(4)).await;
+    assert_eq!(fleet.records.get(&key), None);
+    let mut with = support::configuration(1);
+    with.version = 3;
+    fleet.configuration.send_replace(with);
+    sleep(Duration::from_secs(4)).await;
+    assert!(fleet.records.get(&key).is_some());
+}
