Let stores and servers forget in the simulation

The simulation knew neither stores that come back from a copy nor servers that start again with nothing. A set of faults of its own draws both beside the others, a fault between the copy and its return; the older seeds stay as they were.

--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -114,9 +114,36 @@
     fleet.network().heal();
 }
 
+/// A server starts again with nothing, the store comes back from a copy that is older than a
+/// fault, or one of the faults of [`strike`].
+async fn strike_memory(fleet: &Fleet, rng: &mut StdRng) {
+    match rng.random_range(0..3) {
+        0 => fleet
+            .world
+            .start_anew(SERVERS[rng.random_range(0..SERVERS.len())]),
+        1 => {
+            let copy = fleet.records.copy();
+            strike(fleet, rng).await;
+            fleet.records.set_fault(Fault::Silent);
+            sleep(Duration::from_millis(rng.random_range(50..400))).await;
+            fleet.records.restore(copy);
+            fleet.records.set_fault(Fault::None);
+        }
+        _ => strike(fleet, rng).await,
+    }
+}
+
 async fn run(seed: u64, processes: usize) -> (Vec<String>, (usize, usize)) {
-    let mut rng = StdRng::seed_from_u64(seed);
     let fleet = Fleet::start(processes).await;
+    play(seed, fleet, strike).await
+}
+
+async fn play(
+    seed: u64,
+    fleet: Fleet,
+    strike: impl AsyncFn(&Fleet, &mut StdRng),
+) -> (Vec<String>, (usize, usize)) {
+    let mut rng = StdRng::seed_from_u64(seed);
     let history = Arc::new(History::default());
     fleet.spawn_callers(&history);
     for _ in 0..FAULTS {
@@ -169,6 +196,23 @@
     );
 }
 
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn no_promise_is_broken_where_store_and_servers_forget(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let fleet = Fleet::start(3).await;
+    for server in SERVERS {
+        fleet.world.change(server, |s| s.born = Some(1));
+    }
+    let (violations, (commits, reads)) = play(seed, fleet, strike_memory).await;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    assert!(
+        commits > 100 && reads > 100,
+        "seed {seed}: {commits} {reads}"
+    );
+}
+
 /// A link that delivers commands twice, as one would that repeats what was not answered.
 #[tokio::test(start_paused = true)]
 async fn a_forwarded_write_that_is_repeated_is_found() {
