Give a server that started again neither an order nor a leader's trust

An order to promote names a server, not its life.

Change: before each order the target is asked whether it is still paused, and a life that has ended is not ordered; another target is chosen. The record of a term holds what the target had received, and an answer from less is not handed on.

--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -48,6 +48,8 @@
     pub writable_from: Option<Instant>,
     /// Whether the leader is known to have taken the lead.
     pub confirmed: bool,
+    /// What the leader's log held when it was chosen; `None` where nobody was ever promoted.
+    pub held: Option<LogPosition>,
 }
 
 impl LeaderView {
@@ -106,6 +108,7 @@
             leader: None,
             writable_from: None,
             confirmed: false,
+            held: None,
         };
         Self {
             name,
@@ -296,10 +299,15 @@
         }
     }
 
-    /// The position that the log of `leader` is known to have reached.
+    /// The position that the log of `leader` is known to have reached. Its server may start again
+    /// with nothing before any statement has told one of this epoch: then it is what the leader
+    /// held when it was chosen.
     pub fn reached_by(&self, leader: &UsableLeader) -> Option<LogPosition> {
-        let newest = self.lock().samples.newest()?;
-        (newest.epoch == leader.epoch).then_some(newest.position)
+        let state = self.lock();
+        let newest = state.samples.newest();
+        let told = newest.filter(|sample| sample.epoch == leader.epoch);
+        let held = state.view.held.filter(|_| state.view.is_led_by(leader));
+        told.map(|sample| sample.position).max(held)
     }
 
     /// Takes evidence for the term of `leader` that another process had at `at`.
@@ -412,5 +420,9 @@
         leader,
         writable_from,
         confirmed,
+        held: match record.phase {
+            TermPhase::Fencing => before.held,
+            TermPhase::Promoting | TermPhase::Active => record.target_received,
+        },
     }
 }
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -19,12 +19,13 @@
 use super::follower::VersionedTerm;
 use super::record::{TermPhase, TermRecord};
 use super::roster;
-use super::survey::{self, Patience};
+use super::survey::{self, Patience, Response, Surveyed};
 use crate::directory::{Member, Role};
 use crate::engine::Engine;
 use crate::group::{Epoch, TERM_LEASE, TERM_LEASE_MARGIN};
 use crate::names::{GroupName, MemberId};
 use crate::ports::{Control, PromoteError, Promoter, PromotionOrder, PutOutcome, RecordStoreError};
+use crate::position::LogPosition;
 use crate::version::{StoreVersion, era_of};
 use quick_error::quick_error;
 use std::net::SocketAddr;
@@ -95,8 +96,11 @@
         let fenced_at = Instant::now();
         self.promote(&term.record).await?;
         sleep_until(fenced_at + TERM_LEASE + TERM_LEASE_MARGIN).await;
-        self.advance(&term, TermPhase::Active, term.record.target.clone())
-            .await?;
+        let active = TermRecord {
+            phase: TermPhase::Active,
+            ..term.record
+        };
+        self.advance(active, term.version).await?;
         Ok(())
     }
 
@@ -120,6 +124,7 @@
             phase: TermPhase::Fencing,
             target: None,
             target_address: None,
+            target_received: None,
             previous_address: self.address_of(view.leader.as_ref()),
             previous: view.leader,
             holder: self.engine.settings().node.clone(),
@@ -168,9 +173,13 @@
             };
             match survey.choose(Instant::now()) {
                 Ok(target) => {
-                    return self
-                        .advance(&term, TermPhase::Promoting, Some(target))
-                        .await;
+                    let chosen = TermRecord {
+                        phase: TermPhase::Promoting,
+                        target_received: received_by(&target, &fenced),
+                        target: Some(target),
+                        ..term.record
+                    };
+                    return self.advance(chosen, term.version).await;
                 }
                 Err(obstacle) => self.tell_obstacle(&term.record, &obstacle),
             }
@@ -196,6 +205,9 @@
         let mut ordered: Option<Instant> = None;
         while began.elapsed() < TARGET_TIMEOUT {
             if ordered.is_none_or(|at| at.elapsed() > ORDER_AGAIN) {
+                if self.has_started_again(record, &target).await {
+                    return Err(PromotionError::TargetLost);
+                }
                 match self.order(record, &target).await? {
                     Ok(()) | Err(PromoteError::Unknown(_)) => ordered = Some(Instant::now()),
                     Err(PromoteError::TargetDown) => return Err(PromotionError::TargetLost),
@@ -234,29 +246,45 @@
     }
 
     async fn leads(&self, target: &MemberId) -> bool {
-        let directory = self.engine.directory();
-        let Some(member) = directory.member(target) else {
-            return false;
-        };
-        let response = survey::order(&self.engine, member, Control::Status).await;
-        let report = response.report();
+        let response = self.ask(target).await;
+        let report = response.as_ref().and_then(Response::report);
         report.is_some_and(|report| report.role == Role::Primary)
     }
 
+    /// Whether the target has started since it was paused, and may have nothing of what it was
+    /// chosen for. An order names a server, not its life: an empty one would take the lead, and
+    /// have the others drop what they hold.
+    async fn has_started_again(&self, record: &TermRecord, target: &MemberId) -> bool {
+        // The old leader was demoted in place of being paused.
+        let was_paused = record.previous.as_ref() != Some(target)
+            && record.previous_address != record.target_address;
+        match self.ask(target).await {
+            Some(Response::Ended) => true,
+            Some(Response::Report(report)) => {
+                was_paused && report.role == Role::Replica && report.paused_for == 0
+            }
+            _ => false,
+        }
+    }
+
+    async fn ask(&self, target: &MemberId) -> Option<Response> {
+        let directory = self.engine.directory();
+        let member = directory.member(target)?;
+        Some(survey::order(&self.engine, member, Control::Status).await)
+    }
+
+    /// Records the next step over the one of version `expected`.
     async fn advance(
         &self,
-        term: &VersionedTerm,
-        phase: TermPhase,
-        target: Option<MemberId>,
+        record: TermRecord,
+        expected: StoreVersion,
     ) -> Result<VersionedTerm, PromotionError> {
         let record = TermRecord {
-            phase,
-            target_address: self.address_of(target.as_ref()),
-            target,
+            target_address: self.address_of(record.target.as_ref()),
             holder: self.engine.settings().node.clone(),
-            ..term.record.clone()
+            ..record
         };
-        self.store(record, term.version).await
+        self.store(record, expected).await
     }
 
     fn address_of(&self, member: Option<&MemberId>) -> Option<SocketAddr> {
@@ -324,6 +352,12 @@
     }
 }
 
+/// How far `target` has received the log, as it told when the members were fenced.
+fn received_by(target: &MemberId, fenced: &[Surveyed]) -> Option<LogPosition> {
+    let chosen = fenced.iter().find(|known| known.member.id == *target)?;
+    Some(chosen.response.report()?.received)
+}
+
 /// The number of the leadership after `known`, where the records are known as of `version`.
 /// That of an era of the store is greater than all of earlier eras: one that the store has lost
 /// is not given to another leader.
--- a/crates/engine/src/leadership/record.rs
+++ b/crates/engine/src/leadership/record.rs
@@ -2,6 +2,7 @@
 
 use crate::group::Epoch;
 use crate::names::{GroupName, MemberId, NodeName};
+use crate::position::LogPosition;
 use bytes::Bytes;
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
@@ -32,6 +33,9 @@
     pub target: Option<MemberId>,
     /// Where it listens: a server that comes back there has its log, and another name.
     pub target_address: Option<SocketAddr>,
+    /// What it had received when it was chosen.
+    #[serde(default)]
+    pub target_received: Option<LogPosition>,
     /// The leader before.
     pub previous: Option<MemberId>,
     /// Where it listens.
--- a/crates/engine/tests/beliefs.rs
+++ b/crates/engine/tests/beliefs.rs
@@ -27,6 +27,7 @@
         epoch,
         phase,
         target: target.map(Into::into),
+        target_received: None,
         target_address: None,
         previous: Some("a".into()),
         previous_address: None,
--- a/crates/engine/tests/peers.rs
+++ b/crates/engine/tests/peers.rs
@@ -127,6 +127,7 @@
         epoch: 1,
         phase,
         target: (phase != TermPhase::Fencing).then(|| Arc::from("b")),
+        target_received: None,
         target_address: None,
         previous: Some(Arc::from("a")),
         previous_address: None,
