Wait for those that tell the fleet while they start too

Whoever starts asks the processes that the index lists. These had started too, knew nothing yet, and their first answer holds all members and records. An answer that took longer than 1.15 s was dropped and asked for again, and of two processes at once; after 0.4 s without one each process read the whole tables itself, so that the store was slow for those that were to tell the others. Both hold only while the fleet is small.

Change: long answers are sent in parts of 32 KB, and are waited for as long as parts come, from one process. One that is starting says so, holds the question until it knows everything, and is waited for, for as long as 0.6 of the time within which a change must be known.

--- a/crates/engine/src/following.rs
+++ b/crates/engine/src/following.rs
@@ -16,6 +16,7 @@
 //! | a process holds the lease for promotions | it follows the store too |
 //! | the store is away | all ask it, less and less often |
 //! | a process starts | it reads the index of the fleet only, and asks those that are listed for all else |
+//! | they have started too, and know nothing yet | they say so, and it waits for them |
 //! | a fleet starts for the first time | its processes read each other's records until they know enough to ask |
 //! | a process begins to follow the store | it goes on from the version that it was told, and reads whole tables only where the store has forgotten what came after it |
 //! | processes disagree on whom to ask | whoever is asked answers with what it knows, and how old that is |
@@ -30,7 +31,7 @@
 use crate::link::frame::{FeedVersions, FollowedVersions, News};
 use crate::peers::declared;
 use crate::ports::{Record, RecordChanges};
-use search::{Search, Step};
+use search::{NoNews, Search, Step};
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -63,6 +64,11 @@
 const SETTLING_PAUSE: Duration = Duration::from_millis(150);
 /// Interval in which a process that starts looks whether it has taken the fleet in.
 const TAKING_LOOK: Duration = Duration::from_millis(1);
+/// How long after its start a process may wait for others that are starting too, as a share of the
+/// time within which a change must be known; then it turns to the store itself.
+const STARTING_CONTACT_SHARE: f64 = 0.6;
+/// Pause before one that is starting is asked again: its answer was held for a wait before.
+const STARTING_PAUSE: Duration = Duration::from_millis(20);
 /// Pause after nobody told anything, and of a process that follows by itself.
 const PAUSE: Duration = Duration::from_millis(250);
 /// Pause after an answer with changes, in a large fleet, before more is asked for: changes that
@@ -137,6 +143,8 @@
     feeds: Mutex<[FeedState; FEEDS]>,
     /// As of when the configuration in use was the newest.
     proof: watch::Sender<Option<Instant>>,
+    /// Whether the store has told all feeds, to this process or to another that told it.
+    is_complete: watch::Sender<bool>,
 }
 
 impl Default for Following {
@@ -146,6 +154,7 @@
             began: Instant::now(),
             feeds: Mutex::default(),
             proof: watch::Sender::new(None),
+            is_complete: watch::Sender::new(false),
         }
     }
 }
@@ -175,9 +184,17 @@
     /// Notes that the store has told everything that `feed` holds as of `at`, and as of its
     /// `version`, and that it has been taken.
     pub fn heard(&self, feed: Feed, at: Instant, version: u64) {
-        let state = &mut self.lock()[feed as usize];
-        state.advance(at, version);
-        state.failing = false;
+        let is_complete = {
+            let mut feeds = self.lock();
+            let state = &mut feeds[feed as usize];
+            state.advance(at, version);
+            state.failing = false;
+            feeds.iter().all(|feed| feed.heard.is_some())
+        };
+        if is_complete {
+            self.is_complete
+                .send_if_modified(|known| !std::mem::replace(known, true));
+        }
     }
 
     /// The same of what another process has told of all feeds. Whether the store fails to
@@ -373,13 +390,21 @@
     let following = engine.following();
     let known = known_versions(engine);
     let learned = search.ask_sources(engine, peers).await;
-    if learned.is_ok() {
-        following.set_mode(Mode::Indirect);
-        if known != known_versions(engine) {
-            pause_after_changes(engine, Feed::Directory).await;
+    let learned = match learned {
+        Ok(()) => {
+            following.set_mode(Mode::Indirect);
+            if known != known_versions(engine) {
+                pause_after_changes(engine, Feed::Directory).await;
+            }
+            return Ok(());
         }
-        return learned;
-    }
+        // It answers as soon as it knows everything.
+        Err(NoNews::Starting) if is_starting(engine) => {
+            sleep(STARTING_PAUSE).await;
+            return Ok(());
+        }
+        Err(reason) => Err(reason.to_string()),
+    };
     if engine.homes().is_follower(&engine.settings().zone) {
         follow_store(engine, search).await;
         return learned;
@@ -508,13 +533,24 @@
     }
 }
 
+/// Whether this process has started a short while ago, is learning all that the store holds, and
+/// has not failed to. After a loss of all power hundreds ask it meanwhile. They wait for it: if
+/// they all read whole tables, the store would be as slow as to keep it from learning, too.
+fn is_starting(engine: &Engine) -> bool {
+    let following = engine.following();
+    let longest = engine.settings().contact.mul_f64(STARTING_CONTACT_SHARE);
+    let is_young = following.began.elapsed() < longest;
+    is_young && following.known_as_of().is_none() && !following.is_failing()
+}
+
 /// What this process knows that is newer than `known`; waits up to `wait` for something
-/// newer, while what it knows is recent.
+/// newer, while what it knows is recent. One that is starting answers once it knows everything.
 pub async fn news(engine: &Engine, known: FollowedVersions, wait: Duration) -> News {
     let mut directory = engine.subscribe_directory();
     let mut configuration = engine.subscribe_configuration();
     let mut evacuations = engine.subscribe_evacuations();
     let mut records = engine.terms().subscribe_version();
+    let mut completeness = engine.following().is_complete.subscribe();
     let asked = Instant::now();
     let until = asked + wait;
     loop {
@@ -522,17 +558,21 @@
         configuration.mark_unchanged();
         evacuations.mark_unchanged();
         records.mark_unchanged();
-        let news = news_since(engine, known, asked);
+        completeness.mark_unchanged();
         let now = Instant::now();
-        let stale = news.age.is_none() || !is_recent(engine, now);
-        if news.is_any(known) || stale || now >= until {
-            return news;
+        if !(is_starting(engine) && now < until) {
+            let news = news_since(engine, known, asked);
+            let stale = news.age.is_none() || !is_recent(engine, now);
+            if news.is_any(known) || stale || now >= until {
+                return news;
+            }
         }
         tokio::select! {
             _ = directory.changed() => {}
             _ = configuration.changed() => {}
             _ = evacuations.changed() => {}
             _ = records.changed() => {}
+            _ = completeness.changed() => {}
             () = tokio::time::sleep_until(until) => {}
         }
     }
@@ -553,6 +593,7 @@
     };
     let as_of = as_of.filter(|_| !engine.following().is_failing());
     News {
+        is_starting: as_of.is_none() && is_starting(engine),
         age: as_of.map(|at| Duration::from_millis(millis(asked.saturating_duration_since(at)) + 1)),
         feeds,
         declared: declared::newer(engine, known.declared, asked),
--- a/crates/engine/src/following/search.rs
+++ b/crates/engine/src/following/search.rs
@@ -10,6 +10,7 @@
 use crate::peers::declared;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use quick_error::quick_error;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -26,6 +27,33 @@
 /// recent, three rounds find one in three of four cases.
 const SCOUTS: usize = 2;
 
+quick_error! {
+    /// Why nothing recent was learned of a process.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum NoNews {
+        /// None of those that are to tell it is reached.
+        Unreached {
+            display("no process that follows the store is reached")
+        }
+        /// It did not answer.
+        Silent {
+            display("no news in time")
+        }
+        /// It has just started, and is learning everything itself.
+        Starting {
+            display("who was asked is starting")
+        }
+        /// It knows of no recent answer of the store.
+        TurnedAway {
+            display("who was asked is turned away by the store")
+        }
+        /// What it knows was so old when it was asked.
+        Old(age: Duration) {
+            display("what was told was {age:?} old when it was asked for")
+        }
+    }
+}
+
 /// Which step of a search a question belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Step {
@@ -66,7 +94,7 @@
         &mut self,
         engine: &Engine,
         sources: &[SocketAddr],
-    ) -> Result<(), String> {
+    ) -> Result<(), NoNews> {
         ask_pair(engine, sources, Step::Source).await?;
         *self = Self::default();
         Ok(())
@@ -148,13 +176,20 @@
 
 /// Asks the first of `sources` that is reached. Where its answer is late or not recent, a second
 /// one is asked for what it knows now.
-async fn ask_pair(engine: &Engine, sources: &[SocketAddr], step: Step) -> Result<(), String> {
+async fn ask_pair(engine: &Engine, sources: &[SocketAddr], step: Step) -> Result<(), NoNews> {
     let links = engine.homes().links();
     let first = links.first_usable(sources).await;
-    let first = first.ok_or("no process that follows the store is reached")?;
+    let first = first.ok_or(NoNews::Unreached)?;
     let wait = news_wait(engine);
     let mut asked = pin!(ask(engine, &first, wait, step));
-    let on_time = timeout(wait + HEDGE_MARGIN, &mut asked).await;
+    let mut on_time = timeout(wait + HEDGE_MARGIN, &mut asked).await;
+    if let Ok(Ok(())) = on_time {
+        return Ok(());
+    }
+    // A long answer that is on its way is not asked for twice.
+    while on_time.is_err() && first.is_receiving(ANSWER_MARGIN) {
+        on_time = timeout(HEDGE_MARGIN, &mut asked).await;
+    }
     if let Ok(Ok(())) = on_time {
         return Ok(());
     }
@@ -165,8 +200,12 @@
         };
     };
     let mut hedge = pin!(ask(engine, &second, Duration::ZERO, step));
-    if on_time.is_ok() {
-        return hedge.await;
+    if let Ok(first) = on_time {
+        let hedged = hedge.await;
+        return hedged.map_err(|reason| match first {
+            Err(NoNews::Starting) => NoNews::Starting,
+            _ => reason,
+        });
     }
     tokio::select! {
         learned = &mut asked => match learned {
@@ -189,31 +228,33 @@
 /// # Errors
 ///
 /// The reason why nothing recent was learned.
-async fn ask(engine: &Engine, link: &Link, wait: Duration, step: Step) -> Result<(), String> {
+async fn ask(engine: &Engine, link: &Link, wait: Duration, step: Step) -> Result<(), NoNews> {
     let known = known_versions(engine);
     let asked = Instant::now();
-    let answer = timeout(wait + ANSWER_MARGIN, link.follow(known, wait)).await;
-    let Ok(Some(news)) = answer else {
+    let Some(news) = link.follow(known, wait, ANSWER_MARGIN).await else {
         link.note_silence(asked);
         count(step, "silent");
-        return Err("no news in time".to_owned());
+        return Err(NoNews::Silent);
     };
     let (age, versions) = (news.age, news.feeds);
+    let is_starting = news.is_starting;
     let records_as_of = news.records_complete_after_ms;
     take(engine, news, asked);
     if let Some(at) = records_as_of.and_then(|ms| declared::moment_after(asked, ms)) {
         engine.slow_starts().prove_records(at);
     }
     let Some(at) = age.and_then(|age| asked.checked_sub(age)) else {
+        if is_starting {
+            count(step, "starting");
+            return Err(NoNews::Starting);
+        }
         count(step, "failing");
-        return Err("who was asked is turned away by the store".to_owned());
+        return Err(NoNews::TurnedAway);
     };
     engine.following().heard_of_others(at, versions);
     if !is_recent(engine, Instant::now()) {
         count(step, "old");
-        return Err(format!(
-            "what was told was {age:?} old when it was asked for"
-        ));
+        return Err(NoNews::Old(age.unwrap_or_default()));
     }
     count(step, "recent");
     Ok(())
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -51,6 +51,8 @@
 struct LinkState {
     next: u64,
     waiters: HashMap<ExchangeId, Waiter>,
+    /// Answers of which parts have come, and when the last of these did.
+    partial: HashMap<ExchangeId, (Vec<u8>, Instant)>,
     heard: Instant,
     /// When the last word came; `heard` may count from a question.
     last_word: Instant,
@@ -96,6 +98,7 @@
             state: Mutex::new(LinkState {
                 next: 1,
                 waiters: HashMap::new(),
+                partial: HashMap::new(),
                 heard: now,
                 last_word: now,
                 pinged: None,
@@ -232,20 +235,49 @@
         }
     }
 
-    /// Asks for what is newer than `known`, waiting there for up to `wait`; `None` where the
-    /// link ends first.
-    pub async fn follow(&self, known: FollowedVersions, wait: Duration) -> Option<News> {
-        let (tx, rx) = oneshot::channel();
+    /// Asks for what is newer than `known`, waiting there for up to `wait`. `None` where the link
+    /// ends first, or for `patience` longer than that nothing comes: a long answer comes in parts,
+    /// and whoever started together with hundreds of others gets them slowly. To ask anew would
+    /// have all of it sent again.
+    pub async fn follow(
+        &self,
+        known: FollowedVersions,
+        wait: Duration,
+        patience: Duration,
+    ) -> Option<News> {
+        let (tx, mut rx) = oneshot::channel();
         let exchange = self.register(Waiter::Follow(tx));
         let question = ToHome::Follow {
             exchange,
             known,
             wait,
         };
-        match self.send(&question) {
-            true => rx.await.ok(),
-            false => None,
+        if !self.send(&question) {
+            return None;
         }
+        let mut until = Instant::now() + wait + patience;
+        loop {
+            match timeout_at(until, &mut rx).await {
+                Ok(news) => return news.ok(),
+                Err(_) => {
+                    until = self
+                        .last_part(exchange)
+                        .filter(|at| *at + patience > until)?
+                        + patience
+                }
+            }
+        }
+    }
+
+    /// Whether a part of a long answer has come in the last `patience`.
+    pub fn is_receiving(&self, patience: Duration) -> bool {
+        let now = Instant::now();
+        let state = self.lock();
+        state.partial.values().any(|(_, at)| now < *at + patience)
+    }
+
+    fn last_part(&self, exchange: ExchangeId) -> Option<Instant> {
+        self.lock().partial.get(&exchange).map(|(_, at)| *at)
     }
 
     /// Asks for a permit for one operation of `tenant`, or, unless it `takes` one, whether
@@ -339,6 +371,32 @@
         }
     }
 
+    /// Takes one part of an answer, and the answer once all parts have come.
+    fn take_part(&self, exchange: ExchangeId, bytes: &Bytes, is_last: bool) {
+        let whole = {
+            let mut state = self.lock();
+            if !state.waiters.contains_key(&exchange) {
+                state.partial.remove(&exchange);
+                return;
+            }
+            let now = Instant::now();
+            let (known, at) = state.partial.entry(exchange).or_insert((Vec::new(), now));
+            known.extend_from_slice(bytes);
+            *at = now;
+            if !is_last {
+                return;
+            }
+            state.partial.remove(&exchange)
+        };
+        let Some((bytes, _)) = whole else { return };
+        match decode::<FromHome>(&bytes.into()) {
+            Some(FromHome::Part { .. }) | None => {
+                log::warn!("the parts of an answer make no sense together; they are dropped");
+            }
+            Some(answer) => self.take(answer),
+        }
+    }
+
     fn take(&self, frame: FromHome) {
         let mut state = self.lock();
         state.heard = Instant::now();
@@ -348,6 +406,14 @@
         state.told = false;
         match frame {
             FromHome::Pong => {}
+            FromHome::Part {
+                exchange,
+                bytes,
+                is_last,
+            } => {
+                drop(state);
+                self.take_part(exchange, &bytes, is_last);
+            }
             FromHome::Leaving => state.leaving = true,
             FromHome::Ran { exchange, outcome } => {
                 if let Some(Waiter::Run(waiter)) = state.waiters.remove(&exchange) {
@@ -429,6 +495,9 @@
     }
 
     fn drop_abandoned(&mut self) {
+        let waiters = &self.waiters;
+        self.partial
+            .retain(|exchange, _| waiters.contains_key(exchange));
         self.waiters.retain(|_, waiter| match waiter {
             Waiter::Run(waiter) => !waiter.is_closed(),
             Waiter::Ask(waiter) => !waiter.is_closed(),
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -178,6 +178,8 @@
     /// Since when something may have changed that it does not know; `None` where it does not
     /// reach the store now. Counted when the question came, which is after it was sent.
     pub age: Option<Duration>,
+    /// Whether it has started a short while ago, and is learning everything.
+    pub is_starting: bool,
     /// The versions of the store as of which everything is told.
     pub feeds: FeedVersions,
     /// What operators and servers declare.
@@ -240,6 +242,15 @@
         /// The version of the newest record of a term; none where the lease is not held there.
         version: Option<StoreVersion>,
     },
+    /// A part of the encoded frame that answers a question.
+    Part {
+        /// The question.
+        exchange: ExchangeId,
+        /// The bytes.
+        bytes: Bytes,
+        /// Whether these are the last.
+        is_last: bool,
+    },
     /// Something is said.
     Pong,
     /// The home is going to stop: units that begin later go elsewhere.
@@ -313,12 +324,36 @@
             FromHome::News { .. } => "news",
             FromHome::Drawn { .. } => "drawn",
             FromHome::NewestTerm { .. } => "newest_term",
+            FromHome::Part { .. } => "part",
             FromHome::Pong => "pong",
             FromHome::Leaving => "leaving",
         }
     }
 }
 
+/// Bytes of a long answer that are sent at once: what a slow machine's link takes in some 15 ms, so
+/// that whoever waits sees that more comes, and other answers pass between.
+const PART_BYTES: usize = 32 * 1_024;
+
+/// The frames in which the answer to `exchange` is sent: several, where it is long.
+pub fn encode_in_parts(exchange: ExchangeId, answer: &FromHome) -> Vec<Bytes> {
+    let whole = encode(answer);
+    if whole.len() <= PART_BYTES {
+        return vec![whole];
+    }
+    let count = whole.len().div_ceil(PART_BYTES);
+    let parts = (0..count).map(|index| {
+        let start = index * PART_BYTES;
+        let end = whole.len().min(start + PART_BYTES);
+        encode(&FromHome::Part {
+            exchange,
+            bytes: whole.slice(start..end),
+            is_last: index + 1 == count,
+        })
+    });
+    parts.collect()
+}
+
 /// A frame's bytes, which are counted by its kind.
 pub fn encode<T: Frame>(frame: &T) -> Bytes {
     // Texts, numbers and bytes only: encoding can't fail.
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -9,7 +9,7 @@
 use crate::leadership::freshness;
 use crate::leadership::vouching;
 use crate::link::frame::{
-    FromHome, HomeOutcome, RunRequest, ToHome, UnitId, Wanted, decode, encode,
+    FromHome, HomeOutcome, RunRequest, ToHome, UnitId, Wanted, decode, encode, encode_in_parts,
 };
 use crate::names::{GroupName, MemberId, RequestId};
 use crate::peers::beliefs;
@@ -106,7 +106,12 @@
                 tokio::spawn(async move {
                     let wait = wait.min(NEWS_WAIT_MAX);
                     let news = Box::new(following::news(&task.engine, known, wait).await);
-                    task.tell(&FromHome::News { exchange, news }).await;
+                    let answer = FromHome::News { exchange, news };
+                    for part in encode_in_parts(exchange, &answer) {
+                        if task.tx.send(part).await.is_err() {
+                            return;
+                        }
+                    }
                 });
             }
             Some(ToHome::Draw {
--- a/crates/engine/tests/fleet_start.rs
+++ b/crates/engine/tests/fleet_start.rs
@@ -3,8 +3,10 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stilequay_engine::home::placement::Source;
+use support::groups::{members_of_groups, with_groups};
 use support::{Fleet, Node, OWN_DATABASE, until};
 use tokio::time::{Instant, sleep};
 
@@ -17,6 +19,10 @@
 /// Calls of the store for each process in a start: of its index and records, and the writing of
 /// its own, with room for one that is done again.
 const CALLS: u64 = 6;
+/// Groups that the processes of a large fleet are told of, of three members each.
+const GROUPS: usize = 300;
+/// Bytes a second of a follower whose ten askers wait some seconds for what it tells them.
+const SLOW_LINK: u64 = 1_000_000;
 /// Time from a start of all until each process serves.
 const SERVING_WITHIN: Duration = Duration::from_secs(4);
 
@@ -74,6 +80,29 @@
     assert!(began.elapsed() < SERVING_WITHIN, "{:?}", began.elapsed());
 }
 
+/// What a process that starts is told takes its follower's link longer than an answer is waited
+/// for, as so many are told at once.
+#[tokio::test(start_paused = true)]
+async fn a_fleet_that_starts_again_over_slow_links_does_not_turn_to_the_store() {
+    let mut fleet = Fleet::start_in(ZONES, PROCESSES).await;
+    until_known(&fleet).await;
+    *fleet.world.further.lock().unwrap() = members_of_groups(GROUPS).collect();
+    fleet.configuration.send_replace(with_groups(2, GROUPS));
+    until(|| fleet.records.get("fleet").is_some()).await;
+    sleep(Duration::from_secs(5)).await;
+    (0..PROCESSES).for_each(|node| fleet.kill(node));
+    fleet.peers.send_rate.store(SLOW_LINK, Ordering::Relaxed);
+    let before = (fleet.records.calls(), fleet.records.whole_reads());
+    let names: Vec<String> = fleet.nodes.iter().map(|node| node.name.clone()).collect();
+    for (index, name) in names.iter().enumerate() {
+        fleet.nodes[index] = fleet.respawn_node(name);
+    }
+    until_known(&fleet).await;
+    let (calls, whole) = cost(&fleet, before);
+    assert!(whole <= READERS, "{whole}");
+    assert!(calls <= 3 * PROCESSES as u64, "{calls}");
+}
+
 /// Those that the index lists have all gone for good.
 #[tokio::test(start_paused = true)]
 async fn a_process_that_finds_nobody_of_the_index_goes_to_the_store() {
--- a/crates/engine/tests/rosters.rs
+++ b/crates/engine/tests/rosters.rs
@@ -4,10 +4,9 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_engine::configuration::{Configuration, GroupSettings};
-use stilequay_engine::directory::{Member, MemberState, Role};
 use stilequay_engine::leadership::roster::Roster;
-use support::{Fleet, configuration};
+use support::Fleet;
+use support::groups::{group_name, members_of_groups, with_groups};
 use tokio::time::sleep;
 
 /// Groups that are configured at once, of three servers each.
@@ -18,48 +17,9 @@
 /// Time in which all groups are recorded.
 const RECORDED_WITHIN: Duration = Duration::from_secs(5);
 
-fn group_name(index: usize) -> String {
-    format!("group-{index}")
-}
-
-fn members(index: usize) -> impl Iterator<Item = Member> {
-    let roles = [Role::Primary, Role::Replica, Role::Replica];
-    roles.into_iter().enumerate().map(move |(place, role)| {
-        let number = u16::try_from(3 * index + place).expect("few members");
-        Member {
-            id: Arc::from(format!("member-{number}")),
-            group: Arc::from(group_name(index)),
-            address: ([10, 9, 0, 1], 10_000 + number).into(),
-            zone: Arc::from("zone-a"),
-            role,
-            slots: 3,
-            cold_until: None,
-            state: MemberState::Ready,
-            changed: 0,
-        }
-    })
-}
-
-/// The configuration with all groups, as version `version`.
-fn with_groups(version: u64) -> Configuration {
-    let mut configuration = configuration(1);
-    configuration.version = version;
-    let settings = GroupSettings {
-        member_connections: 34,
-        sync_replicas: 1,
-        slow_start: None,
-    };
-    for index in 0..GROUPS {
-        let name = Arc::from(group_name(index));
-        configuration.groups.insert(name, settings.clone());
-    }
-    configuration
-}
-
 async fn configure(fleet: &Fleet) {
-    let further = (0..GROUPS).flat_map(members);
-    *fleet.world.further.lock().unwrap() = further.collect();
-    fleet.configuration.send_replace(with_groups(2));
+    *fleet.world.further.lock().unwrap() = members_of_groups(GROUPS).collect();
+    fleet.configuration.send_replace(with_groups(2, GROUPS));
     sleep(RECORDED_WITHIN).await;
 }
 
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub mod freezer;
+pub mod groups;
 pub mod history;
 pub mod peers;
 pub mod records;
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -18,7 +18,7 @@
 };
 use stilequay_engine::serving;
 use tokio::sync::{mpsc, watch};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep, sleep_until};
 
 /// Time for a question or an answer.
 const ONE_WAY: Duration = Duration::from_millis(1);
@@ -37,6 +37,10 @@
     killed: watch::Sender<HashSet<String>>,
     /// What these know reaches nobody over links.
     secretive: Mutex<HashSet<String>>,
+    /// Bytes a second that one process sends over all its links; any number where it is zero.
+    pub send_rate: AtomicU64,
+    /// Until when what each process has sent is on its way.
+    sending_until: Mutex<HashMap<String, Instant>>,
     /// Links of an earlier generation carry nothing any more, and don't end.
     generation: AtomicU64,
     /// Keeps what links carry, for [`MemoryPeers::processes_passed`].
@@ -68,6 +72,8 @@
             away: Mutex::default(),
             killed: watch::Sender::new(HashSet::new()),
             secretive: Mutex::default(),
+            send_rate: AtomicU64::default(),
+            sending_until: Mutex::default(),
             generation: AtomicU64::default(),
             keeps_frames: AtomicBool::default(),
             frames: Mutex::default(),
@@ -148,6 +154,7 @@
             let is_answer = matches!(decode(&frame), Some(FromHome::News { .. }));
             self.news_asked
                 .fetch_add(u64::from(is_question), Ordering::Relaxed);
+            sleep_until(self.sent_at(&from, frame.len())).await;
             sleep(ONE_WAY).await;
             self.world.freezer.pass(&from).await;
             self.world.freezer.pass(&to).await;
@@ -172,6 +179,19 @@
         }
     }
 
+    /// When `len` bytes that the process `from` sends now have left it.
+    fn sent_at(&self, from: &str, len: usize) -> Instant {
+        let now = Instant::now();
+        let rate = self.send_rate.load(Ordering::Relaxed);
+        if rate == 0 {
+            return now;
+        }
+        let mut sending = self.sending_until.lock().unwrap();
+        let until = sending.entry(from.to_owned()).or_insert(now);
+        *until = (*until).max(now) + Duration::from_secs_f64(len as f64 / rate as f64);
+        *until
+    }
+
     pub fn address_of(node: &str) -> SocketAddr {
         let number: u16 = node
             .rsplit('-')
