Count the bytes of parts once, and read more simply

Reading the change once more: a long answer was counted whole and in parts; the result of the first question had the name of its link; a guard awaited.

--- a/crates/engine/src/following/search.rs
+++ b/crates/engine/src/following/search.rs
@@ -200,11 +200,12 @@
         };
     };
     let mut hedge = pin!(ask(engine, &second, Duration::ZERO, step));
-    if let Ok(first) = on_time {
+    if let Ok(learned) = on_time {
+        let is_starting = learned == Err(NoNews::Starting);
         let hedged = hedge.await;
-        return hedged.map_err(|reason| match first {
-            Err(NoNews::Starting) => NoNews::Starting,
-            _ => reason,
+        return hedged.map_err(|reason| match is_starting {
+            true => NoNews::Starting,
+            false => reason,
         });
     }
     tokio::select! {
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -337,8 +337,9 @@
 
 /// The frames in which the answer to `exchange` is sent: several, where it is long.
 pub fn encode_in_parts(exchange: ExchangeId, answer: &FromHome) -> Vec<Bytes> {
-    let whole = encode(answer);
+    let whole = to_bytes(answer);
     if whole.len() <= PART_BYTES {
+        count(answer, &whole);
         return vec![whole];
     }
     let count = whole.len().div_ceil(PART_BYTES);
@@ -356,11 +357,19 @@
 
 /// A frame's bytes, which are counted by its kind.
 pub fn encode<T: Frame>(frame: &T) -> Bytes {
+    let encoded = to_bytes(frame);
+    count(frame, &encoded);
+    encoded
+}
+
+fn to_bytes<T: Frame>(frame: &T) -> Bytes {
     // Texts, numbers and bytes only: encoding can't fail.
-    let encoded = rmp_serde::to_vec(frame).unwrap_or_default();
+    rmp_serde::to_vec(frame).unwrap_or_default().into()
+}
+
+fn count<T: Frame>(frame: &T, encoded: &Bytes) {
     let bytes = u64::try_from(encoded.len()).unwrap_or(u64::MAX);
     metrics::counter!("stilequay_link_bytes_total", "frame" => frame.kind()).increment(bytes);
-    encoded.into()
 }
 
 /// Reads a frame; `None` where it makes no sense.
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -257,10 +257,11 @@
         let is_recent = |at: Option<Instant>, age| at.is_some_and(|at| now < at + age);
         if !is_recent(group.evidence(), EVIDENCE_AGE) {
             match wanted {
-                Wanted::StoreEvidence if vouching::renew(&self.engine, group).await => {}
-                // A failure is told by the task that follows the records.
                 Wanted::StoreEvidence => {
-                    let _ = self.engine.terms().refresh(&self.engine, group, now).await;
+                    if !vouching::renew(&self.engine, group).await {
+                        // A failure is told by the task that follows the records.
+                        let _ = self.engine.terms().refresh(&self.engine, group, now).await;
+                    }
                 }
                 Wanted::Evidence | Wanted::Position => renew_evidence(&self.engine, group).await,
             }
