Open no transaction at a leader that has started again

Cause: a read is not handed on from less than its leader is known to have reached; a transaction that only reads was opened there all the same, and read from an empty log until the server's entry told of its start.

Change: the answer to the opening is compared too; another member is tried.

--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -159,6 +159,8 @@
         after: target.after,
     };
     let known = transaction.group.as_leader(&member);
+    let reached = known.as_ref();
+    let reached = reached.and_then(|leader| transaction.group.reached_by(leader));
     let sent = Instant::now();
     let opening = async {
         let put = connection.put_values(&claim.values).await;
@@ -170,6 +172,12 @@
         Ok(answer) => answer,
         Err(missing) => return Attempt::NotRun(missing.reason()),
     };
+    if answer.position.is_some() && answer.position < reached {
+        // What answers has started again, with nothing of before.
+        trace.attempted(&member, "its log is shorter than it was");
+        connection.roll_back();
+        return Attempt::NotRun(FailureReason::NoFreshMember);
+    }
     note_position(&transaction.group, known.as_ref(), sent, &answer);
     if let Err(refusal) = answer.outcome {
         trace.attempted(&member, refusal_text(&refusal));
--- a/crates/engine/tests/server_lives.rs
+++ b/crates/engine/tests/server_lives.rs
@@ -9,7 +9,7 @@
 use stilequay_engine::names::{MemberId, are_lives_of_one, life_of, server_of};
 use support::history::History;
 use support::servers::World;
-use support::{Fleet, GROUP, until};
+use support::{Fleet, GROUP, LEADER_DATABASE, seen, until};
 use tokio::time::{Instant, sleep};
 
 #[rstest]
@@ -130,6 +130,25 @@
     .await;
 }
 
+/// Its entry has not told yet that it has started again.
+#[tokio::test(start_paused = true)]
+async fn no_transaction_reads_from_a_leader_that_has_started_again() {
+    let fleet = Fleet::start(1).await;
+    for name in ["a", "b", "c"] {
+        fleet.world.change(name, |server| server.born = Some(1));
+    }
+    sleep(Duration::from_millis(500)).await;
+    let mut client = fleet.session(0, LEADER_DATABASE);
+    client
+        .write_until_acknowledged(Duration::from_secs(5))
+        .await;
+    fleet.world.start_anew("a");
+    client.begin(true).await;
+    let reply = client.read("x").await;
+    let is_whole = reply.outcome.is_err() || seen(&reply).1 > 0;
+    assert!(is_whole, "{:?}", seen(&reply));
+}
+
 /// Whoever connects to a life that has ended would reach the next one.
 #[tokio::test(start_paused = true)]
 async fn no_connection_is_opened_to_a_life_that_has_ended() {
