Tell of what could not be encoded

Cause: eleven encodings in the engine and two in the platform went out empty without a line if they failed.

No behaviour is changed as long as encoding does not fail, which nothing known makes it do.

--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -4,6 +4,7 @@
 //! share of each follows from their number.
 
 use super::fleet_index::FleetIndex;
+use crate::encoding;
 use crate::engine::Engine;
 use crate::home::placement::{LEAST_SHARE, Peer, RESERVED};
 use crate::names::{NodeName, ZoneName};
@@ -109,11 +110,8 @@
     let mut failures = 0;
     loop {
         let known = own_record(engine, &key);
-        // Texts and numbers only: encoding can't fail.
-        let value = rmp_serde::to_vec_named(&NodeRecord::of(engine)).unwrap_or_default();
-        let put = engine
-            .terms()
-            .put_other(key.clone(), known.as_ref(), value.into());
+        let value = encoding::with_names(&NodeRecord::of(engine));
+        let put = engine.terms().put_other(key.clone(), known.as_ref(), value);
         match put.await {
             Ok(PutOutcome::Stored(_)) => {
                 failures = 0;
--- a/crates/engine/src/leadership/fleet_index.rs
+++ b/crates/engine/src/leadership/fleet_index.rs
@@ -7,11 +7,11 @@
 //! learns of the rest from these.
 
 use super::duty::Duty;
+use crate::encoding;
 use crate::engine::Engine;
 use crate::following;
 use crate::home::placement::Peer;
 use crate::ports::Record;
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -74,8 +74,7 @@
         if known.as_ref().and_then(FleetIndex::decode).as_ref() == Some(&current) {
             continue;
         }
-        // Texts and numbers only: encoding can't fail.
-        let value: Bytes = rmp_serde::to_vec_named(&current).unwrap_or_default().into();
+        let value = encoding::with_names(&current);
         let put = engine
             .terms()
             .put_other(KEY.to_owned(), known.as_ref(), value);
--- a/crates/engine/src/leadership/lease_records.rs
+++ b/crates/engine/src/leadership/lease_records.rs
@@ -1,5 +1,6 @@
 //! Leases of the fleet, kept as records of the store.
 
+use crate::encoding;
 use crate::ports::{PutOutcome, Record, RecordStore, RecordStoreError};
 use crate::version::{StoreEra, StoreVersion, era_of};
 use async_trait::async_trait;
@@ -91,8 +92,8 @@
         let Some(version) = version else {
             return Ok(LeasePutOutcome::Conflict);
         };
-        let value = rmp_serde::to_vec_named(record).unwrap_or_default();
-        let put = self.records.put_if(&key, version, value.into()).await;
+        let value = encoding::with_names(record);
+        let put = self.records.put_if(&key, version, value).await;
         match put.map_err(translate)? {
             PutOutcome::Stored(version) => {
                 self.note_era(version);
--- a/crates/engine/src/leadership/record.rs
+++ b/crates/engine/src/leadership/record.rs
@@ -1,5 +1,6 @@
 //! The record of a group's leadership, as it is kept in the store.
 
+use crate::encoding;
 use crate::group::Epoch;
 use crate::names::{GroupName, MemberId, NodeName};
 use crate::position::LogPosition;
@@ -72,8 +73,7 @@
 
     /// The record as it is stored.
     pub fn encode(&self) -> Bytes {
-        // Texts and numbers only: encoding can't fail.
-        rmp_serde::to_vec_named(self).unwrap_or_default().into()
+        encoding::with_names(self)
     }
 
     /// Reads a stored record.
--- a/crates/engine/src/leadership/report.rs
+++ b/crates/engine/src/leadership/report.rs
@@ -1,6 +1,7 @@
 //! Suspicions that processes record for the holder of the lease.
 
 use super::suspicion::Suspicion;
+use crate::encoding;
 use crate::engine::Engine;
 use crate::group::Epoch;
 use crate::names::{GroupName, NodeName};
@@ -38,12 +39,8 @@
     };
     let others = engine.terms().subscribe_others();
     let version = others.borrow().get(&key).map_or(0, |known| known.version);
-    let value = rmp_serde::to_vec_named(&report).unwrap_or_default();
-    let _ = engine
-        .terms()
-        .store()
-        .put_if(&key, version, value.into())
-        .await;
+    let value = encoding::with_names(&report);
+    let _ = engine.terms().store().put_if(&key, version, value).await;
 }
 
 /// Reads a record, if it is a suspicion.
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -9,6 +9,7 @@
 
 use super::duty::Duty;
 use crate::directory::{Departure, Member, MemberState, Role};
+use crate::encoding;
 use crate::engine::Engine;
 use crate::names::{GroupName, MemberId, ZoneName};
 use crate::ports::{PUTS_AT_ONCE, PutOutcome, Record, RecordPut, RecordStoreError};
@@ -137,8 +138,7 @@
     Comparison::Due(RecordPut {
         key,
         expected: known.map_or(0, |known| known.version),
-        // Texts and numbers only: encoding can't fail.
-        value: rmp_serde::to_vec_named(&current).unwrap_or_default().into(),
+        value: encoding::with_names(&current),
     })
 }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod configuration;
 pub mod directory;
+mod encoding;
 pub mod engine;
 pub mod evacuation;
 pub mod events;
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -1,5 +1,6 @@
 //! What goes over a link: to the process that serves it, and back.
 
+use crate::encoding;
 use crate::names::{DatabaseName, GroupName, MemberId, RequestId, TenantName};
 use crate::ports::{Answer, DeclaredState, DeclaredVersions, GroupBelief, Record};
 use crate::position::LogPosition;
@@ -363,8 +364,7 @@
 }
 
 fn to_bytes<T: Frame>(frame: &T) -> Bytes {
-    // Texts, numbers and bytes only: encoding can't fail.
-    rmp_serde::to_vec(frame).unwrap_or_default().into()
+    encoding::without_names(frame)
 }
 
 fn count<T: Frame>(frame: &T, encoded: &Bytes) {
--- a/crates/engine/src/peers/tcp.rs
+++ b/crates/engine/src/peers/tcp.rs
@@ -1,6 +1,7 @@
 //! Questions over TCP: one frame asks, one answers, and the connection ends.
 
 use super::{beliefs, declared};
+use crate::encoding;
 use crate::engine::Engine;
 use crate::names::GroupName;
 use crate::ports::{
@@ -64,12 +65,8 @@
     let unreachable = |error: std::io::Error| PeerError::Unreachable(error.to_string());
     let stream = TcpStream::connect(peer).await.map_err(unreachable)?;
     let mut frames = framed(stream);
-    // Texts and numbers only: encoding can't fail.
-    let encoded = rmp_serde::to_vec(question).unwrap_or_default();
-    frames
-        .send(Bytes::from(encoded))
-        .await
-        .map_err(unreachable)?;
+    let encoded = encoding::without_names(question);
+    frames.send(encoded).await.map_err(unreachable)?;
     let frame = frames.next().await;
     let frame = frame.ok_or_else(|| PeerError::Unreachable("broke off".to_owned()))?;
     let frame = frame.map_err(unreachable)?;
@@ -109,11 +106,8 @@
         let stream = TcpStream::connect(peer).await.map_err(unreachable)?;
         stream.set_nodelay(true).map_err(unreachable)?;
         let mut frames = framed(stream);
-        let encoded = rmp_serde::to_vec(&Question::Link).unwrap_or_default();
-        frames
-            .send(Bytes::from(encoded))
-            .await
-            .map_err(unreachable)?;
+        let encoded = encoding::without_names(&Question::Link);
+        frames.send(encoded).await.map_err(unreachable)?;
         Ok(spawn_link(frames))
     }
 }
@@ -189,8 +183,8 @@
         }
         Question::Link => return Some(Asked::Link(spawn_link(frames))),
     };
-    let encoded = rmp_serde::to_vec(&answer).unwrap_or_default();
-    frames.send(Bytes::from(encoded)).await.ok()?;
+    let encoded = encoding::without_names(&answer);
+    frames.send(encoded).await.ok()?;
     Some(Asked::Answered)
 }
 
--- a/crates/engine/src/slow_start/allot.rs
+++ b/crates/engine/src/slow_start/allot.rs
@@ -3,6 +3,7 @@
 use super::allotment::{Allotment, Allotments, Senders, divide};
 use super::{Cold, cold, settling, share};
 use crate::directory::Member;
+use crate::encoding;
 use crate::engine::Engine;
 use crate::events::{Event, millis};
 use crate::home::placement::{CANDIDATES, Peer};
@@ -207,8 +208,7 @@
     }
     next.members.insert(member.id.clone(), allotment);
     forget_left(engine, &mut next);
-    // Texts and numbers only: encoding can't fail.
-    let value: bytes::Bytes = rmp_serde::to_vec_named(&next).unwrap_or_default().into();
+    let value = encoding::with_names(&next);
     let put = engine.terms().put_other(key, known.as_ref(), value);
     put.await.map(drop)
 }
