--- a/crates/engine/src/ports/record_store.rs
+++ b/crates/engine/src/ports/record_store.rs
@@ -7,8 +7,9 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
-/// Records that one call writes, at the most: below what stores take, in number and in bytes.
-pub const PUTS_AT_ONCE: usize = 64;
+/// Records that one call writes, at the most. A store that takes 100 entries in one call counts
+/// each condition like a write.
+pub const PUTS_AT_ONCE: usize = 48;
 
 /// A record as the store has it.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
