List the metric of vouched leaders

Cause: the first whole run of the suite failed: the page for operators names a metric that the list of metrics lacks. It had no description where it is served.

Change: it is listed. The test of the page passes.

--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -143,6 +143,10 @@
         "stilequay_link_bytes_total",
         "Bytes sent over links between processes, by kind of frame.",
     ),
+    Metric::counter(
+        "stilequay_terms_vouched_total",
+        "Times that the holder of the lease for promotions vouched for leaders.",
+    ),
     Metric::counter(
         "stilequay_peer_answers_total",
         "Answers of other processes that were asked for their beliefs.",
