Review case 3: a session's own commit is forgotten when its database moves and returns

A read_your_writes database goes to another service and back, 80 ms apart; the session writes at both.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod lost;
 mod nodes;
 mod record;
+mod stale;
 mod store;
 mod world;
 
@@ -33,6 +34,7 @@
     let program = PathBuf::from(program);
     let run = match case.as_str() {
         "lost" => lost::run(&program, &record, &trouble),
+        "stale" => stale::run(&program, &record, &trouble),
         other => Err(format!("there is no case {other}").into()),
     };
     match run {
