--- a/review/standin/src/group.rs
+++ b/review/standin/src/group.rs
@@ -50,6 +50,8 @@
     connections: usize,
     open: Vec<TcpStream>,
     life: u64,
+    /// When it started, in ms, as its entry tells.
+    born: u64,
     /// Since when this old primary has reached a newer one.
     superseded_since: Option<Instant>,
 }
@@ -101,6 +103,11 @@
     }
 }
 
+fn now_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or_default()
+}
+
 /// How long after receiving an entry a replica applies it: log-normal, as the site files have it.
 #[derive(Debug, Clone, Copy)]
 pub struct Lag {
@@ -178,6 +185,7 @@
                 connections: 0,
                 open: Vec::new(),
                 life: 0,
+                born: now_ms(),
                 superseded_since: None,
             });
             listeners.push(listener);
@@ -274,6 +282,25 @@
         self.changed.notify_all();
     }
 
+    /// The server starts again under its id; it holds and knows nothing of before.
+    pub fn return_empty(self: &Arc<Self>, index: usize) {
+        {
+            let mut servers = self.servers.lock().unwrap();
+            let server = &mut servers[index];
+            server.log.clear();
+            server.applied_at.clear();
+            server.primary = false;
+            server.term = 1;
+            server.born = now_ms();
+        }
+        self.return_server(index);
+    }
+
+    /// When a server started.
+    pub fn born(&self, index: usize) -> u64 {
+        self.servers.lock().unwrap()[index].born
+    }
+
     /// The server returns with its log: as primary if no other was promoted.
     pub fn return_server(self: &Arc<Self>, index: usize) {
         let life = self.lives.fetch_add(1, Ordering::SeqCst);
--- a/review/standin/src/lost.rs
+++ b/review/standin/src/lost.rs
@@ -1,8 +1,10 @@
-//! Case `lost`: a replica receives nothing for a while, the primary crashes meanwhile and returns,
-//! and the promotion service is down during that time.
+//! Cases `lost` and `empty`: a replica receives nothing for a while, and the primary crashes
+//! meanwhile and returns. In `lost` the promotion service is down during that time, in `empty` the
+//! other replica starts again and holds nothing of before.
 
 use crate::client::{Answer, Session};
 use crate::group::Lag;
+use crate::nodes::ZONES;
 use crate::record::Record;
 use crate::world::{DEADLINE, Failure, Plan, Route, World, configuration};
 use std::path::Path;
@@ -21,8 +23,23 @@
 /// How long the primary is down, and the promotion service, from the crash on.
 const CRASH_TIME: Duration = Duration::from_millis(2_000);
 const OUTAGE_TIME: Duration = Duration::from_millis(4_500);
+/// How long the other replica takes to start again.
+const RESTART_TIME: Duration = Duration::from_millis(100);
 
-pub fn run(program: &Path, record: &Arc<Record>, trouble: &str) -> Result<(), Failure> {
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Second {
+    /// The promotion service is down.
+    Outage,
+    /// The other replica starts again empty.
+    Empty,
+}
+
+pub fn run(
+    program: &Path,
+    record: &Arc<Record>,
+    trouble: &str,
+    second: Second,
+) -> Result<(), Failure> {
     let plan = Plan {
         program,
         services: &[SERVICE],
@@ -32,6 +49,7 @@
             spread: 0.6,
             max_ms: 48.0,
         },
+        tells_born: second == Second::Empty,
     };
     let world = World::start(&plan, Arc::clone(record))?;
     let route = Route {
@@ -45,13 +63,14 @@
         .store
         .put("op", "config", &configuration(1, &[route], &[SERVICE]));
     world.start_nodes(DATABASE)?;
+    let nodes = nodes_of_clients(&world, second)?;
     let stopped = AtomicBool::new(false);
     thread::scope(|scope| {
         for writer in 0..WRITERS {
-            let (world, stopped) = (&world, &stopped);
-            scope.spawn(move || write_until(world, writer, stopped));
+            let (world, stopped, nodes) = (&world, &stopped, &nodes);
+            scope.spawn(move || write_until(world, nodes, writer, stopped));
         }
-        let outcome = play(&world, trouble);
+        let outcome = play(&world, trouble, second);
         stopped.store(true, Ordering::SeqCst);
         outcome
     })?;
@@ -59,13 +78,43 @@
     Ok(())
 }
 
-fn play(world: &World, trouble: &str) -> Result<(), Failure> {
+/// The processes that clients connect to: in `empty` those of one zone, where the holder of the
+/// promotion lease isn't.
+fn nodes_of_clients(world: &World, second: Second) -> Result<Vec<usize>, Failure> {
+    let all = 0..world.nodes.len();
+    if second == Second::Outage {
+        return Ok(all.collect());
+    }
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        if let Some(holder) = world.holder() {
+            let zone = (holder + 1) % ZONES.len();
+            world.record.say(&format!(
+                "{} holds the promotion lease; the clients are in {}",
+                world.nodes[holder].name, ZONES[zone]
+            ));
+            return Ok(all.filter(|node| node % ZONES.len() == zone).collect());
+        }
+        if Instant::now() > until {
+            return Err("no process holds the promotion lease".into());
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn play(world: &World, trouble: &str, second: Second) -> Result<(), Failure> {
     let (record, group) = (&world.record, &world.groups[0]);
     thread::sleep(Duration::from_secs(3));
     let primary = group.primary().ok_or("there is no primary")?;
     let (deaf, other) = ((primary + 2) % 3, (primary + 1) % 3);
-    // `TROUBLE=crash` leaves out the outage of the promotion service.
-    let (has_lag, has_outage) = (trouble != "0", trouble == "1");
+    // `TROUBLE=crash` leaves out the second disruption.
+    let has_lag = trouble != "0";
+    let has_outage = trouble == "1" && second == Second::Outage;
+    let has_empty = trouble == "1" && second == Second::Empty;
+    let crash_time = match second {
+        Second::Outage => CRASH_TIME,
+        Second::Empty => CRASH_TIME * 2,
+    };
     let began = Instant::now();
     let at = |time: Duration| thread::sleep(time.saturating_sub(began.elapsed()));
     if has_lag {
@@ -86,7 +135,15 @@
         ));
         group.crash(primary);
     }
-    at(CRASH_AT + CRASH_TIME);
+    if has_empty {
+        group.crash(other);
+        thread::sleep(RESTART_TIME);
+        group.return_empty(other);
+        record.say(&format!(
+            "server {other} has started again and holds nothing of before"
+        ));
+    }
+    at(CRASH_AT + crash_time);
     if has_lag {
         group.return_server(primary);
     }
@@ -133,11 +190,11 @@
 }
 
 /// A client that writes one row after the other, each with a new id.
-fn write_until(world: &World, writer: usize, stopped: &AtomicBool) {
+fn write_until(world: &World, nodes: &[usize], writer: usize, stopped: &AtomicBool) {
     let mut turn = writer;
     while !stopped.load(Ordering::SeqCst) {
         turn += 1;
-        let node = &world.nodes[turn % world.nodes.len()];
+        let node = &world.nodes[nodes[turn % nodes.len()]];
         let Some(mut session) = Session::open(node.front, DATABASE, DEADLINE) else {
             thread::sleep(PAUSE * 4);
             continue;
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,10 +8,10 @@
 mod lost;
 mod nodes;
 mod record;
-mod stale;
 mod store;
 mod world;
 
+use lost::Second;
 use record::Record;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -33,8 +33,8 @@
     };
     let program = PathBuf::from(program);
     let run = match case.as_str() {
-        "lost" => lost::run(&program, &record, &trouble),
-        "stale" => stale::run(&program, &record, &trouble),
+        "lost" => lost::run(&program, &record, &trouble, Second::Outage),
+        "empty" => lost::run(&program, &record, &trouble, Second::Empty),
         other => Err(format!("there is no case {other}").into()),
     };
     match run {
--- a/review/standin/src/nodes.rs
+++ b/review/standin/src/nodes.rs
@@ -1,16 +1,19 @@
 //! The project's own processes on loopback, each on an address of its own.
 
 use std::fs::File;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::io::{Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::Mutex;
+use std::time::Duration;
 
 pub const ZONES: [&str; 3] = ["thamel-hall", "lalitpur-depot", "bhaktapur-annex"];
 
 pub struct Node {
     pub name: String,
     pub front: SocketAddr,
+    metrics: SocketAddr,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -70,6 +73,7 @@
             log: directory.join(format!("{name}.log")),
             name,
             front: SocketAddr::new(ip, front),
+            metrics: SocketAddr::new(ip, metrics),
             program: program.to_owned(),
             settings,
             child: Mutex::default(),
@@ -94,6 +98,18 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// One of the figures that the process shows at the place that the deploy file names.
+    pub fn figure(&self, name: &str) -> Option<f64> {
+        let mut stream = TcpStream::connect(self.metrics).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
+        let request = "GET /metrics HTTP/1.1\r\nHost: node\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        let mut values = text.lines().filter_map(|line| line.strip_prefix(name));
+        values.find_map(|value| value.trim().parse().ok())
+    }
+
     pub fn kill(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
             // It may have ended by itself.
--- a/review/standin/src/world.rs
+++ b/review/standin/src/world.rs
@@ -46,6 +46,8 @@
     pub services: &'a [&'a str],
     pub nodes: usize,
     pub lag: Lag,
+    /// Whether the entries of servers tell when they started.
+    pub tells_born: bool,
 }
 
 impl World {
@@ -96,7 +98,7 @@
             stopped: Arc::default(),
             numbers: AtomicU64::new(1),
         };
-        world.keep_entries();
+        world.keep_entries(plan.tells_born);
         Ok(world)
     }
 
@@ -130,13 +132,19 @@
         matches!(answer, Answer::Complete { .. })
     }
 
+    /// The process that says in its figures that it holds the promotion lease.
+    pub fn holder(&self) -> Option<usize> {
+        let holds = |node: &Node| node.figure("stilequay_promotion_lease_held") == Some(1.0);
+        self.nodes.iter().position(holds)
+    }
+
     /// A new id for a statement.
     pub fn id(&self, word: &str) -> String {
         format!("{word}{:06}", self.numbers.fetch_add(1, Ordering::SeqCst))
     }
 
     /// Each server writes its entry when it changes; it goes after three heartbeats of silence.
-    fn keep_entries(&self) {
+    fn keep_entries(&self, tells_born: bool) {
         let (store, groups) = (Arc::clone(&self.store), self.groups.clone());
         let stopped = Arc::clone(&self.stopped);
         thread::spawn(move || {
@@ -144,7 +152,8 @@
             let mut down: HashMap<String, Instant> = HashMap::new();
             while !stopped.load(Ordering::SeqCst) {
                 for group in &groups {
-                    for (id, address, zone, running, primary) in group.status() {
+                    let status = group.status().into_iter().enumerate();
+                    for (index, (id, address, zone, running, primary)) in status {
                         if !running {
                             let since = *down.entry(id.clone()).or_insert_with(Instant::now);
                             if since.elapsed() > HEARTBEAT * 3 && written.remove(&id).is_some() {
@@ -154,10 +163,14 @@
                         }
                         down.remove(&id);
                         let role = if primary { "primary" } else { "replica" };
+                        let born = match tells_born {
+                            true => format!(",\"born\":{}", group.born(index)),
+                            false => String::new(),
+                        };
                         let entry = format!(
                             "{{\"service\":\"{}\",\"addr\":\"{address}\",\"zone\":\"{zone}\",\
                              \"version\":\"v1\",\"slots\":3,\"state\":\"ready\",\
-                             \"cold_left_ms\":0,\"seq\":1,\"db_role\":\"{role}\"}}",
+                             \"cold_left_ms\":0,\"seq\":1,\"db_role\":\"{role}\"{born}}}",
                             group.service
                         );
                         if written.get(&id) != Some(&entry) {
