Make the ignored loss of a lease take effect in its test

holder_that_ignores_the_loss_of_its_lease_is_detected injects a bug: renewals of one process are confirmed although another holds the lease. The other process only takes the lease if it misses the announcements of these renewals, which the test left to chance: whether it did depended on the phase of the renewals at the first crash. The test now cuts the links from the holder to the other processes until one of them holds the lease, and heals them. The check is unchanged.

--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -369,8 +369,14 @@
     fleet.spawn_callers(&history);
     let holder = fleet.lease().holder;
     fleet.records.fake_renewals_for(holder.as_str());
-    // Another process takes the lease, which isn't really renewed.
-    sleep(Duration::from_secs(4)).await;
+    // Another process takes the lease, which isn't really renewed, unless it is told of renewals.
+    let others = fleet
+        .nodes
+        .iter()
+        .filter(|node| node.name != holder.as_str());
+    others.for_each(|node| fleet.network().cut(holder.as_str(), &node.name));
+    until(|| fleet.lease().holder != holder).await;
+    fleet.network().heal();
     let mut decreasing = Vec::new();
     for _ in 0..12 {
         let leader = fleet.world.leader();
