Count the log of a server that restarted empty as missing

A replica received nothing, and the other one started again empty as the leader crashed; the one that lagged was promoted 0.6 s later, before the leader returned.

Cause: a lost log stood in the way of the choice only if the holder of the promotion lease had seen a higher position by itself.

Change: a lost log is counted like a silent member's, unless a position is known that covers the moment of the loss and that a reported log reaches. Logs that are lost for good are not waited for. An empty log counts as missing until its entry would show a restart. What a survey has reported and what is missing is a module of its own (reported_logs.rs).

Tests: replica_that_lags_is_not_promoted_after_the_other_has_lost_its_log failed before in the two cases in which the holder serves no request. lost_log_does_not_delay_a_later_promotion holds before and after.

--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -332,6 +332,11 @@
         }
     }
 
+    /// The positions known to cover points in time.
+    pub fn samples(&self) -> PositionSamples {
+        self.lock().samples.clone()
+    }
+
     /// The newest position known to cover a point in time, of any epoch.
     pub fn newest_position(&self) -> Option<LogPosition> {
         self.lock().samples.newest().map(|sample| sample.position)
--- a/crates/engine/src/group/samples.rs
+++ b/crates/engine/src/group/samples.rs
@@ -28,7 +28,7 @@
 const CAPACITY: usize = 96;
 
 /// Bounded history of samples, oldest first.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct PositionSamples {
     kept: VecDeque<PositionSample>,
     newest: Option<PositionSample>,
--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -17,8 +17,8 @@
 use super::survey::{Response, SurveyedMember};
 use crate::directory::{Member, Role};
 use crate::evacuation::Evacuations;
+use crate::group::PositionSamples;
 use crate::names::{MemberId, are_incarnations_of_same_server};
-use crate::ports::MemberReport;
 use crate::position::{LogPosition, Term};
 use crate::topology::Topology;
 use std::cmp::Reverse;
@@ -56,7 +56,7 @@
     }
 
     /// Whether `member` is a later incarnation of the old leader's server.
-    fn is_later_incarnation(&self, member: &Member) -> bool {
+    pub(super) fn is_later_incarnation(&self, member: &Member) -> bool {
         let id = self.id.as_ref();
         id.is_some_and(|id| are_incarnations_of_same_server(id, &member.id))
     }
@@ -78,6 +78,11 @@
     pub sync_replicas: usize,
     /// The highest known position of the old leader's log.
     pub known: Option<LogPosition>,
+    /// Positions that cover every commit acknowledged before a point in time.
+    pub samples: &'a PositionSamples,
+    /// Whether the entries show every restart of a server before the survey. Otherwise an empty log
+    /// may be that of a server that has lost its own.
+    pub shows_restarts: bool,
     /// Zones whose members become leader only if no other member holds every commit.
     pub evacuations: &'a Evacuations,
     /// Maps zones to regions.
@@ -117,14 +122,18 @@
     /// A position that covers every acknowledged commit, from the number of logs that reach it.
     fn quorum_position(&self, now: Instant) -> Result<LogPosition, Obstacle> {
         let missing = self.missing_logs(now);
-        let allowed = self.sync_replicas.checked_sub(missing);
-        let allowed = allowed.ok_or_else(|| self.obstacle_to_quorum(now))?;
+        if missing > self.sync_replicas && self.may_return(now) {
+            return Err(self.obstacle_to_quorum(now));
+        }
+        let allowed = self.sync_replicas.saturating_sub(missing);
         self.check_known_members()?;
-        let reports = self.members.iter().filter_map(|m| self.complete_report(m));
+        let reports = self.complete_reports();
         let mut positions: Vec<LogPosition> = reports.map(|report| report.received).collect();
         positions.sort_by_key(|position| Reverse(*position));
-        let position = positions.get(allowed).ok_or(Obstacle::TooFewKnown)?;
-        self.covering_departed(*position, positions[0], now)
+        let position = positions.get(allowed).ok_or(Obstacle::NoCandidate)?;
+        let lost = self.lost_logs().filter_map(|(_, covering)| covering);
+        let position = lost.fold(*position, LogPosition::max);
+        self.covering_departed(position, positions[0], now)
     }
 
     /// Raises `position` if a member that has left for good may have held more. Its log is gone;
@@ -136,7 +145,8 @@
         longest: LogPosition,
         now: Instant,
     ) -> Result<LogPosition, Obstacle> {
-        let departed = self.members.iter().find(|member| member.has_left(now));
+        let mut departed = self.members.iter().filter(|member| member.has_left(now));
+        let departed = departed.find(|member| member.response != Response::RestartedEmpty);
         match (departed, self.known) {
             (Some(departed), Some(known)) if known > longest => {
                 Err(Obstacle::MayHoldMore(departed.member.id.clone()))
@@ -146,15 +156,6 @@
         }
     }
 
-    /// Number of logs that may hold acknowledged commits and are unknown, or through which commits
-    /// may still be acknowledged.
-    fn missing_logs(&self, now: Instant) -> usize {
-        let others = self.other_members(now);
-        let missing = others.filter(|member| self.complete_report(member).is_none());
-        let is_previous_missing = self.previous.id.is_some() && self.previous_log().is_none();
-        missing.count() + usize::from(is_previous_missing)
-    }
-
     /// The obstacle to be removed first if too many logs are missing.
     fn obstacle_to_quorum(&self, now: Instant) -> Obstacle {
         let mut others = self.other_members(now);
@@ -170,9 +171,16 @@
             return Obstacle::NoCandidate;
         }
         let mut others = self.other_members(now);
-        let missing = others.find(|member| self.complete_report(member).is_none());
-        let missing = missing.map(|member| Obstacle::MayHoldMore(member.member.id.clone()));
-        missing.unwrap_or(Obstacle::NoCandidate)
+        let unreported = others.find(|member| self.complete_report(member).is_none());
+        let mut lost = self.lost_logs();
+        let lost = || {
+            lost.find(|(_, covering)| covering.is_none())
+                .map(|(member, _)| member)
+        };
+        let missing = unreported.or_else(lost);
+        missing.map_or(Obstacle::NoCandidate, |member| {
+            Obstacle::MayHoldMore(member.member.id.clone())
+        })
     }
 
     /// Checks that enough members are known. The leader may have had commits acknowledged through a
@@ -188,57 +196,6 @@
         }
     }
 
-    /// The report of a member that is fenced and has the log that it had before.
-    fn complete_report(&self, member: &SurveyedMember) -> Option<MemberReport> {
-        let report = member.response.report()?;
-        let is_complete = match self.is_previous(member) {
-            true => self.is_log_of_previous(member, report),
-            false => self.has_log_of_target(member, report),
-        };
-        (is_complete && self.is_fenced(member, report)).then_some(*report)
-    }
-
-    /// Whether nobody can have further commits acknowledged through the member.
-    fn is_fenced(&self, member: &SurveyedMember, report: &MemberReport) -> bool {
-        // After its demotion, no other leader is there to receive from.
-        let led_alone = self.is_previous(member) && self.former_targets.is_empty();
-        report.role == Role::Replica && (report.paused_for >= self.term || led_alone)
-    }
-
-    /// The position of the old leader's log, if it is fenced and has the log that it had as leader.
-    fn previous_log(&self) -> Option<LogPosition> {
-        let mut old = self.members.iter().filter(|m| self.is_previous(m));
-        let report = old.find_map(|member| self.complete_report(member))?;
-        Some(report.received)
-    }
-
-    /// Whether the old leader reports the log that it had as leader. A log that is empty or shorter
-    /// than another member's is not: its server has restarted without it.
-    fn is_log_of_previous(&self, member: &SurveyedMember, report: &MemberReport) -> bool {
-        !self.previous.is_later_incarnation(&member.member)
-            && report.received.number > 0
-            && self.known.is_none_or(|known| reaches(report, known))
-            && self.followers_reach_at_most(report)
-    }
-
-    /// Whether `member` has the log for which it was chosen, if it is a former target.
-    fn has_log_of_target(&self, member: &SurveyedMember, report: &MemberReport) -> bool {
-        let mut targets = self.former_targets.iter();
-        let target = targets.find(|target| target.matches(&member.member));
-        target.is_none_or(|target| target.received.is_none_or(|had| reaches(report, had)))
-    }
-
-    /// Whether no replica that can't have led has a longer log than `leader` in its term, or a later
-    /// one.
-    fn followers_reach_at_most(&self, leader: &MemberReport) -> bool {
-        let followers = self.members.iter();
-        let followers = followers.filter(|m| !self.is_previous(m) && !self.is_former_target(m));
-        let reports = followers.filter_map(|member| member.response.report());
-        let mut replicas =
-            reports.filter(|report| report.role == Role::Replica && report.term >= leader.term);
-        replicas.all(|report| report.received <= leader.received)
-    }
-
     /// The best member whose log reaches `required`. It prefers, in this order: members other than
     /// the old leader; the latest former target, since an order to promote it may still be carried
     /// out, and would depose another leader; the longest log; members outside evacuated zones that
@@ -268,12 +225,6 @@
         candidates.max().map(|(_, id)| id)
     }
 
-    /// Members other than the old leader, without those that have left.
-    fn other_members(&self, now: Instant) -> impl Iterator<Item = &SurveyedMember> {
-        let members = self.members.iter();
-        members.filter(move |member| !self.is_previous(member) && !member.has_left(now))
-    }
-
     /// Whether `member` is known to be in the old leader's region.
     fn is_near_previous(&self, member: &SurveyedMember) -> bool {
         let region = |member: &SurveyedMember| self.topology.region_of(&member.member.zone);
@@ -281,11 +232,11 @@
         old.any(|old| region(old).is_some() && region(old) == region(member))
     }
 
-    fn is_previous(&self, member: &SurveyedMember) -> bool {
+    pub(super) fn is_previous(&self, member: &SurveyedMember) -> bool {
         self.previous.matches(&member.member)
     }
 
-    fn is_former_target(&self, member: &SurveyedMember) -> bool {
+    pub(super) fn is_former_target(&self, member: &SurveyedMember) -> bool {
         self.former_target_index(member).is_some()
     }
 
@@ -296,12 +247,6 @@
     }
 }
 
-/// Whether a member still has a log that reached `position`. In a later term its log may be shorter
-/// because it follows the log with which that term began.
-fn reaches(report: &MemberReport, position: LogPosition) -> bool {
-    report.received >= position || report.term > position.term
-}
-
 /// A term higher than that of every report, so that members obey commands sent with it. A fence
 /// that was begun before keeps its term.
 pub fn fencing_term(members: &[SurveyedMember]) -> Term {
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -14,11 +14,13 @@
 pub mod freshness;
 pub mod leader_evacuation;
 pub(crate) mod lease_records;
+mod lost_logs;
 mod order;
 pub mod promotion;
 pub mod promotion_lease;
 pub mod record;
 mod report;
+mod reported_logs;
 pub mod roster;
 mod settling;
 mod step_events;
@@ -55,6 +57,7 @@
         fleet::register(&engine),
         term_recovery::rewrite_lost_terms(&engine),
         roster::maintain(&engine, &lease),
+        lost_logs::cover(&engine, &lease),
         fleet::update_fleet(&engine),
         fleet_index::maintain(&engine, &lease),
         term_confirmation::maintain(&engine),
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -36,6 +36,9 @@
 
 /// Time in which the old leader completes the requests that it was sent before it is fenced.
 const DRAIN_TIME: Duration = Duration::from_millis(60);
+/// Time after its start within which a server has written its entry and this process has learned of
+/// it, while the store is available.
+const REGISTRATION_TIME: Duration = Duration::from_secs(2);
 /// Pause between surveys while the fence is incomplete.
 const FENCE_PAUSE: Duration = Duration::from_millis(80);
 /// Number of epochs reserved for each era of the store.
@@ -167,6 +170,7 @@
         };
         let sync_replicas = self.engine.sync_replicas(&self.group);
         self.load_roster().await?;
+        let began = Instant::now();
         loop {
             self.check_lease()?;
             let surveyed = survey::survey(
@@ -186,13 +190,16 @@
             let fenced = survey::survey(&self.engine, &self.group, control_for, stragglers).await;
             self.emit_fence(&term.record, &fenced);
             let evacuations = self.engine.evacuations();
+            let group = self.engine.group(&self.group);
             let survey = FenceSurvey {
                 members: &fenced,
                 previous: &previous,
                 former_targets: &term.record.former_targets,
                 term: fencing,
                 sync_replicas,
-                known: self.engine.group(&self.group).newest_position(),
+                known: group.newest_position(),
+                samples: &group.samples(),
+                shows_restarts: began.elapsed() > REGISTRATION_TIME,
                 evacuations: &evacuations,
                 topology: &self.engine.settings().topology,
             };
--- /dev/null
+++ b/crates/engine/src/leadership/reported_logs.rs
@@ -0,0 +1,141 @@
+//! Which logs a survey has reported in full, and which are missing.
+
+use super::choice::FenceSurvey;
+use super::survey::{Response, SurveyedMember};
+use crate::directory::{MemberState, Role};
+use crate::names::server_name;
+use crate::ports::MemberReport;
+use crate::position::LogPosition;
+use std::collections::HashSet;
+use tokio::time::Instant;
+
+impl FenceSurvey<'_> {
+    /// The reports of the members whose logs are known.
+    pub(super) fn complete_reports(&self) -> impl Iterator<Item = MemberReport> {
+        let members = self.members.iter();
+        members.filter_map(|member| self.complete_report(member))
+    }
+
+    /// The report of a member that is fenced and has the log that it had before.
+    pub(super) fn complete_report(&self, member: &SurveyedMember) -> Option<MemberReport> {
+        let report = member.response.report()?;
+        let is_complete = match self.is_previous(member) {
+            true => self.is_log_of_previous(member, report),
+            false => self.has_log_of_target(member, report) && !self.may_have_restarted(report),
+        };
+        (is_complete && self.is_fenced(member, report)).then_some(*report)
+    }
+
+    /// Whether a replica may have lost its log in a restart that its entry doesn't show yet.
+    fn may_have_restarted(&self, report: &MemberReport) -> bool {
+        let reports = self.members.iter().filter_map(|m| m.response.report());
+        let mut positions = reports.map(|report| report.received);
+        let is_group_empty = positions.all(|position| position.number == 0);
+        report.received.number == 0 && !is_group_empty && !self.shows_restarts
+    }
+
+    /// Whether nobody can have further commits acknowledged through the member.
+    pub(super) fn is_fenced(&self, member: &SurveyedMember, report: &MemberReport) -> bool {
+        // After its demotion, no other leader is there to receive from.
+        let led_alone = self.is_previous(member) && self.former_targets.is_empty();
+        report.role == Role::Replica && (report.paused_for >= self.term || led_alone)
+    }
+
+    /// The position of the old leader's log, if it is fenced and has the log that it had as leader.
+    pub(super) fn previous_log(&self) -> Option<LogPosition> {
+        let mut old = self.members.iter().filter(|m| self.is_previous(m));
+        let report = old.find_map(|member| self.complete_report(member))?;
+        Some(report.received)
+    }
+
+    /// Whether the old leader reports the log that it had as leader. A log that is empty or shorter
+    /// than another member's is not: its server has restarted without it.
+    pub(super) fn is_log_of_previous(
+        &self,
+        member: &SurveyedMember,
+        report: &MemberReport,
+    ) -> bool {
+        !self.previous.is_later_incarnation(&member.member)
+            && report.received.number > 0
+            && self.known.is_none_or(|known| reaches(report, known))
+            && self.followers_reach_at_most(report)
+    }
+
+    /// Whether `member` has the log for which it was chosen, if it is a former target.
+    fn has_log_of_target(&self, member: &SurveyedMember, report: &MemberReport) -> bool {
+        let mut targets = self.former_targets.iter();
+        let target = targets.find(|target| target.matches(&member.member));
+        target.is_none_or(|target| target.received.is_none_or(|had| reaches(report, had)))
+    }
+
+    /// Whether no replica that can't have led has a longer log than `leader` in its term, or a later
+    /// one.
+    fn followers_reach_at_most(&self, leader: &MemberReport) -> bool {
+        let followers = self.members.iter();
+        let followers = followers.filter(|m| !self.is_previous(m) && !self.is_former_target(m));
+        let reports = followers.filter_map(|member| member.response.report());
+        let mut replicas =
+            reports.filter(|report| report.role == Role::Replica && report.term >= leader.term);
+        replicas.all(|report| report.received <= leader.received)
+    }
+
+    /// Logs that servers have lost in a restart, each with a position that covers all commits of
+    /// which it may have been a copy; `None` if no position is known that a reported log reaches.
+    pub(super) fn lost_logs(&self) -> impl Iterator<Item = (&SurveyedMember, Option<LogPosition>)> {
+        let ended = self.members.iter().filter(|member| {
+            member.response == Response::RestartedEmpty && !self.is_previous(member)
+        });
+        ended.filter_map(|member| {
+            let MemberState::Gone(departure) = member.member.state else {
+                return None;
+            };
+            let covering = self.samples.covering(departure.learned_at);
+            let is_reached = |position: &LogPosition| {
+                let mut reports = self.complete_reports();
+                reports.any(|report| reaches(&report, *position))
+            };
+            Some((member, covering.filter(is_reached)))
+        })
+    }
+
+    /// Number of logs that may hold acknowledged commits and are unknown, or through which commits
+    /// may still be acknowledged. A server counts once, since at any time it has only one log.
+    pub(super) fn missing_logs(&self, now: Instant) -> usize {
+        let others = self.other_members(now);
+        let unreported = others.filter(|member| self.complete_report(member).is_none());
+        let lost = self.lost_logs();
+        let lost = lost.filter_map(|(member, covering)| covering.is_none().then_some(member));
+        let servers = unreported.chain(lost).map(|m| server_name(&m.member.id));
+        let servers: HashSet<&str> = servers.collect();
+        servers.len() + usize::from(self.is_previous_missing())
+    }
+
+    /// Whether a missing log may still be reported. It is of no use to wait for logs that are lost.
+    pub(super) fn may_return(&self, now: Instant) -> bool {
+        let mut others = self.other_members(now);
+        others.any(|member| self.complete_report(member).is_none())
+            || (self.is_previous_missing() && !self.has_lost_previous(now))
+    }
+
+    fn is_previous_missing(&self) -> bool {
+        self.previous.id.is_some() && self.previous_log().is_none()
+    }
+
+    /// Whether the old leader's log is lost: no member is left that could report it.
+    fn has_lost_previous(&self, now: Instant) -> bool {
+        let mut old = self.members.iter().filter(|m| self.is_previous(m));
+        old.all(|old| old.has_left(now) || self.previous.is_later_incarnation(&old.member))
+    }
+
+    /// Members other than the old leader, without those that have left.
+    pub(super) fn other_members(&self, now: Instant) -> impl Iterator<Item = &SurveyedMember> {
+        let members = self.members.iter();
+        members.filter(move |member| !self.is_previous(member) && !member.has_left(now))
+    }
+}
+
+/// Whether a member still has a log that reached `position`. In a later term its log may be shorter
+/// because it follows the log with which that term began.
+fn reaches(report: &MemberReport, position: LogPosition) -> bool {
+    report.received >= position || report.term > position.term
+}
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -3,10 +3,11 @@
 use rstest::rstest;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, Member, MemberState, Role};
 use stilequay_engine::evacuation::Evacuations;
+use stilequay_engine::group::{PositionSample, PositionSamples};
 use stilequay_engine::leadership::choice::{FenceSurvey, Obstacle, PreviousLeader, fencing_term};
 use stilequay_engine::leadership::record::FormerTarget;
 use stilequay_engine::leadership::survey::{Response, SurveyedMember};
@@ -94,23 +95,55 @@
     sync_replicas: usize,
     known: Option<LogPosition>,
 ) -> Result<String, Obstacle> {
-    let previous = PreviousLeader {
-        id: Some("a".into()),
-        address: Some(address("a")),
-    };
     let survey = FenceSurvey {
-        members,
-        previous: &previous,
         former_targets,
-        term: TERM,
         sync_replicas,
         known,
-        evacuations: &Evacuations::default(),
-        topology: &Topology::new("zone-a".into(), HashMap::new()),
+        samples: &samples_at(Instant::now(), known),
+        ..survey_of(members)
     };
-    survey
-        .choose(Instant::now())
-        .map(|member| member.to_string())
+    chosen(&survey)
+}
+
+/// A survey after the old leader `a` was fenced, with one synchronous replica.
+fn survey_of(members: &[SurveyedMember]) -> FenceSurvey<'_> {
+    static PREVIOUS: LazyLock<PreviousLeader> = LazyLock::new(|| PreviousLeader {
+        id: Some("a".into()),
+        address: Some(address("a")),
+    });
+    static SAMPLES: LazyLock<PositionSamples> = LazyLock::new(PositionSamples::default);
+    static EVACUATIONS: LazyLock<Evacuations> = LazyLock::new(Evacuations::default);
+    static TOPOLOGY: LazyLock<Topology> =
+        LazyLock::new(|| Topology::new("zone-a".into(), HashMap::new()));
+    FenceSurvey {
+        members,
+        previous: &PREVIOUS,
+        former_targets: &[],
+        term: TERM,
+        sync_replicas: 1,
+        known: None,
+        samples: &SAMPLES,
+        shows_restarts: true,
+        evacuations: &EVACUATIONS,
+        topology: &TOPOLOGY,
+    }
+}
+
+fn samples_at(at: Instant, position: Option<LogPosition>) -> PositionSamples {
+    let mut samples = PositionSamples::default();
+    if let Some(position) = position {
+        samples.record(PositionSample {
+            position,
+            at,
+            epoch: 0,
+        });
+    }
+    samples
+}
+
+fn chosen(survey: &FenceSurvey<'_>) -> Result<String, Obstacle> {
+    let chosen = survey.choose(Instant::now());
+    chosen.map(|member| member.to_string())
 }
 
 fn may_hold_more(name: &str) -> Result<String, Obstacle> {
@@ -406,3 +439,83 @@
     let chosen = choose_after_attempts(&members, &targets, 1, None);
     assert_eq!(chosen, Ok(expected.to_owned()));
 }
+
+/// The old leader `a` is silent, and the incarnation of `c` that may have received its commits has
+/// ended. Only a position learned after that end shows what was acknowledged before.
+#[rstest]
+#[case::nothing_is_known(None, None, may_hold_more("c"))]
+#[case::known_before_the_end(Some(7), Some(-10), may_hold_more("c"))]
+#[case::known_after_the_end(Some(7), Some(10), Ok("b".to_owned()))]
+#[case::known_after_the_end_and_not_reached(Some(8), Some(10), may_hold_more("c"))]
+#[tokio::test(start_paused = true)]
+async fn lost_log_counts_as_missing_until_its_commits_are_known_to_be_elsewhere(
+    #[case] position: Option<u64>,
+    #[case] learned_after_ms: Option<i64>,
+    #[case] expected: Result<String, Obstacle>,
+) {
+    let ended_at = Instant::now() + Duration::from_secs(1);
+    let mut ended = ended_incarnation("c");
+    Arc::make_mut(&mut ended.member).state = MemberState::Gone(Departure::at(ended_at));
+    let members = [
+        surveyed("a", MemberState::Ready, silent()),
+        surveyed("b", MemberState::Ready, paused(7)),
+        ended,
+        incarnation("c@2", paused(0)),
+    ];
+    let after_ms = learned_after_ms.unwrap_or(0);
+    let offset = Duration::from_millis(after_ms.unsigned_abs());
+    let learned_at = match after_ms < 0 {
+        true => ended_at - offset,
+        false => ended_at + offset,
+    };
+    let samples = samples_at(
+        learned_at,
+        position.map(|number| LogPosition::new(1, number)),
+    );
+    let survey = FenceSurvey {
+        samples: &samples,
+        ..survey_of(&members)
+    };
+    assert_eq!(chosen(&survey), expected);
+}
+
+/// `c` reports an empty log, and the old leader `a` is silent. If `c` has restarted, its entry may
+/// not show that yet.
+#[rstest]
+#[case::entries_may_be_late(paused(5), false, may_hold_more("c"))]
+#[case::entries_are_settled(paused(5), true, Ok("b".to_owned()))]
+#[case::all_logs_are_empty(paused(0), false, Ok("c".to_owned()))]
+fn empty_log_may_have_been_lost(
+    #[case] other: Response,
+    #[case] shows_restarts: bool,
+    #[case] expected: Result<String, Obstacle>,
+) {
+    let members = [
+        surveyed("a", MemberState::Ready, silent()),
+        surveyed("b", MemberState::Ready, other),
+        surveyed("c", MemberState::Ready, paused(0)),
+    ];
+    let survey = FenceSurvey {
+        shows_restarts,
+        ..survey_of(&members)
+    };
+    assert_eq!(chosen(&survey), expected);
+}
+
+/// The logs of the old leader `a` and of `c` are lost in restarts. They don't return, so the longest
+/// log that is left is promoted at once.
+#[rstest]
+#[case::leader_has_restarted(vec![ended_incarnation("a"), incarnation("a@2", paused(0))], Ok("b".to_owned()))]
+#[case::leader_may_return(vec![surveyed("a", MemberState::Ready, down())], may_hold_more("c"))]
+fn lost_logs_are_not_waited_for(
+    #[case] leader: Vec<SurveyedMember>,
+    #[case] expected: Result<String, Obstacle>,
+) {
+    let others = [
+        surveyed("b", MemberState::Ready, paused(7)),
+        ended_incarnation("c"),
+        incarnation("c@2", paused(0)),
+    ];
+    let members: Vec<SurveyedMember> = leader.into_iter().chain(others).collect();
+    assert_eq!(choose_from(&members, 1), expected);
+}
--- a/crates/engine/tests/regions.rs
+++ b/crates/engine/tests/regions.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, Member, MemberState, Role};
 use stilequay_engine::evacuation::Evacuations;
+use stilequay_engine::group::PositionSamples;
 use stilequay_engine::home::placement::{
     CANDIDATES_PER_MEMBER, HOMES_PER_MEMBER, Peer, rank, rank_by_region,
 };
@@ -268,6 +269,8 @@
         sync_replicas: 1,
         evacuations: &Evacuations::default(),
         known: None,
+        samples: &PositionSamples::default(),
+        shows_restarts: true,
         topology: &topology(),
     };
     let chosen = survey.choose(Instant::now()).expect("one");
--- a/crates/engine/tests/server_lives.rs
+++ b/crates/engine/tests/server_lives.rs
@@ -117,6 +117,83 @@
     .await;
 }
 
+/// `c` receives nothing, so all commits are acknowledged through `b`, which loses its log as the
+/// leader crashes. Nobody is promoted before the leader returns, even if the holder of the lease has
+/// served no request.
+#[rstest]
+#[case::at_once(Duration::ZERO)]
+#[case::later(Duration::from_millis(100))]
+#[tokio::test(start_paused = true)]
+async fn replica_that_lags_is_not_promoted_after_the_other_has_lost_its_log(
+    #[case] down: Duration,
+    #[values(false, true)] holder_serves: bool,
+) {
+    let fleet = Fleet::start(3).await;
+    for name in ["a", "b", "c"] {
+        fleet
+            .world
+            .change(name, |server| server.started_at = Some(1));
+    }
+    sleep(Duration::from_millis(500)).await;
+    let history = Arc::new(History::default());
+    let holder = fleet.holder();
+    let callers = (0..3).filter(|node| holder_serves || *node != holder);
+    callers.for_each(|node| {
+        history.spawn_caller(&fleet.nodes[node].engine, LEADER_DATABASE, node);
+    });
+    fleet
+        .world
+        .change("c", |server| server.not_receiving = true);
+    sleep(Duration::from_secs(2)).await;
+    fleet.world.crash("a");
+    start_empty(&fleet, "b", down).await;
+    sleep(Duration::from_secs(4)).await;
+    assert!(fleet.world.promotions().is_empty());
+    fleet.world.restart("a");
+    fleet
+        .world
+        .change("c", |server| server.not_receiving = false);
+    sleep(Duration::from_secs(4)).await;
+    let before = history.counts().0;
+    sleep(Duration::from_secs(4)).await;
+    assert!(history.counts().0 > before, "no write after the faults");
+    assert_eq!(history.violations(&fleet.world), Vec::<String>::new());
+}
+
+/// A replica restarts empty some time before the leader crashes. The other replica has received
+/// everything, which the lease holder knows without serving requests itself, so it doesn't wait for
+/// the leader.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn lost_log_does_not_delay_a_later_promotion(#[values(false, true)] holder_serves: bool) {
+    let fleet = Fleet::start(3).await;
+    for name in ["a", "b", "c"] {
+        fleet
+            .world
+            .change(name, |server| server.started_at = Some(1));
+    }
+    sleep(Duration::from_millis(500)).await;
+    let history = Arc::new(History::default());
+    let holder = fleet.holder();
+    let callers = (0..3).filter(|node| holder_serves || *node != holder);
+    callers.for_each(|node| {
+        history.spawn_caller(&fleet.nodes[node].engine, LEADER_DATABASE, node);
+    });
+    sleep(Duration::from_secs(2)).await;
+    start_empty(&fleet, "b", Duration::from_millis(100)).await;
+    sleep(Duration::from_secs(1)).await;
+    fleet.world.crash("a");
+    let crashed = Instant::now();
+    until(|| !fleet.world.promotions().is_empty()).await;
+    assert!(
+        crashed.elapsed() < Duration::from_millis(1_500),
+        "{:?}",
+        crashed.elapsed()
+    );
+    sleep(Duration::from_secs(3)).await;
+    assert_eq!(history.violations(&fleet.world), Vec::<String>::new());
+}
+
 #[tokio::test(start_paused = true)]
 async fn server_that_restarts_twice_is_its_last_incarnation() {
     run_with_fault(3, async |fleet| {
--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -176,6 +176,33 @@
     world.change(lagging, |s| s.not_receiving = false);
 }
 
+/// Makes one replica lag, and crashes the leader around the time at which the other replica restarts
+/// empty. The leader, which then has the only copy of some commits, returns later.
+async fn inject_lost_copy(fleet: &Fleet, rng: &mut StdRng) {
+    let world = &fleet.world;
+    let leader = world.leader();
+    let replicas: Vec<&str> = SERVERS.into_iter().filter(|name| *name != leader).collect();
+    let lagging = rng.random_range(0..replicas.len());
+    let other = replicas[1 - lagging];
+    world.change(replicas[lagging], |s| s.not_receiving = true);
+    sleep(Duration::from_millis(rng.random_range(0..1_500))).await;
+    let crash = async |delay| {
+        sleep(delay).await;
+        world.crash(&leader);
+    };
+    let restart = async |delay| {
+        sleep(delay).await;
+        start_empty(fleet, other).await;
+    };
+    let delays = [0, 1].map(|_| Duration::from_millis(rng.random_range(0..400)));
+    tokio::join!(crash(delays[0]), restart(delays[1]));
+    sleep(Duration::from_millis(rng.random_range(0..5_000))).await;
+    world.restart(&leader);
+    sleep(Duration::from_millis(rng.random_range(0..1_000))).await;
+    world.change(replicas[lagging], |s| s.not_receiving = false);
+    sleep(Duration::from_millis(rng.random_range(0..2_000))).await;
+}
+
 async fn run(seed: u64, processes: usize) -> (Vec<String>, (usize, usize)) {
     let fleet = Fleet::start(processes).await;
     run_with_faults(seed, fleet, inject_fault).await
@@ -274,6 +301,23 @@
     );
 }
 
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn no_guarantee_is_violated_when_a_copy_is_lost_as_the_leader_crashes(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+) {
+    let fleet = Fleet::start(3).await;
+    for server in SERVERS {
+        fleet.world.change(server, |s| s.started_at = Some(1));
+    }
+    let (violations, (commits, reads)) = run_with_faults(seed, fleet, inject_lost_copy).await;
+    assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    assert!(
+        commits > 100 && reads > 100,
+        "seed {seed}: {commits} {reads}"
+    );
+}
+
 /// Links deliver commands twice, as a link with faulty retransmission would.
 #[tokio::test(start_paused = true)]
 async fn repeated_forwarded_write_is_detected() {
