Don't wait for positions that a later term has dropped

Cause: two bounds on acknowledged commits, the position that covers a lost log and the one that the old leader is known to have had, may lie beyond every log after a promotion has rolled back an unacknowledged end. No member reached them then, so nobody would have been promoted until the lost or departed member was forgotten after 60 s.

Change: such a bound counts as reached by a log of a later term, and no more than the longest reported log is required. The steps of Promotion::run and of the quorum are written out.

Test: position_that_a_later_term_has_dropped_is_no_obstacle.

--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -125,34 +125,32 @@
         if missing > self.sync_replicas && self.may_return(now) {
             return Err(self.obstacle_to_quorum(now));
         }
-        let allowed = self.sync_replicas.saturating_sub(missing);
         self.check_known_members()?;
         let reports = self.complete_reports();
         let mut positions: Vec<LogPosition> = reports.map(|report| report.received).collect();
         positions.sort_by_key(|position| Reverse(*position));
-        let position = positions.get(allowed).ok_or(Obstacle::NoCandidate)?;
+        // Every acknowledged commit is in at least this many of the reported logs.
+        let copies = (self.sync_replicas + 1).saturating_sub(missing).max(1);
+        let position = positions.get(copies - 1).ok_or(Obstacle::NoCandidate)?;
         let lost = self.lost_logs().filter_map(|(_, covering)| covering);
-        let position = lost.fold(*position, LogPosition::max);
-        self.covering_departed(position, positions[0], now)
+        let departed = self.departed_position(now)?;
+        let required = lost.chain(departed).fold(*position, LogPosition::max);
+        // The end of a log that a later term has shortened isn't required.
+        Ok(required.min(positions[0]))
     }
 
-    /// Raises `position` if a member that has left for good may have held more. Its log is gone;
-    /// another member holds its commits too if its log, the `longest`, reaches what the leader is
-    /// known to have had.
-    fn covering_departed(
-        &self,
-        position: LogPosition,
-        longest: LogPosition,
-        now: Instant,
-    ) -> Result<LogPosition, Obstacle> {
+    /// The position that the old leader is known to have had, if a member has left for good since
+    /// then. The log of that member is gone; another member holds its commits too if its log
+    /// reaches the position.
+    fn departed_position(&self, now: Instant) -> Result<Option<LogPosition>, Obstacle> {
         let mut departed = self.members.iter().filter(|member| member.has_left(now));
         let departed = departed.find(|member| member.response != Response::RestartedEmpty);
         match (departed, self.known) {
-            (Some(departed), Some(known)) if known > longest => {
+            (Some(departed), Some(known)) if !self.is_reached(known) => {
                 Err(Obstacle::MayHoldMore(departed.member.id.clone()))
             }
-            (Some(_), Some(known)) => Ok(position.max(known)),
-            _ => Ok(position),
+            (Some(_), known) => Ok(known),
+            (None, _) => Ok(None),
         }
     }
 
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -89,23 +89,20 @@
     /// continue.
     pub async fn run(&self) -> Result<(), PromotionError> {
         let known = self.engine.terms().known(&self.group);
-        // Whoever recorded the target may have ordered its promotion.
-        let mut orders = match known.as_ref().map(|term| term.record.phase) {
-            Some(TermPhase::Promoting) => Verdict::MayHaveRun,
-            _ => Verdict::NotRun,
-        };
-        let mut term = match known {
-            Some(term) if term.record.phase == TermPhase::Promoting => term,
-            Some(term) if term.record.phase == TermPhase::Fencing => self.fence(term).await?,
-            known => self.begin(known, Verdict::NotRun).await?,
+        let (mut term, mut orders) = match known {
+            // Whoever recorded the target may have ordered its promotion.
+            Some(term) if term.record.phase == TermPhase::Promoting => (term, Verdict::MayHaveRun),
+            Some(term) if term.record.phase == TermPhase::Fencing => {
+                (self.fence(term).await?, Verdict::NotRun)
+            }
+            known => (self.begin(known, Verdict::NotRun).await?, Verdict::NotRun),
         };
         loop {
-            match self.complete(term.clone(), orders).await {
-                Err(PromotionError::TargetLost(orders)) => {
-                    term = self.begin(Some(term), orders).await?;
-                }
-                result => return result,
-            }
+            let result = self.complete(term.clone(), orders).await;
+            let Err(PromotionError::TargetLost(verdict)) = result else {
+                return result;
+            };
+            term = self.begin(Some(term), verdict).await?;
             orders = Verdict::NotRun;
         }
     }
--- a/crates/engine/src/leadership/reported_logs.rs
+++ b/crates/engine/src/leadership/reported_logs.rs
@@ -90,14 +90,17 @@
                 return None;
             };
             let covering = self.samples.covering(departure.learned_at);
-            let is_reached = |position: &LogPosition| {
-                let mut reports = self.complete_reports();
-                reports.any(|report| reaches(&report, *position))
-            };
-            Some((member, covering.filter(is_reached)))
+            let reached = covering.filter(|position| self.is_reached(*position));
+            Some((member, reached))
         })
     }
 
+    /// Whether a reported log reaches `position`.
+    pub(super) fn is_reached(&self, position: LogPosition) -> bool {
+        let mut reports = self.complete_reports();
+        reports.any(|report| reaches(&report, position))
+    }
+
     /// Number of logs that may hold acknowledged commits and are unknown, or through which commits
     /// may still be acknowledged. A server counts once, since at any time it has only one log.
     pub(super) fn missing_logs(&self, now: Instant) -> usize {
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -519,3 +519,27 @@
     let members: Vec<SurveyedMember> = leader.into_iter().chain(others).collect();
     assert_eq!(choose_from(&members, 1), expected);
 }
+
+/// `c` has lost its log. A position learned after that is beyond every log because a later term has
+/// shortened them, so it is not waited for.
+#[test]
+fn position_that_a_later_term_has_dropped_is_no_obstacle() {
+    let follows_term_2 = Response::Report(MemberReport {
+        role: Role::Replica,
+        term: 2,
+        received: LogPosition::new(1, 5),
+        paused_for: 3,
+    });
+    let members = [
+        surveyed("a", MemberState::Ready, silent()),
+        surveyed("b", MemberState::Ready, follows_term_2),
+        ended_incarnation("c"),
+        incarnation("c@2", paused(0)),
+    ];
+    let samples = samples_at(Instant::now(), Some(LogPosition::new(1, 7)));
+    let survey = FenceSurvey {
+        samples: &samples,
+        ..survey_of(&members)
+    };
+    assert_eq!(chosen(&survey), Ok("b".to_owned()));
+}
