--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -304,7 +304,8 @@
 #[rstest]
 #[tokio::test(start_paused = true)]
 async fn no_guarantee_is_violated_when_a_copy_is_lost_as_the_leader_crashes(
-    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+    // 46: all logs are empty in the end, and nobody is promoted any more.
+    #[values(1, 2, 3, 4, 5, 6, 7, 8, 46)] seed: u64,
 ) {
     let fleet = Fleet::start(3).await;
     for server in SERVERS {
