Write where the log position that a read required came from

After a stale read nobody could tell which of them had given too low a position.

- Each position sample has a source.
The event of a request has `after_origin`: the source, whether the session's own commits required the position, the age of the covered moment when the requirement was made, and the epoch.
Later statements of a transaction repeat what it was opened with.
- `position_survey` is written for each survey of a group's members: what became of the highest position (accepted, superseded, below a known one, or too many unknown logs), and each member's response and how its log was counted.
- Reads that succeed at a surveyed position have an event class of their own with 20 lines a second, so that the 2 of other successes don't hide them.
Surveys have one with 20 too, so that a group that is surveyed over and over doesn't displace changes of leader.
- `stilequay_required_positions_total` counts requirements by source and bound, `stilequay_position_surveys_total` surveys by result.

No decision changes. `Event::Request` is boxed, because it has become much larger than the other events.

`PositionSamples` in the tests have a source now, and the test of rejected positions also checks the outcome and the source.

--- a/crates/daemon/src/app/front/trace.rs
+++ b/crates/daemon/src/app/front/trace.rs
@@ -58,7 +58,7 @@
         if !events.has_budget(class) {
             return;
         }
-        events.write(&Event::Request(RequestEvent {
+        events.write(&Event::Request(Box::new(RequestEvent {
             id: request.id.to_string().into(),
             key: request.unit.key.clone(),
             database: service.as_str().into(),
@@ -70,11 +70,12 @@
             epoch: None,
             evidence_age_ms: None,
             after: None,
+            after_origin: None,
             attempts: self.attempts,
             outcome: outcome(failure),
             elapsed_ms: millis(self.received.elapsed()),
             late: false,
-        }));
+        })));
     }
 }
 
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -6,8 +6,9 @@
 //! the class reports the count.
 
 use crate::directory::Role;
-use crate::group::Epoch;
+use crate::group::{Epoch, PositionSource};
 use crate::leadership::record::TermPhase;
+use crate::leadership::survey_events::{MemberAnswer, SurveyResult};
 use crate::names::{DatabaseName, GroupName, MemberId, NodeName, RequestId, TenantName, ZoneName};
 use crate::ports::MemberReport;
 use crate::position::LogPosition;
@@ -51,6 +52,9 @@
     pub evidence_age_ms: Option<u64>,
     /// The log position that the member had to have reached.
     pub after: Option<LogPosition>,
+    /// Where that position came from.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub after_origin: Option<PositionOrigin>,
     /// The members tried, in order.
     pub attempts: Vec<AttemptEvent>,
     /// The outcome reported to the caller.
@@ -62,6 +66,38 @@
     pub late: bool,
 }
 
+/// Where the log position that a read required came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct PositionOrigin {
+    /// How the position was learned.
+    pub source: PositionSource,
+    /// Whether it is required for the session's own commits; `false` if the route's staleness
+    /// bound requires it.
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    pub session_floor: bool,
+    /// Age of the moment that the position covers, when the read was given the requirement, ms.
+    pub age_ms: u64,
+    /// The epoch in which the position was learned.
+    pub epoch: Epoch,
+}
+
+/// A survey of a group's members for a position that covers the moment at which it was sent.
+#[derive(Debug, Clone, Serialize)]
+pub struct PositionSurveyEvent {
+    /// The group.
+    pub group: GroupName,
+    /// Its epoch.
+    pub epoch: Epoch,
+    /// What became of the position.
+    pub result: SurveyResult,
+    /// The highest position that a member has reported.
+    pub position: Option<LogPosition>,
+    /// The answers of the members.
+    pub members: Vec<MemberAnswer>,
+    /// The number of members whose logs may be unknown for the position to be taken.
+    pub may_be_unknown: usize,
+}
+
 /// An attempt at one member.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct AttemptEvent {
@@ -95,7 +131,7 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Event {
     /// A request was completed or refused.
-    Request(RequestEvent),
+    Request(Box<RequestEvent>),
     /// An answer could not be delivered because the caller has disconnected or doesn't read.
     AnswerUndelivered {
         /// The request.
@@ -187,6 +223,8 @@
         /// How long it has been suspected, ms.
         since_ms: u64,
     },
+    /// The members of a group were surveyed for a log position.
+    PositionSurvey(PositionSurveyEvent),
     /// A step of a promotion was taken.
     PromotionStep {
         /// The group.
@@ -261,21 +299,37 @@
 pub enum EventClass {
     /// A request that succeeded in time.
     Success,
+    /// A read that succeeded in time and whose required position was found by a survey of the
+    /// members. It relies on every member with a newer log having been asked, so that it may have
+    /// to be explained although it succeeded.
+    SurveyedRead,
     /// A request that failed or was late, or a session that was refused.
     Failure,
+    /// A survey of the members for a position.
+    Survey,
     /// Everything else.
     StateChange,
 }
 
+/// All classes, in the order of their declaration.
+const CLASSES: [EventClass; 5] = [
+    EventClass::Success,
+    EventClass::SurveyedRead,
+    EventClass::Failure,
+    EventClass::Survey,
+    EventClass::StateChange,
+];
+
 impl Event {
     /// The class whose rate limit applies to it.
     pub fn class(&self) -> EventClass {
         match self {
-            Event::Request(request) => match request.outcome {
-                OutcomeEvent::Completed if !request.late => EventClass::Success,
-                OutcomeEvent::Completed => EventClass::Failure,
-                OutcomeEvent::Failed { .. } => EventClass::Failure,
-            },
+            Event::Request(request) => {
+                let is_completed = matches!(request.outcome, OutcomeEvent::Completed);
+                let succeeded = is_completed && !request.late;
+                class_of_request(succeeded, request.after_origin.as_ref())
+            }
+            Event::PositionSurvey(_) => EventClass::Survey,
             Event::SessionRefused { .. }
             | Event::AnswerUndelivered { .. }
             | Event::Forwarded { .. } => EventClass::Failure,
@@ -284,10 +338,21 @@
     }
 }
 
+/// The class of a request's event. `succeeded` tells whether it was completed in time.
+pub(crate) fn class_of_request(succeeded: bool, origin: Option<&PositionOrigin>) -> EventClass {
+    match origin.map(|origin| origin.source) {
+        _ if !succeeded => EventClass::Failure,
+        Some(PositionSource::Survey) => EventClass::SurveyedRead,
+        Some(PositionSource::Leader | PositionSource::Peer) | None => EventClass::Success,
+    }
+}
+
 /// The rate limit of a class, in lines per second.
 fn budget_per_second(class: EventClass) -> f64 {
     match class {
         EventClass::Success => 2.0,
+        EventClass::SurveyedRead => 20.0,
+        EventClass::Survey => 20.0,
         EventClass::Failure => 100.0,
         EventClass::StateChange => 60.0,
     }
@@ -347,20 +412,15 @@
 pub struct EventLog {
     /// Included in each event if several nodes share one log.
     node: Option<NodeName>,
-    budgets: Mutex<[ClassBudget; 3]>,
+    budgets: Mutex<[ClassBudget; CLASSES.len()]>,
 }
 
 impl Default for EventLog {
     fn default() -> Self {
         let now = Instant::now();
-        let classes = [
-            EventClass::Success,
-            EventClass::Failure,
-            EventClass::StateChange,
-        ];
         Self {
             node: None,
-            budgets: Mutex::new(classes.map(|class| ClassBudget::new(class, now))),
+            budgets: Mutex::new(CLASSES.map(|class| ClassBudget::new(class, now))),
         }
     }
 }
@@ -413,7 +473,10 @@
 fn level(class: EventClass) -> Level {
     match class {
         EventClass::Failure => Level::Warn,
-        EventClass::Success | EventClass::StateChange => Level::Info,
+        EventClass::Success
+        | EventClass::SurveyedRead
+        | EventClass::Survey
+        | EventClass::StateChange => Level::Info,
     }
 }
 
--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -17,7 +17,7 @@
 
 mod samples;
 
-pub use samples::{PositionSample, PositionSamples};
+pub use samples::{PositionOutcome, PositionSample, PositionSamples, PositionSource};
 
 use crate::leadership::record::{TermPhase, TermRecord};
 use crate::names::{GroupName, MemberId};
@@ -305,6 +305,7 @@
                 position,
                 at: sent,
                 epoch: leader.epoch,
+                source: PositionSource::Leader,
             });
         }
     }
@@ -361,22 +362,29 @@
     ///
     /// Ignored if it is lower than a position that covers an earlier time, since it then cannot
     /// cover a later one: the members that reported it lack a log that left with its member.
-    pub fn record_covering_position(&self, at: Instant, position: LogPosition) {
+    pub fn record_covering_position(
+        &self,
+        at: Instant,
+        position: LogPosition,
+        source: PositionSource,
+    ) -> PositionOutcome {
         let mut state = self.lock();
         let epoch = state.view.epoch;
-        if state
-            .samples
-            .newest()
-            .is_some_and(|known| position < known.position)
+        if let Some(known) = state.samples.newest()
+            && position < known.position
         {
-            return;
+            return PositionOutcome::BelowKnown(known.position);
         }
         let sample = PositionSample {
             position,
             at,
             epoch,
+            source,
         };
-        state.samples.record(sample);
+        match state.samples.record(sample) {
+            true => PositionOutcome::Recorded,
+            false => PositionOutcome::Superseded,
+        }
     }
 
     /// Records that `leader` acts as the leader.
@@ -392,7 +400,12 @@
     /// A position that covers every commit acknowledged before `moment`: the lowest known, which
     /// most replicas have reached.
     pub fn covering_position(&self, moment: Instant) -> Option<LogPosition> {
-        self.lock().samples.covering(moment)
+        self.covering_sample(moment).map(|sample| sample.position)
+    }
+
+    /// The sample of [`Group::covering_position`].
+    pub fn covering_sample(&self, moment: Instant) -> Option<PositionSample> {
+        self.lock().samples.covering_sample(moment)
     }
 
     fn publish(&self, before: LeaderView, state: &GroupState) -> bool {
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -1,16 +1,16 @@
 //! Determining a log position that covers a moment, if the traffic has not provided one.
 
 use super::survey::{self, Response, StragglerPolicy, SurveyedMember};
+use super::survey_events::{PositionSurvey, SurveyResult};
 use crate::directory::Member;
 use crate::engine::Engine;
 use crate::evacuation::Sender;
-use crate::group::Group;
+use crate::group::{Group, PositionSample, PositionSource};
 use crate::home;
 use crate::names::are_incarnations_of_same_server;
 use crate::peers;
 use crate::pool::AcquireRequest;
 use crate::ports::{Command, Control};
-use crate::position::LogPosition;
 use crate::residency::Residency;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,8 +19,8 @@
 /// Timeout of one request to the leader.
 const POSITION_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// A position that covers every commit acknowledged before `moment`, or `None` if none is known by
-/// `until`.
+/// A sample whose position covers every commit acknowledged before `moment`, or `None` if none is
+/// known by `until`.
 ///
 /// For each group one task at a time sends requests; the other tasks share the results.
 pub async fn covering_position(
@@ -28,35 +28,35 @@
     group: &Group,
     moment: Instant,
     until: Instant,
-) -> Option<LogPosition> {
-    if let Some(position) = group.covering_position(moment) {
-        return Some(position);
+) -> Option<PositionSample> {
+    if let Some(sample) = group.covering_sample(moment) {
+        return Some(sample);
     }
     let _one_at_a_time = timeout_at(until, group.query_lock().lock()).await.ok()?;
-    if let Some(position) = group.covering_position(moment) {
-        return Some(position);
+    if let Some(sample) = group.covering_sample(moment) {
+        return Some(sample);
     }
     // A home of the leader sees the commits of the whole fleet.
     if home::ask_for_position(engine, group).await
-        && let Some(position) = group.covering_position(moment)
+        && let Some(sample) = group.covering_sample(moment)
     {
-        return Some(position);
+        return Some(sample);
     }
     let leader_until = until.min(Instant::now() + POSITION_TIMEOUT);
     let _ = timeout_at(leader_until, ask_leader(engine, group)).await;
-    if let Some(position) = group.covering_position(moment) {
-        return Some(position);
+    if let Some(sample) = group.covering_sample(moment) {
+        return Some(sample);
     }
     let _ = timeout_at(
         until,
         peers::query(engine, std::slice::from_ref(group.name())),
     )
     .await;
-    if let Some(position) = group.covering_position(moment) {
-        return Some(position);
+    if let Some(sample) = group.covering_sample(moment) {
+        return Some(sample);
     }
     let _ = timeout_at(until, ask_members(engine, group)).await;
-    group.covering_position(moment)
+    group.covering_sample(moment)
 }
 
 /// Asks all members that may be contacted how far they have received the log. An acknowledged
@@ -80,23 +80,43 @@
         member,
         response: Response::Silent("not asked any more".to_owned()),
     }));
+    let unknown = members
+        .iter()
+        .filter(|member| is_unknown(member, &members, sent));
+    let may_be_unknown = engine.sync_replicas(group.name());
     let reports = members.iter().filter_map(|m| m.response.report());
-    let silent = members.iter().filter(|member| {
-        let answered = member.response.report().is_some();
-        // A server that restarted without its log may have held an unknown number of commits,
-        // however long ago that was: it still counts as silent.
-        let has_left = member.has_left(sent) && member.response != Response::RestartedEmpty;
-        !answered && !has_left && !is_replaced(member, &members)
-    });
-    if silent.count() <= engine.sync_replicas(group.name())
-        && let Some(position) = reports.map(|report| report.received).max()
-    {
-        group.record_covering_position(sent, position);
-    }
+    let highest = reports.map(|report| report.received).max();
+    let result = match highest {
+        Some(position) if unknown.count() <= may_be_unknown => {
+            let outcome = group.record_covering_position(sent, position, PositionSource::Survey);
+            SurveyResult::from(outcome)
+        }
+        _ => SurveyResult::TooManyUnknown,
+    };
+    let survey = PositionSurvey {
+        group,
+        sent,
+        members: &members,
+        highest,
+        may_be_unknown,
+    };
+    survey.emit(engine, result);
+}
+
+/// Whether `surveyed` may have received commits that no other member of `members` has reported.
+pub(super) fn is_unknown(
+    surveyed: &SurveyedMember,
+    members: &[SurveyedMember],
+    sent: Instant,
+) -> bool {
+    // A server that restarted without its log may have held an unknown number of commits, however
+    // long ago that was: it still counts as unknown.
+    let has_left = surveyed.has_left(sent) && surveyed.response != Response::RestartedEmpty;
+    surveyed.response.report().is_none() && !has_left && !is_replaced(surveyed, members)
 }
 
 /// Whether another server has taken over the member's address, with its log.
-fn is_replaced(member: &SurveyedMember, members: &[SurveyedMember]) -> bool {
+pub(super) fn is_replaced(member: &SurveyedMember, members: &[SurveyedMember]) -> bool {
     let same_address = |other: &SurveyedMember| {
         let is_other = other.member.id != member.member.id
             && !are_incarnations_of_same_server(&other.member.id, &member.member.id);
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -25,6 +25,7 @@
 mod settling;
 mod step_events;
 pub mod survey;
+pub mod survey_events;
 pub mod suspicion;
 pub(crate) mod term_confirmation;
 mod term_recovery;
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -7,6 +7,7 @@
 use crate::ports::{BackEndConnectionError, ConnectError, Control, MemberReport};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use serde::Serialize;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -18,7 +19,8 @@
 const GONE_MEMBER_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Result of sending a control command to a member.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Response {
     /// It answered.
     Report(MemberReport),
--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::engine::Engine;
 use crate::events::millis;
-use crate::group::UsableLeader;
+use crate::group::{PositionSource, UsableLeader};
 use crate::leadership::fleet;
 use crate::leadership::follower::VersionedTerm;
 use crate::names::GroupName;
@@ -114,7 +114,7 @@
         if let Some(at) = before(covering.age_ms)
             && group.view().epoch == snapshot.epoch
         {
-            group.record_covering_position(at, covering.position);
+            group.record_covering_position(at, covering.position, PositionSource::Peer);
         }
     }
 }
--- a/crates/engine/src/session/floor.rs
+++ b/crates/engine/src/session/floor.rs
@@ -1,6 +1,6 @@
 //! Read-your-writes consistency: the log position that the reads of a session must include.
 
-use crate::group::{Epoch, Group};
+use crate::group::{Epoch, Group, PositionSample, PositionSource};
 use crate::names::GroupName;
 use crate::position::LogPosition;
 use tokio::time::Instant;
@@ -20,13 +20,25 @@
     acknowledged: Instant,
 }
 
+impl SessionCommit {
+    /// The position that the leader reported with the commit.
+    fn sample(&self) -> Option<PositionSample> {
+        Some(PositionSample {
+            position: self.position?,
+            at: self.acknowledged,
+            epoch: self.epoch,
+            source: PositionSource::Leader,
+        })
+    }
+}
+
 /// The log position that a member needs to serve reads of the session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FloorRequirement {
     /// The session has not written to the group, so any position will do.
     Unconstrained,
-    /// The log must have reached this position.
-    Position(LogPosition),
+    /// The log must have reached the position of this sample.
+    Position(PositionSample),
     /// Only the leader is known to have the commit.
     LeaderOnly,
 }
@@ -59,11 +71,11 @@
         if commit.group != *group.name() {
             return FloorRequirement::Unconstrained;
         }
-        let position = commit
-            .position
+        let sample = commit
+            .sample()
             .filter(|_| commit.epoch == group.view().epoch);
-        match position.or_else(|| group.covering_position(commit.acknowledged)) {
-            Some(position) => FloorRequirement::Position(position),
+        match sample.or_else(|| group.covering_sample(commit.acknowledged)) {
+            Some(sample) => FloorRequirement::Position(sample),
             None => FloorRequirement::LeaderOnly,
         }
     }
--- a/crates/engine/src/session/read.rs
+++ b/crates/engine/src/session/read.rs
@@ -6,7 +6,7 @@
 use super::limits::StatementDeadlines;
 use super::offer::{AcquiredConnection, FailedAcquire, acquire_failure_reason, acquire_first};
 use super::target::{Target, check_home_regions, check_leader_region, leader_target};
-use super::trace::RequestTrace;
+use super::trace::{RequestTrace, RequiredPosition};
 use super::write::{
     member_failure, not_run_reason, pause_before_retry, refusal_text, release, shed_failure,
 };
@@ -155,7 +155,7 @@
         }
         let required = self.required_position(group, route, received, until).await;
         trace.set_required_position(required);
-        let Some(after) = required else {
+        let Some(after) = required.map(|required| required.position()) else {
             return self
                 .leader_targets(group, residency, route.max_staleness, until)
                 .await;
@@ -194,15 +194,19 @@
         route: &Route,
         received: Instant,
         until: Instant,
-    ) -> Option<LogPosition> {
+    ) -> Option<RequiredPosition> {
         let moment = received.checked_sub(route.max_staleness)?;
         let covering = freshness::covering_position(&self.engine, group, moment, until).await?;
         if route.consistency != Consistency::ReadYourWrites {
-            return Some(covering);
+            return Some(RequiredPosition::covering(covering));
         }
         match self.floor.requirement(group) {
-            FloorRequirement::Unconstrained => Some(covering),
-            FloorRequirement::Position(own) => Some(own.max(covering)),
+            FloorRequirement::Position(own) if own.position > covering.position => {
+                Some(RequiredPosition::session_floor(own))
+            }
+            FloorRequirement::Position(_) | FloorRequirement::Unconstrained => {
+                Some(RequiredPosition::covering(covering))
+            }
             FloorRequirement::LeaderOnly => None,
         }
     }
--- a/crates/engine/src/session/trace.rs
+++ b/crates/engine/src/session/trace.rs
@@ -2,8 +2,10 @@
 
 use crate::configuration::Route;
 use crate::engine::Engine;
-use crate::events::{AttemptEvent, Event, EventClass, OutcomeEvent, RequestEvent, millis};
-use crate::group::Epoch;
+use crate::events::{
+    AttemptEvent, Event, OutcomeEvent, PositionOrigin, RequestEvent, class_of_request, millis,
+};
+use crate::group::{Epoch, PositionSample};
 use crate::names::{DatabaseName, GroupName, MemberId, RequestId, TenantName};
 use crate::position::LogPosition;
 use crate::session::{Completion, authorization};
@@ -18,6 +20,55 @@
 /// Route label of statements that need no member.
 const NO_ROUTE: &str = "none";
 
+/// The log position that a member must have reached to serve a read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequiredPosition {
+    position: LogPosition,
+    origin: PositionOrigin,
+}
+
+impl RequiredPosition {
+    /// A position that covers what was acknowledged before the oldest moment that the read may show.
+    pub fn covering(sample: PositionSample) -> Self {
+        Self::from_sample(sample, false)
+    }
+
+    /// The position that includes the session's own commits.
+    pub fn session_floor(sample: PositionSample) -> Self {
+        Self::from_sample(sample, true)
+    }
+
+    fn from_sample(sample: PositionSample, is_session_floor: bool) -> Self {
+        Self {
+            position: sample.position,
+            origin: PositionOrigin {
+                source: sample.source,
+                session_floor: is_session_floor,
+                age_ms: millis(sample.at.elapsed()),
+                epoch: sample.epoch,
+            },
+        }
+    }
+
+    /// The log position.
+    pub fn position(&self) -> LogPosition {
+        self.position
+    }
+
+    fn count(&self) {
+        let bound = match self.origin.session_floor {
+            true => "session",
+            false => "staleness",
+        };
+        metrics::counter!(
+            "stilequay_required_positions_total",
+            "source" => self.origin.source.name(),
+            "bound" => bound
+        )
+        .increment(1);
+    }
+}
+
 /// Collects what determined the outcome of a request.
 #[derive(Debug)]
 pub struct RequestTrace {
@@ -32,7 +83,7 @@
     objective: Option<Duration>,
     epoch: Option<Epoch>,
     evidence_age_ms: Option<u64>,
-    after: Option<LogPosition>,
+    required: Option<RequiredPosition>,
     attempts: Vec<AttemptEvent>,
 }
 
@@ -51,7 +102,7 @@
             objective: None,
             epoch: None,
             evidence_age_ms: None,
-            after: None,
+            required: None,
             attempts: Vec::new(),
         }
     }
@@ -73,8 +124,13 @@
     }
 
     /// Sets the log position that a member must have reached.
-    pub fn set_required_position(&mut self, after: Option<LogPosition>) {
-        self.after = after;
+    pub fn set_required_position(&mut self, required: Option<RequiredPosition>) {
+        self.required = required;
+    }
+
+    /// The log position that a member must have reached.
+    pub fn required_position(&self) -> Option<RequiredPosition> {
+        self.required
     }
 
     /// Records the result of an attempt at a member.
@@ -91,16 +147,17 @@
     /// Updates the metrics and writes the event, if the event budget allows it.
     pub fn finish(self, engine: &Engine, outcome: &Result<Completion, Failure>) {
         self.count(outcome);
+        if let Some(required) = &self.required {
+            required.count();
+        }
         let elapsed = self.received.elapsed();
         let late = self.objective.is_some_and(|objective| elapsed > objective);
-        let class = match outcome {
-            Ok(_) if !late => EventClass::Success,
-            _ => EventClass::Failure,
-        };
+        let origin = self.required.map(|required| required.origin);
+        let class = class_of_request(outcome.is_ok() && !late, origin.as_ref());
         if !engine.events().has_budget(class) {
             return;
         }
-        engine.events().write(&Event::Request(RequestEvent {
+        let event = RequestEvent {
             elapsed_ms: millis(elapsed),
             late,
             id: self.id,
@@ -113,10 +170,12 @@
             proof_age_ms: relevant_proof_age(engine, outcome),
             epoch: self.epoch,
             evidence_age_ms: self.evidence_age_ms,
-            after: self.after,
+            after: self.required.map(|required| required.position),
+            after_origin: origin,
             attempts: self.attempts,
             outcome: outcome_event(outcome),
-        }));
+        };
+        engine.events().write(&Event::Request(Box::new(event)));
     }
 
     fn count(&self, outcome: &Result<Completion, Failure>) {
--- a/crates/engine/src/session/transaction/mod.rs
+++ b/crates/engine/src/session/transaction/mod.rs
@@ -4,7 +4,7 @@
 mod opening;
 
 use super::limits::{RETRY_PAUSE, StatementDeadlines};
-use super::trace::RequestTrace;
+use super::trace::{RequestTrace, RequiredPosition};
 use super::write::{Awaited, await_answer, await_in_time, member_failure, refusal_text};
 use super::{Completion, Session};
 use crate::configuration::Route;
@@ -54,6 +54,8 @@
     /// The home regions for which its member was chosen.
     residency: Residency,
     wrote: bool,
+    /// The log position that its member had to have reached.
+    required: Option<RequiredPosition>,
 }
 
 impl Transaction {
@@ -254,6 +256,7 @@
     statement: &SessionStatement,
     trace: &mut RequestTrace,
 ) -> Result<Completion, Failure> {
+    trace.set_required_position(open.required);
     let deadlines = StatementDeadlines::new(&transaction.route, request.received);
     let member = open.connection.pool().member().id.clone();
     loop {
--- a/crates/engine/src/session/transaction/opening.rs
+++ b/crates/engine/src/session/transaction/opening.rs
@@ -198,6 +198,7 @@
         leader,
         residency: target.residency().clone(),
         wrote: false,
+        required: trace.required_position(),
     };
     let Some(statement) = first.statement else {
         transaction.stage = Stage::Open(open);
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -62,6 +62,14 @@
         "stilequay_requests_total",
         "Statements, by statement, route (its consistency), outcome and reason.",
     ),
+    Metric::counter(
+        "stilequay_required_positions_total",
+        "Statements that required a log position, by its source (leader, peer or survey) and the bound that required it (staleness or session).",
+    ),
+    Metric::counter(
+        "stilequay_position_surveys_total",
+        "Surveys of a group's members for a log position, by result.",
+    ),
     Metric::histogram(
         "stilequay_request_seconds",
         "Time that statements took, by statement and route.",
--- a/crates/engine/tests/beliefs.rs
+++ b/crates/engine/tests/beliefs.rs
@@ -4,7 +4,8 @@
 use rstest::rstest;
 use std::time::Duration;
 use stilequay_engine::group::{
-    Epoch, Group, PositionSample, PositionSamples, TERM_LEASE, UsableLeader,
+    Epoch, Group, PositionOutcome, PositionSample, PositionSamples, PositionSource, TERM_LEASE,
+    UsableLeader,
 };
 use stilequay_engine::leadership::record::{TermPhase, TermRecord};
 use stilequay_engine::position::LogPosition;
@@ -193,10 +194,20 @@
     );
     advance(Duration::from_millis(200)).await;
     let later = Instant::now();
-    group.record_covering_position(later, LogPosition::new(1, 231));
+    let known = LogPosition::new(1, 255);
+    let record = |number| {
+        let position = LogPosition::new(1, number);
+        group.record_covering_position(later, position, PositionSource::Survey)
+    };
+    assert_eq!(record(231), PositionOutcome::BelowKnown(known));
     assert_eq!(group.covering_position(later), None);
-    group.record_covering_position(later, LogPosition::new(1, 255));
-    assert!(group.covering_position(later).is_some());
+    assert_eq!(record(255), PositionOutcome::Recorded);
+    let sample = group.covering_sample(later).expect("a sample");
+    assert_eq!(
+        (sample.position, sample.source),
+        (known, PositionSource::Survey)
+    );
+    assert_eq!(record(255), PositionOutcome::Superseded);
 }
 
 proptest! {
@@ -218,7 +229,8 @@
             number += commits;
             epoch += changes;
             let position = LogPosition::new(epoch + 1, number);
-            let sample = PositionSample { position, at, epoch };
+            let source = PositionSource::Leader;
+            let sample = PositionSample { position, at, epoch, source };
             samples.record(sample);
             all.push(sample);
         }
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, Member, MemberState, Role};
 use stilequay_engine::evacuation::Evacuations;
-use stilequay_engine::group::{PositionSample, PositionSamples};
+use stilequay_engine::group::{PositionSample, PositionSamples, PositionSource};
 use stilequay_engine::leadership::choice::{FenceSurvey, Obstacle, PreviousLeader, fencing_term};
 use stilequay_engine::leadership::record::FormerTarget;
 use stilequay_engine::leadership::survey::{Response, SurveyedMember};
@@ -136,6 +136,7 @@
             position,
             at,
             epoch: 0,
+            source: PositionSource::Leader,
         });
     }
     samples
--- a/crates/engine/tests/events.rs
+++ b/crates/engine/tests/events.rs
@@ -5,16 +5,24 @@
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, MemberState, Role};
 use stilequay_engine::events::{
-    AttemptEvent, Event, EventClass, EventLog, OutcomeEvent, RequestEvent,
+    AttemptEvent, Event, EventClass, EventLog, OutcomeEvent, PositionOrigin, PositionSurveyEvent,
+    RequestEvent,
 };
+use stilequay_engine::group::PositionSource;
 use stilequay_engine::leadership::record::TermPhase;
+use stilequay_engine::leadership::survey::Response;
+use stilequay_engine::leadership::survey_events::{MemberAnswer, MemberCounting, SurveyResult};
 use stilequay_engine::ports::MemberReport;
 use stilequay_engine::position::LogPosition;
 use stilequay_engine::verdict::{FailureReason, Verdict};
 use tokio::time::advance;
 
 fn request(outcome: OutcomeEvent) -> Event {
-    Event::Request(RequestEvent {
+    request_from(PositionSource::Leader, outcome)
+}
+
+fn request_from(source: PositionSource, outcome: OutcomeEvent) -> Event {
+    Event::Request(Box::new(RequestEvent {
         id: "5c0e".into(),
         key: None,
         database: "orders".into(),
@@ -26,6 +34,12 @@
         epoch: Some(2),
         evidence_age_ms: Some(120),
         after: Some(LogPosition::new(3, 1207)),
+        after_origin: Some(PositionOrigin {
+            source,
+            session_floor: true,
+            age_ms: 31,
+            epoch: 2,
+        }),
         attempts: vec![AttemptEvent {
             member: "i-7f".into(),
             result: "no answer in time".to_owned(),
@@ -34,7 +48,7 @@
         outcome,
         late: false,
         elapsed_ms: 465,
-    })
+    }))
 }
 
 fn failed() -> OutcomeEvent {
@@ -45,6 +59,25 @@
     }
 }
 
+fn survey(result: SurveyResult, answers: &[(Response, MemberCounting)]) -> Event {
+    let members = answers
+        .iter()
+        .enumerate()
+        .map(|(index, (response, counted))| MemberAnswer {
+            member: format!("i-{index}").into(),
+            response: response.clone(),
+            counted: *counted,
+        });
+    Event::PositionSurvey(PositionSurveyEvent {
+        group: "ledger".into(),
+        epoch: 2,
+        result,
+        position: Some(LogPosition::new(3, 1207)),
+        members: members.collect(),
+        may_be_unknown: 1,
+    })
+}
+
 #[tokio::test(start_paused = true)]
 async fn every_event_has_its_fields() {
     let since = tokio::time::Instant::now();
@@ -87,6 +120,31 @@
             evidence: "unreachable",
             since_ms: 104,
         },
+        survey(
+            SurveyResult::Accepted,
+            &[
+                (Response::Report(report), MemberCounting::Reported),
+                (
+                    Response::Silent("no answer in time".to_owned()),
+                    MemberCounting::Unknown,
+                ),
+                (Response::RestartedEmpty, MemberCounting::Unknown),
+                (
+                    Response::Down("connection refused".to_owned()),
+                    MemberCounting::Left,
+                ),
+                (
+                    Response::Declined("busy".to_owned()),
+                    MemberCounting::Replaced,
+                ),
+            ],
+        ),
+        survey(
+            SurveyResult::BelowKnown {
+                known: LogPosition::new(3, 1208),
+            },
+            &[],
+        ),
         Event::PromotionStep {
             group: "ledger".into(),
             epoch: 3,
@@ -134,3 +192,16 @@
     advance(Duration::from_secs(2)).await;
     assert!(log.has_budget(EventClass::Success));
 }
+
+#[tokio::test(start_paused = true)]
+async fn reads_at_a_surveyed_position_are_written_beside_many_other_successes() {
+    let log = EventLog::default();
+    while log.has_budget(EventClass::Success) {
+        log.write(&request(OutcomeEvent::Completed));
+    }
+    let read = request_from(PositionSource::Survey, OutcomeEvent::Completed);
+    assert_eq!(read.class(), EventClass::SurveyedRead);
+    assert!(log.has_budget(read.class()));
+    let failed_read = request_from(PositionSource::Survey, failed());
+    assert_eq!(failed_read.class(), EventClass::Failure);
+}
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -9,6 +9,7 @@
 pub mod peers;
 pub mod records;
 pub mod servers;
+pub mod telemetry;
 
 use bytes::Bytes;
 use futures::FutureExt;
