Tell what could not be decoded, and from whom

Bytes of other processes and of the store that could not be decoded were dropped with a line that named neither the peer nor the frame nor the error, or without any line: answers to queries outside links, queries from peers, first answers on a link, rosters, records of processes, suspicions and leases. Nothing was counted.

- `decoding` holds the typed error and the only way to decode.
The event `undecodable` has what the bytes were meant to be, the address of the peer or the key of the record, the name and the length of a frame, and the error.
Decoded strings are left out of its text, since they may be callers' data.
The event has a class of its own with 5 lines a second.
- `stilequay_undecodable_total` counts each by `what` and `reason`.
- `stilequay_peer_queries_total` counts queries to peers by outcome: answered, unreachable, unanswered, undecodable.
- A frame over the maximum length, which closed a link silently, and a query for too many groups are told in the same way.

What is done after a failure to decode is unchanged. A malformed record of a process is told when it is read, not again by each use. A frame's `decode` without the error remains for the tests.

`serving::serve_peer` takes the address from which the peer has connected. Links and lease records get the event log.

--- a/crates/engine/src/engine.rs
+++ b/crates/engine/src/engine.rs
@@ -143,7 +143,7 @@
     terms: TermFollower,
     lease_records: Arc<dyn RecordStore>,
     stop: watch::Sender<StopPhase>,
-    events: EventLog,
+    events: Arc<EventLog>,
     hedges: RetryBudget,
     processes: AtomicUsize,
 }
@@ -157,7 +157,8 @@
         peers: Arc<dyn PeerNetwork>,
     ) -> Arc<Self> {
         let (node, topology) = (settings.node.clone(), settings.topology.clone());
-        let homes = Homes::new(node, topology, Arc::clone(&peers));
+        let events = Arc::new(EventLog::default());
+        let homes = Homes::new(node, topology, Arc::clone(&peers), Arc::clone(&events));
         let following = Following::default();
         let schedule = Schedule::new(settings.evacuation_bound, following.subscribe_proof());
         Arc::new_cyclic(|engine| Self {
@@ -183,7 +184,7 @@
             terms: TermFollower::new(records.shared),
             lease_records: records.leases,
             stop: watch::Sender::new(StopPhase::Serving),
-            events: EventLog::default(),
+            events,
             hedges: RetryBudget::new(HEDGE_BUDGET),
             processes: AtomicUsize::new(INITIAL_PROCESSES),
         })
@@ -195,7 +196,7 @@
     }
 
     /// The event log.
-    pub fn events(&self) -> &EventLog {
+    pub fn events(&self) -> &Arc<EventLog> {
         &self.events
     }
 
--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -5,6 +5,7 @@
 //! rate is limited per [`EventClass`]. Events over the limit are counted, and the next event of
 //! the class reports the count.
 
+use crate::decoding::UndecodableKind;
 use crate::directory::Role;
 use crate::group::{Epoch, PositionSource};
 use crate::leadership::record::TermPhase;
@@ -275,6 +276,21 @@
         /// The reason.
         reason: String,
     },
+    /// Bytes of another process or of the store could not be decoded, and were dropped.
+    Undecodable {
+        /// What they were meant to be.
+        what: UndecodableKind,
+        /// The address of the peer or the key of the record.
+        from: String,
+        /// The name of the frame, if it can be told.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        frame: Option<String>,
+        /// The length of the frame.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        bytes: Option<usize>,
+        /// The error, without the decoded strings.
+        error: String,
+    },
     /// An external dependency became unavailable or available.
     Dependency {
         /// The dependency.
@@ -307,16 +323,19 @@
     Failure,
     /// A survey of the members for a position.
     Survey,
+    /// Bytes that could not be decoded.
+    Undecodable,
     /// Everything else.
     StateChange,
 }
 
 /// All classes, in the order of their declaration.
-const CLASSES: [EventClass; 5] = [
+const CLASSES: [EventClass; 6] = [
     EventClass::Success,
     EventClass::SurveyedRead,
     EventClass::Failure,
     EventClass::Survey,
+    EventClass::Undecodable,
     EventClass::StateChange,
 ];
 
@@ -330,6 +349,7 @@
                 class_of_request(succeeded, request.after_origin.as_ref())
             }
             Event::PositionSurvey(_) => EventClass::Survey,
+            Event::Undecodable { .. } => EventClass::Undecodable,
             Event::SessionRefused { .. }
             | Event::AnswerUndelivered { .. }
             | Event::Forwarded { .. } => EventClass::Failure,
@@ -353,6 +373,7 @@
         EventClass::Success => 2.0,
         EventClass::SurveyedRead => 20.0,
         EventClass::Survey => 20.0,
+        EventClass::Undecodable => 5.0,
         EventClass::Failure => 100.0,
         EventClass::StateChange => 60.0,
     }
@@ -472,7 +493,7 @@
 
 fn level(class: EventClass) -> Level {
     match class {
-        EventClass::Failure => Level::Warn,
+        EventClass::Failure | EventClass::Undecodable => Level::Warn,
         EventClass::Success
         | EventClass::SurveyedRead
         | EventClass::Survey
--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -3,6 +3,7 @@
 //! they get the store's updates first and pass them on to the other processes of their zone.
 
 use crate::directory::Member;
+use crate::events::EventLog;
 use crate::link::{Link, Links};
 use crate::names::{GroupName, MemberId, NodeName, RegionName, TenantName, ZoneName};
 use crate::ports::PeerNetwork;
@@ -358,13 +359,18 @@
 
 impl Homes {
     /// Creates the assignment for the process named `own`, without any other known process.
-    pub fn new(own: NodeName, topology: Topology, network: Arc<dyn PeerNetwork>) -> Self {
+    pub fn new(
+        own: NodeName,
+        topology: Topology,
+        network: Arc<dyn PeerNetwork>,
+        events: Arc<EventLog>,
+    ) -> Self {
         Self {
             own,
             topology,
             ranking: Mutex::default(),
             direct: Mutex::default(),
-            links: Links::new(network),
+            links: Links::new(network, events),
         }
     }
 
--- a/crates/engine/src/leadership/fleet.rs
+++ b/crates/engine/src/leadership/fleet.rs
@@ -4,6 +4,7 @@
 //! process follows from their number.
 
 use super::fleet_index::FleetIndex;
+use crate::decoding::{self, UndecodableKind, decode_record};
 use crate::encoding;
 use crate::engine::Engine;
 use crate::home::placement::{MIN_PROCESS_CONNECTIONS, Peer, RESERVED_CONNECTIONS};
@@ -53,7 +54,8 @@
     let records = others.borrow();
     let nodes = records.values().filter(|r| r.key.starts_with(KEY_PREFIX));
     nodes
-        .filter_map(|record| rmp_serde::from_slice::<NodeRecord>(&record.value).ok())
+        // Malformed records are reported when they are first read.
+        .filter_map(|record| decoding::decode::<NodeRecord>(&record.value).ok())
         .filter_map(|node| node.address)
         .filter(|address| Some(*address) != own)
         .collect()
@@ -101,7 +103,7 @@
     engine.terms().wait_until_own_known().await;
     let key = format!("{KEY_PREFIX}{}", engine.settings().node);
     if let Some(known) = own_record(engine, &key)
-        && let Ok(stored) = rmp_serde::from_slice::<NodeRecord>(&known.value)
+        && let Ok(stored) = decoding::decode::<NodeRecord>(&known.value)
         && stored.has_same_content(&NodeRecord::of(engine))
     {
         let pause = RENEWAL_INTERVAL.mul_f64(0.5 + rand::random::<f64>() / 2.0);
@@ -144,7 +146,7 @@
     let records = others.borrow();
     let nodes = records.keys().filter(|key| key.starts_with(KEY_PREFIX));
     match nodes.count() {
-        0 => FleetIndex::from_records(&records).map_or(0, |index| index.processes),
+        0 => FleetIndex::from_records(engine, &records).map_or(0, |index| index.processes),
         known => known,
     }
 }
@@ -179,12 +181,13 @@
     let mut known_processes = HashMap::new();
     loop {
         update_processes(
+            engine,
             &records.borrow_and_update(),
             &mut known_processes,
             Instant::now(),
         );
         let index = match known_processes.is_empty() {
-            true => FleetIndex::from_records(&records.borrow()),
+            true => FleetIndex::from_records(engine, &records.borrow()),
             false => None,
         };
         let (peers, processes) = match index {
@@ -225,6 +228,7 @@
 
 /// Records the processes whose record has changed recently, and drops the others.
 fn update_processes(
+    engine: &Engine,
     records: &HashMap<String, Record>,
     known_processes: &mut HashMap<String, KnownProcess>,
     now: Instant,
@@ -236,7 +240,7 @@
             .get(&record.key)
             .map(|process| process.version);
         if known != Some(version) {
-            let peer = read_peer(record);
+            let peer = read_peer(engine, record);
             let process = KnownProcess {
                 version,
                 seen_at: now,
@@ -248,9 +252,14 @@
     known_processes.retain(|_, process| now.duration_since(process.seen_at) < RECORD_TTL);
 }
 
-fn read_peer(record: &Record) -> Option<Peer> {
+fn read_record(engine: &Engine, record: &Record) -> Option<NodeRecord> {
+    let kind = UndecodableKind::NodeRecord;
+    decode_record(engine.events(), kind, &record.key, &record.value)
+}
+
+fn read_peer(engine: &Engine, record: &Record) -> Option<Peer> {
     let node = NodeName::from(record.key.strip_prefix(KEY_PREFIX)?);
-    let read: NodeRecord = rmp_serde::from_slice(&record.value).ok()?;
+    let read = read_record(engine, record)?;
     Some(Peer {
         node,
         address: read.address?,
--- a/crates/engine/src/leadership/fleet_index.rs
+++ b/crates/engine/src/leadership/fleet_index.rs
@@ -7,6 +7,7 @@
 //! and gets the rest from those processes.
 
 use super::promotion_lease::PromotionLease;
+use crate::decoding::{UndecodableKind, decode_record};
 use crate::encoding;
 use crate::engine::Engine;
 use crate::following;
@@ -49,15 +50,13 @@
     }
 
     /// Decodes the index from `records`, if they contain one.
-    pub fn from_records(records: &HashMap<String, Record>) -> Option<Self> {
-        Self::decode(records.get(KEY)?)
+    pub fn from_records(engine: &Engine, records: &HashMap<String, Record>) -> Option<Self> {
+        Self::decode(engine, records.get(KEY)?)
     }
 
-    fn decode(record: &Record) -> Option<Self> {
-        let decoded = rmp_serde::from_slice(&record.value);
-        decoded
-            .inspect_err(|error| log::error!("malformed record {}: {error}", record.key))
-            .ok()
+    fn decode(engine: &Engine, record: &Record) -> Option<Self> {
+        let kind = UndecodableKind::FleetIndexRecord;
+        decode_record(engine.events(), kind, &record.key, &record.value)
     }
 }
 
@@ -71,7 +70,9 @@
         let others = engine.terms().subscribe_other_records();
         let known = others.borrow().get(KEY).cloned();
         let current = FleetIndex::of(engine);
-        if known.as_ref().and_then(FleetIndex::decode).as_ref() == Some(&current) {
+        let decoded = known.as_ref();
+        let decoded = decoded.and_then(|known| FleetIndex::decode(engine, known));
+        if decoded.as_ref() == Some(&current) {
             continue;
         }
         let value = encoding::with_names(&current);
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -2,8 +2,9 @@
 
 use super::fleet;
 use super::fleet_index;
-use super::record::{TermPhase, TermRecord};
+use super::record::{RecordError, TermPhase, TermRecord};
 use super::roster;
+use crate::decoding::{UndecodableKind, report_undecodable};
 use crate::directory::{Directory, Role};
 use crate::engine::Engine;
 use crate::events::{DependencyMonitor, Event};
@@ -439,7 +440,10 @@
                 let record = term;
                 self.apply_one(engine, VersionedTerm { record, version }, evidence);
             }
-            Err(error) => log::error!("ignoring record {}: {error}", record.key),
+            Err(RecordError::Malformed(error)) => {
+                let (events, kind) = (engine.events(), UndecodableKind::TermRecord);
+                report_undecodable(events, kind, &record.key, None, &error);
+            }
         }
     }
 
--- a/crates/engine/src/leadership/lease_records.rs
+++ b/crates/engine/src/leadership/lease_records.rs
@@ -1,6 +1,8 @@
 //! Leases of the fleet, stored as records.
 
+use crate::decoding::{UndecodableKind, decode_record};
 use crate::encoding;
+use crate::events::EventLog;
 use crate::ports::{PutOutcome, Record, RecordStore, RecordStoreError};
 use crate::version::{StoreEra, StoreVersion, era_of};
 use async_trait::async_trait;
@@ -16,6 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct RecordLeaseStore {
     records: Arc<dyn RecordStore>,
+    events: Arc<EventLog>,
     /// The record as last read or written, so that a renewal needs no read before its write.
     last_seen: Mutex<Option<(LeaseRecord, StoreVersion)>>,
     /// The latest era of the store seen in its answers.
@@ -23,10 +26,12 @@
 }
 
 impl RecordLeaseStore {
-    /// Creates a lease store on `records`; reads nothing yet.
-    pub(crate) fn new(records: Arc<dyn RecordStore>) -> Self {
+    /// Creates a lease store on `records`; reads nothing yet. Undecodable records are reported to
+    /// `events`.
+    pub(crate) fn new(records: Arc<dyn RecordStore>, events: Arc<EventLog>) -> Self {
         Self {
             records,
+            events,
             last_seen: Mutex::new(None),
             era: Mutex::new(None),
         }
@@ -46,7 +51,8 @@
             return Ok(Some(version));
         }
         let current = self.find(key).await?;
-        let same = current.as_ref().and_then(decode).as_ref() == expected;
+        let same = current.as_ref().and_then(|record| self.decode(record));
+        let same = same.as_ref() == expected;
         Ok(same.then(|| current.map_or(0, |current| current.version)))
     }
 
@@ -65,6 +71,11 @@
         self.era.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn decode(&self, record: &Record) -> Option<LeaseRecord> {
+        let kind = UndecodableKind::LeaseRecord;
+        decode_record(&self.events, kind, &record.key, &record.value)
+    }
+
     async fn find(&self, key: &str) -> Result<Option<Record>, RecordStoreError> {
         let records = self.records.read(key).await?;
         self.record_era(records.version);
@@ -80,7 +91,7 @@
 
     async fn get(&self, name: &LeaseName) -> Result<Option<LeaseRecord>, LeaseStoreError> {
         let found = self.find(&key(name)).await.map_err(translate)?;
-        Ok(found.and_then(|record| decode(&record)))
+        Ok(found.and_then(|record| self.decode(&record)))
     }
 
     async fn put_if(
@@ -114,10 +125,6 @@
     format!("{KEY_PREFIX}{name}")
 }
 
-fn decode(record: &Record) -> Option<LeaseRecord> {
-    rmp_serde::from_slice(&record.value).ok()
-}
-
 fn translate(error: RecordStoreError) -> LeaseStoreError {
     match error {
         RecordStoreError::Unknown(reason) => LeaseStoreError::Unknown(reason),
--- a/crates/engine/src/leadership/promotion_lease.rs
+++ b/crates/engine/src/leadership/promotion_lease.rs
@@ -132,12 +132,13 @@
     /// Acquires and renews the lease until the process shuts down.
     pub async fn run(&self, engine: &Engine) {
         let records = Arc::clone(engine.lease_records());
+        let events = Arc::clone(engine.events());
         let mut candidate = LeaseCandidate::new(
             LeaseName::new(LEASE_NAME),
             NodeId::new(&*engine.settings().node),
             Incarnation(rand::random()),
             LEASE_SETTINGS,
-            Arc::new(RecordLeaseStore::new(records)),
+            Arc::new(RecordLeaseStore::new(records, events)),
             Arc::new(self.clock.clone()),
         )
         .reclaiming_earlier_lives();
--- a/crates/engine/src/leadership/record.rs
+++ b/crates/engine/src/leadership/record.rs
@@ -1,5 +1,6 @@
 //! The record of a group's leadership term in the store.
 
+use crate::decoding::{self, DecodeError};
 use crate::directory::Member;
 use crate::encoding;
 use crate::group::Epoch;
@@ -78,7 +79,7 @@
     #[derive(Debug)]
     pub enum RecordError {
         /// It doesn't have the format that this version writes.
-        Malformed(error: rmp_serde::decode::Error) {
+        Malformed(error: DecodeError) {
             display("malformed record: {error}")
             from()
         }
@@ -136,6 +137,6 @@
     ///
     /// [`RecordError::Malformed`] if `value` doesn't encode a term record.
     pub fn decode(value: &[u8]) -> Result<Self, RecordError> {
-        Ok(rmp_serde::from_slice(value)?)
+        Ok(decoding::decode(value)?)
     }
 }
--- a/crates/engine/src/leadership/report.rs
+++ b/crates/engine/src/leadership/report.rs
@@ -1,6 +1,7 @@
 //! Suspicions that processes record for the lease holder.
 
 use super::suspicion::Suspicion;
+use crate::decoding::{UndecodableKind, decode_record};
 use crate::encoding;
 use crate::engine::Engine;
 use crate::group::Epoch;
@@ -44,7 +45,8 @@
 }
 
 /// Decodes a record, if it is a suspicion.
-pub fn decode(record: &Record) -> Option<SuspicionReport> {
+pub fn decode(engine: &Engine, record: &Record) -> Option<SuspicionReport> {
     let is_report = record.key.starts_with(KEY_PREFIX);
-    is_report.then(|| rmp_serde::from_slice(&record.value).ok())?
+    let kind = UndecodableKind::SuspicionRecord;
+    is_report.then(|| decode_record(engine.events(), kind, &record.key, &record.value))?
 }
--- a/crates/engine/src/leadership/roster.rs
+++ b/crates/engine/src/leadership/roster.rs
@@ -8,6 +8,7 @@
 //! reads it before it surveys the members.
 
 use super::promotion_lease::PromotionLease;
+use crate::decoding::{UndecodableKind, decode_record};
 use crate::directory::{Departure, Member, MemberState, Role};
 use crate::encoding;
 use crate::engine::Engine;
@@ -66,8 +67,9 @@
         Self { members }
     }
 
-    fn decode(record: &Record) -> Option<Self> {
-        rmp_serde::from_slice(&record.value).ok()
+    fn decode(engine: &Engine, record: &Record) -> Option<Self> {
+        let kind = UndecodableKind::RosterRecord;
+        decode_record(engine.events(), kind, &record.key, &record.value)
     }
 }
 
@@ -128,7 +130,12 @@
     let others = engine.terms().subscribe_other_records();
     let known = others.borrow().get(&key).cloned();
     let current = Roster::of(engine, group);
-    if known.as_ref().and_then(Roster::decode).as_ref() == Some(&current) {
+    if known
+        .as_ref()
+        .and_then(|known| Roster::decode(engine, known))
+        .as_ref()
+        == Some(&current)
+    {
         return Comparison::Same;
     }
     if known.is_none() && is_joining(group, &current, new_groups) {
@@ -173,7 +180,7 @@
     let Some(group) = record.key.strip_prefix(KEY_PREFIX) else {
         return;
     };
-    if let Some(roster) = Roster::decode(record) {
+    if let Some(roster) = Roster::decode(engine, record) {
         add_missing_as_gone(engine, &GroupName::from(group), roster);
     }
 }
@@ -187,7 +194,7 @@
     let key = Roster::key(group);
     let read = engine.terms().store().read(&key).await?;
     let record = read.written.iter().find(|record| record.key == key);
-    if let Some(roster) = record.and_then(Roster::decode) {
+    if let Some(roster) = record.and_then(|record| Roster::decode(engine, record)) {
         add_missing_as_gone(engine, group, roster);
     }
     Ok(())
--- a/crates/engine/src/leadership/term_confirmation.rs
+++ b/crates/engine/src/leadership/term_confirmation.rs
@@ -128,7 +128,7 @@
 /// The holder's address according to the fleet index.
 fn holder_address(engine: &Engine) -> Option<SocketAddr> {
     let others = engine.terms().subscribe_other_records();
-    let index = FleetIndex::from_records(&others.borrow())?;
+    let index = FleetIndex::from_records(engine, &others.borrow())?;
     index
         .holder
         .filter(|address| Some(*address) != engine.settings().peer_address)
--- a/crates/engine/src/leadership/watcher.rs
+++ b/crates/engine/src/leadership/watcher.rs
@@ -268,8 +268,10 @@
             let records = others.borrow_and_update().clone();
             for record in records.values() {
                 let seen = versions.insert(record.key.clone(), record.version);
-                let Some(report) = report::decode(record).filter(|_| seen != Some(record.version))
-                else {
+                if seen == Some(record.version) {
+                    continue;
+                }
+                let Some(report) = report::decode(&self.engine, record) else {
                     continue;
                 };
                 let mut state = self.state();
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,6 +9,7 @@
 //! writes, and the service that carries out promotions.
 
 pub mod configuration;
+pub mod decoding;
 pub mod directory;
 mod encoding;
 pub mod engine;
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -2,8 +2,10 @@
 
 use super::frame::{
     ExchangeId, FollowedVersions, FromHome, HomeOutcome, RequiredFreshness, RunRequest,
-    StoreUpdates, ToHome, UnitId, decode, encode,
+    StoreUpdates, ToHome, UnitId, decode_frame, encode,
 };
+use crate::decoding::{DecodeError, UndecodableKind, report_undecodable};
+use crate::events::EventLog;
 use crate::names::{GroupName, TenantName};
 use crate::ports::{GroupSnapshot, PeerLink};
 use crate::rate::counter::{PermitReply, Shard};
@@ -11,6 +13,7 @@
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -72,6 +75,8 @@
 #[derive(Debug)]
 pub struct Link {
     tx: mpsc::Sender<Bytes>,
+    peer: SocketAddr,
+    events: Arc<EventLog>,
     state: Mutex<LinkState>,
     /// Wakes the monitoring task.
     request_registered: Notify,
@@ -91,11 +96,19 @@
 }
 
 impl Link {
-    /// Starts a task that reads from and monitors `link`, and returns a handle for requests.
-    pub(super) fn spawn(link: PeerLink, on_suspect: OnSuspect) -> Arc<Self> {
+    /// Starts a task that reads from and monitors `link` to `peer`, and returns a handle for
+    /// requests.
+    pub(super) fn spawn(
+        link: PeerLink,
+        peer: SocketAddr,
+        events: Arc<EventLog>,
+        on_suspect: OnSuspect,
+    ) -> Arc<Self> {
         let now = Instant::now();
         let opened = Arc::new(Self {
             tx: link.tx,
+            peer,
+            events,
             state: Mutex::new(LinkState {
                 next_id: 1,
                 reply_senders: HashMap::new(),
@@ -382,14 +395,20 @@
     /// Reads frames until the link closes or a frame can't be decoded.
     async fn read(&self, mut rx: mpsc::Receiver<Bytes>) {
         while let Some(bytes) = rx.recv().await {
-            let Some(frame) = decode::<FromHome>(&bytes) else {
-                log::warn!("received an undecodable frame from a peer; closing the link");
-                return;
-            };
-            self.handle_frame(frame);
+            match decode_frame::<FromHome>(&bytes) {
+                Ok(frame) => self.handle_frame(frame),
+                Err(error) => {
+                    self.report(UndecodableKind::LinkAnswer, &bytes, &error);
+                    return;
+                }
+            }
         }
     }
 
+    fn report(&self, kind: UndecodableKind, bytes: &Bytes, error: &DecodeError) {
+        report_undecodable(&self.events, kind, self.peer, Some(bytes), error);
+    }
+
     /// Appends one part of an answer, and handles the answer once the last part has arrived.
     fn handle_part(&self, exchange: ExchangeId, bytes: &Bytes, is_last: bool) {
         let whole = {
@@ -411,12 +430,13 @@
             state.partial_answers.remove(&exchange)
         };
         let Some((bytes, _)) = whole else { return };
-        match decode::<FromHome>(&bytes.into()) {
-            Some(FromHome::Part { .. }) | None => {
-                log::warn!("the reassembled parts of an answer can't be decoded; dropping them");
-            }
-            Some(answer) => self.handle_frame(answer),
-        }
+        let bytes = Bytes::from(bytes);
+        let error = match decode_frame::<FromHome>(&bytes) {
+            Ok(FromHome::Part { .. }) => DecodeError::Unexpected("a part within parts"),
+            Ok(answer) => return self.handle_frame(answer),
+            Err(error) => error,
+        };
+        self.report(UndecodableKind::LinkAnswerParts, &bytes, &error);
     }
 
     fn handle_frame(&self, frame: FromHome) {
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -1,5 +1,6 @@
 //! The frames of the link protocol between processes.
 
+use crate::decoding::{self, DecodeError};
 use crate::encoding;
 use crate::names::{DatabaseName, GroupName, MemberId, RequestId, TenantName};
 use crate::ports::{Answer, DeclaredState, DeclaredVersions, GroupSnapshot, Record};
@@ -374,7 +375,16 @@
     metrics::counter!("stilequay_link_bytes_total", "frame" => frame.kind()).increment(bytes);
 }
 
+/// Decodes a frame.
+///
+/// # Errors
+///
+/// [`DecodeError`] if it is malformed.
+pub fn decode_frame<'a, T: Deserialize<'a>>(bytes: &'a Bytes) -> Result<T, DecodeError> {
+    decoding::decode(bytes)
+}
+
 /// Decodes a frame; returns `None` if it is malformed.
 pub fn decode<'a, T: Deserialize<'a>>(bytes: &'a Bytes) -> Option<T> {
-    rmp_serde::from_slice(bytes).ok()
+    decode_frame(bytes).ok()
 }
--- a/crates/engine/src/link/links.rs
+++ b/crates/engine/src/link/links.rs
@@ -1,7 +1,9 @@
 //! The pool of links of this process: at most one per peer, opened on demand.
 
 use super::client::{Link, OnSuspect};
-use super::frame::{FromHome, ToHome, decode, encode};
+use super::frame::{FromHome, ToHome, decode_frame, encode};
+use crate::decoding::{DecodeError, UndecodableKind, report_undecodable};
+use crate::events::EventLog;
 use crate::ports::{PeerLink, PeerNetwork};
 use futures::future::join_all;
 use std::collections::HashMap;
@@ -35,14 +37,22 @@
 
 /// Whether the peer of a new link answers a ping. An accepted connection doesn't show that: the
 /// kernel also accepts connections for a stalled process.
-async fn responds_to_ping(link: &mut PeerLink) -> bool {
+async fn responds_to_ping(link: &mut PeerLink, peer: SocketAddr, events: &EventLog) -> bool {
     let sent = link.tx.send(encode(&ToHome::Ping)).await;
     let answer = match sent {
         Ok(()) => link.rx.recv().await,
         Err(_) => None,
     };
-    let answer = answer.and_then(|bytes| decode::<FromHome>(&bytes));
-    matches!(answer, Some(FromHome::Pong))
+    let Some(bytes) = answer else { return false };
+    let error = match decode_frame::<FromHome>(&bytes) {
+        Ok(FromHome::Pong) => return true,
+        Ok(FromHome::Leaving) => return false,
+        Ok(_) => DecodeError::Unexpected("no answer to a ping"),
+        Err(error) => error,
+    };
+    let kind = UndecodableKind::LinkFirstAnswer;
+    report_undecodable(events, kind, peer, Some(&bytes), &error);
+    false
 }
 
 /// Creates a callback that pings all links. Links often fail together, and otherwise each failure
@@ -66,15 +76,17 @@
 #[derive(Debug)]
 pub struct Links {
     network: Arc<dyn PeerNetwork>,
+    events: Arc<EventLog>,
     slots: Arc<Mutex<LinkSlots>>,
     changes: watch::Sender<u64>,
 }
 
 impl Links {
     /// Creates an empty pool that opens links through `network`.
-    pub fn new(network: Arc<dyn PeerNetwork>) -> Self {
+    pub fn new(network: Arc<dyn PeerNetwork>, events: Arc<EventLog>) -> Self {
         Self {
             network,
+            events,
             slots: Arc::default(),
             changes: watch::Sender::new(0),
         }
@@ -172,15 +184,20 @@
 
     fn spawn_open(&self, address: SocketAddr, pause: Duration) {
         let network = Arc::clone(&self.network);
+        let events = Arc::clone(&self.events);
         let slots = Arc::clone(&self.slots);
         let changes = self.changes.clone();
         tokio::spawn(async move {
             let opening = async {
                 let mut link = network.open_link(address).await.ok()?;
-                responds_to_ping(&mut link).await.then_some(link)
+                let responds = responds_to_ping(&mut link, address, &events).await;
+                responds.then_some(link)
             };
             let slot = match timeout(OPEN_TIMEOUT, opening).await {
-                Ok(Some(link)) => LinkSlot::Open(Link::spawn(link, ping_all(&slots))),
+                Ok(Some(link)) => {
+                    let on_suspect = ping_all(&slots);
+                    LinkSlot::Open(Link::spawn(link, address, events, on_suspect))
+                }
                 _ => LinkSlot::Failed {
                     until: Instant::now() + pause,
                     pause: (pause * 2).min(RETRY_PAUSE_MAX),
--- a/crates/engine/src/peers/declared.rs
+++ b/crates/engine/src/peers/declared.rs
@@ -1,7 +1,7 @@
 //! Exchange of declared state between peers: the configuration, the evacuated zones and the
 //! members. Small fleets query it while the store is unavailable, relays pass it on at any time.
 
-use super::{ANSWER_TIMEOUT, choose_peers};
+use super::{ANSWER_TIMEOUT, choose_peers, count_queries, received};
 use crate::configuration::Configuration;
 use crate::directory::{Departure, Directory, Member, MemberState};
 use crate::engine::Engine;
@@ -134,13 +134,15 @@
     let peers = choose_peers(engine);
     let queries = peers
         .iter()
-        .map(|peer| engine.peers().query_declared(*peer, versions));
+        .map(async |peer| (*peer, engine.peers().query_declared(*peer, versions).await));
     let mut answers: FuturesUnordered<_> = queries.collect();
-    while let Ok(Some(answer)) = timeout_at(requested_at + ANSWER_TIMEOUT, answers.next()).await {
-        let Ok(state) = answer else { continue };
-        metrics::counter!("stilequay_peer_answers_total").increment(1);
-        apply(engine, state, requested_at);
+    let until = requested_at + ANSWER_TIMEOUT;
+    while let Ok(Some((peer, answer))) = timeout_at(until, answers.next()).await {
+        if let Some(state) = received(engine, peer, answer) {
+            apply(engine, state, requested_at);
+        }
     }
+    count_queries("unanswered", answers.len());
 }
 
 /// Applies the declared state of a peer that was queried at `requested_at`. Ages are counted back
--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -9,13 +9,14 @@
 
 pub use tcp::{TcpPeers, serve};
 
+use crate::decoding::{DecodeError, UndecodableKind, report_undecodable};
 use crate::engine::Engine;
 use crate::events::millis;
 use crate::group::{PositionSource, UsableLeader};
 use crate::leadership::fleet;
 use crate::leadership::follower::VersionedTerm;
 use crate::names::GroupName;
-use crate::ports::{CoveringSnapshot, GroupSnapshot, LeaderSnapshot, TermSnapshot};
+use crate::ports::{CoveringSnapshot, GroupSnapshot, LeaderSnapshot, PeerError, TermSnapshot};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use rand::seq::IndexedRandom;
@@ -68,17 +69,41 @@
     let peers = choose_peers(engine);
     let queries = peers
         .iter()
-        .map(|peer| engine.peers().query_groups(*peer, groups));
+        .map(async |peer| (*peer, engine.peers().query_groups(*peer, groups).await));
     let mut answers: FuturesUnordered<_> = queries.collect();
-    while let Ok(Some(answer)) = timeout_at(until, answers.next()).await {
-        let Ok(group_snapshots) = answer else {
+    while let Ok(Some((peer, answer))) = timeout_at(until, answers.next()).await {
+        let Some(group_snapshots) = received(engine, peer, answer) else {
             continue;
         };
-        metrics::counter!("stilequay_peer_answers_total").increment(1);
         group_snapshots
             .into_iter()
             .for_each(|snapshot| apply(engine, snapshot, requested_at));
     }
+    count_queries("unanswered", answers.len());
+}
+
+/// The answer of `peer`, if it has sent one. Counts the query by its outcome, and reports an
+/// answer that can't be used.
+fn received<T>(engine: &Engine, peer: SocketAddr, answer: Result<T, PeerError>) -> Option<T> {
+    match answer {
+        Ok(answer) => {
+            count_queries("answered", 1);
+            metrics::counter!("stilequay_peer_answers_total").increment(1);
+            return Some(answer);
+        }
+        Err(PeerError::Unreachable(_)) => count_queries("unreachable", 1),
+        Err(PeerError::Protocol(error)) => {
+            count_queries("undecodable", 1);
+            let (events, kind) = (engine.events(), UndecodableKind::PeerAnswer);
+            report_undecodable(events, kind, peer, None, &DecodeError::Answer(error));
+        }
+    }
+    None
+}
+
+fn count_queries(outcome: &'static str, count: usize) {
+    let count = u64::try_from(count).unwrap_or(u64::MAX);
+    metrics::counter!("stilequay_peer_queries_total", "outcome" => outcome).increment(count);
 }
 
 fn choose_peers(engine: &Engine) -> Vec<SocketAddr> {
--- a/crates/engine/src/peers/tcp.rs
+++ b/crates/engine/src/peers/tcp.rs
@@ -2,6 +2,7 @@
 //! becomes a link.
 
 use super::{declared, group_snapshots};
+use crate::decoding::{self, DecodeError, UndecodableKind, count_undecodable, report_undecodable};
 use crate::encoding;
 use crate::engine::Engine;
 use crate::names::GroupName;
@@ -61,6 +62,11 @@
 #[derive(Debug, Default)]
 pub struct TcpPeers;
 
+/// Whether `error` is due to a frame longer than [`MAX_FRAME_BYTES`].
+fn is_too_long(error: &std::io::Error) -> bool {
+    error.kind() == std::io::ErrorKind::InvalidData
+}
+
 /// Sends one query over a new connection and reads the answer.
 async fn exchange(peer: SocketAddr, query: &Query) -> Result<Answer, PeerError> {
     let unreachable = |error: std::io::Error| PeerError::Unreachable(error.to_string());
@@ -70,8 +76,11 @@
     frames.send(encoded).await.map_err(unreachable)?;
     let frame = frames.next().await;
     let frame = frame.ok_or_else(|| PeerError::Unreachable("connection closed".to_owned()))?;
-    let frame = frame.map_err(unreachable)?;
-    rmp_serde::from_slice(&frame).map_err(|error| PeerError::Protocol(error.to_string()))
+    let frame = frame.map_err(|error| match is_too_long(&error) {
+        true => PeerError::Protocol(DecodeError::TooLong.to_string()),
+        false => unreachable(error),
+    })?;
+    decoding::decode(&frame).map_err(|error| PeerError::Protocol(error.to_string()))
 }
 
 fn mismatched_answer() -> PeerError {
@@ -109,13 +118,20 @@
         let mut frames = framed(stream);
         let encoded = encoding::without_names(&Query::Link);
         frames.send(encoded).await.map_err(unreachable)?;
-        Ok(spawn_link(frames))
+        Ok(spawn_link(frames, move || {
+            // At most one line per link; a link that has failed is opened again after a pause.
+            count_undecodable(UndecodableKind::LinkAnswer, &DecodeError::TooLong);
+            log::warn!("closing the link to {peer}: a frame is too long");
+        }))
     }
 }
 
 /// Spawns a task that copies frames between the connection and the returned link until either
-/// one closes.
-fn spawn_link(frames: Framed<TcpStream, LengthDelimitedCodec>) -> PeerLink {
+/// one closes. Calls `on_too_long` before it closes because of the length of a received frame.
+fn spawn_link(
+    frames: Framed<TcpStream, LengthDelimitedCodec>,
+    on_too_long: impl FnOnce() + Send + 'static,
+) -> PeerLink {
     let (tx, mut outgoing) = mpsc::channel::<Bytes>(LINK_QUEUE);
     let (incoming, rx) = mpsc::channel::<Bytes>(LINK_QUEUE);
     tokio::spawn(async move {
@@ -131,8 +147,15 @@
             Some(())
         };
         let read = async {
-            while let Some(Ok(frame)) = stream.next().await {
-                incoming.send(frame.freeze()).await.ok()?;
+            while let Some(frame) = stream.next().await {
+                match frame {
+                    Ok(frame) => incoming.send(frame.freeze()).await.ok()?,
+                    Err(error) if is_too_long(&error) => {
+                        on_too_long();
+                        return None;
+                    }
+                    Err(_) => return None,
+                }
             }
             Some(())
         };
@@ -147,7 +170,7 @@
 /// Accepts connections and answers their queries until the process ends.
 pub async fn serve(engine: Arc<Engine>, listener: TcpListener) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, peer)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
@@ -155,11 +178,11 @@
         tokio::spawn(async move {
             // A timeout or a closed connection needs no answer.
             let Ok(Some(ConnectionUse::Link(link))) =
-                timeout(QUERY_TIMEOUT, answer(&engine, stream)).await
+                timeout(QUERY_TIMEOUT, answer(&engine, stream, peer)).await
             else {
                 return;
             };
-            serving::serve(engine, link).await;
+            serving::serve_peer(engine, link, Some(peer)).await;
         });
     }
 }
@@ -172,19 +195,42 @@
     Link(PeerLink),
 }
 
-/// Answers the query on a connection. Returns `None`, which closes the connection, if the query
-/// is malformed.
-async fn answer(engine: &Engine, stream: TcpStream) -> Option<ConnectionUse> {
+/// Answers the query on a connection from `peer`. Returns `None`, which closes the connection, if
+/// the query is malformed.
+async fn answer(engine: &Engine, stream: TcpStream, peer: SocketAddr) -> Option<ConnectionUse> {
     stream.set_nodelay(true).ok()?;
     let mut frames = framed(stream);
-    let frame = frames.next().await?.ok()?;
-    let answer = match rmp_serde::from_slice(&frame).ok()? {
-        Query::Beliefs(groups) => Answer::Beliefs(known_group_snapshots(engine, groups)?),
+    let report = |frame: Option<&[u8]>, error: &DecodeError| {
+        let kind = UndecodableKind::PeerQuery;
+        report_undecodable(engine.events(), kind, peer, frame, error);
+    };
+    let frame = frames.next().await?;
+    let frame = frame
+        .inspect_err(|error| {
+            if is_too_long(error) {
+                report(None, &DecodeError::TooLong);
+            }
+        })
+        .ok()?;
+    let query = decoding::decode(&frame).inspect_err(|error| report(Some(&frame), error));
+    let answer = match query.ok()? {
+        Query::Beliefs(groups) if groups.len() > MAX_GROUPS => {
+            report(Some(&frame), &DecodeError::Unexpected("too many groups"));
+            return None;
+        }
+        Query::Beliefs(groups) => Answer::Beliefs(known_group_snapshots(engine, groups)),
         Query::Declared(versions) => {
             let newer = declared::newer(engine, versions, Instant::now());
             Answer::Declared(Box::new(newer))
         }
-        Query::Link => return Some(ConnectionUse::Link(spawn_link(frames))),
+        Query::Link => {
+            let events = Arc::clone(engine.events());
+            let link = spawn_link(frames, move || {
+                let (kind, error) = (UndecodableKind::LinkRequest, DecodeError::TooLong);
+                report_undecodable(&events, kind, peer, None, &error);
+            });
+            return Some(ConnectionUse::Link(link));
+        }
     };
     let encoded = encoding::without_names(&answer);
     frames.send(encoded).await.ok()?;
@@ -193,11 +239,8 @@
 
 /// Snapshots of those `groups` that are in the directory. Other names are ignored, so that a
 /// query can't create groups.
-fn known_group_snapshots(engine: &Engine, groups: Vec<GroupName>) -> Option<Vec<GroupSnapshot>> {
-    if groups.len() > MAX_GROUPS {
-        return None;
-    }
+fn known_group_snapshots(engine: &Engine, groups: Vec<GroupName>) -> Vec<GroupSnapshot> {
     let known = engine.directory().groups();
     let named = groups.into_iter().filter(|group| known.contains(group));
-    Some(group_snapshots(engine, &named.collect::<Vec<GroupName>>()))
+    group_snapshots(engine, &named.collect::<Vec<GroupName>>())
 }
--- a/crates/engine/src/rate/shard_lease.rs
+++ b/crates/engine/src/rate/shard_lease.rs
@@ -94,7 +94,10 @@
         NodeId::new(&*engine.settings().node),
         Incarnation(rand::random()),
         LEASE_SETTINGS,
-        Arc::new(RecordLeaseStore::new(Arc::clone(engine.lease_records()))),
+        Arc::new(RecordLeaseStore::new(
+            Arc::clone(engine.lease_records()),
+            Arc::clone(engine.events()),
+        )),
         Arc::new(CounterClock(Arc::clone(engine))),
     )
     .reclaiming_earlier_lives();
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -1,6 +1,7 @@
 //! The serving side of a link between processes: answers the queries of the peer and runs the
 //! statements that it forwards.
 
+use crate::decoding::{UndecodableKind, report_undecodable};
 use crate::engine::{Engine, StopPhase};
 use crate::events::{Event, millis};
 use crate::following;
@@ -10,7 +11,7 @@
 use crate::leadership::freshness;
 use crate::leadership::term_confirmation;
 use crate::link::frame::{
-    FromHome, HomeOutcome, RequiredFreshness, RunRequest, ToHome, UnitId, decode, encode,
+    FromHome, HomeOutcome, RequiredFreshness, RunRequest, ToHome, UnitId, decode_frame, encode,
     encode_in_parts,
 };
 use crate::names::{GroupName, MemberId, RequestId};
@@ -20,6 +21,7 @@
 use crate::statement::TransactionState;
 use bytes::Bytes;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -65,8 +67,13 @@
     tx: mpsc::Sender<Bytes>,
 }
 
-/// Serves one link until it is closed.
+/// Serves one link of a peer whose address is unknown until it is closed.
 pub async fn serve(engine: Arc<Engine>, link: PeerLink) {
+    serve_peer(engine, link, None).await;
+}
+
+/// Serves one link until it is closed. `peer` is the address from which the peer has connected.
+pub async fn serve_peer(engine: Arc<Engine>, link: PeerLink, peer: Option<SocketAddr>) {
     let PeerLink { tx, mut rx } = link;
     let task = LinkTask { engine, tx };
     let mut units: HashMap<UnitId, mpsc::Sender<RunRequest>> = HashMap::new();
@@ -82,15 +89,15 @@
             Ok(()) = stop.changed() => continue,
         };
         let Ok(Some(frame)) = frame else { return };
-        match decode::<ToHome>(&frame) {
-            Some(ToHome::Run(request)) => {
+        match decode_frame::<ToHome>(&frame) {
+            Ok(ToHome::Run(request)) => {
                 units.retain(|_, unit| !unit.is_closed());
                 task.dispatch(&mut units, *request);
             }
-            Some(ToHome::Close(unit)) => {
+            Ok(ToHome::Close(unit)) => {
                 units.remove(&unit);
             }
-            Some(ToHome::Ask {
+            Ok(ToHome::Ask {
                 exchange,
                 group,
                 wanted,
@@ -101,7 +108,7 @@
                     task.send(&FromHome::Beliefs { exchange, beliefs }).await;
                 });
             }
-            Some(ToHome::Follow {
+            Ok(ToHome::Follow {
                 exchange,
                 known,
                 wait,
@@ -118,7 +125,7 @@
                     }
                 });
             }
-            Some(ToHome::Draw {
+            Ok(ToHome::Draw {
                 exchange,
                 shard,
                 tenant,
@@ -134,22 +141,24 @@
                 }
                 task.send(&FromHome::Drawn { exchange, drawn }).await;
             }
-            Some(ToHome::Want(shard)) => task.engine.counters().request_counter(shard),
-            Some(ToHome::CounterLease { shard, record }) => {
+            Ok(ToHome::Want(shard)) => task.engine.counters().request_counter(shard),
+            Ok(ToHome::CounterLease { shard, record }) => {
                 task.engine.counters().record_announced(shard, *record);
             }
-            Some(ToHome::PromotionLease(record)) => {
+            Ok(ToHome::PromotionLease(record)) => {
                 task.engine
                     .announced_promotion_lease()
                     .send_replace(Some(*record));
             }
-            Some(ToHome::AskNewestTerm { exchange }) => {
+            Ok(ToHome::AskNewestTerm { exchange }) => {
                 let version = term_confirmation::newest_term(&task.engine);
                 task.send(&FromHome::NewestTerm { exchange, version }).await;
             }
-            Some(ToHome::Ping) => task.send(&FromHome::Pong).await,
-            None => {
-                log::warn!("received an invalid frame from a peer; closing the link");
+            Ok(ToHome::Ping) => task.send(&FromHome::Pong).await,
+            Err(error) => {
+                let from = peer.map_or_else(|| "unknown".to_owned(), |peer| peer.to_string());
+                let (events, kind) = (task.engine.events(), UndecodableKind::LinkRequest);
+                report_undecodable(events, kind, from, Some(&frame), &error);
                 return;
             }
         }
--- a/crates/engine/src/slow_start/allot.rs
+++ b/crates/engine/src/slow_start/allot.rs
@@ -199,7 +199,10 @@
         .borrow()
         .get(&key)
         .cloned();
-    let mut next = match known.as_ref().map(Allotments::decode) {
+    let mut next = match known
+        .as_ref()
+        .map(|record| Allotments::decode_or_report(engine, record))
+    {
         None => Allotments::default(),
         Some(Some(present)) => present,
         Some(None) => {
--- a/crates/engine/src/slow_start/allotment.rs
+++ b/crates/engine/src/slow_start/allotment.rs
@@ -1,5 +1,7 @@
 //! Store records that divide the statement limit of cold members between processes.
 
+use crate::decoding::{self, DecodeError, UndecodableKind, decode_record};
+use crate::engine::Engine;
 use crate::names::{MemberId, NodeName};
 use crate::ports::Record;
 use serde::{Deserialize, Serialize};
@@ -62,18 +64,19 @@
         format!("{KEY_PREFIX}{group}")
     }
 
-    /// Decodes a record; `None` if it is invalid.
-    pub fn decode(record: &Record) -> Option<Self> {
-        match rmp_serde::from_slice(&record.value) {
-            Ok(allotments) => Some(allotments),
-            Err(error) => {
-                log::error!(
-                    "invalid slow start allotments in record {:?}: {error}",
-                    record.key
-                );
-                None
-            }
-        }
+    /// Decodes a record.
+    ///
+    /// # Errors
+    ///
+    /// [`DecodeError`] if it is invalid.
+    pub fn decode(record: &Record) -> Result<Self, DecodeError> {
+        decoding::decode(&record.value)
+    }
+
+    /// Decodes a record. If it is invalid, reports it and returns `None`.
+    pub(super) fn decode_or_report(engine: &Engine, record: &Record) -> Option<Self> {
+        let kind = UndecodableKind::AllotmentsRecord;
+        decode_record(engine.events(), kind, &record.key, &record.value)
     }
 }
 
--- a/crates/engine/src/slow_start/mod.rs
+++ b/crates/engine/src/slow_start/mod.rs
@@ -150,7 +150,7 @@
         if before.is_some_and(|known| known.version >= record.version) {
             return;
         }
-        let allotments = Allotments::decode(record).unwrap_or_default();
+        let allotments = Allotments::decode_or_report(engine, record).unwrap_or_default();
         let now = Instant::now();
         let since = allotments.members.iter().map(|(member, allotment)| {
             let same =
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -159,6 +159,14 @@
         "stilequay_peer_answers_total",
         "Answers of other processes that were asked for their beliefs.",
     ),
+    Metric::counter(
+        "stilequay_peer_queries_total",
+        "Queries to other processes while the store or a position was missing, by outcome: answered, unreachable, unanswered or undecodable.",
+    ),
+    Metric::counter(
+        "stilequay_undecodable_total",
+        "Frames of other processes and records of the store that could not be decoded and were dropped, by what they were meant to be and reason.",
+    ),
     Metric::counter(
         "stilequay_follow_questions_total",
         "Questions for what the store holds that were put to other processes, by step and outcome.",
--- a/crates/engine/tests/events.rs
+++ b/crates/engine/tests/events.rs
@@ -3,6 +3,7 @@
 use insta::assert_json_snapshot;
 use serde_json::Value;
 use std::time::Duration;
+use stilequay_engine::decoding::UndecodableKind;
 use stilequay_engine::directory::{Departure, MemberState, Role};
 use stilequay_engine::events::{
     AttemptEvent, Event, EventClass, EventLog, OutcomeEvent, PositionOrigin, PositionSurveyEvent,
@@ -159,6 +160,20 @@
             fencing: 4,
             reason: "acquired".to_owned(),
         },
+        Event::Undecodable {
+            what: UndecodableKind::LinkAnswer,
+            from: "10.0.0.7:7000".to_owned(),
+            frame: Some("Beliefs".to_owned()),
+            bytes: Some(312),
+            error: "missing field `target`".to_owned(),
+        },
+        Event::Undecodable {
+            what: UndecodableKind::TermRecord,
+            from: "term/ledger".to_owned(),
+            frame: None,
+            bytes: None,
+            error: "missing field `target`".to_owned(),
+        },
         Event::Dependency {
             name: "term_records",
             available: false,
--- a/crates/engine/tests/slow_start.rs
+++ b/crates/engine/tests/slow_start.rs
@@ -88,7 +88,7 @@
 /// Returns the shares of `member` from the store.
 fn shares(fleet: &Fleet, member: &str) -> Option<Shares> {
     let record = fleet.records.get(&Allotments::key(GROUP))?;
-    let allotments = Allotments::decode(&record)?;
+    let allotments = Allotments::decode(&record).ok()?;
     let allotment = allotments.members.get(member)?;
     Some(allotment.shares.clone())
 }
