Show the way from a stale read to the source of its position

- `stilequayctl explain` shows where the position came from, and the last accepted and the last other survey that the process had written about the group before.
Surveys are left out of the changes told by all processes, which they would crowd out.

--- a/crates/ctl/src/explain.rs
+++ b/crates/ctl/src/explain.rs
@@ -221,7 +221,10 @@
     fn put_changes(&self, text: &mut String, request: &Entry) {
         let about_group = |change: &&Entry| {
             let same = change.event.group == request.event.group;
-            same && change.event.event != "member_changed"
+            same && !matches!(
+                change.event.event.as_str(),
+                "member_changed" | "position_survey"
+            )
         };
         let changes: Vec<&Entry> = self.before(request).filter(about_group).collect();
         if changes.is_empty() {
@@ -260,6 +263,11 @@
             Some(format!("member {}", text("member")?))
         }
         "leader_changed" if event.group == request.event.group => Some("leader".to_owned()),
+        // A rejected survey doesn't replace the accepted one before it.
+        "position_survey" if event.group == request.event.group => {
+            let is_accepted = text("result").as_deref() == Some("accepted");
+            Some(format!("position survey, accepted {is_accepted}"))
+        }
         _ => None,
     }
 }
@@ -293,6 +301,7 @@
             field("after"),
         ),
     );
+    put_position_origin(text, request);
     put_authorization(text, request);
     let attempts = request.event.rest.get("attempts").and_then(Value::as_array);
     if attempts.is_none_or(Vec::is_empty) {
@@ -308,6 +317,28 @@
     }
 }
 
+/// Where the position that the member had to have reached came from.
+fn put_position_origin(text: &mut String, request: &Entry) {
+    let Some(origin) = request.event.rest.get("after_origin") else {
+        return;
+    };
+    let field = |name: &str| show(origin.get(name));
+    let bound = match origin.get("session_floor").and_then(Value::as_bool) {
+        Some(true) => "the session's own commits",
+        _ => "the route's staleness",
+    };
+    put_line(
+        text,
+        &format!(
+            "  position from: {}, epoch {}, covers what was acknowledged {} ms before; required by \
+             {bound}",
+            field("source"),
+            field("epoch"),
+            field("age_ms"),
+        ),
+    );
+}
+
 /// On whose behalf a request was asked, and how recently the configuration was known to be the
 /// newest where that has decided.
 fn put_authorization(text: &mut String, request: &Entry) {
@@ -351,6 +382,10 @@
                 .collect();
             shown.join(" ")
         }
+        Some(Value::Array(values)) => {
+            let shown: Vec<String> = values.iter().map(|value| show(Some(value))).collect();
+            shown.join("; ")
+        }
         Some(value) => value.to_string(),
     }
 }
--- a/crates/ctl/tests/explain.rs
+++ b/crates/ctl/tests/explain.rs
@@ -104,3 +104,18 @@
         "{text}"
     );
 }
+
+/// A read at a surveyed position, after an accepted and a rejected survey and one of another group.
+const SURVEYED: &str = r#"{"time":"2026-01-01T00:00:03.000Z","level":"info","node":"front-1","event":{"event":"position_survey","group":"ledger","epoch":2,"result":"accepted","position":{"term":3,"number":7},"members":[{"member":"i-7f","response":{"report":{"role":"replica","term":3,"received":{"term":3,"number":7},"paused_for":0}},"counted":"reported"},{"member":"i-80","response":{"silent":"no answer in time"},"counted":"unknown"}],"may_be_unknown":1}}
+{"time":"2026-01-01T00:00:03.100Z","level":"info","node":"front-1","event":{"event":"position_survey","group":"ledger","epoch":2,"result":{"below_known":{"known":{"term":3,"number":7}}},"position":{"term":3,"number":5},"members":[],"may_be_unknown":1}}
+{"time":"2026-01-01T00:00:03.200Z","level":"info","node":"front-1","event":{"event":"position_survey","group":"other","epoch":9,"result":"accepted","position":null,"members":[],"may_be_unknown":1}}
+{"time":"2026-01-01T00:00:03.300Z","level":"info","node":"front-2","event":{"event":"position_survey","group":"ledger","epoch":2,"result":"too_many_unknown","position":null,"members":[],"may_be_unknown":1}}
+{"time":"2026-01-01T00:00:04.000Z","level":"info","node":"front-1","event":{"event":"request","id":"5c0e","database":"menus","group":"ledger","statement":"read","configuration":7,"epoch":2,"evidence_age_ms":980,"after":{"term":3,"number":7},"after_origin":{"source":"survey","age_ms":1003,"epoch":2},"attempts":[{"member":"i-7f","result":"completed","ended_ms":9}],"outcome":"completed","elapsed_ms":9}}
+"#;
+
+#[test]
+fn a_read_is_explained_with_the_source_of_its_position() {
+    let mut explanation = Explanation::default();
+    explanation.read("5c0e", SURVEYED.as_bytes()).expect("read");
+    assert_snapshot!(explanation.text());
+}
