Show that a survey with absent members covers too little

Cause: a position that a survey of the members finds may leave out servers that held acknowledged commits. The stand-in refuses connections to members without a server.

--- a/crates/engine/tests/support/servers/connection.rs
+++ b/crates/engine/tests/support/servers/connection.rs
@@ -45,6 +45,9 @@
         // Only the server's name matters for reaching it, so a connection to an earlier incarnation
         // reaches the current one.
         let name = server_name(&member.id);
+        if !self.world.has_server(name) {
+            return Err(ConnectError::WrongMember);
+        }
         let server = self.world.snapshot(name);
         if server.unresponsive || !self.world.network.reaches(&self.node, name) {
             pending::<()>().await;
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -37,7 +37,7 @@
     pub(super) connections: Mutex<HashMap<String, usize>>,
     /// Injected fault: servers whose entries are missing from the directory.
     pub unlisted: Mutex<HashSet<String>>,
-    /// Directory entries of members of other groups, which receive no requests.
+    /// Directory entries of members that have no server here.
     pub other_members: Mutex<Vec<Member>>,
     /// The frozen processes.
     pub freezer: Freezer,
@@ -159,6 +159,11 @@
         self.slots.lock().unwrap().get(name).cloned()
     }
 
+    /// Whether there is a server of this name; other members are only listed.
+    pub fn has_server(&self, name: &str) -> bool {
+        self.lock().contains_key(name)
+    }
+
     pub fn server(&self, name: &str) -> Server {
         self.lock()[name].clone()
     }
