Don't take a gone predecessor for the server that took over a log

Cause: a survey of the members skips a gone member whose address another member has, because that server has taken over its log. The check didn't ask whether the other one is there: ids change with each replacement at an address, so a leader that crashed, once its entry had gone, counted as replaced by its own predecessor, gone for up to a minute. Its log, and that of an absent replica, were left out of account, and the position of a replica that lagged passed for one that covers every commit.

The new module surveyed_logs says how each log counts, unknown ones by server.

--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -2,12 +2,12 @@
 
 use super::survey::{self, Response, StragglerPolicy, SurveyedMember};
 use super::survey_events::{PositionSurvey, SurveyResult};
+use super::surveyed_logs::SurveyedLogs;
 use crate::directory::Member;
 use crate::engine::Engine;
 use crate::evacuation::Sender;
 use crate::group::{Group, PositionSample, PositionSource};
 use crate::home;
-use crate::names::are_incarnations_of_same_server;
 use crate::peers;
 use crate::pool::AcquireRequest;
 use crate::ports::{Command, Control};
@@ -60,8 +60,9 @@
 }
 
 /// Asks all members that may be contacted how far they have received the log. An acknowledged
-/// commit is held by the leader and by as many replicas as had to receive it. If no more members
-/// than that number of replicas are silent, the highest reported position covers every such commit.
+/// commit was received by the leader and by as many replicas as had to. If no more logs than that
+/// number of replicas are unknown, lost ones included, the highest reported position covers every
+/// such commit.
 async fn ask_members(engine: &Engine, group: &Group) {
     if !engine.terms().has_read() {
         return;
@@ -80,14 +81,13 @@
         member,
         response: Response::Silent("not asked any more".to_owned()),
     }));
-    let unknown = members
-        .iter()
-        .filter(|member| is_unknown(member, &members, sent));
+    let logs = SurveyedLogs {
+        members: &members,
+        sent,
+    };
     let may_be_unknown = engine.sync_replicas(group.name());
-    let reports = members.iter().filter_map(|m| m.response.report());
-    let highest = reports.map(|report| report.received).max();
-    let result = match highest {
-        Some(position) if unknown.count() <= may_be_unknown => {
+    let result = match logs.highest() {
+        Some(position) if logs.unknown_count() <= may_be_unknown => {
             let outcome = group.record_covering_position(sent, position, PositionSource::Survey);
             SurveyResult::from(outcome)
         }
@@ -95,36 +95,12 @@
     };
     let survey = PositionSurvey {
         group,
-        sent,
-        members: &members,
-        highest,
+        logs,
         may_be_unknown,
     };
     survey.emit(engine, result);
 }
 
-/// Whether `surveyed` may have received commits that no other member of `members` has reported.
-pub(super) fn is_unknown(
-    surveyed: &SurveyedMember,
-    members: &[SurveyedMember],
-    sent: Instant,
-) -> bool {
-    // A server that restarted without its log may have held an unknown number of commits, however
-    // long ago that was: it still counts as unknown.
-    let has_left = surveyed.has_left(sent) && surveyed.response != Response::RestartedEmpty;
-    surveyed.response.report().is_none() && !has_left && !is_replaced(surveyed, members)
-}
-
-/// Whether another server has taken over the member's address, with its log.
-pub(super) fn is_replaced(member: &SurveyedMember, members: &[SurveyedMember]) -> bool {
-    let same_address = |other: &SurveyedMember| {
-        let is_other = other.member.id != member.member.id
-            && !are_incarnations_of_same_server(&other.member.id, &member.member.id);
-        is_other && other.member.address == member.member.address
-    };
-    member.member.is_gone() && members.iter().any(same_address)
-}
-
 /// Opens a transaction at the leader and rolls it back at once: the answer contains the log
 /// position, and the transaction takes none of the member's slots. A member that is not the
 /// leader refuses it.
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -26,6 +26,7 @@
 mod step_events;
 pub mod survey;
 pub mod survey_events;
+pub mod surveyed_logs;
 pub mod suspicion;
 pub(crate) mod term_confirmation;
 mod term_recovery;
--- a/crates/engine/src/leadership/survey_events.rs
+++ b/crates/engine/src/leadership/survey_events.rs
@@ -1,14 +1,13 @@
 //! Events written for surveys of a group's members for a log position.
 
-use super::freshness::{is_replaced, is_unknown};
 use super::survey::{Response, SurveyedMember};
+use super::surveyed_logs::{MemberCounting, SurveyedLogs};
 use crate::engine::Engine;
 use crate::events::{Event, EventClass, PositionSurveyEvent};
 use crate::group::{Group, PositionOutcome};
 use crate::names::MemberId;
 use crate::position::LogPosition;
 use serde::Serialize;
-use tokio::time::Instant;
 
 /// What became of the position that a survey found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -49,20 +48,6 @@
     }
 }
 
-/// How a survey counts the log of one member.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum MemberCounting {
-    /// It has reported its position.
-    Reported,
-    /// It has left for good.
-    Left,
-    /// Another server has taken over its address and its log.
-    Replaced,
-    /// It may have received commits that no other member has.
-    Unknown,
-}
-
 /// The answer of one member to a survey.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct MemberAnswer {
@@ -77,12 +62,8 @@
 /// A completed survey.
 pub(super) struct PositionSurvey<'a> {
     pub group: &'a Group,
-    /// When the requests were sent.
-    pub sent: Instant,
-    pub members: &'a [SurveyedMember],
-    /// The highest position that a member has reported.
-    pub highest: Option<LogPosition>,
-    /// The number of members that may be unknown.
+    pub logs: SurveyedLogs<'a>,
+    /// The number of servers whose logs may be unknown.
     pub may_be_unknown: usize,
 }
 
@@ -94,14 +75,14 @@
         if !engine.events().has_budget(EventClass::Survey) {
             return;
         }
-        let members = self.members.iter().map(|member| self.answer(member));
+        let members = self.logs.members.iter().map(|member| self.answer(member));
         engine
             .events()
             .write(&Event::PositionSurvey(PositionSurveyEvent {
                 group: self.group.name().clone(),
                 epoch: self.group.view().epoch,
                 result,
-                position: self.highest,
+                position: self.logs.highest(),
                 members: members.collect(),
                 may_be_unknown: self.may_be_unknown,
             }));
@@ -111,18 +92,7 @@
         MemberAnswer {
             member: surveyed.member.id.clone(),
             response: surveyed.response.clone(),
-            counted: self.counting(surveyed),
-        }
-    }
-
-    fn counting(&self, surveyed: &SurveyedMember) -> MemberCounting {
-        if surveyed.response.report().is_some() {
-            return MemberCounting::Reported;
-        }
-        match is_unknown(surveyed, self.members, self.sent) {
-            true => MemberCounting::Unknown,
-            false if is_replaced(surveyed, self.members) => MemberCounting::Replaced,
-            false => MemberCounting::Left,
+            counted: self.logs.counting(surveyed),
         }
     }
 }
--- /dev/null
+++ b/crates/engine/src/leadership/surveyed_logs.rs
@@ -0,0 +1,74 @@
+//! Which members' logs a survey has reported, and which may hold commits that no answer shows.
+
+use super::survey::{Response, SurveyedMember};
+use crate::names::are_incarnations_of_same_server;
+use crate::position::LogPosition;
+use serde::Serialize;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use tokio::time::Instant;
+
+/// How a survey counts the log of one member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MemberCounting {
+    /// It has reported its position.
+    Reported,
+    /// It has left for good.
+    Left,
+    /// Another server has taken over its address and its log.
+    Replaced,
+    /// It may have received commits that no other member has.
+    Unknown,
+}
+
+/// The logs of the members that were asked in a survey.
+#[derive(Debug)]
+pub(super) struct SurveyedLogs<'a> {
+    /// All members, including gone ones.
+    pub members: &'a [SurveyedMember],
+    /// When the survey was started.
+    pub sent: Instant,
+}
+
+impl SurveyedLogs<'_> {
+    /// The highest position that a member has reported.
+    pub fn highest(&self) -> Option<LogPosition> {
+        let reports = self.members.iter().filter_map(|m| m.response.report());
+        reports.map(|report| report.received).max()
+    }
+
+    /// Number of servers whose logs are unknown. All members at one address count once, since a
+    /// server has only one log at any time.
+    pub fn unknown_count(&self) -> usize {
+        let unknown = self
+            .members
+            .iter()
+            .filter(|member| self.counting(member) == MemberCounting::Unknown);
+        let servers: HashSet<SocketAddr> = unknown.map(|m| m.member.address).collect();
+        servers.len()
+    }
+
+    /// How the log of `member` counts.
+    pub fn counting(&self, member: &SurveyedMember) -> MemberCounting {
+        match &member.response {
+            Response::Report(_) => MemberCounting::Reported,
+            Response::RestartedEmpty => MemberCounting::Unknown,
+            _ if self.is_replaced(member) => MemberCounting::Replaced,
+            _ if member.has_left(self.sent) => MemberCounting::Left,
+            _ => MemberCounting::Unknown,
+        }
+    }
+
+    /// Whether another server has taken over the member's address, with its log. A gone member
+    /// that doesn't answer has taken over nothing: it may have been there before.
+    fn is_replaced(&self, member: &SurveyedMember) -> bool {
+        let is_successor = |other: &SurveyedMember| {
+            other.member.id != member.member.id
+                && other.member.address == member.member.address
+                && !are_incarnations_of_same_server(&other.member.id, &member.member.id)
+                && (!other.member.is_gone() || other.response.report().is_some())
+        };
+        member.member.is_gone() && self.members.iter().any(is_successor)
+    }
+}
--- a/crates/engine/tests/events.rs
+++ b/crates/engine/tests/events.rs
@@ -12,7 +12,8 @@
 use stilequay_engine::group::PositionSource;
 use stilequay_engine::leadership::record::TermPhase;
 use stilequay_engine::leadership::survey::Response;
-use stilequay_engine::leadership::survey_events::{MemberAnswer, MemberCounting, SurveyResult};
+use stilequay_engine::leadership::survey_events::{MemberAnswer, SurveyResult};
+use stilequay_engine::leadership::surveyed_logs::MemberCounting;
 use stilequay_engine::ports::MemberReport;
 use stilequay_engine::position::LogPosition;
 use stilequay_engine::verdict::{FailureReason, Verdict};
