Count the log of a departed replica until the others are known to have it

Callers saw reads on a log that lacked acknowledged commits, in the test of a new process while the leader was away.

Cause: a replica that has left takes its log with it, which may have been the only copy of a commit beside the leader's. Now it counts as unknown unless a reported log reaches a position that covers the time of its departure. What ends that: a position learned from the leader, a peer or a later survey; if a survey isn't enough, the leader is asked after evidence for its term was renewed. Until then reads that need the position are refused.

--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -1,5 +1,6 @@
 //! Determining a log position that covers a moment, if the traffic has not provided one.
 
+use super::access;
 use super::survey::{self, Response, StragglerPolicy, SurveyedMember};
 use super::survey_events::{PositionSurvey, SurveyResult};
 use super::surveyed_logs::SurveyedLogs;
@@ -56,6 +57,15 @@
         return Some(sample);
     }
     let _ = timeout_at(until, ask_members(engine, group)).await;
+    if let Some(sample) = group.covering_sample(moment) {
+        return Some(sample);
+    }
+    // The leader can tell by itself what too many unknown logs leave open.
+    let _ = timeout_at(until, async {
+        access::renew_evidence(engine, group).await;
+        ask_leader(engine, group).await
+    })
+    .await;
     group.covering_sample(moment)
 }
 
@@ -81,8 +91,10 @@
         member,
         response: Response::Silent("not asked any more".to_owned()),
     }));
+    let samples = group.samples();
     let logs = SurveyedLogs {
         members: &members,
+        samples: &samples,
         sent,
     };
     let may_be_unknown = engine.sync_replicas(group.name());
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -67,6 +67,16 @@
         }
     }
 
+    /// When the member had ended at the latest, if it has left for good with its log.
+    pub(super) fn left_at(&self, now: Instant) -> Option<Instant> {
+        match (self.member.state, &self.response) {
+            (MemberState::Gone(departure), Response::Down(_)) if self.has_left(now) => {
+                Some(departure.learned_at + GONE_MEMBER_TIMEOUT)
+            }
+            _ => None,
+        }
+    }
+
     /// Whether it answered as a replica.
     pub fn is_replica(&self) -> bool {
         let report = self.response.report();
--- a/crates/engine/src/leadership/surveyed_logs.rs
+++ b/crates/engine/src/leadership/surveyed_logs.rs
@@ -1,6 +1,7 @@
 //! Which members' logs a survey has reported, and which may hold commits that no answer shows.
 
 use super::survey::{Response, SurveyedMember};
+use crate::group::PositionSamples;
 use crate::names::are_incarnations_of_same_server;
 use crate::position::LogPosition;
 use serde::Serialize;
@@ -14,7 +15,7 @@
 pub enum MemberCounting {
     /// It has reported its position.
     Reported,
-    /// It has left for good.
+    /// It has left for good, and a reported log holds every commit that it can have received.
     Left,
     /// Another server has taken over its address and its log.
     Replaced,
@@ -27,6 +28,8 @@
 pub(super) struct SurveyedLogs<'a> {
     /// All members, including gone ones.
     pub members: &'a [SurveyedMember],
+    /// Positions that cover every commit acknowledged before a point in time.
+    pub samples: &'a PositionSamples,
     /// When the survey was started.
     pub sent: Instant,
 }
@@ -55,7 +58,7 @@
             Response::Report(_) => MemberCounting::Reported,
             Response::RestartedEmpty => MemberCounting::Unknown,
             _ if self.is_replaced(member) => MemberCounting::Replaced,
-            _ if member.has_left(self.sent) => MemberCounting::Left,
+            _ if self.is_covered_departure(member) => MemberCounting::Left,
             _ => MemberCounting::Unknown,
         }
     }
@@ -71,4 +74,13 @@
         };
         member.member.is_gone() && self.members.iter().any(is_successor)
     }
+
+    /// Whether the member has left for good and a reported log reaches a position that covers all
+    /// commits acknowledged before. It takes its log with it, which may have been the only copy
+    /// beside the leader's.
+    fn is_covered_departure(&self, member: &SurveyedMember) -> bool {
+        let left_at = member.left_at(self.sent);
+        let covering = left_at.and_then(|at| self.samples.covering(at));
+        covering.is_some_and(|position| self.highest() >= Some(position))
+    }
 }
