Count an empty log beside others as unknown in a survey

Callers saw reads on a log that lacked acknowledged commits, in the test of a replica that restarts empty and whose entry shows it late.

Cause: such a server answers under its former id, and its empty log counted as the one that it had. The choice of a leader takes this into account already; a survey for a position didn't. Now an empty log beside others counts as unknown.

Evidence: empty_log_of_a_restarted_replica_covers_nothing failed before and passes.

--- a/crates/engine/src/leadership/surveyed_logs.rs
+++ b/crates/engine/src/leadership/surveyed_logs.rs
@@ -3,6 +3,7 @@
 use super::survey::{Response, SurveyedMember};
 use crate::group::PositionSamples;
 use crate::names::are_incarnations_of_same_server;
+use crate::ports::MemberReport;
 use crate::position::LogPosition;
 use serde::Serialize;
 use std::collections::HashSet;
@@ -55,6 +56,7 @@
     /// How the log of `member` counts.
     pub fn counting(&self, member: &SurveyedMember) -> MemberCounting {
         match &member.response {
+            Response::Report(report) if self.may_have_lost_log(report) => MemberCounting::Unknown,
             Response::Report(_) => MemberCounting::Reported,
             Response::RestartedEmpty => MemberCounting::Unknown,
             _ if self.is_replaced(member) => MemberCounting::Replaced,
@@ -63,6 +65,13 @@
         }
     }
 
+    /// Whether an empty log may be that of a server that has restarted without its log, which its
+    /// entry doesn't show yet.
+    fn may_have_lost_log(&self, report: &MemberReport) -> bool {
+        let is_group_empty = self.highest().is_none_or(|highest| highest.number == 0);
+        report.received.number == 0 && !is_group_empty
+    }
+
     /// Whether another server has taken over the member's address, with its log. A gone member
     /// that doesn't answer has taken over nothing: it may have been there before.
     fn is_replaced(&self, member: &SurveyedMember) -> bool {
