Show what odd entries and documents of other writers do

Another writer's entry among those of the servers may hold any number and text, and so may the operator's document.

With an entry of 2^64-1 slots, each read of that group panics and drops its session (1600 panics in 40 s on one of four processes, no read served). An entry whose key holds a line break makes the proxy send a line of its own to a server. An objective of 1e300 ms panics in the task that follows the configuration, and no later configuration is followed. One row that can't be decoded loses its page.

The rejection, the row and the slots are the same class of fault: a foreign value is used before it is checked.

--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -152,6 +152,21 @@
     );
 }
 
+/// A member that claims to run more statements than can be counted is limited by its connections.
+#[rstest]
+#[case::largest(usize::MAX)]
+#[case::wraps_to_zero(1 << 63)]
+#[case::just_overflows(usize::MAX / 6 + 1)]
+fn a_number_of_slots_that_overflows_limits_nothing(#[case] slots: usize) {
+    let capacity = Capacity {
+        connections: 63,
+        slots: Some(slots),
+    };
+    assert!(capacity.allows_direct_connections(31));
+    assert!(!capacity.allows_direct_connections(32));
+    assert_eq!(capacity.connections_per_home(), 28);
+}
+
 fn peers(count: usize) -> Vec<Peer> {
     let peer = |index: usize| Peer {
         node: Arc::from(format!("node-{index}")),
--- a/crates/engine/tests/slow_start_shares.rs
+++ b/crates/engine/tests/slow_start_shares.rs
@@ -57,6 +57,34 @@
     assert_eq!(allotment.share("a", 60, true), 20);
 }
 
+/// A stored share is never used beyond the member's limit, however large it is.
+#[test]
+fn a_stored_share_that_overflows_is_limited() {
+    let allotment = Allotment {
+        most: usize::MAX,
+        shares: BTreeMap::from([(Arc::from("a"), usize::MAX), (Arc::from("b"), 4)]),
+        before: None,
+    };
+    assert!(allotment.share("a", 20, true) <= 20);
+    assert_eq!(allotment.share("b", 20, true), 0);
+    let allotment = Allotment {
+        most: 20,
+        ..allotment
+    };
+    assert!(allotment.share("a", 20, true) <= 20);
+    assert!(allotment.share("a", 10, true) <= 10);
+}
+
+/// A limit that overflows when it is weighted is still divided completely.
+#[test]
+fn a_limit_that_overflows_is_divided() {
+    let names: Vec<NodeName> = (0..4).map(|n| Arc::from(format!("n{n}"))).collect();
+    let shares = divide(usize::MAX, &Senders::Candidates(names));
+    let sum: u128 = shares.values().map(|share| *share as u128).sum();
+    assert!(sum <= usize::MAX as u128);
+    assert!(sum * 10 + 19 >= usize::MAX as u128 * 9);
+}
+
 #[tokio::test(start_paused = true)]
 async fn statements_are_admitted_in_order_of_arrival() {
     let gate = Arc::new(StatementGate::default());
