Saturate the limits that follow from a member's slots

Callers saw: every read of a group failed on processes that would use a member whose entry named a very large number of slots. A debug build panicked in the session's task; a release build wraps, so that 2^63 slots count as none and a huge member as a tiny one.

Cause: Capacity multiplied the number of slots unchecked by the processes and connections allowed per slot.

Both products saturate now, so such a member is limited by its connections alone.

--- a/crates/engine/src/home/placement.rs
+++ b/crates/engine/src/home/placement.rs
@@ -73,19 +73,22 @@
     /// ```
     pub fn allows_direct_connections(self, processes: usize) -> bool {
         let connections = processes.saturating_mul(MIN_PROCESS_CONNECTIONS) <= self.connections;
-        let slots = self.slots.map(|slots| slots * MAX_PROCESSES_PER_SLOT);
-        connections && slots.is_none_or(|most| processes <= most)
+        let most = self.limit_by_slots(MAX_PROCESSES_PER_SLOT);
+        connections && processes <= most
     }
 
     /// Maximum number of connections of one home.
     pub fn connections_per_home(self) -> usize {
         let share = self.connections.saturating_sub(RESERVED_CONNECTIONS) / HOMES_PER_MEMBER;
-        let most = self
-            .slots
-            .map(|slots| slots * MAX_HOME_CONNECTIONS_PER_SLOT);
-        share
-            .min(most.unwrap_or(usize::MAX))
-            .max(MIN_PROCESS_CONNECTIONS)
+        let most = self.limit_by_slots(MAX_HOME_CONNECTIONS_PER_SLOT);
+        share.min(most).max(MIN_PROCESS_CONNECTIONS)
+    }
+
+    /// Limit of something of which each slot allows `per_slot`; unlimited if the number of slots is
+    /// unknown.
+    fn limit_by_slots(self, per_slot: usize) -> usize {
+        self.slots
+            .map_or(usize::MAX, |slots| slots.saturating_mul(per_slot))
     }
 }
 
