Divide the limit of a cold member without overflow

A slow-start rate in the configuration or a share in a record that is very large overflowed when it was weighted or scaled to a lowered limit. A debug build panicked in the task that maintains the allotments and in each session of a cold member.

Both are computed in 128 bits now, and no process uses more than the member's current limit, whatever its stored share is.

--- a/crates/engine/src/slow_start/allotment.rs
+++ b/crates/engine/src/slow_start/allotment.rs
@@ -38,13 +38,21 @@
             Some(before) if !settled => share.min(share_of(before, node)),
             _ => share,
         };
-        match most < self.most {
-            true => share * most / self.most,
+        let share = match most < self.most {
+            true => scale(share, most, self.most),
             false => share,
-        }
+        };
+        share.min(most)
     }
 }
 
+/// `value * numerator / denominator`, without overflow on the way; `usize::MAX` if the result is
+/// greater.
+fn scale(value: usize, numerator: usize, denominator: usize) -> usize {
+    let scaled = value as u128 * numerator as u128 / denominator as u128;
+    usize::try_from(scaled).unwrap_or(usize::MAX)
+}
+
 fn share_of(shares: &Shares, node: &str) -> usize {
     shares.get(node).copied().unwrap_or(0)
 }
@@ -106,7 +114,10 @@
         Senders::All(nodes) => (nodes, vec![1; nodes.len()]),
     };
     let all: usize = weights.iter().sum();
-    let mut shares: Vec<usize> = weights.iter().map(|weight| total * weight / all).collect();
+    let mut shares: Vec<usize> = weights
+        .iter()
+        .map(|weight| scale(total, *weight, all))
+        .collect();
     let left = total - shares.iter().sum::<usize>();
     // The remainder is less than one statement per sender.
     shares.iter_mut().take(left).for_each(|share| *share += 1);
