--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -262,6 +262,19 @@
     assert_eq!(fencing_term(&members), term);
 }
 
+/// A member that reports the greatest term there is doesn't end the change of leader.
+#[test]
+fn fencing_term_after_the_greatest_term_does_not_overflow() {
+    let newest = Response::Report(MemberReport {
+        role: Role::Replica,
+        term: u64::MAX,
+        received: LogPosition::new(u64::MAX, u64::MAX),
+        paused_for: 0,
+    });
+    let members = [surveyed("b", MemberState::Ready, newest)];
+    assert_eq!(fencing_term(&members), u64::MAX);
+}
+
 fn incarnation(name: &str, response: Response) -> SurveyedMember {
     let mut known = surveyed(name, MemberState::Ready, response);
     let member = Arc::make_mut(&mut known.member);
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -82,6 +82,11 @@
         self.tasks.iter().for_each(|task| task.abort());
     }
 
+    /// Whether all tasks of the process go on.
+    pub fn is_running(&self) -> bool {
+        !self.tasks.iter().any(JoinHandle::is_finished)
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         self.tasks.drain(..).for_each(|task| task.abort());
--- a/crates/engine/tests/support/records.rs
+++ b/crates/engine/tests/support/records.rs
@@ -153,6 +153,21 @@
         state.rows.insert(key.to_owned(), record);
     }
 
+    /// Writes a record as another writer does, without regard to its version.
+    pub fn overwrite(&self, key: &str, value: Bytes) {
+        let mut state = self.state.lock().unwrap();
+        state.version += 1;
+        let version = state.version;
+        let record = Record {
+            key: key.to_owned(),
+            value,
+            version,
+        };
+        state.rows.insert(key.to_owned(), record);
+        drop(state);
+        self.changes.send_replace(version);
+    }
+
     pub fn get(&self, key: &str) -> Option<Record> {
         self.state.lock().unwrap().rows.get(key).cloned()
     }
