Compute with a lease's record without overflow

One record of the promotion lease with the greatest renewal, fencing number or duration panicked in the task that keeps the leadership, in all processes that tried to acquire or renew the lease: no primary was replaced from then on. A lease whose record named a very long duration would also never be free again.

The additions saturate. The fencing number stays at the greatest one there is, as a lower one would be refused as stale; holders after it can't be told apart by that number.

--- a/crates/coordination/src/lease/candidate.rs
+++ b/crates/coordination/src/lease/candidate.rs
@@ -157,7 +157,7 @@
             return Ok(None);
         };
         let remaining = self.time_until_free(&current);
-        let shared_until = self.clock.now() + remaining;
+        let shared_until = self.clock.now().saturating_add(remaining);
         let taken_early = remaining > Duration::ZERO;
         let record = self.first_record(current.fencing.next_in(era), taken_early);
         match self.write(Some(&current), record, era).await {
@@ -219,7 +219,8 @@
 
     async fn renew_from(&self, lease: &Lease, expected: &LeaseRecord) -> Result<Lease, LeaseError> {
         let record = LeaseRecord {
-            renewal: expected.renewal + 1,
+            // The `write_id` still tells two renewals apart if the count can't rise.
+            renewal: expected.renewal.saturating_add(1),
             write_id: rand::random(),
             duration: self.settings.duration,
             held: self.clock.now().saturating_sub(lease.began),
@@ -302,7 +303,8 @@
                 if observed.record == *record && observed.era.is_none_or(|at| Some(at) == era) =>
             {
                 observed.era = era;
-                (observed.since + record.duration).saturating_sub(now)
+                let free_at = observed.since.saturating_add(record.duration);
+                free_at.saturating_sub(now)
             }
             _ => {
                 self.observed = Some(Observation {
--- a/crates/coordination/src/lease/fencing.rs
+++ b/crates/coordination/src/lease/fencing.rs
@@ -15,16 +15,17 @@
 pub struct FencingNumber(pub u64);
 
 impl FencingNumber {
-    /// The number of the next holding.
+    /// The number of the next holding. The greatest number is followed by itself: only another
+    /// writer can have stored it, and a lower one would be refused as stale.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 
     /// The number of the next holding, acquired in `era` of the [store](super::LeaseStore::era):
     /// greater than all of earlier eras, those included that the store has forgotten.
     pub fn next_in(self, era: Option<u64>) -> Self {
         let first = era.unwrap_or(0).saturating_mul(HOLDINGS_OF_AN_ERA);
-        self.next().max(Self(first + 1))
+        self.next().max(Self(first.saturating_add(1)))
     }
 }
 
--- a/crates/engine/src/leadership/lease_records.rs
+++ b/crates/engine/src/leadership/lease_records.rs
@@ -5,12 +5,17 @@
 use crate::version::{StoreEra, StoreVersion, era_of};
 use async_trait::async_trait;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use stilequay_coordination::lease::{
     LeaseName, LeaseRecord, LeaseStore, LeaseStoreError, PutOutcome as LeasePutOutcome,
 };
 
 /// Prefix of the keys of lease records.
 const KEY_PREFIX: &str = "lease/";
+/// Greatest duration of a lease that is honoured, several times that of any lease in use.
+const MAX_LEASE_DURATION: Duration = Duration::from_secs(20);
+/// Greatest time for which a lease counts as held.
+const MAX_HELD: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
 /// A [`LeaseStore`] that keeps leases among the other records of the store.
 #[derive(Debug)]
@@ -114,8 +119,15 @@
     format!("{KEY_PREFIX}{name}")
 }
 
+/// Decodes a record. Durations that no process writes are reduced, so that a record of another
+/// writer doesn't block the lease for ever, and points of time can be computed from them.
 fn decode(record: &Record) -> Option<LeaseRecord> {
-    rmp_serde::from_slice(&record.value).ok()
+    let lease: LeaseRecord = rmp_serde::from_slice(&record.value).ok()?;
+    Some(LeaseRecord {
+        duration: lease.duration.min(MAX_LEASE_DURATION),
+        held: lease.held.min(MAX_HELD),
+        ..lease
+    })
 }
 
 fn translate(error: RecordStoreError) -> LeaseStoreError {
