Reject a term record whose epoch no change of leader can reach

A term record with the greatest epoch counted as a later term than any other. All processes took it, and the next change of leader panicked as it computed the epoch after it; a release build would begin again at zero.

Epochs above 2^56 are rejected where the record is decoded, like a record that can't be read, and the addition saturates. The known leader stays in use.

What remains: while such a record, or one that can't be read, stands in the store, the group gets no other leader, as the conditional writes of the change expect the record known before.

--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -320,5 +320,7 @@
 /// is never given to another leader.
 fn next_epoch(known: Option<&VersionedTerm>, version: StoreVersion) -> Epoch {
     let previous_epoch = known.map_or(0, |term| term.record.epoch);
-    (previous_epoch + 1).max(era_of(version).saturating_mul(EPOCHS_PER_ERA))
+    previous_epoch
+        .saturating_add(1)
+        .max(era_of(version).saturating_mul(EPOCHS_PER_ERA))
 }
--- a/crates/engine/src/leadership/record.rs
+++ b/crates/engine/src/leadership/record.rs
@@ -11,6 +11,9 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+/// Greatest epoch of a valid record. All epochs of the greatest era of the store are below it.
+const MAX_EPOCH: Epoch = 1 << 56;
+
 /// Phase of a change of leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -82,6 +85,10 @@
             display("malformed record: {error}")
             from()
         }
+        /// Its epoch is greater than changes of leader can reach.
+        EpochOutOfRange(epoch: Epoch) {
+            display("epoch out of range: {epoch}")
+        }
     }
 }
 
@@ -134,8 +141,12 @@
     ///
     /// # Errors
     ///
-    /// [`RecordError::Malformed`] if `value` doesn't encode a term record.
+    /// [`RecordError`] if `value` doesn't encode a term record that this program can have written.
     pub fn decode(value: &[u8]) -> Result<Self, RecordError> {
-        Ok(rmp_serde::from_slice(value)?)
+        let record: Self = rmp_serde::from_slice(value)?;
+        match record.epoch <= MAX_EPOCH {
+            true => Ok(record),
+            false => Err(RecordError::EpochOutOfRange(record.epoch)),
+        }
     }
 }
--- a/crates/engine/tests/odd_records.rs
+++ b/crates/engine/tests/odd_records.rs
@@ -93,9 +93,21 @@
 #[tokio::test(start_paused = true)]
 async fn a_term_record_with_the_greatest_epoch_ends_no_task() {
     let fleet = Fleet::start(NODES).await;
-    change_leader(&fleet).await;
+    overwrite_term(&fleet).await;
+    let leader = fleet.world.leader();
+    let leaving = MemberState::Leaving(Departure::at(Instant::now()));
+    fleet.world.change(&leader, |server| server.state = leaving);
+    sleep(4 * SETTLE_TIME).await;
+    assert_running(&fleet);
+    assert!((0..NODES).all(|node| fleet.epoch(node) < u64::MAX));
     write(&fleet).await;
-    let known = stored_term(&fleet).expect("a record");
+}
+
+/// Replaces the group's term record by one with the greatest epoch, after a change of leader.
+async fn overwrite_term(fleet: &Fleet) {
+    change_leader(fleet).await;
+    write(fleet).await;
+    let known = stored_term(fleet).expect("a record");
     let odd = TermRecord {
         epoch: u64::MAX,
         ..known
@@ -103,13 +115,20 @@
     let key = TermRecord::key(GROUP);
     fleet.records.overwrite(&key, odd.encode());
     sleep(SETTLE_TIME).await;
-    let leader = fleet.world.leader();
-    let leaving = MemberState::Leaving(Departure::at(Instant::now()));
-    fleet.world.change(&leader, |server| server.state = leaving);
-    sleep(4 * SETTLE_TIME).await;
-    assert_running(&fleet);
-    assert!((0..NODES).all(|node| fleet.epoch(node) < u64::MAX));
+}
+
+/// The known leader stays in use, and a process that starts then doesn't apply the record either.
+#[tokio::test(start_paused = true)]
+async fn a_term_record_with_the_greatest_epoch_is_not_applied() {
+    let mut fleet = Fleet::start(NODES).await;
+    overwrite_term(&fleet).await;
+    write(&fleet).await;
+    let late = fleet.spawn_node("node-3");
+    fleet.nodes.push(late);
+    sleep(SETTLE_TIME).await;
+    assert!((0..=NODES).all(|node| fleet.epoch(node) < u64::MAX));
     write(&fleet).await;
+    assert_running(&fleet);
 }
 
 /// A lease with numbers that no holder reaches ends no task, and the lease is acquired again.
