Compute a fencing term after the greatest term

A server that reports the greatest term there is panicked in the change of leader that surveyed it; the number of copies that a group asks for was incremented unchecked as well. Both additions saturate.

--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -130,7 +130,8 @@
         let mut positions: Vec<LogPosition> = reports.map(|report| report.received).collect();
         positions.sort_by_key(|position| Reverse(*position));
         // Every acknowledged commit is in at least this many of the reported logs.
-        let copies = (self.sync_replicas + 1).saturating_sub(missing).max(1);
+        let needed = self.sync_replicas.saturating_add(1);
+        let copies = needed.saturating_sub(missing).max(1);
         let position = positions.get(copies - 1).ok_or(Obstacle::NoCandidate)?;
         let lost = self.lost_logs().filter_map(|(_, covering)| covering);
         let departed = self.departed_position(now)?;
@@ -249,6 +250,6 @@
 /// that was begun before keeps its term.
 pub fn fencing_term(members: &[SurveyedMember]) -> Term {
     let reports = members.iter().filter_map(|member| member.response.report());
-    let terms = reports.map(|report| (report.term + 1).max(report.paused_for));
+    let terms = reports.map(|report| report.term.saturating_add(1).max(report.paused_for));
     terms.max().unwrap_or(1)
 }
