--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -2,7 +2,7 @@
 
 use super::fleet;
 use super::fleet_index;
-use super::record::{RecordError, TermPhase, TermRecord};
+use super::record::{TermPhase, TermRecord};
 use super::roster;
 use crate::decoding::{UndecodableKind, report_undecodable};
 use crate::directory::{Directory, Role};
@@ -440,9 +440,9 @@
                 let record = term;
                 self.apply_one(engine, VersionedTerm { record, version }, evidence);
             }
-            Err(RecordError::Malformed(error)) => {
+            Err(error) => {
                 let (events, kind) = (engine.events(), UndecodableKind::TermRecord);
-                report_undecodable(events, kind, &record.key, None, &error);
+                report_undecodable(events, kind, &record.key, None, &error.into());
             }
         }
     }
--- a/crates/engine/src/leadership/lease_records.rs
+++ b/crates/engine/src/leadership/lease_records.rs
@@ -7,12 +7,17 @@
 use crate::version::{StoreEra, StoreVersion, era_of};
 use async_trait::async_trait;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use stilequay_coordination::lease::{
     LeaseName, LeaseRecord, LeaseStore, LeaseStoreError, PutOutcome as LeasePutOutcome,
 };
 
 /// Prefix of the keys of lease records.
 const KEY_PREFIX: &str = "lease/";
+/// Greatest duration of a lease that is honoured, several times that of any lease in use.
+const MAX_LEASE_DURATION: Duration = Duration::from_secs(20);
+/// Greatest time for which a lease counts as held.
+const MAX_HELD: Duration = Duration::from_secs(365 * 24 * 60 * 60);
 
 /// A [`LeaseStore`] that keeps leases among the other records of the store.
 #[derive(Debug)]
@@ -73,7 +78,7 @@
 
     fn decode(&self, record: &Record) -> Option<LeaseRecord> {
         let kind = UndecodableKind::LeaseRecord;
-        decode_record(&self.events, kind, &record.key, &record.value)
+        decode_record(&self.events, kind, &record.key, &record.value).map(with_limited_durations)
     }
 
     async fn find(&self, key: &str) -> Result<Option<Record>, RecordStoreError> {
@@ -125,6 +130,16 @@
     format!("{KEY_PREFIX}{name}")
 }
 
+/// Reduces durations that no process writes, so that a record of another writer doesn't block the
+/// lease for ever, and points of time can be computed from them.
+fn with_limited_durations(lease: LeaseRecord) -> LeaseRecord {
+    LeaseRecord {
+        duration: lease.duration.min(MAX_LEASE_DURATION),
+        held: lease.held.min(MAX_HELD),
+        ..lease
+    }
+}
+
 fn translate(error: RecordStoreError) -> LeaseStoreError {
     match error {
         RecordStoreError::Unknown(reason) => LeaseStoreError::Unknown(reason),
