Exchange bytes between the processes of the simulation

The query and its answer now have a module of their own with their encoding, and what a process answers is one function; the TCP adapter and the simulated network use both. The simulated network therefore also leaves out groups that the answering process doesn't know, as the real one does.

--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! evidence from the commits that pass through them. Peers aren't queried while the store answers.
 
 pub mod declared;
+pub mod message;
 mod tcp;
 
 pub use tcp::{TcpPeers, serve};
@@ -18,16 +19,46 @@
 use crate::ports::{CoveringSnapshot, GroupSnapshot, LeaderSnapshot, TermSnapshot};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use message::{Query, QueryAnswer};
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// Maximum number of groups in one query.
+const MAX_GROUPS: usize = 1_000;
 /// Number of peers that one query is sent to.
 const PEERS_PER_QUERY: usize = 3;
 /// Timeout for their answers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// This process's answer to `query`, which has just arrived. `None` if the query names too many
+/// groups or opens a link.
+pub fn answer(engine: &Engine, query: Query) -> Option<QueryAnswer> {
+    match query {
+        Query::Beliefs(groups) => {
+            let group_snapshots = known_group_snapshots(engine, groups)?;
+            Some(QueryAnswer::Beliefs(group_snapshots))
+        }
+        Query::Declared(versions) => {
+            let newer = declared::newer(engine, versions, Instant::now());
+            Some(QueryAnswer::Declared(Box::new(newer)))
+        }
+        Query::Link => None,
+    }
+}
+
+/// Snapshots of those `groups` that are in the directory. Other names are ignored, so that a
+/// query can't create groups.
+fn known_group_snapshots(engine: &Engine, groups: Vec<GroupName>) -> Option<Vec<GroupSnapshot>> {
+    if groups.len() > MAX_GROUPS {
+        return None;
+    }
+    let known = engine.directory().groups();
+    let named = groups.into_iter().filter(|group| known.contains(group));
+    Some(group_snapshots(engine, &named.collect::<Vec<GroupName>>()))
+}
+
 /// This process's current view of `groups`.
 pub fn group_snapshots(engine: &Engine, groups: &[GroupName]) -> Vec<GroupSnapshot> {
     groups.iter().map(|name| snapshot(engine, name)).collect()
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -11,8 +11,8 @@
 use stilequay_engine::engine::Engine;
 use stilequay_engine::link::frame::{FromHome, ToHome, decode};
 use stilequay_engine::names::GroupName;
-use stilequay_engine::peers::declared::newer;
-use stilequay_engine::peers::group_snapshots;
+use stilequay_engine::peers;
+use stilequay_engine::peers::message::{Query, QueryAnswer};
 use stilequay_engine::ports::{
     DeclaredState, DeclaredVersions, GroupSnapshot, PeerError, PeerLink, PeerNetwork,
 };
@@ -223,6 +223,17 @@
         engine.ok_or_else(|| PeerError::Unreachable("isolated".to_owned()))
     }
 
+    /// Sends an encoded query and decodes the answer.
+    async fn exchange(&self, peer: SocketAddr, query: &Query) -> Result<QueryAnswer, PeerError> {
+        let query = query.encode();
+        let engine = self.reach(peer).await?;
+        let answer = peers::answer(&engine, Query::decode(&query)?);
+        let closed = || PeerError::Unreachable("connection closed".to_owned());
+        let answer = answer.ok_or_else(closed)?.encode();
+        sleep(ONE_WAY_DELAY).await;
+        QueryAnswer::decode(&answer)
+    }
+
     /// Isolates all processes from one another, or reconnects them.
     pub fn set_isolated(&self, isolated: bool) {
         *self.isolated.lock().unwrap() = isolated;
@@ -236,10 +247,9 @@
         peer: SocketAddr,
         groups: &[GroupName],
     ) -> Result<Vec<GroupSnapshot>, PeerError> {
-        let engine = self.peers.reach(peer).await?;
-        let answer = group_snapshots(&engine, groups);
-        sleep(ONE_WAY_DELAY).await;
-        Ok(answer)
+        let query = Query::Beliefs(groups.to_vec());
+        let answer = self.peers.exchange(peer, &query).await?;
+        answer.into_group_snapshots()
     }
 
     async fn query_declared(
@@ -247,10 +257,9 @@
         peer: SocketAddr,
         known: DeclaredVersions,
     ) -> Result<DeclaredState, PeerError> {
-        let engine = self.peers.reach(peer).await?;
-        let answer = newer(&engine, known, tokio::time::Instant::now());
-        sleep(ONE_WAY_DELAY).await;
-        Ok(answer)
+        let query = Query::Declared(known);
+        let answer = self.peers.exchange(peer, &query).await?;
+        answer.into_declared_state()
     }
 
     async fn open_link(&self, peer: SocketAddr) -> Result<PeerLink, PeerError> {
