Send term records in their stored encoding

What callers saw: in a fleet that forwards statements, transactions in progress lost their connection, and their commit was in doubt, once their group had changed its leader. All processes log "received an undecodable frame from a peer; closing the link".

Cause: one type had two encodings. TermRecord is stored with field names and leaves former_targets out when it is empty, so that other versions can read it. Each answer about a group that has changed its leader was dropped, or the link closed with all that was under way on it. With former targets, the record decodes.

Writing the list always would mend this field only, and the next optional field of the record would break frames again; field names in frames would cost bytes in each forwarded statement. A term record that can't be decoded is now logged and ignored, and the rest of the answer and the link are kept: positions and evidence are applied only to the epoch that they belong to. The stored encoding is unchanged.

--- a/crates/engine/src/encoding.rs
+++ b/crates/engine/src/encoding.rs
@@ -12,7 +12,9 @@
     or_empty::<T>(rmp_serde::to_vec_named(value))
 }
 
-/// Encodes `value` without field names, for messages, whose readers run the same version.
+/// Encodes `value` without field names, for messages, whose readers run the same version. Fields
+/// are identified by their place, so none may be left out. Stored types leave fields out for the
+/// sake of other versions: a message contains them in their stored encoding, as bytes.
 pub(crate) fn without_names<T: Serialize>(value: &T) -> Bytes {
     or_empty::<T>(rmp_serde::to_vec(value))
 }
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -2,7 +2,7 @@
 
 use super::fleet;
 use super::fleet_index;
-use super::record::{TermPhase, TermRecord};
+use super::record::{RecordError, TermPhase, TermRecord};
 use super::roster;
 use crate::directory::{Directory, Role};
 use crate::engine::Engine;
@@ -12,7 +12,9 @@
 use crate::home::placement::block_of;
 use crate::names::{GroupName, MemberId};
 use crate::peers;
-use crate::ports::{PutOutcome, Record, RecordChanges, RecordPut, RecordStore, RecordStoreError};
+use crate::ports::{
+    PutOutcome, Record, RecordChanges, RecordPut, RecordStore, RecordStoreError, TermSnapshot,
+};
 use crate::version::{StoreEra, StoreVersion, era_of};
 use bytes::Bytes;
 use std::collections::{BTreeSet, HashMap};
@@ -30,6 +32,24 @@
 }
 
 impl VersionedTerm {
+    /// Decodes the content `value` of a record that the store has at `version`.
+    ///
+    /// # Errors
+    ///
+    /// [`RecordError::Malformed`] if `value` doesn't encode a term record.
+    pub fn decode(value: &[u8], version: StoreVersion) -> Result<Self, RecordError> {
+        let record = TermRecord::decode(value)?;
+        Ok(Self { record, version })
+    }
+
+    /// The record as it is sent to other processes.
+    pub(crate) fn to_snapshot(&self) -> TermSnapshot {
+        TermSnapshot {
+            value: self.record.encode(),
+            version: self.version,
+        }
+    }
+
     /// The record in the form of the store.
     fn to_record(&self) -> Record {
         Record {
@@ -433,12 +453,8 @@
     }
 
     fn apply_stored(&self, engine: &Engine, record: &Record, evidence: Option<Instant>) {
-        match TermRecord::decode(&record.value) {
-            Ok(term) => {
-                let version = record.version;
-                let record = term;
-                self.apply_one(engine, VersionedTerm { record, version }, evidence);
-            }
+        match VersionedTerm::decode(&record.value, record.version) {
+            Ok(term) => self.apply_one(engine, term, evidence),
             Err(error) => log::error!("ignoring record {}: {error}", record.key),
         }
     }
--- a/crates/engine/src/leadership/record.rs
+++ b/crates/engine/src/leadership/record.rs
@@ -23,7 +23,8 @@
     Active,
 }
 
-/// A leadership term of a group.
+/// A leadership term of a group. [`Self::encode`] is its only encoding, in the store and in
+/// messages.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TermRecord {
     /// The group.
--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -74,10 +74,7 @@
         position: sample.position,
         age_ms: age_ms(sample.at),
     });
-    let term = engine.terms().known(name).map(|term| TermSnapshot {
-        record: term.record,
-        version: term.version,
-    });
+    let term = engine.terms().known(name).map(|term| term.to_snapshot());
     let leader = view.target().map(|member| LeaderSnapshot {
         member: member.clone(),
         confirmed: view.confirmed,
@@ -118,11 +115,19 @@
     chosen.copied().collect()
 }
 
+/// Applies a peer's term record of `group`. One that can't be decoded is ignored, since the rest of
+/// the snapshot is only applied to the epoch that it belongs to.
+fn apply_term(engine: &Engine, group: &str, term: &TermSnapshot) {
+    match VersionedTerm::decode(&term.value, term.version) {
+        Ok(term) => engine.terms().apply_one(engine, term, None),
+        Err(error) => log::error!("ignoring a peer's term record of group {group}: {error}"),
+    }
+}
+
 /// Applies a peer's snapshot of a group. `requested_at` is the time at which the query was sent.
 pub(crate) fn apply(engine: &Engine, snapshot: GroupSnapshot, requested_at: Instant) {
-    if let Some(TermSnapshot { record, version }) = snapshot.term {
-        let term = VersionedTerm { record, version };
-        engine.terms().apply_one(engine, term, None);
+    if let Some(term) = &snapshot.term {
+        apply_term(engine, &snapshot.group, term);
     }
     let group = engine.group(&snapshot.group);
     let before = |age_ms: u64| requested_at.checked_sub(Duration::from_millis(age_ms));
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -4,9 +4,9 @@
 use crate::directory::Role;
 use crate::evacuation::Evacuations;
 use crate::group::Epoch;
-use crate::leadership::record::TermRecord;
 use crate::names::{GroupName, MemberId, ZoneName};
 use crate::position::LogPosition;
+use crate::version::StoreVersion;
 use async_trait::async_trait;
 use bytes::Bytes;
 use quick_error::quick_error;
@@ -56,10 +56,10 @@
 /// A leadership record as read from the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TermSnapshot {
-    /// The record.
-    pub record: TermRecord,
+    /// The record in its stored encoding, which differs from that of messages.
+    pub value: Bytes,
     /// Its version in the store.
-    pub version: u64,
+    pub version: StoreVersion,
 }
 
 /// Versions of the declared state that a process has; zero for state that it doesn't have. Declared
--- a/crates/engine/tests/frames.rs
+++ b/crates/engine/tests/frames.rs
@@ -4,15 +4,17 @@
 
 use rstest::rstest;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use stilequay_engine::engine::Engine;
 use stilequay_engine::leadership::follower::VersionedTerm;
 use stilequay_engine::leadership::record::{FormerTarget, TermPhase, TermRecord};
 use stilequay_engine::link::frame::{FromHome, decode, encode};
 use stilequay_engine::peers::{TcpPeers, group_snapshots, query, serve};
-use stilequay_engine::ports::{GroupSnapshot, PeerNetwork};
+use stilequay_engine::ports::{GroupSnapshot, PeerNetwork, TermSnapshot};
 use stilequay_engine::position::LogPosition;
 use support::{Fleet, GROUP};
 use tokio::net::TcpListener;
+use tokio::time::Instant;
 
 fn former_target() -> FormerTarget {
     FormerTarget {
@@ -50,6 +52,14 @@
     snapshot
 }
 
+fn decoded_terms(snapshots: &[GroupSnapshot]) -> Vec<Option<VersionedTerm>> {
+    let terms = snapshots.iter().map(|snapshot| snapshot.term.as_ref());
+    let decode = |term: &TermSnapshot| VersionedTerm::decode(&term.value, term.version);
+    terms
+        .map(|term| term.map(|term| decode(term).expect("a term record")))
+        .collect()
+}
+
 /// A term record whose encoding leaves a field out makes the whole frame undecodable, and the
 /// receiver closes the link.
 #[rstest]
@@ -58,7 +68,8 @@
 #[tokio::test(start_paused = true)]
 async fn link_frame_with_a_term_record_is_decodable(#[case] former_targets: Vec<FormerTarget>) {
     let fleet = Fleet::start(1).await;
-    let sent = snapshot_with(&fleet.nodes[0].engine, &term(former_targets));
+    let term = term(former_targets);
+    let sent = snapshot_with(&fleet.nodes[0].engine, &term);
     let frame = encode(&FromHome::Beliefs {
         exchange: 7,
         beliefs: vec![sent.clone()],
@@ -66,6 +77,7 @@
     let Some(FromHome::Beliefs { exchange, beliefs }) = decode(&frame) else {
         panic!("undecodable frame");
     };
+    assert_eq!(decoded_terms(&beliefs), [Some(term)]);
     assert_eq!((exchange, beliefs), (7, vec![sent]));
 }
 
@@ -78,12 +90,14 @@
     let fleet = Fleet::start(1).await;
     tokio::time::resume();
     let engine = Arc::clone(&fleet.nodes[0].engine);
-    let known = snapshot_with(&engine, &term(former_targets));
+    let term = term(former_targets);
+    let known = snapshot_with(&engine, &term);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(serve(engine, listener));
     let answer = TcpPeers.query_groups(address, &[GROUP.into()]).await;
     let answer = answer.expect("a decodable answer");
+    assert_eq!(decoded_terms(&answer), [Some(term)]);
     let terms: Vec<_> = answer.into_iter().map(|snapshot| snapshot.term).collect();
     assert_eq!(terms, [known.term]);
 }
@@ -101,3 +115,28 @@
     query(asking, &[GROUP.into()]).await;
     assert_eq!(asking.terms().known(GROUP), Some(term));
 }
+
+#[tokio::test(start_paused = true)]
+async fn undecodable_term_record_of_a_peer_costs_only_itself() {
+    let fleet = Fleet::start(2).await;
+    let [informed, asking] = [&fleet.nodes[0].engine, &fleet.nodes[1].engine];
+    support::until(|| asking.processes() == 2).await;
+    let (known, mut later) = (term(Vec::new()), term(vec![former_target()]));
+    later.version += 1;
+    let now = Instant::now();
+    for engine in [informed, asking] {
+        engine.terms().apply_one(engine, known.clone(), None);
+    }
+    informed.terms().apply_one(informed, later, None);
+    let position = LogPosition::new(9, 9);
+    let group = informed.group(&GROUP.into());
+    group.record_covering_position(now, position);
+    fleet
+        .peers
+        .corrupts_term_records
+        .store(true, Ordering::Relaxed);
+    query(asking, &[GROUP.into()]).await;
+    assert_eq!(asking.terms().known(GROUP), Some(known));
+    let group = asking.group(&GROUP.into());
+    assert_eq!(group.newest_position(), Some(position));
+}
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -708,3 +708,30 @@
     }
     slow
 }
+
+/// An answer about the group must not close the link, which the transaction runs on.
+#[tokio::test(start_paused = true)]
+async fn a_transaction_through_a_home_outlives_answers_about_a_replaced_leader() {
+    let fleet = start_large_fleet().await;
+    fleet.world.crash("a");
+    let node = uninvolved_node(&fleet);
+    let engine = &fleet.nodes[node].engine;
+    let group = engine.group(&Arc::from(GROUP));
+    let mut writer = fleet.session(node, LEADER_DATABASE);
+    writer
+        .write_until_acknowledged(Duration::from_secs(10))
+        .await;
+    until(|| group.view().epoch == 1 && group.view().confirmed).await;
+    let mut reader = fleet.session(node, LEADER_DATABASE);
+    for _ in 0..5 {
+        assert!(writer.begin(false).await.outcome.is_ok());
+        assert!(writer.write("x 2").await.outcome.is_ok());
+        for _ in 0..5 {
+            sleep(Duration::from_millis(300)).await;
+            let reply = reader.read("x").await;
+            assert!(reply.outcome.is_ok(), "{:?}", reply.outcome);
+        }
+        let reply = writer.commit().await;
+        assert!(reply.outcome.is_ok(), "{:?}", reply.outcome);
+    }
+}
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -51,6 +51,8 @@
     pub swaps_tenant_names: AtomicBool,
     /// Injected bug: each frame of a link is delivered a second time a little later.
     pub repeats_frames: AtomicBool,
+    /// Injected bug: the term records in the answers to queries can't be decoded.
+    pub corrupts_term_records: AtomicBool,
     /// Number of update requests sent.
     pub update_requests: AtomicU64,
     /// Number of replies to them that have arrived.
@@ -79,6 +81,7 @@
             frames: Mutex::default(),
             swaps_tenant_names: AtomicBool::default(),
             repeats_frames: AtomicBool::default(),
+            corrupts_term_records: AtomicBool::default(),
             update_requests: AtomicU64::default(),
             update_replies: AtomicU64::default(),
         })
@@ -229,7 +232,11 @@
         let engine = self.reach(peer).await?;
         let answer = peers::answer(&engine, Query::decode(&query)?);
         let closed = || PeerError::Unreachable("connection closed".to_owned());
-        let answer = answer.ok_or_else(closed)?.encode();
+        let mut answer = answer.ok_or_else(closed)?;
+        if self.corrupts_term_records.load(Ordering::Relaxed) {
+            corrupt_term_records(&mut answer);
+        }
+        let answer = answer.encode();
         sleep(ONE_WAY_DELAY).await;
         QueryAnswer::decode(&answer)
     }
@@ -288,6 +295,15 @@
     }
 }
 
+fn corrupt_term_records(answer: &mut QueryAnswer) {
+    let QueryAnswer::Beliefs(snapshots) = answer else {
+        return;
+    };
+    for term in snapshots.iter_mut().filter_map(|s| s.term.as_mut()) {
+        term.value = Bytes::from_static(b"\xc1");
+    }
+}
+
 /// Whether a frame carries the sender's knowledge of the store.
 fn carries_store_updates(frame: &Bytes) -> bool {
     let is_answer = matches!(
