Announce leases in their stored encoding

Lease records were the other type that is stored with field names and sent without: in the frames CounterLease and PromotionLease. They leave no field out today, so no frame was affected, but the next optional field of the stored record would have made these frames undecodable and closed the link, as it happened to term records. They are now sent as stored, too; one that can't be decoded is logged and ignored, as the candidates also read the lease from the store.

--- a/crates/engine/src/leadership/lease_records.rs
+++ b/crates/engine/src/leadership/lease_records.rs
@@ -1,9 +1,11 @@
 //! Leases of the fleet, stored as records.
 
+use super::record::RecordError;
 use crate::encoding;
 use crate::ports::{PutOutcome, Record, RecordStore, RecordStoreError};
 use crate::version::{StoreEra, StoreVersion, era_of};
 use async_trait::async_trait;
+use bytes::Bytes;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use stilequay_coordination::lease::{
     LeaseName, LeaseRecord, LeaseStore, LeaseStoreError, PutOutcome as LeasePutOutcome,
@@ -46,7 +48,8 @@
             return Ok(Some(version));
         }
         let current = self.find(key).await?;
-        let same = current.as_ref().and_then(decode).as_ref() == expected;
+        let known = current.as_ref().and_then(decode_stored);
+        let same = known.as_ref() == expected;
         Ok(same.then(|| current.map_or(0, |current| current.version)))
     }
 
@@ -80,7 +83,7 @@
 
     async fn get(&self, name: &LeaseName) -> Result<Option<LeaseRecord>, LeaseStoreError> {
         let found = self.find(&key(name)).await.map_err(translate)?;
-        Ok(found.and_then(|record| decode(&record)))
+        Ok(found.as_ref().and_then(decode_stored))
     }
 
     async fn put_if(
@@ -94,7 +97,7 @@
         let Some(version) = version else {
             return Ok(LeasePutOutcome::Conflict);
         };
-        let value = encoding::with_names(record);
+        let value = encode(record);
         let put = self.records.put_if(&key, version, value).await;
         match put.map_err(translate)? {
             PutOutcome::Stored(version) => {
@@ -114,8 +117,22 @@
     format!("{KEY_PREFIX}{name}")
 }
 
-fn decode(record: &Record) -> Option<LeaseRecord> {
-    rmp_serde::from_slice(&record.value).ok()
+/// Encodes a lease record, for the store and for messages.
+pub(crate) fn encode(record: &LeaseRecord) -> Bytes {
+    encoding::with_names(record)
+}
+
+/// Decodes a lease record that was stored or sent.
+///
+/// # Errors
+///
+/// [`RecordError::Malformed`] if `value` doesn't encode a lease record.
+pub(crate) fn decode(value: &[u8]) -> Result<LeaseRecord, RecordError> {
+    Ok(rmp_serde::from_slice(value)?)
+}
+
+fn decode_stored(record: &Record) -> Option<LeaseRecord> {
+    decode(&record.value).ok()
 }
 
 fn translate(error: RecordStoreError) -> LeaseStoreError {
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -4,6 +4,7 @@
     ExchangeId, FollowedVersions, FromHome, HomeOutcome, RequiredFreshness, RunRequest,
     StoreUpdates, ToHome, UnitId, decode, encode,
 };
+use crate::leadership::lease_records;
 use crate::names::{GroupName, TenantName};
 use crate::ports::{GroupSnapshot, PeerLink};
 use crate::rate::counter::{PermitReply, Shard};
@@ -332,13 +333,13 @@
 
     /// Sends the peer the lease of `shard` that this process has just written.
     pub fn send_counter_lease(&self, shard: Shard, record: &LeaseRecord) {
-        let record = Box::new(record.clone());
-        self.send(&ToHome::CounterLease { shard, record });
+        let lease = lease_records::encode(record);
+        self.send(&ToHome::CounterLease { shard, lease });
     }
 
     /// Sends the peer the promotion lease that this process has just written.
     pub fn send_promotion_lease(&self, record: &LeaseRecord) {
-        self.send(&ToHome::PromotionLease(Box::new(record.clone())));
+        self.send(&ToHome::PromotionLease(lease_records::encode(record)));
     }
 
     /// Skips this link for a while because the peer's answer was stale.
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -11,7 +11,6 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
-use stilequay_coordination::lease::LeaseRecord;
 
 /// Identifies a request and its answer; unique on one link.
 pub type ExchangeId = u64;
@@ -20,7 +19,7 @@
 pub type UnitId = u64;
 
 /// A frame from the process that opened the link to the process that serves it.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToHome {
     /// Runs a command on a member.
     Run(Box<RunRequest>),
@@ -62,11 +61,11 @@
     CounterLease {
         /// The shard.
         shard: Shard,
-        /// The lease as stored.
-        record: Box<LeaseRecord>,
+        /// The lease record in its stored encoding.
+        lease: Bytes,
     },
-    /// Announces the promotion lease that its holder has just written.
-    PromotionLease(Box<LeaseRecord>),
+    /// Announces the promotion lease that its holder has just written, in its stored encoding.
+    PromotionLease(Bytes),
     /// Asks the holder of the promotion lease for the version of the newest term record.
     AskNewestTerm {
         /// The request.
@@ -88,7 +87,7 @@
 }
 
 /// A command with its routing and admission parameters.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunRequest {
     /// The unit; an id that was not used before begins a new one.
     pub unit: UnitId,
@@ -175,7 +174,7 @@
 }
 
 /// Updates from the store, relayed by a process that has them.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StoreUpdates {
     /// Age of the time as of which the relaying process had all changes; `None` if it can't reach
     /// the store at the moment. Measured when the request arrived, which is after it was sent.
@@ -208,7 +207,7 @@
 }
 
 /// A frame from the process that serves the link to the process that opened it.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FromHome {
     /// The outcome of a command.
     Ran {
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -8,6 +8,7 @@
 use crate::home::unit::Unit;
 use crate::leadership::access::renew_evidence;
 use crate::leadership::freshness;
+use crate::leadership::lease_records;
 use crate::leadership::term_confirmation;
 use crate::link::frame::{
     FromHome, HomeOutcome, RequiredFreshness, RunRequest, ToHome, UnitId, decode, encode,
@@ -22,6 +23,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use stilequay_coordination::lease::LeaseRecord;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
@@ -135,13 +137,16 @@
                 task.send(&FromHome::Drawn { exchange, drawn }).await;
             }
             Some(ToHome::Want(shard)) => task.engine.counters().request_counter(shard),
-            Some(ToHome::CounterLease { shard, record }) => {
-                task.engine.counters().record_announced(shard, *record);
+            Some(ToHome::CounterLease { shard, lease }) => {
+                if let Some(record) = decode_announced(&lease) {
+                    task.engine.counters().record_announced(shard, record);
+                }
             }
-            Some(ToHome::PromotionLease(record)) => {
-                task.engine
-                    .announced_promotion_lease()
-                    .send_replace(Some(*record));
+            Some(ToHome::PromotionLease(lease)) => {
+                if let Some(record) = decode_announced(&lease) {
+                    let announced = task.engine.announced_promotion_lease();
+                    announced.send_replace(Some(record));
+                }
             }
             Some(ToHome::AskNewestTerm { exchange }) => {
                 let version = term_confirmation::newest_term(&task.engine);
@@ -156,6 +161,14 @@
     }
 }
 
+/// Decodes a lease that a peer announces. One that can't be decoded is ignored, since the store has
+/// it too.
+fn decode_announced(lease: &[u8]) -> Option<LeaseRecord> {
+    let decoded = lease_records::decode(lease);
+    let decoded = decoded.inspect_err(|error| log::error!("ignoring an announced lease: {error}"));
+    decoded.ok()
+}
+
 impl LinkTask {
     async fn send(&self, frame: &FromHome) {
         // Fails only if the link is closed, in which case the frame has no receiver.
