--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -5,6 +5,7 @@
 //! evidence from the commits that pass through them. Peers aren't queried while the store answers.
 
 pub mod declared;
+pub mod message;
 mod tcp;
 
 pub use tcp::{TcpPeers, serve};
@@ -15,20 +16,51 @@
 use crate::group::{PositionSource, UsableLeader};
 use crate::leadership::fleet;
 use crate::leadership::follower::VersionedTerm;
+use crate::leadership::record::TermRecord;
 use crate::names::GroupName;
 use crate::ports::{CoveringSnapshot, GroupSnapshot, LeaderSnapshot, PeerError, TermSnapshot};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use message::{Query, QueryAnswer};
 use rand::seq::IndexedRandom;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// Maximum number of groups in one query.
+const MAX_GROUPS: usize = 1_000;
 /// Number of peers that one query is sent to.
 const PEERS_PER_QUERY: usize = 3;
 /// Timeout for their answers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(120);
 
+/// This process's answer to `query`, which has just arrived. `None` if the query names too many
+/// groups or opens a link.
+pub fn answer(engine: &Engine, query: Query) -> Option<QueryAnswer> {
+    match query {
+        Query::Beliefs(groups) => {
+            let group_snapshots = known_group_snapshots(engine, groups)?;
+            Some(QueryAnswer::Beliefs(group_snapshots))
+        }
+        Query::Declared(versions) => {
+            let newer = declared::newer(engine, versions, Instant::now());
+            Some(QueryAnswer::Declared(Box::new(newer)))
+        }
+        Query::Link => None,
+    }
+}
+
+/// Snapshots of those `groups` that are in the directory. Other names are ignored, so that a
+/// query can't create groups.
+fn known_group_snapshots(engine: &Engine, groups: Vec<GroupName>) -> Option<Vec<GroupSnapshot>> {
+    if groups.len() > MAX_GROUPS {
+        return None;
+    }
+    let known = engine.directory().groups();
+    let named = groups.into_iter().filter(|group| known.contains(group));
+    Some(group_snapshots(engine, &named.collect::<Vec<GroupName>>()))
+}
+
 /// This process's current view of `groups`.
 pub fn group_snapshots(engine: &Engine, groups: &[GroupName]) -> Vec<GroupSnapshot> {
     groups.iter().map(|name| snapshot(engine, name)).collect()
@@ -44,10 +76,7 @@
         position: sample.position,
         age_ms: age_ms(sample.at),
     });
-    let term = engine.terms().known(name).map(|term| TermSnapshot {
-        record: term.record,
-        version: term.version,
-    });
+    let term = engine.terms().known(name).map(|term| term.to_snapshot());
     let leader = view.target().map(|member| LeaderSnapshot {
         member: member.clone(),
         confirmed: view.confirmed,
@@ -112,11 +141,22 @@
     chosen.copied().collect()
 }
 
+/// Applies a peer's term record of `group`. One that can't be decoded is ignored, since the rest of
+/// the snapshot is only applied to the epoch that it belongs to.
+fn apply_term(engine: &Engine, group: &str, term: &TermSnapshot) {
+    match VersionedTerm::decode(&term.value, term.version) {
+        Ok(term) => engine.terms().apply_one(engine, term, None),
+        Err(error) => {
+            let (events, kind) = (engine.events(), UndecodableKind::TermRecord);
+            report_undecodable(events, kind, TermRecord::key(group), None, &error.into());
+        }
+    }
+}
+
 /// Applies a peer's snapshot of a group. `requested_at` is the time at which the query was sent.
 pub(crate) fn apply(engine: &Engine, snapshot: GroupSnapshot, requested_at: Instant) {
-    if let Some(TermSnapshot { record, version }) = snapshot.term {
-        let term = VersionedTerm { record, version };
-        engine.terms().apply_one(engine, term, None);
+    if let Some(term) = &snapshot.term {
+        apply_term(engine, &snapshot.group, term);
     }
     let group = engine.group(&snapshot.group);
     let before = |age_ms: u64| requested_at.checked_sub(Duration::from_millis(age_ms));
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -9,6 +9,7 @@
 use crate::home::unit::Unit;
 use crate::leadership::access::renew_evidence;
 use crate::leadership::freshness;
+use crate::leadership::lease_records;
 use crate::leadership::term_confirmation;
 use crate::link::frame::{
     FromHome, HomeOutcome, RequiredFreshness, RunRequest, ToHome, UnitId, decode_frame, encode,
@@ -24,6 +25,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use stilequay_coordination::lease::LeaseRecord;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
@@ -142,13 +144,16 @@
                 task.send(&FromHome::Drawn { exchange, drawn }).await;
             }
             Ok(ToHome::Want(shard)) => task.engine.counters().request_counter(shard),
-            Ok(ToHome::CounterLease { shard, record }) => {
-                task.engine.counters().record_announced(shard, *record);
+            Ok(ToHome::CounterLease { shard, lease }) => {
+                if let Some(record) = decode_announced(&task.engine, &lease) {
+                    task.engine.counters().record_announced(shard, record);
+                }
             }
-            Ok(ToHome::PromotionLease(record)) => {
-                task.engine
-                    .announced_promotion_lease()
-                    .send_replace(Some(*record));
+            Ok(ToHome::PromotionLease(lease)) => {
+                if let Some(record) = decode_announced(&task.engine, &lease) {
+                    let announced = task.engine.announced_promotion_lease();
+                    announced.send_replace(Some(record));
+                }
             }
             Ok(ToHome::AskNewestTerm { exchange }) => {
                 let version = term_confirmation::newest_term(&task.engine);
@@ -165,6 +170,17 @@
     }
 }
 
+/// Decodes a lease that a peer announces. One that can't be decoded is ignored, since the store has
+/// it too.
+fn decode_announced(engine: &Engine, lease: &[u8]) -> Option<LeaseRecord> {
+    let decoded = lease_records::decode(lease);
+    let decoded = decoded.inspect_err(|error| {
+        let kind = UndecodableKind::LeaseRecord;
+        report_undecodable(engine.events(), kind, "announcement", None, error);
+    });
+    decoded.ok()
+}
+
 impl LinkTask {
     async fn send(&self, frame: &FromHome) {
         // Fails only if the link is closed, in which case the frame has no receiver.
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -8,11 +8,12 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
+use stilequay_engine::decoding::DecodeError;
 use stilequay_engine::engine::Engine;
 use stilequay_engine::link::frame::{FromHome, ToHome, decode};
 use stilequay_engine::names::GroupName;
-use stilequay_engine::peers::declared::newer;
-use stilequay_engine::peers::group_snapshots;
+use stilequay_engine::peers;
+use stilequay_engine::peers::message::{Query, QueryAnswer};
 use stilequay_engine::ports::{
     DeclaredState, DeclaredVersions, GroupSnapshot, PeerError, PeerLink, PeerNetwork,
 };
@@ -51,6 +52,8 @@
     pub swaps_tenant_names: AtomicBool,
     /// Injected bug: each frame of a link is delivered a second time a little later.
     pub repeats_frames: AtomicBool,
+    /// Injected bug: the term records in the answers to queries can't be decoded.
+    pub corrupts_term_records: AtomicBool,
     /// Number of update requests sent.
     pub update_requests: AtomicU64,
     /// Number of replies to them that have arrived.
@@ -79,6 +82,7 @@
             frames: Mutex::default(),
             swaps_tenant_names: AtomicBool::default(),
             repeats_frames: AtomicBool::default(),
+            corrupts_term_records: AtomicBool::default(),
             update_requests: AtomicU64::default(),
             update_replies: AtomicU64::default(),
         })
@@ -223,6 +227,22 @@
         engine.ok_or_else(|| PeerError::Unreachable("isolated".to_owned()))
     }
 
+    /// Sends an encoded query and decodes the answer.
+    async fn exchange(&self, peer: SocketAddr, query: &Query) -> Result<QueryAnswer, PeerError> {
+        let query = query.encode();
+        let engine = self.reach(peer).await?;
+        let query = Query::decode(&query).map_err(undecodable)?;
+        let answer = peers::answer(&engine, query);
+        let closed = || PeerError::Unreachable("connection closed".to_owned());
+        let mut answer = answer.ok_or_else(closed)?;
+        if self.corrupts_term_records.load(Ordering::Relaxed) {
+            corrupt_term_records(&mut answer);
+        }
+        let answer = answer.encode();
+        sleep(ONE_WAY_DELAY).await;
+        QueryAnswer::decode(&answer).map_err(undecodable)
+    }
+
     /// Isolates all processes from one another, or reconnects them.
     pub fn set_isolated(&self, isolated: bool) {
         *self.isolated.lock().unwrap() = isolated;
@@ -236,10 +256,9 @@
         peer: SocketAddr,
         groups: &[GroupName],
     ) -> Result<Vec<GroupSnapshot>, PeerError> {
-        let engine = self.peers.reach(peer).await?;
-        let answer = group_snapshots(&engine, groups);
-        sleep(ONE_WAY_DELAY).await;
-        Ok(answer)
+        let query = Query::Beliefs(groups.to_vec());
+        let answer = self.peers.exchange(peer, &query).await?;
+        answer.into_group_snapshots()
     }
 
     async fn query_declared(
@@ -247,10 +266,9 @@
         peer: SocketAddr,
         known: DeclaredVersions,
     ) -> Result<DeclaredState, PeerError> {
-        let engine = self.peers.reach(peer).await?;
-        let answer = newer(&engine, known, tokio::time::Instant::now());
-        sleep(ONE_WAY_DELAY).await;
-        Ok(answer)
+        let query = Query::Declared(known);
+        let answer = self.peers.exchange(peer, &query).await?;
+        answer.into_declared_state()
     }
 
     async fn open_link(&self, peer: SocketAddr) -> Result<PeerLink, PeerError> {
@@ -279,6 +297,19 @@
     }
 }
 
+fn corrupt_term_records(answer: &mut QueryAnswer) {
+    let QueryAnswer::Beliefs(snapshots) = answer else {
+        return;
+    };
+    for term in snapshots.iter_mut().filter_map(|s| s.term.as_mut()) {
+        term.value = Bytes::from_static(b"\xc1");
+    }
+}
+
+fn undecodable(error: DecodeError) -> PeerError {
+    PeerError::Protocol(error.to_string())
+}
+
 /// Whether a frame carries the sender's knowledge of the store.
 fn carries_store_updates(frame: &Bytes) -> bool {
     let is_answer = matches!(
