Send leases in frames as before

Cause: leases in their stored encoding would close the links between processes of this and earlier versions at each announcement, against a fault that no field of a lease has: none is left out.

--- a/crates/engine/src/leadership/lease_records.rs
+++ b/crates/engine/src/leadership/lease_records.rs
@@ -1,12 +1,11 @@
 //! Leases of the fleet, stored as records.
 
-use crate::decoding::{self, DecodeError, UndecodableKind, decode_record};
+use crate::decoding::{UndecodableKind, decode_record};
 use crate::encoding;
 use crate::events::EventLog;
 use crate::ports::{PutOutcome, Record, RecordStore, RecordStoreError};
 use crate::version::{StoreEra, StoreVersion, era_of};
 use async_trait::async_trait;
-use bytes::Bytes;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use stilequay_coordination::lease::{
@@ -111,7 +110,7 @@
         let Some(version) = version else {
             return Ok(LeasePutOutcome::Conflict);
         };
-        let value = encode(record);
+        let value = encoding::with_names(record);
         let put = self.records.put_if(&key, version, value).await;
         match put.map_err(translate)? {
             PutOutcome::Stored(version) => {
@@ -131,23 +130,9 @@
     format!("{KEY_PREFIX}{name}")
 }
 
-/// Encodes a lease record, for the store and for messages.
-pub(crate) fn encode(record: &LeaseRecord) -> Bytes {
-    encoding::with_names(record)
-}
-
-/// Decodes a lease record that was sent.
-///
-/// # Errors
-///
-/// [`DecodeError`] if `value` doesn't encode a lease record.
-pub(crate) fn decode(value: &[u8]) -> Result<LeaseRecord, DecodeError> {
-    decoding::decode(value).map(with_limited_durations)
-}
-
 /// Reduces durations that no process writes, so that a record of another writer doesn't block the
 /// lease for ever, and points of time can be computed from them.
-fn with_limited_durations(lease: LeaseRecord) -> LeaseRecord {
+pub(crate) fn with_limited_durations(lease: LeaseRecord) -> LeaseRecord {
     LeaseRecord {
         duration: lease.duration.min(MAX_LEASE_DURATION),
         held: lease.held.min(MAX_HELD),
--- a/crates/engine/src/link/client.rs
+++ b/crates/engine/src/link/client.rs
@@ -6,7 +6,6 @@
 };
 use crate::decoding::{DecodeError, UndecodableKind, report_undecodable};
 use crate::events::EventLog;
-use crate::leadership::lease_records;
 use crate::names::{GroupName, TenantName};
 use crate::ports::{GroupSnapshot, PeerLink};
 use crate::rate::counter::{PermitReply, Shard};
@@ -346,13 +345,13 @@
 
     /// Sends the peer the lease of `shard` that this process has just written.
     pub fn send_counter_lease(&self, shard: Shard, record: &LeaseRecord) {
-        let lease = lease_records::encode(record);
-        self.send(&ToHome::CounterLease { shard, lease });
+        let record = Box::new(record.clone());
+        self.send(&ToHome::CounterLease { shard, record });
     }
 
     /// Sends the peer the promotion lease that this process has just written.
     pub fn send_promotion_lease(&self, record: &LeaseRecord) {
-        self.send(&ToHome::PromotionLease(lease_records::encode(record)));
+        self.send(&ToHome::PromotionLease(Box::new(record.clone())));
     }
 
     /// Skips this link for a while because the peer's answer was stale.
--- a/crates/engine/src/link/frame.rs
+++ b/crates/engine/src/link/frame.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::time::Duration;
+use stilequay_coordination::lease::LeaseRecord;
 
 /// Identifies a request and its answer; unique on one link.
 pub type ExchangeId = u64;
@@ -62,11 +63,11 @@
     CounterLease {
         /// The shard.
         shard: Shard,
-        /// The lease record in its stored encoding.
-        lease: Bytes,
+        /// The lease as stored.
+        record: Box<LeaseRecord>,
     },
-    /// Announces the promotion lease that its holder has just written, in its stored encoding.
-    PromotionLease(Bytes),
+    /// Announces the promotion lease that its holder has just written.
+    PromotionLease(Box<LeaseRecord>),
     /// Asks the holder of the promotion lease for the version of the newest term record.
     AskNewestTerm {
         /// The request.
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -25,7 +25,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use stilequay_coordination::lease::LeaseRecord;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout};
 
@@ -144,16 +143,14 @@
                 task.send(&FromHome::Drawn { exchange, drawn }).await;
             }
             Ok(ToHome::Want(shard)) => task.engine.counters().request_counter(shard),
-            Ok(ToHome::CounterLease { shard, lease }) => {
-                if let Some(record) = decode_announced(&task.engine, &lease) {
-                    task.engine.counters().record_announced(shard, record);
-                }
+            Ok(ToHome::CounterLease { shard, record }) => {
+                let record = lease_records::with_limited_durations(*record);
+                task.engine.counters().record_announced(shard, record);
             }
-            Ok(ToHome::PromotionLease(lease)) => {
-                if let Some(record) = decode_announced(&task.engine, &lease) {
-                    let announced = task.engine.announced_promotion_lease();
-                    announced.send_replace(Some(record));
-                }
+            Ok(ToHome::PromotionLease(record)) => {
+                let record = lease_records::with_limited_durations(*record);
+                let announced = task.engine.announced_promotion_lease();
+                announced.send_replace(Some(record));
             }
             Ok(ToHome::AskNewestTerm { exchange }) => {
                 let version = term_confirmation::newest_term(&task.engine);
@@ -170,17 +167,6 @@
     }
 }
 
-/// Decodes a lease that a peer announces. One that can't be decoded is ignored, since the store has
-/// it too.
-fn decode_announced(engine: &Engine, lease: &[u8]) -> Option<LeaseRecord> {
-    let decoded = lease_records::decode(lease);
-    let decoded = decoded.inspect_err(|error| {
-        let kind = UndecodableKind::LeaseRecord;
-        report_undecodable(engine.events(), kind, "announcement", None, error);
-    });
-    decoded.ok()
-}
-
 impl LinkTask {
     async fn send(&self, frame: &FromHome) {
         // Fails only if the link is closed, in which case the frame has no receiver.
