Send reads to a leader with the position that its log has reached

Our processes discarded the answers and tried again, up to a dozen times a request.

Cause: a read that is sent to the leader named no log position, because the leader has every commit. What stands at its address need not be that leader: a server that crashed and started again empty accepts the same name until its entry shows the new start, and runs the read. That its log had become shorter was noticed in the answer only, after the run. Reads of bounded_staleness and read_your_writes routes come to this path when no covering position is known, which is often the case while the answers of peers can't be decoded.

Why it works: the position that the leader's log is known to have reached goes with the statement, so a server without it refuses (not run). Where none is known (no answer in this epoch, never promoted), nothing changes.

--- a/crates/engine/src/session/target.rs
+++ b/crates/engine/src/session/target.rs
@@ -27,8 +27,8 @@
 pub(super) struct Target {
     /// The connection pool of the member, from which only [`Target::acquire`] takes connections.
     pool: Allowed<Arc<MemberPool>>,
-    /// The position that the member's log must have reached; `None` for a leader with a leased
-    /// term.
+    /// The position that the member's log must have reached; `None` for a leader of whose log no
+    /// position is known.
     pub after: Option<LogPosition>,
     /// Whether the member is expected to run the statement at once.
     pub is_preferred: bool,
@@ -104,7 +104,9 @@
     !pool.is_remote() && now.admit(topology, pool.member()).is_some()
 }
 
-/// Returns the target for the leader, or `None` if the leader can no longer be used.
+/// Returns the target for the leader, or `None` if the leader can no longer be used. Its log must
+/// have reached what is known of it: the server may have restarted without its log, and refuses
+/// then instead of running a statement on another one.
 ///
 /// # Errors
 ///
@@ -121,12 +123,13 @@
     if !is_usable(engine, member, Instant::now()) {
         return Ok(None);
     }
+    let after = engine.group(&member.group).known_position(leader);
     let topology = &engine.settings().topology;
     let member = residency.admit(topology, Arc::clone(member));
     let member = member.ok_or_else(outside_home_regions)?;
     Ok(Some(Target {
         pool: engine.session_pool(&member),
-        after: None,
+        after,
         is_preferred: true,
     }))
 }
--- a/crates/engine/tests/server_lives.rs
+++ b/crates/engine/tests/server_lives.rs
@@ -10,8 +10,11 @@
     MemberId, are_incarnations_of_same_server, incarnation_id, server_name,
 };
 use support::history::History;
+use support::records::Fault;
 use support::servers::World;
-use support::{Fleet, GROUP, LEADER_DATABASE, read_row, until};
+use support::{
+    BOUNDED_DATABASE, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, STALENESS, read, read_row, until,
+};
 use tokio::time::{Instant, sleep};
 
 #[rstest]
@@ -257,3 +260,36 @@
         Some(MemberState::Gone(_))
     ));
 }
+
+/// The entry shows a restart late. Until then a read that is sent to the leader must not run on the
+/// log that its server has now, even if the answer is discarded.
+#[rstest]
+#[case::of_a_leader_route(LEADER_DATABASE, Duration::ZERO)]
+#[case::of_a_bounded_route(BOUNDED_DATABASE, STALENESS + Duration::from_millis(100))]
+#[case::of_a_session(OWN_DATABASE, STALENESS + Duration::from_millis(100))]
+#[tokio::test(start_paused = true)]
+async fn no_read_runs_at_a_leader_that_restarted_empty(
+    #[case] database: &str,
+    #[case] after_last_position: Duration,
+    #[values(false, true)] in_transaction: bool,
+) {
+    let fleet = Fleet::start(1).await;
+    let mut writer = fleet.session(0, LEADER_DATABASE);
+    writer.write("x 1").await.outcome.expect("written");
+    fleet.records.set_fault(Fault::Refusing);
+    // No position can be learned from the replicas.
+    for replica in ["b", "c"] {
+        fleet.world.crash(replica);
+    }
+    sleep(after_last_position).await;
+    fleet.world.unlisted.lock().unwrap().insert("a".to_owned());
+    fleet.world.start_empty("a");
+    let mut reader = fleet.session(0, database);
+    if in_transaction {
+        reader.begin(true).await;
+    }
+    let (id, reply) = reader.send_with_id(read("x")).await;
+    assert!(reply.outcome.is_err());
+    assert_eq!(fleet.world.servers_reached(&id).is_empty(), in_transaction);
+    assert!(!fleet.world.has_run_read(&id));
+}
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -221,6 +221,11 @@
         self.promotions.lock().unwrap().clone()
     }
 
+    /// Whether a server has run the read `request`, whatever became of the answer.
+    pub fn has_run_read(&self, request: &str) -> bool {
+        self.reads.lock().unwrap().contains_key(request)
+    }
+
     /// The log that the read `request` saw.
     pub fn log_read_by(&self, request: &str) -> ReadLog {
         let reads = self.reads.lock().unwrap();
