Count a departed log until its server was found to have ended

Cause: the end of such a server was taken to be ten seconds after its departure became known, but it receives commits until it really ends. A position learned in between covered its log in vain. Now the time counts at which this process first found that it isn't running.

Evidence: both cases of departing_replica_receives_commits_until_it_ends failed before and pass.

--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -9,10 +9,12 @@
 use crate::evacuation::Sender;
 use crate::group::{Group, PositionSample, PositionSource};
 use crate::home;
+use crate::names::MemberId;
 use crate::peers;
 use crate::pool::AcquireRequest;
 use crate::ports::{Command, Control};
 use crate::residency::Residency;
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -95,22 +97,28 @@
     let logs = SurveyedLogs {
         members: &members,
         samples: &samples,
+        down_since: &down_since(engine, &members),
+        sync_replicas: engine.sync_replicas(group.name()),
         sent,
     };
-    let may_be_unknown = engine.sync_replicas(group.name());
     let result = match logs.highest() {
-        Some(position) if logs.unknown_count() <= may_be_unknown => {
+        Some(position) if logs.are_sufficient() => {
             let outcome = group.record_covering_position(sent, position, PositionSource::Survey);
             SurveyResult::from(outcome)
         }
         _ => SurveyResult::TooManyUnknown,
     };
-    let survey = PositionSurvey {
-        group,
-        logs,
-        may_be_unknown,
-    };
-    survey.emit(engine, result);
+    PositionSurvey { group, logs }.emit(engine, result);
+}
+
+/// Since when members have been found not to be running.
+fn down_since(engine: &Engine, members: &[SurveyedMember]) -> HashMap<MemberId, Instant> {
+    let ids = members.iter().map(|surveyed| &surveyed.member.id);
+    let down = ids.filter_map(|id| {
+        let since = engine.existing_pool(id)?.health().down_since()?;
+        Some((id.clone(), since))
+    });
+    down.collect()
 }
 
 /// Opens a transaction at the leader and rolls it back at once: the answer contains the log
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -67,16 +67,6 @@
         }
     }
 
-    /// When the member had ended at the latest, if it has left for good with its log.
-    pub(super) fn left_at(&self, now: Instant) -> Option<Instant> {
-        match (self.member.state, &self.response) {
-            (MemberState::Gone(departure), Response::Down(_)) if self.has_left(now) => {
-                Some(departure.learned_at + GONE_MEMBER_TIMEOUT)
-            }
-            _ => None,
-        }
-    }
-
     /// Whether it answered as a replica.
     pub fn is_replica(&self) -> bool {
         let report = self.response.report();
@@ -95,7 +85,13 @@
             pool.update_health(|health| health.record_contact(Instant::now()));
             Response::Report(report)
         }
-        Ok(Err(error)) => response_to_error(&error),
+        Ok(Err(error)) => {
+            let response = response_to_error(&error);
+            if matches!(response, Response::Down(_)) {
+                pool.update_health(|health| health.record_down(Instant::now()));
+            }
+            response
+        }
         Err(_) => Response::Silent("no answer in time".to_owned()),
     }
 }
--- a/crates/engine/src/leadership/survey_events.rs
+++ b/crates/engine/src/leadership/survey_events.rs
@@ -63,8 +63,6 @@
 pub(super) struct PositionSurvey<'a> {
     pub group: &'a Group,
     pub logs: SurveyedLogs<'a>,
-    /// The number of servers whose logs may be unknown.
-    pub may_be_unknown: usize,
 }
 
 impl PositionSurvey<'_> {
@@ -84,7 +82,7 @@
                 result,
                 position: self.logs.highest(),
                 members: members.collect(),
-                may_be_unknown: self.may_be_unknown,
+                may_be_unknown: self.logs.sync_replicas,
             }));
     }
 
--- a/crates/engine/src/leadership/surveyed_logs.rs
+++ b/crates/engine/src/leadership/surveyed_logs.rs
@@ -2,11 +2,11 @@
 
 use super::survey::{Response, SurveyedMember};
 use crate::group::PositionSamples;
-use crate::names::are_incarnations_of_same_server;
+use crate::names::{MemberId, are_incarnations_of_same_server};
 use crate::ports::MemberReport;
 use crate::position::LogPosition;
 use serde::Serialize;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use tokio::time::Instant;
 
@@ -31,6 +31,10 @@
     pub members: &'a [SurveyedMember],
     /// Positions that cover every commit acknowledged before a point in time.
     pub samples: &'a PositionSamples,
+    /// Since when members have been found not to be running.
+    pub down_since: &'a HashMap<MemberId, Instant>,
+    /// Number of replicas that must receive a commit before it is acknowledged.
+    pub sync_replicas: usize,
     /// When the survey was started.
     pub sent: Instant,
 }
@@ -42,9 +46,15 @@
         reports.map(|report| report.received).max()
     }
 
+    /// Whether no more logs are unknown than replicas had to receive a commit. A commit is then in a
+    /// reported log.
+    pub fn are_sufficient(&self) -> bool {
+        self.unknown_count() <= self.sync_replicas
+    }
+
     /// Number of servers whose logs are unknown. All members at one address count once, since a
     /// server has only one log at any time.
-    pub fn unknown_count(&self) -> usize {
+    fn unknown_count(&self) -> usize {
         let unknown = self
             .members
             .iter()
@@ -85,11 +95,12 @@
     }
 
     /// Whether the member has left for good and a reported log reaches a position that covers all
-    /// commits acknowledged before. It takes its log with it, which may have been the only copy
-    /// beside the leader's.
+    /// commits acknowledged before it was found to have ended. It takes its log with it, which may
+    /// have been the only copy beside the leader's, and receives commits until its end.
     fn is_covered_departure(&self, member: &SurveyedMember) -> bool {
-        let left_at = member.left_at(self.sent);
-        let covering = left_at.and_then(|at| self.samples.covering(at));
+        let ended = self.down_since.get(&member.member.id);
+        let ended = ended.filter(|_| member.has_left(self.sent));
+        let covering = ended.and_then(|at| self.samples.covering(*at));
         covering.is_some_and(|position| self.highest() >= Some(position))
     }
 }
--- a/crates/engine/src/pool/health.rs
+++ b/crates/engine/src/pool/health.rs
@@ -31,6 +31,7 @@
     applied: Option<LogPosition>,
     unanswered_since: Option<Instant>,
     last_contact: Option<Instant>,
+    down_since: Option<Instant>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -53,6 +54,7 @@
             applied: None,
             unanswered_since: None,
             last_contact: None,
+            down_since: None,
         }
     }
 
@@ -75,6 +77,17 @@
         self.last_contact = Some(now);
         self.unreachable = None;
         self.unanswered_since = None;
+        self.down_since = None;
+    }
+
+    /// Records that the member was found not to be running.
+    pub fn record_down(&mut self, now: Instant) {
+        self.down_since.get_or_insert(now);
+    }
+
+    /// When the member was first found not to be running, if nothing was received from it since.
+    pub fn down_since(&self) -> Option<Instant> {
+        self.down_since
     }
 
     /// Records that something was sent to the member.
