Count servers that a group must have as unknown if they aren't listed

Cause: a survey took the listed members for all there are. The choice of a leader has a check for this, a survey for a position had none. A group that acknowledges commits while one server is away has one server more than hold a copy; those that are missing now count as unknown.

Evidence: forgotten_members_are_unknown_to_a_new_process and replica_without_an_entry_may_hold_the_newest_commits failed before and pass.

--- a/crates/engine/src/leadership/surveyed_logs.rs
+++ b/crates/engine/src/leadership/surveyed_logs.rs
@@ -49,7 +49,20 @@
     /// Whether no more logs are unknown than replicas had to receive a commit. A commit is then in a
     /// reported log.
     pub fn are_sufficient(&self) -> bool {
-        self.unknown_count() <= self.sync_replicas
+        self.unknown_count() + self.unlisted_count() <= self.sync_replicas
+    }
+
+    /// Number of servers that are missing among the known ones: commits need one server more than
+    /// hold a copy, to be acknowledged while one is away. Its entry may have expired, or not have
+    /// been accepted yet.
+    fn unlisted_count(&self) -> usize {
+        let addresses = self.members.iter().map(|member| member.member.address);
+        let known: HashSet<SocketAddr> = addresses.collect();
+        let expected = match self.sync_replicas {
+            0 => 1,
+            replicas => replicas + 2,
+        };
+        expected.saturating_sub(known.len())
     }
 
     /// Number of servers whose logs are unknown. All members at one address count once, since a
