Take a group for empty only if all its members say so

Callers saw reads on logs that lacked acknowledged commits (9 of 10, in the test of two replicas that restart empty while the leader is away).

Cause: with all answering logs empty a survey took the group for empty. Now an empty log counts as unknown unless every member has answered with an empty one. The test of a rejected survey rested on two such logs; it now has one that a restarted server has received in part, and expects the same.

--- a/crates/engine/src/leadership/surveyed_logs.rs
+++ b/crates/engine/src/leadership/surveyed_logs.rs
@@ -89,9 +89,11 @@
     }
 
     /// Whether an empty log may be that of a server that has restarted without its log, which its
-    /// entry doesn't show yet.
+    /// entry doesn't show yet. The group is empty only if all members say so.
     fn may_have_lost_log(&self, report: &MemberReport) -> bool {
-        let is_group_empty = self.highest().is_none_or(|highest| highest.number == 0);
+        let mut reports = self.members.iter().map(|member| member.response.report());
+        let is_group_empty =
+            reports.all(|report| report.is_some_and(|report| report.received.number == 0));
         report.received.number == 0 && !is_group_empty
     }
 
--- a/crates/engine/tests/position_origins.rs
+++ b/crates/engine/tests/position_origins.rs
@@ -101,16 +101,23 @@
     let fleet = Fleet::start(1).await;
     let mut writer = fleet.session(0, OWN_DATABASE);
     let mut client = fleet.session(0, BOUNDED_DATABASE);
+    writer.write("x 1").await;
     fleet
         .world
         .change("c", |server| server.not_receiving = true);
-    writer.write("x 1").await;
     writer.write("x 2").await;
     fleet.records.set_fault(Fault::Refusing);
     fleet.world.crash("a");
     // By then it counts as having left.
     sleep(Duration::from_secs(15)).await;
+    // It has received a part of the log again.
+    let received = fleet.world.server("c");
     fleet.world.start_empty("b");
+    fleet.world.change("b", |server| {
+        server.started_at = None;
+        server.log = received.log;
+        server.received_at = received.received_at;
+    });
     capture_log();
     let _ = client.read("x").await;
     let surveys = events("position_survey");
