--- a/crates/engine/src/decoding.rs
+++ b/crates/engine/src/decoding.rs
@@ -1,6 +1,6 @@
 //! Decoding of values that another process has encoded: records, frames and queries.
 //!
-//! Bytes that can't be decoded are dropped by whoever reads them. [`report_undecodable`] counts
+//! Bytes that can't be decoded are dropped by whoever reads them. `report_undecodable` counts
 //! them and writes an event, so that they are not dropped silently.
 
 use crate::events::{Event, EventLog};
