Take no position from a survey in which a silent member may lead

Cause: a primary is cut off with some processes while a server is being released. The new server joins it and can't register, so the primary goes on having commits acknowledged. On the other side both replicas answer a survey, only the primary is unknown, and their position passes for one that covers every commit. Such a survey counts servers that it knows; no count helps against one that it doesn't. Now a survey is accepted only if a member answers as primary, or no member is silent. What ends the refusals: an answer of the primary, or its successor, which the processes on this side order as soon as their fence is complete.

--- a/crates/engine/src/leadership/survey_events.rs
+++ b/crates/engine/src/leadership/survey_events.rs
@@ -22,7 +22,8 @@
         /// The known position.
         known: LogPosition,
     },
-    /// No position was taken, because the state of too many members is unknown.
+    /// No position was taken, because the state of too many members is unknown, or because a silent
+    /// member may lead.
     TooManyUnknown,
 }
 
--- a/crates/engine/src/leadership/surveyed_logs.rs
+++ b/crates/engine/src/leadership/surveyed_logs.rs
@@ -1,6 +1,7 @@
 //! Which members' logs a survey has reported, and which may hold commits that no answer shows.
 
 use super::survey::{Response, SurveyedMember};
+use crate::directory::Role;
 use crate::group::PositionSamples;
 use crate::names::{MemberId, are_incarnations_of_same_server};
 use crate::ports::MemberReport;
@@ -46,10 +47,28 @@
         reports.map(|report| report.received).max()
     }
 
-    /// Whether no more logs are unknown than replicas had to receive a commit. A commit is then in a
-    /// reported log.
+    /// Whether the reported logs hold every acknowledged commit: no more logs are unknown than
+    /// replicas had to receive a commit, and no leader may be acknowledging commits unseen.
     pub fn are_sufficient(&self) -> bool {
-        self.unknown_count() + self.unlisted_count() <= self.sync_replicas
+        let unknown = self.unknown_count() + self.unlisted_count();
+        unknown <= self.sync_replicas && !self.may_lead_unseen()
+    }
+
+    /// Whether a member is silent and none has answered as the leader. The silent one may lead, cut
+    /// off together with a server that has joined it and isn't listed here, through which it has
+    /// commits acknowledged.
+    fn may_lead_unseen(&self) -> bool {
+        let mut members = self.members.iter();
+        let mut reports = self.members.iter().filter_map(|m| m.response.report());
+        members.any(|member| self.is_silent(member))
+            && reports.all(|report| report.role == Role::Replica)
+    }
+
+    /// Whether a member may be running and has not reported.
+    fn is_silent(&self, member: &SurveyedMember) -> bool {
+        let response = &member.response;
+        let has_no_answer = matches!(response, Response::Silent(_) | Response::Declined(_));
+        has_no_answer && self.counting(member) == MemberCounting::Unknown
     }
 
     /// Number of servers that are missing among the known ones: commits need one server more than
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -192,6 +192,14 @@
         });
     }
 
+    /// Starts another replica, which has no log yet and no directory entry.
+    pub fn join_unlisted(&self, name: &str) {
+        self.unlisted.lock().unwrap().insert(name.to_owned());
+        let mut replica = self.server("c");
+        replica.start_empty();
+        self.lock().insert(name.to_owned(), replica);
+    }
+
     /// Restarts a server under its name with an empty log.
     pub fn start_empty(&self, name: &str) {
         self.change(name, Server::start_empty);
--- a/crates/engine/tests/surveys.rs
+++ b/crates/engine/tests/surveys.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, GONE_RETENTION, Member, MemberState, Role};
 use support::servers::PromoterFault;
-use support::{BOUNDED_DATABASE, Client, Fleet, GROUP, OWN_DATABASE, read_row, until};
+use support::{BOUNDED_DATABASE, Client, Fleet, GROUP, OWN_DATABASE, STALENESS, read_row, until};
 use tokio::time::{Instant, sleep};
 
 /// Time after which a member whose entry has gone and that is down counts as having left.
@@ -352,3 +352,42 @@
     let leader = fleet.world.server(&fleet.world.leader());
     assert!(leader.log.starts_with(&acknowledged));
 }
+
+/// A leader that is cut off may have commits acknowledged through a server that has joined it and
+/// couldn't register.
+#[rstest]
+#[tokio::test(start_paused = true)]
+async fn silent_leader_may_have_commits_acknowledged_by_an_unlisted_replica(
+    #[values(BOUNDED_DATABASE, OWN_DATABASE)] database: &str,
+) {
+    let fleet = Fleet::start(2).await;
+    until(|| {
+        fleet
+            .nodes
+            .iter()
+            .all(|node| node.engine.terms().has_read())
+    })
+    .await;
+    fleet.world.join_unlisted("d");
+    let mut writer = fleet.session(1, OWN_DATABASE);
+    writer.write("x 1").await.outcome.expect("written");
+    // Process 0 and the replicas are cut off from the others.
+    let here = &fleet.nodes[0].name;
+    for (one, other) in [
+        ("a", "b"),
+        ("a", "c"),
+        ("d", "b"),
+        ("d", "c"),
+        ("a", here),
+        ("d", here),
+    ] {
+        fleet.network().cut(one, other);
+    }
+    fleet.peers.set_isolated(true);
+    fleet.world.set_promoter_fault(PromoterFault::Down);
+    writer.write("x 2").await.outcome.expect("written");
+    let acknowledged = fleet.world.server("a").log.len();
+    sleep(STALENESS * 2).await;
+    let mut reader = fleet.session(0, database);
+    assert_eq!(count_stale_reads(&mut reader, acknowledged).await, 0);
+}
