Wait for evidence before a test takes the store away

The test means a process whose evidence has run out. Change: it waits until there was some; what it checks is the same.

--- a/crates/engine/tests/reads.rs
+++ b/crates/engine/tests/reads.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 use stilequay_engine::verdict::{FailureReason, Verdict};
 use support::records::Fault;
-use support::{BOUNDED_DATABASE, Fleet, LEADER_DATABASE, OWN_DATABASE, STALENESS, read_row};
+use support::{
+    BOUNDED_DATABASE, Fleet, GROUP, LEADER_DATABASE, OWN_DATABASE, STALENESS, read_row, until,
+};
 use tokio::time::{Instant, sleep};
 
 #[tokio::test(start_paused = true)]
@@ -83,6 +85,9 @@
 #[tokio::test(start_paused = true)]
 async fn commit_of_another_session_wakes_a_leader_read_that_waits_for_evidence() {
     let fleet = Fleet::start(1).await;
+    // A process that never had evidence counts as cut off without the store, and doesn't wait.
+    let group = fleet.nodes[0].engine.group(&GROUP.into());
+    until(|| group.evidence().is_some()).await;
     fleet.records.set_fault(Fault::Silent);
     sleep(Duration::from_secs(1)).await;
     let mut reader = fleet.session(0, LEADER_DATABASE);
