Pause surveys of a group that had no result

Callers of a group whose leader is silent were refused, and the members that answer were busy with surveys: each waiting read of each process sent one to every member.

Cause: a rejected survey left nothing behind that the next read could know. Change: for 300 ms after one, reads of the process get no position without asking again, and are refused or go to the leader if it has a lease.

--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -89,6 +89,7 @@
     samples: PositionSamples,
     commit_waiting_since: Option<Instant>,
     commits_stalled: bool,
+    survey_rejected_at: Option<Instant>,
 }
 
 /// What this process knows about one group, shared by all tasks.
@@ -119,6 +120,7 @@
                 samples: PositionSamples::default(),
                 commit_waiting_since: None,
                 commits_stalled: false,
+                survey_rejected_at: None,
             }),
             changes: watch::Sender::new(0),
             evidence_changes: watch::Sender::new(0),
@@ -387,6 +389,16 @@
         }
     }
 
+    /// Records that a survey of the members at `at` has found no covering position.
+    pub fn record_survey_rejected(&self, at: Instant) {
+        self.lock().survey_rejected_at = Some(at);
+    }
+
+    /// When a survey of the members last found no covering position.
+    pub fn survey_rejected_at(&self) -> Option<Instant> {
+        self.lock().survey_rejected_at
+    }
+
     /// Records that `leader` acts as the leader.
     pub fn confirm_leader(&self, leader: &UsableLeader) {
         let mut state = self.lock();
--- a/crates/engine/src/leadership/freshness.rs
+++ b/crates/engine/src/leadership/freshness.rs
@@ -21,6 +21,9 @@
 
 /// Timeout of one request to the leader.
 const POSITION_TIMEOUT: Duration = Duration::from_millis(250);
+/// Pause after a survey without a result. Every waiting read would otherwise survey the members,
+/// which are busy enough while there is no leader.
+const SURVEY_PAUSE: Duration = Duration::from_millis(300);
 
 /// A sample whose position covers every commit acknowledged before `moment`, or `None` if none is
 /// known by `until`.
@@ -58,6 +61,13 @@
     if let Some(sample) = group.covering_sample(moment) {
         return Some(sample);
     }
+    let now = Instant::now();
+    if group
+        .survey_rejected_at()
+        .is_some_and(|at| now < at + SURVEY_PAUSE)
+    {
+        return None;
+    }
     let _ = timeout_at(until, ask_members(engine, group)).await;
     if let Some(sample) = group.covering_sample(moment) {
         return Some(sample);
@@ -106,7 +116,10 @@
             let outcome = group.record_covering_position(sent, position, PositionSource::Survey);
             SurveyResult::from(outcome)
         }
-        _ => SurveyResult::TooManyUnknown,
+        _ => {
+            group.record_survey_rejected(Instant::now());
+            SurveyResult::TooManyUnknown
+        }
     };
     PositionSurvey { group, logs }.emit(engine, result);
 }
