--- a/review/stand-in-2/src/main.rs
+++ b/review/stand-in-2/src/main.rs
@@ -6,7 +6,10 @@
 mod client;
 mod group;
 mod json;
+mod late_order;
+mod lost_set_answer;
 mod node;
+mod path;
 mod record;
 mod route_and_back;
 mod store;
@@ -52,6 +55,8 @@
         has_trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
     };
     let verdict = match case.as_str() {
+        "late-order" => late_order::run(&setup),
+        "lost-set-answer" => lost_set_answer::run(&setup),
         "route-and-back" => route_and_back::run(&setup),
         _ => Verdict::CouldNotRun(format!("unknown case {case}")),
     };
