Show that the order of a former holder arrives after its successor's

The holder of the promotion lease is cut off from the platform when it sends an order; the order arrives after that of the next holder, with the lower token.

--- a/review/stand-in-2/src/late_order.rs
+++ b/review/stand-in-2/src/late_order.rs
@@ -12,14 +12,14 @@
 use std::time::{Duration, Instant};
 
 const ZONES: [&str; 3] = ["thamel-hall", "lalitpur-depot", "bhaktapur-annex"];
-const ROUNDS: usize = 6;
+const ROUNDS: usize = 14;
 /// Time limit of the rounds.
 const LIMIT: Duration = Duration::from_secs(100);
 /// The longest cut.
 const MAX_CUT: Duration = Duration::from_millis(1_400);
 /// The cut begins after a renewal of the lease that is at least this old, so that the next holder
 /// comes in time. Otherwise the round goes on without a cut.
-const MIN_RENEWAL_AGE: Duration = Duration::from_millis(130);
+const MIN_RENEWAL_AGE: Duration = Duration::from_millis(110);
 /// Time after which a process has the answer of the platform.
 const ANSWER_ARRIVES: Duration = Duration::from_millis(2);
 const PATIENCE: Duration = Duration::from_millis(1_000);
@@ -130,7 +130,8 @@
         if find_stale(&seen.lock().unwrap().orders).is_some() {
             break;
         }
-        thread::sleep(Duration::from_secs(4));
+        // The crashes come at different times after a renewal.
+        thread::sleep(Duration::from_millis(3_500 + 67 * round as u64));
     }
     ends.store(true, Ordering::Relaxed);
     let all_run = nodes.iter_mut().all(Node::is_running);
