--- a/review/stand-in-2/src/departed_copy.rs
+++ b/review/stand-in-2/src/departed_copy.rs
@@ -22,6 +22,8 @@
 const DEAF_TIME: Duration = Duration::from_millis(6_500);
 /// How long before the end of the leaving server that begins.
 const DEAF_BEFORE: Duration = Duration::from_millis(4_500);
+/// How long before that a client of the holder rests, if it has one.
+const REST_BEFORE: Duration = Duration::from_millis(500);
 /// How long the primary is down.
 const DOWN: Duration = Duration::from_millis(7_000);
 const PATIENCE: Duration = Duration::from_millis(1_000);
@@ -84,10 +86,19 @@
             spawn_writer(setup, front, number, &ends, &acknowledged)
         })
         .collect();
+    // With HOLDER=rests, the holder has a client too, which rests before the replica turns deaf.
+    let rests = Arc::new(AtomicBool::new(false));
+    let has_client = std::env::var("HOLDER").as_deref() == Ok("rests");
+    let resting = has_client.then(|| {
+        let front = nodes[holding].front;
+        spawn_writer(setup, front, WRITERS, &rests, &acknowledged)
+    });
     thread::sleep(Duration::from_secs(3));
     let began = Instant::now();
     group.unlist(LEAVING);
-    thread::sleep(SERVES_ON - DEAF_BEFORE);
+    thread::sleep(SERVES_ON - DEAF_BEFORE - REST_BEFORE);
+    rests.store(true, Ordering::Relaxed);
+    thread::sleep(REST_BEFORE);
     if setup.has_trouble {
         record.line("server i-huvo11a2: receives nothing for 6500 ms");
         group.deafen(DEAF, DEAF_TIME);
@@ -103,7 +114,7 @@
     thread::sleep(Duration::from_secs(6));
     ends.store(true, Ordering::Relaxed);
     let all_run = nodes.iter_mut().all(Node::is_running);
-    for writer in writers {
+    for writer in writers.into_iter().chain(resting) {
         let _ = writer.join();
     }
     if !all_run {
