Report a commit that is acknowledged without evidence for the term

A process can be told of a commit by a leader that has been replaced without its knowledge. Nothing in its log told such a commit from any other, so the hypotheses about the users' record could not be told apart.

The event unconfirmed_commit and the counter stilequay_unconfirmed_commits_total are written when a commit's answer arrives and the evidence for the leader's term is older than TERM_LEASE.

--- a/crates/engine/src/events.rs
+++ b/crates/engine/src/events.rs
@@ -233,6 +233,20 @@
         /// How long it has been suspected, ms.
         since_ms: u64,
     },
+    /// A leader acknowledged a commit when the evidence for its term had expired here: another
+    /// leader may have been chosen without that commit.
+    UnconfirmedCommit {
+        /// The group.
+        group: GroupName,
+        /// The epoch of the leadership.
+        epoch: Epoch,
+        /// The leader.
+        leader: MemberId,
+        /// The position of its log after the commit, if it reported one.
+        position: Option<LogPosition>,
+        /// Age of the newest evidence for its term, ms; `None` if there was none.
+        evidence_age_ms: Option<u64>,
+    },
     /// The members of a group were surveyed for a log position.
     PositionSurvey(PositionSurveyEvent),
     /// A step of a promotion was taken.
@@ -364,6 +378,7 @@
             Event::Undecodable { .. } => EventClass::Undecodable,
             Event::SessionRefused { .. }
             | Event::AnswerUndelivered { .. }
+            | Event::UnconfirmedCommit { .. }
             | Event::Forwarded { .. } => EventClass::Failure,
             _ => EventClass::StateChange,
         }
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -6,13 +6,15 @@
 use super::trace::RequestTrace;
 use super::{Completion, Session};
 use crate::configuration::Route;
-use crate::group::{Group, UsableLeader};
+use crate::events::{Event, millis};
+use crate::group::{Group, TERM_LEASE, UsableLeader};
 use crate::leadership::access;
 use crate::names::RequestId;
 use crate::pool::{
     AcquireError, AcquireRequest, MemberPool, PooledConnection, RunError, SessionStatement,
 };
 use crate::ports::{Answer, Refusal, RefusalKind};
+use crate::position::LogPosition;
 use crate::statement::{Request, TransactionState};
 use crate::verdict::{Failure, FailureReason, MemberFailure};
 use std::sync::Arc;
@@ -214,13 +216,35 @@
         group: &Group,
         leader: &UsableLeader,
         sent: Instant,
-        position: &Option<crate::position::LogPosition>,
+        position: &Option<LogPosition>,
     ) {
         let replicated = self.engine.sync_replicas(group.name()) > 0;
+        self.report_if_unconfirmed(group, leader, *position);
         group.record_commit(leader, sent, *position, replicated);
         self.floor
             .record_commit(group.name(), leader.epoch, *position);
     }
+
+    /// Reports a commit that was acknowledged when the evidence for the leader's term had expired.
+    fn report_if_unconfirmed(
+        &self,
+        group: &Group,
+        leader: &UsableLeader,
+        position: Option<LogPosition>,
+    ) {
+        let evidence_age = group.evidence().map(|at| at.elapsed());
+        if evidence_age.is_some_and(|age| age < TERM_LEASE) {
+            return;
+        }
+        metrics::counter!("stilequay_unconfirmed_commits_total").increment(1);
+        self.engine.events().write(&Event::UnconfirmedCommit {
+            group: group.name().clone(),
+            epoch: leader.epoch,
+            leader: leader.member.clone(),
+            position,
+            evidence_age_ms: evidence_age.map(millis),
+        });
+    }
 }
 
 /// Waits for an answer until `until`, or until the leader is replaced.
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -163,6 +163,10 @@
         "stilequay_peer_queries_total",
         "Queries to other processes while the store or a position was missing, by outcome: answered, unreachable, unanswered or undecodable.",
     ),
+    Metric::counter(
+        "stilequay_unconfirmed_commits_total",
+        "Commits that a leader acknowledged when the evidence for its term had expired here.",
+    ),
     Metric::counter(
         "stilequay_undecodable_total",
         "Frames of other processes and records of the store that could not be decoded and were dropped, by what they were meant to be and reason.",
--- a/crates/engine/tests/events.rs
+++ b/crates/engine/tests/events.rs
@@ -115,6 +115,13 @@
             leader: Some("i-7f".into()),
             confirmed: true,
         },
+        Event::UnconfirmedCommit {
+            group: "ledger".into(),
+            epoch: 2,
+            leader: "i-7f".into(),
+            position: Some(LogPosition::new(2, 41)),
+            evidence_age_ms: Some(512),
+        },
         Event::LeaderSuspected {
             group: "ledger".into(),
             epoch: 2,
