Require evidence for the leader's term for writes

What callers saw: commits that were acknowledged to them were absent from the log of the next leader. The old leader couldn't be reached by the process that replaced it, but by others that knew nothing of the change. It had commits acknowledged after the fence, through a server that joined it, or through a paused replica that restarted and so received again.

Cause: a process needed evidence for the leader's term to read there, and none to write. The fence stops the members that are known and as they are; nothing ended the writes of a process that learns of no change. The class: a belief about who leads that is used without a bound on its age.

Change: a write, or a commit that writes, is sent to a leader only while there is evidence for its term, and its success is passed on only if there is such evidence apart from the commit itself; otherwise the caller is told that it may have run. If the old leader isn't known to be stopped, its successor is chosen only TERM_LEASE after all known members were fenced, from a new round; a member that had to be fenced anew begins the wait again. While the store is unavailable, the members can give the evidence: a leader that answers as primary isn't fenced, and if none of the others is paused, no successor has been chosen.

--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -7,13 +7,18 @@
 //! | --- | --- | --- |
 //! | the leader of the epoch has not been superseded | a read of the store, started at `t`, that shows no later epoch | until `t` + [`TERM_LEASE`] |
 //! | the same | a commit sent to the leader at `t` and acknowledged after a replica had received it | until `t` + [`TERM_LEASE`] |
+//! | the same | the leader, asked at `t`, answers as primary, and the other members as replicas that aren't paused | until `t` + [`TERM_LEASE`] |
 //! | position `p` covers every commit acknowledged before `t` | the leader's log was at `p` in its answer to a command sent at `t`, while the first row held | forever |
 //! | the same | `p` is the highest position received by all members but one, each queried after `t` | forever |
 //!
-//! The first two rows are safe because a new leader becomes usable only [`TERM_LEASE`] after every
+//! The first three rows are safe because a new leader becomes usable only [`TERM_LEASE`] after every
 //! replica that could receive from the old leader was paused, and after the record of the new
-//! epoch was written: both kinds of evidence are older than that. All times are readings of the
+//! epoch was written: all kinds of evidence are older than that. All times are readings of the
 //! monotonic clock taken before the call that returned the evidence.
+//!
+//! A leader that can't be reached may have commits acknowledged after the fence, through a server
+//! that joins it. So writes are sent to a leader, and their success is passed on, only while there
+//! is evidence for its term, and its successor is chosen only after that evidence has expired.
 
 mod samples;
 
@@ -100,6 +105,7 @@
     changes: watch::Sender<u64>,
     evidence_changes: watch::Sender<u64>,
     query_lock: AsyncMutex<()>,
+    member_query_lock: AsyncMutex<()>,
 }
 
 impl Group {
@@ -125,6 +131,7 @@
             changes: watch::Sender::new(0),
             evidence_changes: watch::Sender::new(0),
             query_lock: AsyncMutex::new(()),
+            member_query_lock: AsyncMutex::new(()),
         }
     }
 
@@ -138,6 +145,11 @@
         &self.query_lock
     }
 
+    /// Lock held by the task that asks the members for evidence on behalf of all tasks.
+    pub fn member_query_lock(&self) -> &AsyncMutex<()> {
+        &self.member_query_lock
+    }
+
     /// The state of its leadership.
     pub fn view(&self) -> LeaderView {
         self.lock().view.clone()
@@ -224,6 +236,16 @@
         usable_leader(&state.view)
     }
 
+    /// Whether the evidence for the term of `leader` is valid at `now`, also while it is being fenced.
+    pub fn is_leased_by(&self, leader: &UsableLeader, now: Instant) -> bool {
+        let state = self.lock();
+        let is_valid = state.evidence.is_some_and(|at| now < at + TERM_LEASE);
+        let is_fenced = state.view.writable_from.is_none()
+            && state.view.epoch > leader.epoch
+            && state.view.leader.as_ref() == Some(&leader.member);
+        is_valid && (state.view.is_led_by(leader) || is_fenced)
+    }
+
     /// `member` as a leader, if it is known to lead.
     pub fn as_leader(&self, member: &MemberId) -> Option<UsableLeader> {
         let state = self.lock();
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -4,6 +4,7 @@
 use crate::following;
 use crate::group::{Epoch, Group, UsableLeader};
 use crate::home;
+use crate::leadership::member_evidence;
 use crate::leadership::term_confirmation;
 use crate::peers;
 use std::time::Duration;
@@ -19,6 +20,58 @@
 /// How long to wait for the store before asking other processes.
 const STORE_WAIT: Duration = Duration::from_millis(20);
 
+/// Whether there is evidence for the term of `leader`, so that no successor of it can have been
+/// chosen without what it has acknowledged until now. Requests evidence by `until` if it is missing.
+///
+/// Without synchronous replication commits aren't kept by a fence, and no evidence is required.
+pub async fn has_lease_for_writes(
+    engine: &Engine,
+    group: &Group,
+    leader: &UsableLeader,
+    until: Instant,
+) -> bool {
+    if engine.sync_replicas(group.name()) == 0 {
+        return true;
+    }
+    let mut commits = group.subscribe_evidence();
+    loop {
+        let mut renewal = std::pin::pin!(renew_for_writes(engine, group, leader));
+        loop {
+            commits.mark_unchanged();
+            let now = Instant::now();
+            if group.is_leased_by(leader, now) {
+                return true;
+            }
+            if now >= until || group.as_leader(&leader.member).as_ref() != Some(leader) {
+                return false;
+            }
+            tokio::select! {
+                _ = commits.changed() => {}
+                () = &mut renewal => break,
+                () = sleep_until(until) => {}
+            }
+        }
+    }
+}
+
+/// Like [`refresh`], and asks the members if nothing else has brought evidence. While the store is
+/// unavailable, they answer sooner than other processes.
+pub async fn renew_for_writes(engine: &Engine, group: &Group, leader: &UsableLeader) {
+    let is_leased = || group.is_leased_by(leader, Instant::now());
+    if home::ask_for_evidence(engine, group).await && is_leased() {
+        return;
+    }
+    let asks_members_first = following::is_out_of_date(engine, Instant::now());
+    if asks_members_first && member_evidence::renew(engine, group, leader).await {
+        return;
+    }
+    renew_evidence(engine, group).await;
+    if is_leased() || (!asks_members_first && member_evidence::renew(engine, group, leader).await) {
+        return;
+    }
+    sleep(EVIDENCE_RETRY_PAUSE).await;
+}
+
 /// The leader that accepts writes, or `None` if there is none by `until`.
 pub async fn writable_leader(group: &Group, until: Instant) -> Option<UsableLeader> {
     let mut changes = group.subscribe();
--- a/crates/engine/src/leadership/mod.rs
+++ b/crates/engine/src/leadership/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod access;
 pub mod choice;
+mod evidence_expiry;
 pub mod fleet;
 mod fleet_index;
 pub mod follower;
@@ -15,6 +16,7 @@
 pub mod leader_evacuation;
 pub(crate) mod lease_records;
 mod lost_logs;
+pub mod member_evidence;
 mod order;
 mod orders_in_flight;
 pub mod promotion;
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -6,15 +6,18 @@
 //! 1. *Fencing* is recorded: processes send the old leader no more writes.
 //! 2. All replicas are paused, and the old leader is demoted if it can be reached. If commits
 //!    require a synchronous replica, the old leader can't have one acknowledged from then on.
-//! 3. The replica that holds every acknowledged commit is chosen: see [`super::choice`].
-//! 4. *Promoting* is recorded with the target, and the promotion is ordered.
-//! 5. Once the target is primary and the evidence for the old term has expired everywhere,
+//! 3. If the old leader can't be reached, the evidence for its term expires everywhere: see
+//!    [`super::evidence_expiry`].
+//! 4. The replica that holds every acknowledged commit is chosen: see [`super::choice`].
+//! 5. *Promoting* is recorded with the target, and the promotion is ordered.
+//! 6. Once the target is primary and the evidence for the old term has expired everywhere,
 //!    *active* is recorded: the target gets writes.
 //!
 //! A promotion that was begun is completed, never rolled back. A rollback would have to resume
 //! the paused replicas, and a resume command that arrives late breaks a later fence.
 
 use super::choice::{FenceSurvey, PreviousLeader, fencing_term};
+use super::evidence_expiry::EvidenceExpiry;
 use super::follower::{VersionedTerm, resolve_acting_leader};
 use super::promotion_lease::PromotionLease;
 use super::record::{TermPhase, TermRecord};
@@ -63,6 +66,24 @@
     }
 }
 
+/// A recorded target, and since when all members that could receive from the old leader have been
+/// fenced.
+#[derive(Debug)]
+struct Chosen {
+    term: VersionedTerm,
+    fenced_at: Instant,
+}
+
+impl Chosen {
+    /// A target that was recorded before; when the members were fenced isn't known.
+    fn recorded(term: VersionedTerm) -> Self {
+        Self {
+            term,
+            fenced_at: Instant::now(),
+        }
+    }
+}
+
 /// A change of the leader of one group.
 #[derive(Debug, Clone)]
 pub struct Promotion {
@@ -86,32 +107,34 @@
     /// continue.
     pub async fn run(&self) -> Result<(), PromotionError> {
         let known = self.engine.terms().known(&self.group);
-        let (mut term, mut orders) = match known {
+        let (mut chosen, mut orders) = match known {
             // Whoever recorded the target may have ordered its promotion.
-            Some(term) if term.record.phase == TermPhase::Promoting => (term, Verdict::MayHaveRun),
+            Some(term) if term.record.phase == TermPhase::Promoting => {
+                (Chosen::recorded(term), Verdict::MayHaveRun)
+            }
             Some(term) if term.record.phase == TermPhase::Fencing => {
                 (self.fence(term).await?, Verdict::NotRun)
             }
             known => (self.begin(known, Verdict::NotRun).await?, Verdict::NotRun),
         };
         loop {
-            let result = self.complete(term.clone(), orders).await;
+            let result = self.complete(&chosen, orders).await;
             let Err(PromotionError::TargetLost(verdict)) = result else {
                 return result;
             };
-            term = self.begin(Some(term), verdict).await?;
+            chosen = self.begin(Some(chosen.term), verdict).await?;
             orders = Verdict::NotRun;
         }
     }
 
     /// Promotes the recorded target, to which `orders` were sent before, and records it as active.
-    async fn complete(&self, term: VersionedTerm, orders: Verdict) -> Result<(), PromotionError> {
-        let fenced_at = Instant::now();
+    async fn complete(&self, chosen: &Chosen, orders: Verdict) -> Result<(), PromotionError> {
+        let Chosen { term, fenced_at } = chosen;
         self.promote(&term.record, orders).await?;
-        sleep_until(fenced_at + TERM_LEASE + TERM_LEASE_MARGIN).await;
+        sleep_until(*fenced_at + TERM_LEASE + TERM_LEASE_MARGIN).await;
         let active = TermRecord {
             phase: TermPhase::Active,
-            ..term.record
+            ..term.record.clone()
         };
         self.advance(active, term.version).await?;
         Ok(())
@@ -123,7 +146,7 @@
         &self,
         known: Option<VersionedTerm>,
         orders: Verdict,
-    ) -> Result<VersionedTerm, PromotionError> {
+    ) -> Result<Chosen, PromotionError> {
         let version = known.as_ref().map_or(0, |term| term.version);
         let term = self.store(self.next_record(known, orders), version).await?;
         sleep(DRAIN_TIME).await;
@@ -157,7 +180,7 @@
     }
 
     /// Fences the members until a target can be chosen, and records it.
-    async fn fence(&self, term: VersionedTerm) -> Result<VersionedTerm, PromotionError> {
+    async fn fence(&self, term: VersionedTerm) -> Result<Chosen, PromotionError> {
         let previous = PreviousLeader {
             id: term.record.previous.clone(),
             address: term.record.previous_address,
@@ -165,6 +188,7 @@
         let sync_replicas = self.engine.sync_replicas(&self.group);
         self.load_roster().await?;
         let mut last_round = None;
+        let mut expiry = EvidenceExpiry::default();
         loop {
             self.check_lease()?;
             let surveyed = survey::survey(
@@ -198,17 +222,22 @@
             let now = Instant::now();
             let choice = survey.choose(now);
             self.emit_round(&term.record, &survey, now, &choice, &mut last_round);
-            match choice {
-                Ok(target) => {
-                    let chosen = TermRecord {
+            expiry.record_round(&survey, &surveyed, now);
+            match (choice, expiry.wait_until(&survey, now)) {
+                (Ok(target), None) => {
+                    let promoting = TermRecord {
                         phase: TermPhase::Promoting,
                         target_received: received_position(&target, &fenced),
                         target: Some(target),
                         ..term.record
                     };
-                    return self.advance(chosen, term.version).await;
+                    return Ok(Chosen {
+                        term: self.advance(promoting, term.version).await?,
+                        fenced_at: expiry.fenced_at().unwrap_or(now),
+                    });
                 }
-                Err(_) => sleep(FENCE_PAUSE).await,
+                (Ok(_), Some(expired_at)) => sleep_until(expired_at).await,
+                (Err(_), _) => sleep(FENCE_PAUSE).await,
             }
         }
     }
--- a/crates/engine/src/leadership/reported_logs.rs
+++ b/crates/engine/src/leadership/reported_logs.rs
@@ -63,6 +63,31 @@
         report.role == Role::Replica && (report.paused_for >= self.term || led_alone)
     }
 
+    /// Whether a member that may have led since may still have commits acknowledged. Without
+    /// synchronous replication no fence prevents that.
+    pub(super) fn may_have_leader(&self, now: Instant) -> bool {
+        if self.sync_replicas == 0 {
+            return false;
+        }
+        let may_have_led = |m: &&SurveyedMember| self.is_previous(m) || self.is_former_target(m);
+        let is_stopped =
+            |member: &SurveyedMember| self.fenced_report(member).is_some() || member.has_left(now);
+        let mut leaders = self.members.iter().filter(may_have_led);
+        let is_unknown = !self.members.iter().any(|member| self.is_previous(member));
+        is_unknown || leaders.any(|member| !is_stopped(member))
+    }
+
+    /// Whether all members other than the old leader that are fenced now were fenced before, by the
+    /// responses `before`.
+    pub(super) fn were_others_fenced(&self, before: &[SurveyedMember], now: Instant) -> bool {
+        let fenced = self.other_members(now);
+        let mut fenced = fenced.filter(|member| self.fenced_report(member).is_some());
+        fenced.all(|member| {
+            let known = before.iter().find(|m| m.member.id == member.member.id);
+            known.is_some_and(|known| self.fenced_report(known).is_some())
+        })
+    }
+
     /// The position of the old leader's log, if it is fenced and has the log that it had as leader.
     pub(super) fn previous_log(&self) -> Option<LogPosition> {
         let mut old = self.members.iter().filter(|m| self.is_previous(m));
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -7,7 +7,7 @@
 use crate::following;
 use crate::group::Group;
 use crate::home::unit::Unit;
-use crate::leadership::access::renew_evidence;
+use crate::leadership::access::{renew_evidence, renew_for_writes};
 use crate::leadership::freshness;
 use crate::leadership::lease_records;
 use crate::leadership::term_confirmation;
@@ -269,6 +269,15 @@
         group_snapshots(&self.engine, &[group])
     }
 
+    /// Renews the evidence on behalf of the processes whose statements for the leader run here.
+    async fn renew_as_home(&self, group: &Group) {
+        let leader = group.view().leader;
+        match leader.and_then(|leader| group.as_leader(&leader)) {
+            Some(leader) => renew_for_writes(&self.engine, group, &leader).await,
+            None => renew_evidence(&self.engine, group).await,
+        }
+    }
+
     async fn renew(&self, group: &Group, wanted: RequiredFreshness) {
         let now = Instant::now();
         let is_recent = |at: Option<Instant>, age| at.is_some_and(|at| now < at + age);
@@ -281,7 +290,7 @@
                     }
                 }
                 RequiredFreshness::Evidence | RequiredFreshness::Position => {
-                    renew_evidence(&self.engine, group).await
+                    self.renew_as_home(group).await;
                 }
             }
         }
--- a/crates/engine/src/session/transaction/mod.rs
+++ b/crates/engine/src/session/transaction/mod.rs
@@ -5,11 +5,12 @@
 
 use super::limits::{RETRY_PAUSE, StatementDeadlines};
 use super::trace::{RequestTrace, RequiredPosition};
-use super::write::{Awaited, await_answer, await_in_time, member_failure, refusal_text};
+use super::write::{Awaited, SentWrite, await_answer, await_in_time, member_failure, refusal_text};
 use super::{Completion, Session};
 use crate::configuration::Route;
 use crate::engine::Engine;
 use crate::group::{Group, UsableLeader};
+use crate::leadership::access;
 use crate::names::{RequestId, TenantName};
 use crate::pool::{PooledConnection, RunError, SessionStatement, SessionValues};
 use crate::ports::{Answer, Command, Refusal, RefusalKind};
@@ -215,6 +216,13 @@
             trace.record_attempt(&member, reason.to_string());
             return Err(Failure::not_run(FailureReason::TransactionLost));
         }
+        if let (true, Some(leader)) = (open.wrote, &open.leader) {
+            let (group, until) = (&transaction.group, deadlines.acquire);
+            if !access::has_lease_for_writes(&self.engine, group, leader, until).await {
+                open.connection.roll_back();
+                return Err(Failure::not_run(FailureReason::NoLeader));
+            }
+        }
         let sent = Instant::now();
         if open.wrote && !open.connection.pool().is_remote() {
             transaction.group.record_commit_sent(sent);
@@ -238,7 +246,13 @@
         };
         trace.record_attempt(&member, "committed");
         if let (true, Some(leader)) = (open.wrote, &open.leader) {
-            self.record_commit(&transaction.group, leader, sent, &answer.position);
+            let sent_commit = SentWrite {
+                group: &transaction.group,
+                leader,
+                sent,
+                answer_by: deadlines.answer,
+            };
+            self.record_commit(sent_commit, answer.position).await?;
         }
         Ok(Completion {
             rows: answer.rows,
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -7,7 +7,7 @@
 use super::{Completion, Session};
 use crate::configuration::Route;
 use crate::events::{Event, millis};
-use crate::group::{Group, TERM_LEASE, UsableLeader};
+use crate::group::{Group, UsableLeader};
 use crate::leadership::access;
 use crate::names::RequestId;
 use crate::pool::{
@@ -30,6 +30,19 @@
     deadlines: StatementDeadlines,
 }
 
+/// A write or commit that was sent to a leader.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SentWrite<'a> {
+    /// The group.
+    pub group: &'a Group,
+    /// The leader.
+    pub leader: &'a UsableLeader,
+    /// When it was sent.
+    pub sent: Instant,
+    /// Deadline for the answer.
+    pub answer_by: Instant,
+}
+
 /// The outcome of a single attempt to run a statement at a member.
 pub(super) enum Attempt<T> {
     /// The outcome is final.
@@ -125,6 +138,11 @@
                 return Err(Failure::not_run(FailureReason::NoLeader));
             };
             check_leader(&self.engine, &group)?;
+            let until = deadlines.acquire;
+            if !access::has_lease_for_writes(&self.engine, &group, &leader, until).await {
+                pause_before_retry(deadlines, FailureReason::NoLeader).await?;
+                continue;
+            }
             // Checked before a permit is acquired: the permit would be wasted, or its lack would be
             // reported instead of the actual reason.
             let Some(target) = leader_target(&self.engine, &leader, &residency)? else {
@@ -176,18 +194,24 @@
         }
         let running = connection.run_statement(job.id, job.statement, None);
         let awaited = await_answer(running, group, leader, deadlines.answer).await;
-        self.write_outcome(awaited, connection, group, leader, sent, trace)
+        let sent_write = SentWrite {
+            group,
+            leader,
+            sent,
+            answer_by: deadlines.answer,
+        };
+        self.write_outcome(awaited, connection, sent_write, trace)
+            .await
     }
 
-    fn write_outcome(
+    async fn write_outcome(
         &mut self,
         awaited: Awaited<Result<Answer, RunError>>,
         connection: PooledConnection,
-        group: &Group,
-        leader: &UsableLeader,
-        sent: Instant,
+        write: SentWrite<'_>,
         trace: &mut RequestTrace,
     ) -> Attempt<Completion> {
+        let SentWrite { leader, sent, .. } = write;
         let answer = match awaited.into_answer(connection.pool(), sent, trace) {
             Ok(answer) => answer,
             Err(missing @ Unanswered::NotSent) => return Attempt::NotRun(missing.reason()),
@@ -197,8 +221,8 @@
         match answer.outcome {
             Ok(signature) => {
                 trace.record_attempt(&leader.member, "completed");
-                self.record_commit(group, leader, sent, &answer.position);
-                Attempt::Decided(Ok(Completion {
+                let recorded = self.record_commit(write, answer.position).await;
+                Attempt::Decided(recorded.map(|()| Completion {
                     rows: answer.rows,
                     signature: Some(signature),
                 }))
@@ -211,38 +235,46 @@
     }
 
     /// Records an acknowledged commit in the session's floor and in the state of the group.
-    pub(super) fn record_commit(
+    ///
+    /// # Errors
+    ///
+    /// [`Failure`] if a successor of the leader may have been chosen without the commit.
+    pub(super) async fn record_commit(
         &mut self,
-        group: &Group,
-        leader: &UsableLeader,
-        sent: Instant,
-        position: &Option<LogPosition>,
-    ) {
+        write: SentWrite<'_>,
+        position: Option<LogPosition>,
+    ) -> Result<(), Failure> {
+        let SentWrite {
+            group,
+            leader,
+            sent,
+            answer_by,
+        } = write;
+        // Checked first: the commit itself must not become the evidence that confirms it.
+        if !access::has_lease_for_writes(&self.engine, group, leader, answer_by).await {
+            self.report_unconfirmed(group, leader, position);
+            return Err(Failure::may_have_run(FailureReason::NoLeader));
+        }
         let replicated = self.engine.sync_replicas(group.name()) > 0;
-        self.report_if_unconfirmed(group, leader, *position);
-        group.record_commit(leader, sent, *position, replicated);
+        group.record_commit(leader, sent, position, replicated);
         self.floor
-            .record_commit(group.name(), leader.epoch, *position);
+            .record_commit(group.name(), leader.epoch, position);
+        Ok(())
     }
 
-    /// Reports a commit that was acknowledged when the evidence for the leader's term had expired.
-    fn report_if_unconfirmed(
+    fn report_unconfirmed(
         &self,
         group: &Group,
         leader: &UsableLeader,
         position: Option<LogPosition>,
     ) {
-        let evidence_age = group.evidence().map(|at| at.elapsed());
-        if evidence_age.is_some_and(|age| age < TERM_LEASE) {
-            return;
-        }
         metrics::counter!("stilequay_unconfirmed_commits_total").increment(1);
         self.engine.events().write(&Event::UnconfirmedCommit {
             group: group.name().clone(),
             epoch: leader.epoch,
             leader: leader.member.clone(),
             position,
-            evidence_age_ms: evidence_age.map(millis),
+            evidence_age_ms: group.evidence().map(|at| millis(at.elapsed())),
         });
     }
 }
