Wait for unlisted servers if the old leader has more than the others

What callers saw: acknowledged commits were absent from the log of the next leader, although the old one had reported them when it was replaced.

Cause: of two bounds on what was acknowledged the lower one was required. The one by a quorum holds only if each server that may have received a commit is known; one that has joined and isn't listed yet isn't. The class: a set of members is taken for complete.

Change: if the old leader reports more than the member that would be chosen, nobody is chosen within one second of the fence, in which a server that has joined is listed, paused and counted. A member that has all that the old leader has is chosen at once.

--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -36,6 +36,9 @@
     /// So few other members are known that an unknown one may hold acknowledged commits that no
     /// other member holds.
     TooFewKnown,
+    /// The old leader has more than any other member, and a server that isn't listed yet may have
+    /// received it.
+    MayBeUnlisted,
     /// No eligible replica has answered.
     NoCandidate,
 }
@@ -103,6 +106,8 @@
     pub evacuations: &'a Evacuations,
     /// Maps zones to regions.
     pub topology: &'a Topology,
+    /// Whether every server that had joined before the fence has had the time to be listed.
+    pub are_entries_settled: bool,
 }
 
 impl FenceSurvey<'_> {
@@ -119,7 +124,21 @@
         let required = self.required_log(now);
         let lowest = required.lowest();
         let chosen = lowest.and_then(|lowest| self.best_candidate(lowest));
-        chosen.ok_or(required.of_quorum.err().unwrap_or(Obstacle::NoCandidate))
+        let chosen = chosen.ok_or(required.of_quorum.err().unwrap_or(Obstacle::NoCandidate))?;
+        match self.are_entries_settled || self.reaches_leaders(&chosen, required.of_leaders) {
+            true => Ok(chosen),
+            false => Err(Obstacle::MayBeUnlisted),
+        }
+    }
+
+    /// Whether the log of `member` is known to reach `of_leaders`, the longest log of those that may
+    /// have led. It holds every acknowledged commit then, whoever else has received them. Nothing is
+    /// known to be missing if these logs are unknown.
+    fn reaches_leaders(&self, member: &MemberId, of_leaders: Option<LogPosition>) -> bool {
+        let mut members = self.members.iter();
+        let chosen = members.find(|surveyed| surveyed.member.id == *member);
+        let report = chosen.and_then(|surveyed| surveyed.response.report());
+        of_leaders.is_none_or(|longest| report.is_some_and(|r| r.received >= longest))
     }
 
     /// What the next leader's log must reach.
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -41,6 +41,8 @@
 const DRAIN_TIME: Duration = Duration::from_millis(60);
 /// Pause between surveys while the fence is incomplete.
 const FENCE_PAUSE: Duration = Duration::from_millis(80);
+/// Time after the fence within which the entry of a server that had joined before is known here.
+const ENTRY_GRACE: Duration = Duration::from_secs(1);
 /// Number of epochs reserved for each era of the store.
 const EPOCHS_PER_ERA: Epoch = 1 << 32;
 /// Pause after a failed store call.
@@ -189,6 +191,7 @@
         self.load_roster().await?;
         let mut last_round = None;
         let mut expiry = EvidenceExpiry::default();
+        let fencing_began = Instant::now();
         loop {
             self.check_lease()?;
             let surveyed = survey::survey(
@@ -218,6 +221,7 @@
                 samples: &group.samples(),
                 evacuations: &evacuations,
                 topology: &self.engine.settings().topology,
+                are_entries_settled: fencing_began.elapsed() > ENTRY_GRACE,
             };
             let now = Instant::now();
             let choice = survey.choose(now);
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -136,6 +136,7 @@
         samples: &SAMPLES,
         evacuations: &EVACUATIONS,
         topology: &TOPOLOGY,
+        are_entries_settled: true,
     }
 }
 
@@ -668,3 +669,24 @@
     ];
     assert_eq!(choose_from(&members, 1), Ok("b".to_owned()));
 }
+
+/// A commit may have been acknowledged through a server that isn't listed yet, so a log that the
+/// old leader's exceeds isn't chosen before such a server has had the time to be listed.
+#[rstest]
+#[case::leader_has_more([demoted(5), paused(4), paused(4)], Err(Obstacle::MayBeUnlisted))]
+#[case::replica_has_as_much([demoted(5), paused(5), paused(4)], Ok("b".to_owned()))]
+#[case::leader_is_unknown([silent(), paused(5), paused(4)], Ok("b".to_owned()))]
+fn longer_log_of_the_old_leader_is_waited_for_until_entries_are_settled(
+    #[case] responses: [Response; 3],
+    #[case] expected: Result<String, Obstacle>,
+) {
+    let names = ["a", "b", "c"].iter();
+    let members = names.zip(responses);
+    let members = members.map(|(name, response)| surveyed(name, MemberState::Ready, response));
+    let members: Vec<SurveyedMember> = members.collect();
+    let unsettled = FenceSurvey {
+        are_entries_settled: false,
+        ..survey_of(&members)
+    };
+    assert_eq!(chosen(&unsettled), expected);
+}
--- a/crates/engine/tests/regions.rs
+++ b/crates/engine/tests/regions.rs
@@ -272,6 +272,7 @@
         known: None,
         samples: &PositionSamples::default(),
         topology: &topology(),
+        are_entries_settled: true,
     };
     let chosen = survey.choose(Instant::now()).expect("one");
     assert_eq!(&*chosen, expected);
