Take no member that is down for one that follows the old leader

What callers saw: none is known; found in review of the evidence required for writes. With the store away, a process that had not learned of a change of leader had ten of ten commits acknowledged by the old leader while the new one was down; they were lost when it returned.

Cause: the members' answers counted as evidence for a leader's term although those that were down or without an entry hadn't answered. One of them may be the next leader. The class: a set of members is taken for complete.

Change: all known members other than the leader must answer as replicas of its term that aren't paused, unless they have left for good.

Cost: with the store and the lease holder away and one member down, a group without other evidence gets no writes.

--- a/crates/engine/src/leadership/member_evidence.rs
+++ b/crates/engine/src/leadership/member_evidence.rs
@@ -4,7 +4,7 @@
 //! answers as primary isn't fenced, so if the others answer that they aren't paused either, no
 //! successor had been chosen when they were asked.
 
-use super::survey::{self, Response, StragglerPolicy, SurveyedMember};
+use super::survey::{self, StragglerPolicy, SurveyedMember};
 use crate::directory::{Member, Role};
 use crate::engine::Engine;
 use crate::evacuation::Sender;
@@ -36,26 +36,26 @@
 
 async fn ask(engine: &Engine, group: &Group, leader: &UsableLeader) {
     let members = engine.directory().members_of(group.name());
-    let present = members.into_iter().filter(|member| !member.is_gone());
-    let present: Vec<Arc<Member>> = present.collect();
     let asked_at = Instant::now();
     let schedule = engine.evacuation_schedule();
     let may_ask = |member: &Arc<Member>| {
         let checked = schedule.check(&member.zone, Sender::Session, asked_at);
         checked.is_ok()
     };
-    if !present.iter().all(may_ask) {
+    if !members.iter().all(may_ask) {
         return;
     }
     let wait_for_all = StragglerPolicy::WAIT_FOR_ALL;
-    let surveyed = survey::survey_members(engine, present, |_| Control::Status, wait_for_all).await;
+    let mut surveyed =
+        survey::survey_members(engine, members, |_| Control::Status, wait_for_all).await;
+    surveyed.retain(|member| !member.has_left(asked_at));
     if follows(&surveyed, leader, engine.sync_replicas(group.name())) {
         group.record_evidence(leader, asked_at);
     }
 }
 
-/// Whether `leader` answers as primary, and all others that run as replicas of its term that aren't
-/// paused; `sync_replicas` of them at least.
+/// Whether `leader` answers as primary, and all others, `sync_replicas` at least, as replicas of its
+/// term that aren't paused. One that doesn't answer may be the next leader.
 fn follows(surveyed: &[SurveyedMember], leader: &UsableLeader, sync_replicas: usize) -> bool {
     let (leaders, others): (Vec<_>, Vec<_>) =
         surveyed.iter().partition(|m| m.member.id == leader.member);
@@ -63,10 +63,8 @@
     let Some(report) = report.filter(|report| report.role == Role::Primary) else {
         return false;
     };
-    let running = others
-        .iter()
-        .filter(|m| !matches!(m.response, Response::Down(_)));
-    let reports: Option<Vec<&MemberReport>> = running.map(|m| m.response.report()).collect();
+    let reports = others.iter().map(|m| m.response.report());
+    let reports: Option<Vec<&MemberReport>> = reports.collect();
     reports.is_some_and(|reports| {
         reports.len() >= sync_replicas.max(1)
             && reports
--- a/crates/engine/tests/leadership.rs
+++ b/crates/engine/tests/leadership.rs
@@ -462,6 +462,42 @@
 /// learned of the promotion must not receive from it.
 #[tokio::test(start_paused = true)]
 async fn busy_old_leader_gets_no_commit_acknowledged_after_the_promotion() {
+    let (fleet, outdated) = fleet_with_busy_old_leader().await;
+    fleet.world.change("a", |server| server.queue_full = false);
+    let mut writer = fleet.session(outdated, OWN_DATABASE);
+    for _ in 0..10 {
+        let (id, reply) = writer.send_with_id(support::write("x 9")).await;
+        let leader = fleet.world.server("c");
+        let is_kept = leader.log.iter().any(|entry| entry.1 == id);
+        assert!(reply.outcome.is_err() || is_kept);
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// A new leader that is down doesn't show that it leads.
+#[tokio::test(start_paused = true)]
+async fn no_commit_is_acknowledged_by_the_old_leader_while_the_new_one_is_down() {
+    let (fleet, outdated) = fleet_with_busy_old_leader().await;
+    fleet.world.crash("c");
+    fleet.world.change("a", |server| server.queue_full = false);
+    let mut writer = fleet.session(outdated, OWN_DATABASE);
+    let mut acknowledged = Vec::new();
+    for _ in 0..10 {
+        let (id, reply) = writer.send_with_id(support::write("x 9")).await;
+        acknowledged.extend(reply.outcome.is_ok().then_some(id));
+        sleep(Duration::from_millis(20)).await;
+    }
+    fleet.world.restart("c");
+    fleet.network().heal();
+    sleep(Duration::from_secs(5)).await;
+    let leader = fleet.world.server(&fleet.world.leader());
+    let is_kept = |id: &String| leader.log.iter().any(|entry| entry.1 == *id);
+    assert!(acknowledged.iter().all(is_kept), "{acknowledged:?}");
+}
+
+/// A fleet whose old leader `a` was too busy for commands when `c` was promoted, and the process
+/// that has learned nothing of that.
+async fn fleet_with_busy_old_leader() -> (Fleet, usize) {
     let fleet = Fleet::start(2).await;
     write(&fleet, 3).await;
     let outdated = 1 - fleet.holder();
@@ -479,13 +515,5 @@
     });
     until(|| fleet.world.server("c").role == Role::Primary).await;
     sleep(Duration::from_secs(1)).await;
-    fleet.world.change("a", |server| server.queue_full = false);
-    let mut writer = fleet.session(outdated, OWN_DATABASE);
-    for _ in 0..10 {
-        let (id, reply) = writer.send_with_id(support::write("x 9")).await;
-        let leader = fleet.world.server("c");
-        let is_kept = leader.log.iter().any(|entry| entry.1 == id);
-        assert!(reply.outcome.is_err() || is_kept);
-        sleep(Duration::from_millis(200)).await;
-    }
+    (fleet, outdated)
 }
