Let a leaving leader lead again if no other log suffices

What callers saw: no leader until the old one had left, and then the loss of what only it had; found by tests of the wait for unlisted servers, not in a record.

Cause: a leader that was to be replaced because it leaves was never a candidate, even if no other log held every commit that may have been acknowledged. The class: a preference is applied as an exclusion.

Change: it is a candidate like any old leader, which is the last choice by its rank. The others then receive from it before the next change.

--- a/crates/engine/src/leadership/choice.rs
+++ b/crates/engine/src/leadership/choice.rs
@@ -238,7 +238,7 @@
             let is_previous = self.is_previous(member);
             let stays = member.member.state.takes_work();
             let may_lead = match is_previous {
-                true => stays && report.received.number > 0,
+                true => report.received.number > 0,
                 false => true,
             };
             let reaches = report.role == Role::Replica && report.received >= required;
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -670,6 +670,19 @@
     assert_eq!(choose_from(&members, 1), Ok("b".to_owned()));
 }
 
+/// No other member has all that the leaving leader `a` may have had acknowledged through `c`, which is
+/// down. Without a leader, the others could not receive it before `a` has left.
+#[test]
+fn leaving_leader_leads_again_if_no_other_log_suffices() {
+    let leaving = MemberState::Leaving(Departure::at(Instant::now()));
+    let members = [
+        surveyed("a", leaving, demoted(5)),
+        surveyed("b", MemberState::Ready, paused(4)),
+        surveyed("c", MemberState::Ready, down()),
+    ];
+    assert_eq!(choose_from(&members, 1), Ok("a".to_owned()));
+}
+
 /// A commit may have been acknowledged through a server that isn't listed yet, so a log that the
 /// old leader's exceeds isn't chosen before such a server has had the time to be listed.
 #[rstest]
