Count the wait for the evidence from the last pause

What callers saw: a leader that can't be reached was replaced about half a second later than before writes required evidence: 2.07 s instead of 1.56 s in departed_log_does_not_delay_a_later_promotion::is_leader_cut_2_true, whose bound is 2 s.

Cause: the wait began when the round of the fence had ended, 50 ms after the last pause, and a whole round followed it, although only the logs have to be asked for after the evidence has expired.

Change: a surveyed member has the time of its answer. The wait begins with the last answer of a fenced member, a newly fenced leader included, and the survey that precedes the last fence is done while it goes on.

--- a/crates/engine/src/leadership/evidence_expiry.rs
+++ b/crates/engine/src/leadership/evidence_expiry.rs
@@ -18,22 +18,24 @@
 
 impl EvidenceExpiry {
     /// Records a round of the fence that has ended at `now`. `before` are the responses of the
-    /// members before the round: one that was not paused then may have received commits until now.
+    /// members before the round: one that was not paused then may have received commits until it
+    /// answered in this round.
     pub fn record_round(
         &mut self,
         survey: &FenceSurvey<'_>,
         before: &[SurveyedMember],
         now: Instant,
     ) {
-        if self.fenced_at.is_none() || !survey.were_others_fenced(before, now) {
-            self.fenced_at = Some(now);
+        if self.fenced_at.is_none() || !survey.were_fenced(before) {
+            self.fenced_at = Some(survey.last_fenced_at().unwrap_or(now));
         }
     }
 
-    /// Until when to wait before a target may be chosen; `None` if no wait is needed.
-    pub fn wait_until(&self, survey: &FenceSurvey<'_>, now: Instant) -> Option<Instant> {
+    /// From when on the members must be asked for the logs from which a target may be chosen;
+    /// `None` if those of `survey`, asked at `asked_at`, suffice.
+    pub fn wait_until(&self, survey: &FenceSurvey<'_>, asked_at: Instant) -> Option<Instant> {
         let expired_at = self.fenced_at? + TERM_LEASE + TERM_LEASE_MARGIN;
-        (survey.may_have_leader(now) && now < expired_at).then_some(expired_at)
+        (survey.may_have_leader(asked_at) && asked_at < expired_at).then_some(expired_at)
     }
 
     /// When the last member was fenced.
--- a/crates/engine/src/leadership/promotion.rs
+++ b/crates/engine/src/leadership/promotion.rs
@@ -22,7 +22,7 @@
 use super::promotion_lease::PromotionLease;
 use super::record::{TermPhase, TermRecord};
 use super::roster;
-use super::survey::{self, StragglerPolicy, SurveyedMember};
+use super::survey::{self, STRAGGLER_GRACE, StragglerPolicy, SurveyedMember};
 use crate::directory::{Member, Role};
 use crate::engine::Engine;
 use crate::group::{Epoch, TERM_LEASE, TERM_LEASE_MARGIN};
@@ -192,6 +192,7 @@
         let mut last_round = None;
         let mut expiry = EvidenceExpiry::default();
         let fencing_began = Instant::now();
+        let mut ask_logs_from = fencing_began;
         loop {
             self.check_lease()?;
             let surveyed = survey::survey(
@@ -202,12 +203,14 @@
             )
             .await;
             let fencing = fencing_term(&surveyed);
-            self.check_lease()?;
             let control_for = |member: &Member| match leads(member, &surveyed, &previous) {
                 true => Control::Demote(fencing),
                 false => Control::Pause(fencing),
             };
             let stragglers = StragglerPolicy::SKIP_ONE_STRAGGLER;
+            sleep_until(ask_logs_from).await;
+            self.check_lease()?;
+            let asked_at = Instant::now();
             let fenced = survey::survey(&self.engine, &self.group, control_for, stragglers).await;
             let evacuations = self.engine.evacuations();
             let group = self.engine.group(&self.group);
@@ -227,7 +230,7 @@
             let choice = survey.choose(now);
             self.emit_round(&term.record, &survey, now, &choice, &mut last_round);
             expiry.record_round(&survey, &surveyed, now);
-            match (choice, expiry.wait_until(&survey, now)) {
+            match (choice, expiry.wait_until(&survey, asked_at)) {
                 (Ok(target), None) => {
                     let promoting = TermRecord {
                         phase: TermPhase::Promoting,
@@ -240,7 +243,11 @@
                         fenced_at: expiry.fenced_at().unwrap_or(now),
                     });
                 }
-                (Ok(_), Some(expired_at)) => sleep_until(expired_at).await,
+                (Ok(_), Some(expired_at)) => {
+                    ask_logs_from = expired_at;
+                    // The old leader, which isn't reached, is the last member in the next survey.
+                    sleep_until(expired_at - STRAGGLER_GRACE).await;
+                }
                 (Err(_), _) => sleep(FENCE_PAUSE).await,
             }
         }
--- a/crates/engine/src/leadership/reported_logs.rs
+++ b/crates/engine/src/leadership/reported_logs.rs
@@ -77,12 +77,19 @@
         is_unknown || leaders.any(|member| !is_stopped(member))
     }
 
-    /// Whether all members other than the old leader that are fenced now were fenced before, by the
-    /// responses `before`.
-    pub(super) fn were_others_fenced(&self, before: &[SurveyedMember], now: Instant) -> bool {
-        let fenced = self.other_members(now);
-        let mut fenced = fenced.filter(|member| self.fenced_report(member).is_some());
-        fenced.all(|member| {
+    fn fenced_members(&self) -> impl Iterator<Item = &SurveyedMember> {
+        let members = self.members.iter();
+        members.filter(|member| self.fenced_report(member).is_some())
+    }
+
+    /// When the last of the fenced members answered.
+    pub(super) fn last_fenced_at(&self) -> Option<Instant> {
+        self.fenced_members().map(|member| member.answered_at).max()
+    }
+
+    /// Whether all members that are fenced now were fenced before, by the responses `before`.
+    pub(super) fn were_fenced(&self, before: &[SurveyedMember]) -> bool {
+        self.fenced_members().all(|member| {
             let known = before.iter().find(|m| m.member.id == member.member.id);
             known.is_some_and(|known| self.fenced_report(known).is_some())
         })
--- a/crates/engine/src/leadership/survey.rs
+++ b/crates/engine/src/leadership/survey.rs
@@ -18,6 +18,9 @@
 /// connections after that time has left.
 const GONE_MEMBER_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How long a survey waits for the last member after all others have answered.
+pub const STRAGGLER_GRACE: Duration = Duration::from_millis(50);
+
 /// Result of sending a control command to a member.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -54,6 +57,8 @@
     pub response: Response,
     /// The result of [`ended_at`] after the response.
     pub ended_at: Option<Instant>,
+    /// When the response was received, or when it was no longer waited for.
+    pub answered_at: Instant,
 }
 
 impl SurveyedMember {
@@ -63,6 +68,7 @@
             ended_at: ended_at(engine, &member),
             member,
             response,
+            answered_at: Instant::now(),
         }
     }
 
@@ -136,7 +142,7 @@
     /// Waits for the last member, which has likely failed, only briefly after all others.
     pub const SKIP_ONE_STRAGGLER: Self = Self {
         max_stragglers: 1,
-        grace: Duration::from_millis(50),
+        grace: STRAGGLER_GRACE,
     };
 }
 
--- a/crates/engine/tests/choice.rs
+++ b/crates/engine/tests/choice.rs
@@ -38,6 +38,7 @@
         ended_at: end_of(&member),
         member: Arc::new(member),
         response,
+        answered_at: Instant::now(),
     }
 }
 
--- a/crates/engine/tests/regions.rs
+++ b/crates/engine/tests/regions.rs
@@ -241,6 +241,7 @@
         }),
         response,
         ended_at: None,
+        answered_at: Instant::now(),
     };
     let paused = |received| {
         Response::Report(MemberReport {
