Keep the known position of a leader while it is fenced

What callers saw: reads that lacked acknowledged commits, in a fleet of 20 processes, from a leader that restarted without its log 0.3 s after it had crashed.

Cause: reads at a leader require the position that its log is known to have reached, which was looked up in its epoch. The record of a fence begins a new epoch with the same leader, in which nothing was known, and the empty log's position was taken for a covering one. The class: knowledge is looked up under a number that changes while what it is about doesn't.

Change: the position is carried over to the epoch of the fence, and an answer of a leader that is below the known position is recorded no more.

--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -54,8 +54,9 @@
     pub writable_from: Option<Instant>,
     /// Whether the leader is known to have become primary.
     pub confirmed: bool,
-    /// Position of the leader's log when it was chosen; `None` if no member was ever promoted.
-    pub position_when_chosen: Option<LogPosition>,
+    /// Position of the leader's log when it was chosen, or when it began to be fenced; `None` if none
+    /// is known.
+    pub reached: Option<LogPosition>,
 }
 
 impl LeaderView {
@@ -97,6 +98,15 @@
     survey_rejected_at: Option<Instant>,
 }
 
+impl GroupState {
+    fn known_position(&self, leader: &UsableLeader) -> Option<LogPosition> {
+        let newest = self.samples.newest();
+        let sampled = newest.filter(|sample| sample.epoch == leader.epoch);
+        let reached = self.view.reached.filter(|_| self.view.is_led_by(leader));
+        sampled.map(|sample| sample.position).max(reached)
+    }
+}
+
 /// What this process knows about one group, shared by all tasks.
 #[derive(Debug)]
 pub struct Group {
@@ -116,7 +126,7 @@
             leader: None,
             writable_from: None,
             confirmed: false,
-            position_when_chosen: None,
+            reached: None,
         };
         Self {
             name,
@@ -186,7 +196,8 @@
                 .evidence
                 .filter(|_| record.phase == TermPhase::Fencing);
         }
-        state.view = next_view(&before, record, now);
+        let reached = usable_leader(&before).and_then(|leader| state.known_position(&leader));
+        state.view = next_view(&before, reached, record, now);
         if record.phase != TermPhase::Fencing {
             state.evidence = state.evidence.max(read_started);
         }
@@ -315,7 +326,8 @@
     /// Records the log position that `leader` reported in its answer to a command sent at `sent`.
     ///
     /// Ignored unless it is still the leader: evidence for the next leader of the same epoch says
-    /// nothing about what had been acknowledged when the command was sent.
+    /// nothing about what had been acknowledged when the command was sent. A position below a known
+    /// one covers nothing either: the server has restarted without its log.
     pub fn record_leader_position(
         &self,
         leader: &UsableLeader,
@@ -324,7 +336,8 @@
     ) {
         let mut state = self.lock();
         let leased = state.evidence.is_some_and(|at| sent < at + TERM_LEASE);
-        if state.view.is_led_by(leader) && state.view.confirmed && leased {
+        let has_regressed = state.known_position(leader).is_some_and(|at| position < at);
+        if state.view.is_led_by(leader) && state.view.confirmed && leased && !has_regressed {
             state.samples.record(PositionSample {
                 position,
                 at: sent,
@@ -338,14 +351,7 @@
     /// at which it was chosen: the server may restart with an empty log before any answer of this
     /// epoch has reported a position.
     pub fn known_position(&self, leader: &UsableLeader) -> Option<LogPosition> {
-        let state = self.lock();
-        let newest = state.samples.newest();
-        let sampled = newest.filter(|sample| sample.epoch == leader.epoch);
-        let chosen = state
-            .view
-            .position_when_chosen
-            .filter(|_| state.view.is_led_by(leader));
-        sampled.map(|sample| sample.position).max(chosen)
+        self.lock().known_position(leader)
     }
 
     /// Records evidence for the term of `leader` that another process had as of `at`.
@@ -462,8 +468,14 @@
     })
 }
 
-/// The view that results from `record`, applied at `now`.
-fn next_view(before: &LeaderView, record: &TermRecord, now: Instant) -> LeaderView {
+/// The view that results from `record`, applied at `now`. `reached` is the known position of the log
+/// of the leader before.
+fn next_view(
+    before: &LeaderView,
+    reached: Option<LogPosition>,
+    record: &TermRecord,
+    now: Instant,
+) -> LeaderView {
     let same_epoch = before.epoch == record.epoch;
     let (leader, writable_from, confirmed) = match record.phase {
         // The old leader keeps serving reads until the evidence for its term expires.
@@ -485,8 +497,8 @@
         leader,
         writable_from,
         confirmed,
-        position_when_chosen: match record.phase {
-            TermPhase::Fencing => before.position_when_chosen,
+        reached: match record.phase {
+            TermPhase::Fencing => reached,
             TermPhase::Promoting | TermPhase::Active => record.target_received,
         },
     }
--- a/crates/engine/tests/beliefs.rs
+++ b/crates/engine/tests/beliefs.rs
@@ -183,6 +183,32 @@
     assert_eq!(group.covering_position(sent), Some(LogPosition::new(2, 6)));
 }
 
+/// A leader that restarts without its log while it is being fenced must not serve reads.
+#[tokio::test(start_paused = true)]
+async fn position_of_a_leader_stays_known_while_it_is_fenced() {
+    let group = group();
+    let position = LogPosition::new(1, 5);
+    group.apply_initial_leader(Some("a".into()), Some(Instant::now()));
+    group.record_leader_position(&usable_leader("a", 0), Instant::now(), position);
+    group.apply_record(&record(1, TermPhase::Fencing, None), None, Instant::now());
+    let fenced = usable_leader("a", 1);
+    assert_eq!(group.known_position(&fenced), Some(position));
+}
+
+/// The answer of a leader that has restarted without its log says nothing about its earlier commits.
+#[tokio::test(start_paused = true)]
+async fn lower_position_of_a_leader_covers_nothing() {
+    let group = group();
+    let position = LogPosition::new(1, 5);
+    let leader = usable_leader("a", 0);
+    group.apply_initial_leader(Some("a".into()), Some(Instant::now()));
+    group.record_leader_position(&leader, Instant::now(), position);
+    advance(Duration::from_millis(1)).await;
+    group.record_leader_position(&leader, Instant::now(), LogPosition::new(1, 2));
+    assert_eq!(group.known_position(&leader), Some(position));
+    assert_eq!(group.covering_position(Instant::now()), None);
+}
+
 #[tokio::test(start_paused = true)]
 async fn lower_position_cannot_cover_a_later_moment() {
     let group = group();
