Take no commit for evidence that allows further writes

What callers saw: acknowledged commits were lost, in a chain: a server had joined the old leader before the evidence for its term expired and wasn't listed, and each commit that was acknowledged through it was evidence for the next one, for as long as the partition lasted. Through a home, a forwarded commit confirmed itself.

Cause: evidence by commits relies on the next leader's choice knowing each server through which they were acknowledged, which is what the evidence for writes must not rely on. The class: a check is renewed by what it checks.

Change: a group keeps the newest evidence other than commits, and writes require that one; it is also what is shared with other processes. Commits remain evidence for reads, whose positions the next leader's log must reach. A process that is asked as a home asks no other home: if both homes had ended, such requests caused one another without end.

--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -18,7 +18,8 @@
 //!
 //! A leader that can't be reached may have commits acknowledged after the fence, through a server
 //! that joins it. So writes are sent to a leader, and their success is passed on, only while there
-//! is evidence for its term, and its successor is chosen only after that evidence has expired.
+//! is evidence for its term other than commits, and its successor is chosen only after that evidence
+//! has expired. A commit is none: acknowledged through such a server, it would allow the next one.
 
 mod samples;
 
@@ -92,6 +93,8 @@
 struct GroupState {
     view: LeaderView,
     evidence: Option<Instant>,
+    /// The newest evidence other than commits.
+    confirmed_as_of: Option<Instant>,
     samples: PositionSamples,
     commit_waiting_since: Option<Instant>,
     commits_stalled: bool,
@@ -105,6 +108,12 @@
         let reached = self.view.reached.filter(|_| self.view.is_led_by(leader));
         sampled.map(|sample| sample.position).max(reached)
     }
+
+    /// Records evidence other than a commit.
+    fn confirm(&mut self, as_of: Option<Instant>) {
+        self.evidence = self.evidence.max(as_of);
+        self.confirmed_as_of = self.confirmed_as_of.max(as_of);
+    }
 }
 
 /// What this process knows about one group, shared by all tasks.
@@ -133,6 +142,7 @@
             state: Mutex::new(GroupState {
                 view,
                 evidence: None,
+                confirmed_as_of: None,
                 samples: PositionSamples::default(),
                 commit_waiting_since: None,
                 commits_stalled: false,
@@ -192,14 +202,15 @@
         if record.epoch > known {
             state.commit_waiting_since = None;
             state.commits_stalled = false;
-            state.evidence = state
-                .evidence
-                .filter(|_| record.phase == TermPhase::Fencing);
+            if record.phase != TermPhase::Fencing {
+                state.evidence = None;
+                state.confirmed_as_of = None;
+            }
         }
         let reached = usable_leader(&before).and_then(|leader| state.known_position(&leader));
         state.view = next_view(&before, reached, record, now);
         if record.phase != TermPhase::Fencing {
-            state.evidence = state.evidence.max(read_started);
+            state.confirm(read_started);
         }
         self.publish(before, &state)
     }
@@ -222,7 +233,7 @@
             state.view.confirmed = true;
             state.view.leader = leader;
         }
-        state.evidence = state.evidence.max(read_started);
+        state.confirm(read_started);
         self.publish(before, &state)
     }
 
@@ -247,10 +258,12 @@
         usable_leader(&state.view)
     }
 
-    /// Whether the evidence for the term of `leader` is valid at `now`, also while it is being fenced.
+    /// Whether evidence other than commits for the term of `leader` is valid at `now`, also while it
+    /// is being fenced.
     pub fn is_leased_by(&self, leader: &UsableLeader, now: Instant) -> bool {
         let state = self.lock();
-        let is_valid = state.evidence.is_some_and(|at| now < at + TERM_LEASE);
+        let confirmed_as_of = state.confirmed_as_of;
+        let is_valid = confirmed_as_of.is_some_and(|at| now < at + TERM_LEASE);
         let is_fenced = state.view.writable_from.is_none()
             && state.view.epoch > leader.epoch
             && state.view.leader.as_ref() == Some(&leader.member);
@@ -268,6 +281,12 @@
         self.lock().evidence
     }
 
+    /// The time as of which the leader's term is confirmed by the newest evidence other than
+    /// commits.
+    pub fn confirmed_as_of(&self) -> Option<Instant> {
+        self.lock().confirmed_as_of
+    }
+
     /// Records that a commit was sent to the leader at `sent`.
     pub fn record_commit_sent(&self, sent: Instant) {
         self.lock().commit_waiting_since.get_or_insert(sent);
@@ -358,7 +377,7 @@
     pub fn record_evidence(&self, leader: &UsableLeader, at: Instant) {
         let mut state = self.lock();
         if state.view.is_target(leader) {
-            state.evidence = state.evidence.max(Some(at));
+            state.confirm(Some(at));
             self.evidence_changes.send_modify(|count| *count += 1);
         }
     }
--- a/crates/engine/src/home/mod.rs
+++ b/crates/engine/src/home/mod.rs
@@ -42,8 +42,8 @@
 /// Timeout of a query for a group's state.
 const QUERY_TIMEOUT: Duration = Duration::from_millis(80);
 
-/// Requests evidence of the term of `group` from a home of its leader, which collects evidence
-/// from the commits of the whole fleet. Returns whether a home has replied. Homes themselves, and
+/// Requests evidence of the term of `group` from a home of its leader, which renews it on behalf of
+/// the whole fleet. Returns whether a home has replied. Homes themselves, and
 /// processes of a small fleet, send no request.
 pub async fn ask_for_evidence(engine: &Engine, group: &Group) -> bool {
     query_home(engine, group, RequiredFreshness::Evidence).await
@@ -74,13 +74,15 @@
     if let Ok(Some(snapshots)) = timeout(QUERY_TIMEOUT, snapshots).await {
         apply_snapshots(engine, snapshots, requested_at);
     }
-    let leader = group.leased_leader(Instant::now(), Duration::ZERO);
-    match leader {
-        Some(_) => link.reset_deprioritization(),
+    let now = Instant::now();
+    let leader = group.leased_leader(now, Duration::ZERO);
+    let is_confirmed = leader.is_some_and(|leader| group.is_leased_by(&leader, now));
+    match is_confirmed {
+        true => link.reset_deprioritization(),
         // It can't reach the store, or can't be reached: use the other evidence reader next.
-        None => link.deprioritize(),
+        false => link.deprioritize(),
     }
-    leader.is_some()
+    is_confirmed
 }
 
 /// Returns the region with the most members of `groups`, the same in every process; `None` if
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -56,7 +56,7 @@
 
 /// Like [`refresh`], and asks the members if nothing else has brought evidence. While the store is
 /// unavailable, they answer sooner than other processes.
-pub async fn renew_for_writes(engine: &Engine, group: &Group, leader: &UsableLeader) {
+async fn renew_for_writes(engine: &Engine, group: &Group, leader: &UsableLeader) {
     let is_leased = || group.is_leased_by(leader, Instant::now());
     if home::ask_for_evidence(engine, group).await && is_leased() {
         return;
--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -80,7 +80,7 @@
     let leader = view.target().map(|member| LeaderSnapshot {
         member: member.clone(),
         confirmed: view.confirmed,
-        evidence_age_ms: group.evidence().map(age_ms),
+        evidence_age_ms: group.confirmed_as_of().map(age_ms),
     });
     GroupSnapshot {
         group: name.clone(),
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -7,9 +7,10 @@
 use crate::following;
 use crate::group::Group;
 use crate::home::unit::Unit;
-use crate::leadership::access::{renew_evidence, renew_for_writes};
+use crate::leadership::access::renew_evidence;
 use crate::leadership::freshness;
 use crate::leadership::lease_records;
+use crate::leadership::member_evidence;
 use crate::leadership::term_confirmation;
 use crate::link::frame::{
     FromHome, HomeOutcome, RequiredFreshness, RunRequest, ToHome, UnitId, decode_frame, encode,
@@ -269,19 +270,24 @@
         group_snapshots(&self.engine, &[group])
     }
 
-    /// Renews the evidence on behalf of the processes whose statements for the leader run here.
+    /// Renews the evidence on behalf of the processes whose statements for the leader run here. It
+    /// asks no other home, which could ask this one in turn.
     async fn renew_as_home(&self, group: &Group) {
+        let since = Instant::now();
+        renew_evidence(&self.engine, group).await;
+        if group.confirmed_as_of() >= Some(since) {
+            return;
+        }
         let leader = group.view().leader;
-        match leader.and_then(|leader| group.as_leader(&leader)) {
-            Some(leader) => renew_for_writes(&self.engine, group, &leader).await,
-            None => renew_evidence(&self.engine, group).await,
+        if let Some(leader) = leader.and_then(|leader| group.as_leader(&leader)) {
+            member_evidence::renew(&self.engine, group, &leader).await;
         }
     }
 
     async fn renew(&self, group: &Group, wanted: RequiredFreshness) {
         let now = Instant::now();
         let is_recent = |at: Option<Instant>, age| at.is_some_and(|at| now < at + age);
-        if !is_recent(group.evidence(), MAX_EVIDENCE_AGE) {
+        if !is_recent(group.confirmed_as_of(), MAX_EVIDENCE_AGE) {
             match wanted {
                 RequiredFreshness::StoreEvidence => {
                     if !term_confirmation::renew(&self.engine, group).await {
--- a/crates/engine/tests/beliefs.rs
+++ b/crates/engine/tests/beliefs.rs
@@ -82,6 +82,19 @@
     assert_eq!(group.covering_position(sent).is_some(), replicated);
 }
 
+/// It may have been acknowledged through a server that the next leader's choice doesn't wait for.
+#[tokio::test(start_paused = true)]
+async fn commit_is_no_evidence_for_further_writes() {
+    let group = group();
+    group.apply_initial_leader(Some("a".into()), Some(Instant::now()));
+    let leader = usable_leader("a", 0);
+    advance(TERM_LEASE / 2).await;
+    assert!(group.is_leased_by(&leader, Instant::now()));
+    group.record_commit(&leader, Instant::now(), None, true);
+    advance(TERM_LEASE / 2).await;
+    assert!(!group.is_leased_by(&leader, Instant::now()));
+}
+
 #[tokio::test(start_paused = true)]
 async fn commit_of_an_earlier_epoch_is_no_evidence_for_the_next() {
     let group = group();
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -7,6 +7,7 @@
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use stilequay_engine::directory::{Departure, Directory, Member};
 use stilequay_engine::engine::{Engine, StopPhase};
@@ -29,6 +30,10 @@
 /// Fleet size at which the 34 connections that a member accepts are too few for direct connections.
 const LARGE_FLEET: usize = 20;
 
+/// Maximum number of requests for evidence on behalf of one write: one per pause of 40 ms within its
+/// timeout of 800 ms.
+const MAX_EVIDENCE_REQUESTS: u64 = 20;
+
 async fn start_large_fleet() -> Fleet {
     start_large_fleet_in(&["zone-a"]).await
 }
@@ -750,3 +755,57 @@
         assert!(reply.outcome.is_ok(), "{:?}", reply.outcome);
     }
 }
+
+/// A commit that a home has had acknowledged through a server that isn't listed must not allow the
+/// next one that is forwarded to it.
+#[tokio::test(start_paused = true)]
+async fn forwarded_commit_renews_no_evidence() {
+    let fleet = start_large_fleet().await;
+    let history = Arc::new(History::default());
+    let caller = (0..LARGE_FLEET).rev().find(|node| *node != fleet.holder());
+    let caller = caller.expect("one");
+    let mut inside = homes_of(&fleet, "a");
+    inside.push(caller);
+    inside.retain(|node| *node != fleet.holder());
+    for (session, node) in [caller, fleet.holder()].into_iter().enumerate() {
+        history.spawn_caller(&fleet.nodes[node].engine, OWN_DATABASE, session);
+    }
+    sleep(Duration::from_secs(1)).await;
+    fleet.world.join_unlisted("d");
+    let name = |node: usize| fleet.nodes[node].name.clone();
+    let rest = (0..LARGE_FLEET).filter(|node| !inside.contains(node));
+    let rest: Vec<String> = rest.map(name).chain(["b".into(), "c".into()]).collect();
+    for node in &inside {
+        fleet.records.refuse_node(&name(*node), true);
+    }
+    let cut_off = inside.iter().map(|node| name(*node));
+    for server in cut_off.chain(["a".into(), "d".into()]) {
+        rest.iter()
+            .for_each(|other| fleet.network().cut(&server, other));
+    }
+    until(|| !fleet.world.promotions().is_empty()).await;
+    let mut writer = fleet.session(caller, OWN_DATABASE);
+    let reply = writer.write("x 1").await;
+    assert!(reply.outcome.is_err());
+}
+
+/// A process that is asked as a home, since both homes have ended, must not ask another one.
+#[tokio::test(start_paused = true)]
+async fn process_that_is_asked_for_evidence_asks_no_home() {
+    let mut fleet = start_large_fleet().await;
+    let node = uninvolved_node(&fleet);
+    for home in homes_of(&fleet, "a") {
+        fleet.kill(home);
+    }
+    for node in &fleet.nodes {
+        fleet.records.refuse_node(&node.name, true);
+    }
+    fleet.world.change("b", |server| server.queue_full = true);
+    sleep(Duration::from_secs(2)).await;
+    let mut writer = fleet.session(node, OWN_DATABASE);
+    let before = fleet.peers.evidence_requests.load(Ordering::Relaxed);
+    let _ = writer.write("x 1").await;
+    sleep(Duration::from_secs(5)).await;
+    let requests = fleet.peers.evidence_requests.load(Ordering::Relaxed) - before;
+    assert!(requests <= MAX_EVIDENCE_REQUESTS, "{requests}");
+}
--- a/crates/engine/tests/joins.rs
+++ b/crates/engine/tests/joins.rs
@@ -81,6 +81,23 @@
     assert_no_violation(&fleet, &history);
 }
 
+/// A server has joined the old leader just before the fence and isn't listed. Each commit that is
+/// acknowledged through it must not allow the next one.
+#[tokio::test(start_paused = true)]
+async fn commits_through_an_unlisted_server_renew_no_evidence() {
+    let (fleet, _) = fleet_under_load().await;
+    fleet.world.join_unlisted("d");
+    cut_off_with_leader(&fleet);
+    for server in ["b", "c"] {
+        fleet.network().cut("a", server);
+        fleet.network().cut("d", server);
+    }
+    wait_for_target(&fleet).await;
+    let mut writer = fleet.session(1 - fleet.holder(), OWN_DATABASE);
+    let reply = writer.write("x 1").await;
+    assert!(reply.outcome.is_err());
+}
+
 /// A paused replica that restarts receives from the old leader again.
 #[tokio::test(start_paused = true)]
 async fn no_commit_is_acknowledged_through_a_replica_that_restarts_after_the_fence() {
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use stilequay_engine::decoding::DecodeError;
 use stilequay_engine::engine::Engine;
-use stilequay_engine::link::frame::{FromHome, ToHome, decode};
+use stilequay_engine::link::frame::{FromHome, RequiredFreshness, ToHome, decode};
 use stilequay_engine::names::GroupName;
 use stilequay_engine::peers;
 use stilequay_engine::peers::message::{Query, QueryAnswer};
@@ -54,6 +54,8 @@
     pub repeats_frames: AtomicBool,
     /// Injected bug: the term records in the answers to queries can't be decoded.
     pub corrupts_term_records: AtomicBool,
+    /// Number of requests for evidence sent to homes.
+    pub evidence_requests: AtomicU64,
     /// Number of update requests sent.
     pub update_requests: AtomicU64,
     /// Number of replies to them that have arrived.
@@ -83,6 +85,7 @@
             swaps_tenant_names: AtomicBool::default(),
             repeats_frames: AtomicBool::default(),
             corrupts_term_records: AtomicBool::default(),
+            evidence_requests: AtomicU64::default(),
             update_requests: AtomicU64::default(),
             update_replies: AtomicU64::default(),
         })
@@ -160,6 +163,15 @@
             }
             let is_question = matches!(decode(&frame), Some(ToHome::Follow { .. }));
             let is_answer = matches!(decode(&frame), Some(FromHome::News { .. }));
+            let wants_evidence = matches!(
+                decode(&frame),
+                Some(ToHome::Ask {
+                    wanted: RequiredFreshness::Evidence,
+                    ..
+                })
+            );
+            self.evidence_requests
+                .fetch_add(u64::from(wants_evidence), Ordering::Relaxed);
             self.update_requests
                 .fetch_add(u64::from(is_question), Ordering::Relaxed);
             sleep_until(self.sent_at(&from, frame.len())).await;
