Detect injected faults again that writes without evidence had hidden

replica_that_ignores_its_pause_is_detected and evidence_from_a_stale_store_is_detected found no violation any more, in all runs since writes require evidence for the leader's term. The first injected a replica that goes on receiving although it reports a pause; a process without evidence passes no commit on, so that this fault alone loses none. Its former scenario is now required to lose nothing, as replica_that_ignores_its_pause_ loses_no_commits, and the fault is injected together with evidence from a stale store, where the check has to find the loss as before.

The second relied on a process that reads while its writes wait. It now has readers that don't write, as its twin for large fleets does, and the process isn't told of the change by others either, so that all its evidence comes from the stale store.

--- a/crates/engine/tests/simulation.rs
+++ b/crates/engine/tests/simulation.rs
@@ -398,13 +398,37 @@
     assert_eq!(history.violations(&fleet.world), Vec::<String>::new());
 }
 
+/// Both replicas have received the same, so `c` is chosen; `b` continues to receive from the old
+/// leader. A process without evidence for its term passes none of its commits on.
 #[tokio::test(start_paused = true)]
-async fn replica_that_ignores_its_pause_is_detected() {
+async fn replica_that_ignores_its_pause_loses_no_commits() {
     let fleet = Fleet::start(3).await;
-    // Both replicas have received the same, so `c` is chosen; `b` continues to receive.
     fleet.world.change("b", |s| s.ignores_pause = true);
     let history = Arc::new(History::default());
     partition_from_the_old_leader(&fleet, &history).await;
+    assert_eq!(history.violations(&fleet.world), Vec::<String>::new());
+}
+
+/// Both replicas have received the same, so `c` is chosen. Then `b` receives from the old leader
+/// again, and a process has evidence for its term from a stale store.
+#[tokio::test(start_paused = true)]
+async fn replica_that_ignores_its_pause_is_detected() {
+    let fleet = Fleet::start(3).await;
+    fleet.world.change("b", |s| s.ignores_pause = true);
+    let history = Arc::new(History::default());
+    fleet.spawn_callers(&history);
+    sleep(Duration::from_secs(2)).await;
+    let connected_node = cut_all_but_one(&fleet);
+    fleet.records.serve_stale_data_to(&connected_node);
+    fleet.peers.set_isolated(true);
+    ["a", "b"]
+        .iter()
+        .for_each(|server| fleet.network().cut(server, "c"));
+    fleet.world.change("b", |s| s.not_receiving = true);
+    until(|| !fleet.world.promotions().is_empty()).await;
+    fleet.world.change("b", |s| s.not_receiving = false);
+    // `c` is soon replaced in turn, since nothing receives from it.
+    sleep(Duration::from_secs(1)).await;
     let violations = history.violations(&fleet.world);
     assert!(
         violations.iter().any(|v| v.starts_with("lost")),
@@ -441,9 +465,13 @@
     let fleet = Fleet::start(3).await;
     let history = Arc::new(History::default());
     fleet.spawn_callers(&history);
+    // Callers whose writes wait for the old leader don't read in the meantime, so others must.
+    fleet.spawn_readers(&history);
     sleep(Duration::from_secs(2)).await;
     let connected_node = cut_all_but_one(&fleet);
     fleet.records.serve_stale_data_to(&connected_node);
+    // It doesn't learn of the change from other processes either.
+    fleet.peers.set_isolated(true);
     until(|| !fleet.world.promotions().is_empty()).await;
     sleep(Duration::from_secs(4)).await;
     let violations = history.violations(&fleet.world);
