--- a/crates/engine/tests/support/history.rs
+++ b/crates/engine/tests/support/history.rs
@@ -66,6 +66,29 @@
         });
     }
 
+    /// Spawns a caller that commits transactions of one write for the rest of the test.
+    pub fn spawn_transaction_caller(
+        self: &Arc<Self>,
+        engine: &Arc<Engine>,
+        database: &str,
+        session: usize,
+    ) {
+        let history = Arc::clone(self);
+        let mut client = Client::open(engine, database);
+        tokio::spawn(async move {
+            loop {
+                if let Some(id) = client.commit_transaction().await {
+                    history.commits.lock().unwrap().push(AcknowledgedCommit {
+                        id,
+                        at: Instant::now(),
+                        session,
+                    });
+                }
+                sleep(CALLER_PAUSE).await;
+            }
+        });
+    }
+
     /// Spawns a caller that reads until it is aborted. Its reads must see every commit.
     pub fn spawn_reader(self: &Arc<Self>, engine: &Arc<Engine>, session: usize) -> JoinHandle<()> {
         let history = Arc::clone(self);
--- a/crates/engine/tests/support/mod.rs
+++ b/crates/engine/tests/support/mod.rs
@@ -503,6 +503,19 @@
         self.send(Statement::Commit).await
     }
 
+    /// Commits a transaction of one write; returns the write's id if the commit is acknowledged.
+    pub async fn commit_transaction(&mut self) -> Option<String> {
+        if self.begin(false).await.outcome.is_err() {
+            return None;
+        }
+        let (id, reply) = self.send_with_id(write("x")).await;
+        if reply.outcome.is_err() {
+            self.rollback().await;
+            return None;
+        }
+        self.commit().await.outcome.is_ok().then_some(id)
+    }
+
     pub async fn rollback(&mut self) -> Reply {
         self.send(Statement::Rollback).await
     }
--- a/crates/engine/tests/support/peers.rs
+++ b/crates/engine/tests/support/peers.rs
@@ -35,6 +35,8 @@
     world: Arc<World>,
     engines: Mutex<HashMap<SocketAddr, Weak<Engine>>>,
     isolated: Mutex<bool>,
+    /// Processes that reach only one another.
+    set_apart: Mutex<HashSet<String>>,
     killed: watch::Sender<HashSet<String>>,
     /// Processes whose updates are dropped on all links.
     update_blackholes: Mutex<HashSet<String>>,
@@ -75,6 +77,7 @@
             world: Arc::clone(world),
             engines: Mutex::default(),
             isolated: Mutex::default(),
+            set_apart: Mutex::default(),
             killed: watch::Sender::new(HashSet::new()),
             update_blackholes: Mutex::default(),
             send_rate: AtomicU64::default(),
@@ -179,7 +182,7 @@
             self.world.freezer.wait_until_resumed(&from).await;
             self.world.freezer.wait_until_resumed(&to).await;
             // Frames that arrive during a cut are lost.
-            let isolated = *self.isolated.lock().unwrap();
+            let isolated = self.are_isolated(&from, &to);
             let is_silent = generation != self.generation.load(Ordering::Relaxed);
             let is_withheld = carries_store_updates(&frame)
                 && self.update_blackholes.lock().unwrap().contains(&from);
@@ -230,19 +233,24 @@
             .insert(address, Arc::downgrade(engine));
     }
 
-    async fn reach(&self, peer: SocketAddr) -> Result<Arc<Engine>, PeerError> {
+    async fn reach(&self, from: &str, peer: SocketAddr) -> Result<Arc<Engine>, PeerError> {
         sleep(ONE_WAY_DELAY).await;
         let engines = self.engines.lock().unwrap();
         let engine = engines.get(&peer).and_then(Weak::upgrade);
-        let isolated = *self.isolated.lock().unwrap();
-        let engine = engine.filter(|_| !isolated);
+        let is_reached = |engine: &Arc<Engine>| !self.are_isolated(from, &engine.settings().node);
+        let engine = engine.filter(is_reached);
         engine.ok_or_else(|| PeerError::Unreachable("isolated".to_owned()))
     }
 
     /// Sends an encoded query and decodes the answer.
-    async fn exchange(&self, peer: SocketAddr, query: &Query) -> Result<QueryAnswer, PeerError> {
+    async fn exchange(
+        &self,
+        from: &str,
+        peer: SocketAddr,
+        query: &Query,
+    ) -> Result<QueryAnswer, PeerError> {
         let query = query.encode();
-        let engine = self.reach(peer).await?;
+        let engine = self.reach(from, peer).await?;
         let query = Query::decode(&query).map_err(undecodable)?;
         let answer = peers::answer(&engine, query);
         let closed = || PeerError::Unreachable("connection closed".to_owned());
@@ -259,6 +267,16 @@
     pub fn set_isolated(&self, isolated: bool) {
         *self.isolated.lock().unwrap() = isolated;
     }
+
+    /// Separates the processes `nodes` from all others.
+    pub fn set_apart(&self, nodes: impl IntoIterator<Item = String>) {
+        *self.set_apart.lock().unwrap() = nodes.into_iter().collect();
+    }
+
+    fn are_isolated(&self, from: &str, to: &str) -> bool {
+        let set_apart = self.set_apart.lock().unwrap();
+        *self.isolated.lock().unwrap() || set_apart.contains(from) != set_apart.contains(to)
+    }
 }
 
 #[async_trait]
@@ -269,7 +287,7 @@
         groups: &[GroupName],
     ) -> Result<Vec<GroupSnapshot>, PeerError> {
         let query = Query::Beliefs(groups.to_vec());
-        let answer = self.peers.exchange(peer, &query).await?;
+        let answer = self.peers.exchange(&self.node, peer, &query).await?;
         answer.into_group_snapshots()
     }
 
@@ -279,12 +297,12 @@
         known: DeclaredVersions,
     ) -> Result<DeclaredState, PeerError> {
         let query = Query::Declared(known);
-        let answer = self.peers.exchange(peer, &query).await?;
+        let answer = self.peers.exchange(&self.node, peer, &query).await?;
         answer.into_declared_state()
     }
 
     async fn open_link(&self, peer: SocketAddr) -> Result<PeerLink, PeerError> {
-        let engine = self.peers.reach(peer).await?;
+        let engine = self.peers.reach(&self.node, peer).await?;
         let there = engine.settings().node.to_string();
         if !self.peers.world.network.reaches(&self.node, &there) {
             std::future::pending::<()>().await;
--- a/crates/engine/tests/support/servers/world.rs
+++ b/crates/engine/tests/support/servers/world.rs
@@ -292,7 +292,7 @@
     }
 
     /// Replicates the leader's log to all replicas that can receive it; returns how many did.
-    pub(super) fn replicate(&self, leader: &str) -> usize {
+    pub fn replicate(&self, leader: &str) -> usize {
         let now = Instant::now();
         let mut servers = self.lock();
         let (group, term) = (Arc::clone(&servers[leader].group), servers[leader].term);
