Ask no member for evidence that others have

Cause: since commits are no evidence for writes, a home compared what others had told with when it had asked. Their evidence is always some time older, so that each renewal was followed by a question to all members.

Change: a home asks the members only if no evidence is valid after it has asked the others. stilequay_member_evidence_total counts such questions.

--- a/crates/engine/src/leadership/member_evidence.rs
+++ b/crates/engine/src/leadership/member_evidence.rs
@@ -49,9 +49,16 @@
     let mut surveyed =
         survey::survey_members(engine, members, |_| Control::Status, wait_for_all).await;
     surveyed.retain(|member| !member.has_left(asked_at));
-    if follows(&surveyed, leader, engine.sync_replicas(group.name())) {
+    let is_confirmed = follows(&surveyed, leader, engine.sync_replicas(group.name()));
+    if is_confirmed {
         group.record_evidence(leader, asked_at);
     }
+    let outcome = if is_confirmed {
+        "confirmed"
+    } else {
+        "unconfirmed"
+    };
+    metrics::counter!("stilequay_member_evidence_total", "outcome" => outcome).increment(1);
 }
 
 /// Whether `leader` answers as primary, and all others, `sync_replicas` at least, as replicas of its
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -273,13 +273,12 @@
     /// Renews the evidence on behalf of the processes whose statements for the leader run here. It
     /// asks no other home, which could ask this one in turn.
     async fn renew_as_home(&self, group: &Group) {
-        let since = Instant::now();
         renew_evidence(&self.engine, group).await;
-        if group.confirmed_as_of() >= Some(since) {
-            return;
-        }
         let leader = group.view().leader;
-        if let Some(leader) = leader.and_then(|leader| group.as_leader(&leader)) {
+        let Some(leader) = leader.and_then(|leader| group.as_leader(&leader)) else {
+            return;
+        };
+        if !group.is_leased_by(&leader, Instant::now()) {
             member_evidence::renew(&self.engine, group, &leader).await;
         }
     }
--- a/crates/engine/src/telemetry.rs
+++ b/crates/engine/src/telemetry.rs
@@ -155,6 +155,10 @@
         "stilequay_terms_vouched_total",
         "Times that the holder of the lease for promotions vouched for leaders.",
     ),
+    Metric::counter(
+        "stilequay_member_evidence_total",
+        "Times that all members of a group were asked for evidence of their leader's term, by outcome: confirmed or unconfirmed.",
+    ),
     Metric::counter(
         "stilequay_peer_answers_total",
         "Answers of other processes that were asked for their beliefs.",
--- a/crates/engine/tests/homes.rs
+++ b/crates/engine/tests/homes.rs
@@ -21,6 +21,7 @@
 use stilequay_engine::statement::{Access, Reply};
 use stilequay_engine::verdict::Verdict;
 use support::history::History;
+use support::telemetry::Counters;
 use support::{
     BOUNDED_DATABASE, Client, Fleet, GROUP, LEADER_DATABASE, Node, OWN_DATABASE, bytes,
     configuration, read_row, until,
@@ -809,3 +810,16 @@
     let requests = fleet.peers.evidence_requests.load(Ordering::Relaxed) - before;
     assert!(requests <= MAX_EVIDENCE_REQUESTS, "{requests}");
 }
+
+/// Evidence that others have is some time old when it arrives, and must not be sought from the
+/// members, which it would cost connections.
+#[tokio::test(start_paused = true)]
+async fn no_member_is_asked_for_evidence_that_others_have() {
+    let counters = Counters::default();
+    let _guard = counters.capture();
+    let fleet = start_large_fleet().await;
+    let history = Arc::new(History::default());
+    fleet.spawn_callers(&history);
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(counters.sum("stilequay_member_evidence_total", &[]), 0);
+}
