Take no commit for evidence of reads either

What callers saw: none is known; found in review.

Cause: a commit that was sent just before the evidence for writes expired was evidence for reads for another TERM_LEASE, and the successor is used earlier than that. The class: a check is renewed by what it checks. The tests' promotion takes 300 ms, which hid it.

Change: a commit is no evidence at all. Writes need other evidence anyway, which serves the reads of the group too, so that the field that told them apart and the number of replicas in record_commit go. Reads of a large fleet wait for the end of a fence as for that of a promotion, since there is no evidence in it.

Results: commit_is_no_evidence fails on the code before (a commit was evidence for reads); it replaces commit_is_evidence_only_if_a_replica_received_it, whose first case was the fault, and commit_is_no_evidence_for_further_writes.

--- a/crates/engine/src/group/mod.rs
+++ b/crates/engine/src/group/mod.rs
@@ -6,20 +6,20 @@
 //! | Knowledge | Evidence | Valid |
 //! | --- | --- | --- |
 //! | the leader of the epoch has not been superseded | a read of the store, started at `t`, that shows no later epoch | until `t` + [`TERM_LEASE`] |
-//! | the same | a commit sent to the leader at `t` and acknowledged after a replica had received it | until `t` + [`TERM_LEASE`] |
 //! | the same | the leader, asked at `t`, answers as primary, and the other members as replicas that aren't paused | until `t` + [`TERM_LEASE`] |
 //! | position `p` covers every commit acknowledged before `t` | the leader's log was at `p` in its answer to a command sent at `t`, while the first row held | forever |
 //! | the same | `p` is the highest position received by all members but one, each queried after `t` | forever |
 //!
-//! The first three rows are safe because a new leader becomes usable only [`TERM_LEASE`] after every
+//! The first two rows are safe because a new leader becomes usable only [`TERM_LEASE`] after every
 //! replica that could receive from the old leader was paused, and after the record of the new
 //! epoch was written: all kinds of evidence are older than that. All times are readings of the
 //! monotonic clock taken before the call that returned the evidence.
 //!
 //! A leader that can't be reached may have commits acknowledged after the fence, through a server
 //! that joins it. So writes are sent to a leader, and their success is passed on, only while there
-//! is evidence for its term other than commits, and its successor is chosen only after that evidence
-//! has expired. A commit is none: acknowledged through such a server, it would allow the next one.
+//! is evidence for its term, and its successor is chosen only after that evidence has expired. A
+//! commit is no evidence: acknowledged through such a server, it would allow the next one, and reads
+//! after the successor is used.
 
 mod samples;
 
@@ -93,8 +93,6 @@
 struct GroupState {
     view: LeaderView,
     evidence: Option<Instant>,
-    /// The newest evidence other than commits.
-    confirmed_as_of: Option<Instant>,
     samples: PositionSamples,
     commit_waiting_since: Option<Instant>,
     commits_stalled: bool,
@@ -108,12 +106,6 @@
         let reached = self.view.reached.filter(|_| self.view.is_led_by(leader));
         sampled.map(|sample| sample.position).max(reached)
     }
-
-    /// Records evidence other than a commit.
-    fn confirm(&mut self, as_of: Option<Instant>) {
-        self.evidence = self.evidence.max(as_of);
-        self.confirmed_as_of = self.confirmed_as_of.max(as_of);
-    }
 }
 
 /// What this process knows about one group, shared by all tasks.
@@ -142,7 +134,6 @@
             state: Mutex::new(GroupState {
                 view,
                 evidence: None,
-                confirmed_as_of: None,
                 samples: PositionSamples::default(),
                 commit_waiting_since: None,
                 commits_stalled: false,
@@ -180,7 +171,7 @@
         self.changes.subscribe()
     }
 
-    /// Notifies of new evidence that does not come from the store: commits and other processes.
+    /// Notifies of new evidence that does not come from the store but from members or other processes.
     pub fn subscribe_evidence(&self) -> watch::Receiver<u64> {
         self.evidence_changes.subscribe()
     }
@@ -204,13 +195,12 @@
             state.commits_stalled = false;
             if record.phase != TermPhase::Fencing {
                 state.evidence = None;
-                state.confirmed_as_of = None;
             }
         }
         let reached = usable_leader(&before).and_then(|leader| state.known_position(&leader));
         state.view = next_view(&before, reached, record, now);
         if record.phase != TermPhase::Fencing {
-            state.confirm(read_started);
+            state.evidence = state.evidence.max(read_started);
         }
         self.publish(before, &state)
     }
@@ -233,7 +223,7 @@
             state.view.confirmed = true;
             state.view.leader = leader;
         }
-        state.confirm(read_started);
+        state.evidence = state.evidence.max(read_started);
         self.publish(before, &state)
     }
 
@@ -258,12 +248,10 @@
         usable_leader(&state.view)
     }
 
-    /// Whether evidence other than commits for the term of `leader` is valid at `now`, also while it
-    /// is being fenced.
+    /// Whether the evidence for the term of `leader` is valid at `now`, also while it is being fenced.
     pub fn is_leased_by(&self, leader: &UsableLeader, now: Instant) -> bool {
         let state = self.lock();
-        let confirmed_as_of = state.confirmed_as_of;
-        let is_valid = confirmed_as_of.is_some_and(|at| now < at + TERM_LEASE);
+        let is_valid = state.evidence.is_some_and(|at| now < at + TERM_LEASE);
         let is_fenced = state.view.writable_from.is_none()
             && state.view.epoch > leader.epoch
             && state.view.leader.as_ref() == Some(&leader.member);
@@ -276,17 +264,17 @@
         usable_leader(&state.view).filter(|leader| state.view.confirmed && leader.member == *member)
     }
 
+    /// The state of its leadership, with the time as of which the newest evidence confirms it.
+    pub fn view_with_evidence(&self) -> (LeaderView, Option<Instant>) {
+        let state = self.lock();
+        (state.view.clone(), state.evidence)
+    }
+
     /// The time as of which the leader's term is confirmed by the newest evidence.
     pub fn evidence(&self) -> Option<Instant> {
         self.lock().evidence
     }
 
-    /// The time as of which the leader's term is confirmed by the newest evidence other than
-    /// commits.
-    pub fn confirmed_as_of(&self) -> Option<Instant> {
-        self.lock().confirmed_as_of
-    }
-
     /// Records that a commit was sent to the leader at `sent`.
     pub fn record_commit_sent(&self, sent: Instant) {
         self.lock().commit_waiting_since.get_or_insert(sent);
@@ -314,14 +302,12 @@
         self.lock().commit_waiting_since
     }
 
-    /// Records an acknowledged commit that was sent to `leader` at `sent`. It is evidence for the
-    /// term only if `replicated`: if a replica had to receive it before it was acknowledged.
+    /// Records an acknowledged commit that was sent to `leader` at `sent`.
     pub fn record_commit(
         &self,
         leader: &UsableLeader,
         sent: Instant,
         position: Option<LogPosition>,
-        replicated: bool,
     ) {
         let mut state = self.lock();
         state.commit_waiting_since = None;
@@ -331,10 +317,6 @@
         }
         let before = state.view.clone();
         state.view.confirmed = true;
-        if replicated {
-            state.evidence = state.evidence.max(Some(sent));
-            self.evidence_changes.send_modify(|count| *count += 1);
-        }
         self.publish(before, &state);
         drop(state);
         if let Some(position) = position {
@@ -377,7 +359,7 @@
     pub fn record_evidence(&self, leader: &UsableLeader, at: Instant) {
         let mut state = self.lock();
         if state.view.is_target(leader) {
-            state.confirm(Some(at));
+            state.evidence = state.evidence.max(Some(at));
             self.evidence_changes.send_modify(|count| *count += 1);
         }
     }
--- a/crates/engine/src/home/unit.rs
+++ b/crates/engine/src/home/unit.rs
@@ -31,7 +31,6 @@
     group: Arc<Group>,
     pool: Arc<MemberPool>,
     connection: PooledConnection,
-    replicated: bool,
     wrote: bool,
     has_begun: bool,
 }
@@ -72,7 +71,6 @@
         // The home regions may have changed while the unit waited.
         check_regions(engine, request, &pool)?;
         Ok(Self {
-            replicated: engine.sync_replicas(group.name()) > 0,
             group,
             pool,
             connection,
@@ -213,8 +211,7 @@
         }
     }
 
-    /// Records what an answer shows about the leader. The home thereby collects evidence from the
-    /// commits of the whole fleet.
+    /// Records what an answer shows about the leader: its log position, and that it is confirmed.
     fn record_evidence(
         &self,
         leader: Option<&UsableLeader>,
@@ -224,8 +221,7 @@
     ) {
         let Some(leader) = leader else { return };
         if is_commit && answer.outcome.is_ok() {
-            self.group
-                .record_commit(leader, sent, answer.position, self.replicated);
+            self.group.record_commit(leader, sent, answer.position);
         } else if let Some(position) = answer.position {
             self.group.record_leader_position(leader, sent, position);
         }
--- a/crates/engine/src/leadership/access.rs
+++ b/crates/engine/src/leadership/access.rs
@@ -33,11 +33,11 @@
     if engine.sync_replicas(group.name()) == 0 {
         return true;
     }
-    let mut commits = group.subscribe_evidence();
+    let mut evidence = group.subscribe_evidence();
     loop {
         let mut renewal = std::pin::pin!(renew_for_writes(engine, group, leader));
         loop {
-            commits.mark_unchanged();
+            evidence.mark_unchanged();
             let now = Instant::now();
             if group.is_leased_by(leader, now) {
                 return true;
@@ -46,7 +46,7 @@
                 return false;
             }
             tokio::select! {
-                _ = commits.changed() => {}
+                _ = evidence.changed() => {}
                 () = &mut renewal => break,
                 () = sleep_until(until) => {}
             }
@@ -98,11 +98,11 @@
     staleness: Duration,
     until: Instant,
 ) -> Option<UsableLeader> {
-    let mut commits = group.subscribe_evidence();
+    let mut evidence = group.subscribe_evidence();
     loop {
         let mut evidence_refresh = std::pin::pin!(refresh(engine, group, staleness));
         loop {
-            commits.mark_unchanged();
+            evidence.mark_unchanged();
             let now = Instant::now();
             if let Some(leader) = group.leased_leader(now, staleness) {
                 return Some(leader);
@@ -110,11 +110,10 @@
             if now >= until {
                 return None;
             }
-            // Evidence comes from the request or from a commit of another session, whichever is
-            // first. Commits that a slow replica confirms late keep bringing evidence that is too
-            // old, so they must not restart the request.
+            // Evidence comes from this request or from another session's, whichever is first. Some that
+            // is too old must not restart the request.
             tokio::select! {
-                _ = commits.changed() => {}
+                _ = evidence.changed() => {}
                 () = &mut evidence_refresh => break,
                 () = sleep_until(until) => {}
             }
@@ -155,7 +154,8 @@
     let mut changes = group.subscribe();
     changes.mark_unchanged();
     let view = group.view();
-    let is_changing = view.epoch > 0 && !view.confirmed;
+    // A leader that is being fenced has no evidence either.
+    let is_changing = view.epoch > 0 && (!view.confirmed || view.target().is_none());
     is_changing && timeout(CHANGE_WAIT, changes.changed()).await.is_ok()
 }
 
--- a/crates/engine/src/leadership/follower.rs
+++ b/crates/engine/src/leadership/follower.rs
@@ -120,7 +120,7 @@
         since: Instant,
     ) -> Result<(), RecordStoreError> {
         let _one_at_a_time = self.reading.lock().await;
-        if group.confirmed_as_of() >= Some(since) {
+        if group.evidence() >= Some(since) {
             return Ok(());
         }
         let directory = engine.directory();
--- a/crates/engine/src/leadership/member_evidence.rs
+++ b/crates/engine/src/leadership/member_evidence.rs
@@ -22,7 +22,7 @@
 /// meanwhile. Returns whether that succeeded.
 pub async fn renew(engine: &Engine, group: &Group, leader: &UsableLeader) -> bool {
     let since = Instant::now();
-    let is_renewed = || group.confirmed_as_of() >= Some(since);
+    let is_renewed = || group.evidence() >= Some(since);
     let asking = async {
         let _one_at_a_time = group.member_query_lock().lock().await;
         if !is_renewed() {
--- a/crates/engine/src/leadership/term_confirmation.rs
+++ b/crates/engine/src/leadership/term_confirmation.rs
@@ -85,7 +85,7 @@
 pub(crate) async fn renew(engine: &Engine, group: &Group) -> bool {
     let since = Instant::now();
     let _one_at_a_time = engine.term_confirmation().request_lock.lock().await;
-    if group.confirmed_as_of() >= Some(since) {
+    if group.evidence() >= Some(since) {
         return true;
     }
     let requested_at = Instant::now();
@@ -97,7 +97,7 @@
         return false;
     }
     terms.confirm_block(engine, group, requested_at);
-    let is_renewed = group.confirmed_as_of() >= Some(requested_at);
+    let is_renewed = group.evidence() >= Some(requested_at);
     if is_renewed {
         metrics::counter!("stilequay_terms_vouched_total").increment(1);
     }
--- a/crates/engine/src/peers/mod.rs
+++ b/crates/engine/src/peers/mod.rs
@@ -70,7 +70,7 @@
     let group = engine.group(name);
     let now = Instant::now();
     let age_ms = |at: Instant| millis(now.duration_since(at)) + 1;
-    let view = group.view();
+    let (view, evidence) = group.view_with_evidence();
     let covering = group.samples_to_share().into_iter();
     let covering = covering.map(|sample| CoveringSnapshot {
         position: sample.position,
@@ -80,7 +80,7 @@
     let leader = view.target().map(|member| LeaderSnapshot {
         member: member.clone(),
         confirmed: view.confirmed,
-        evidence_age_ms: group.confirmed_as_of().map(age_ms),
+        evidence_age_ms: evidence.map(age_ms),
     });
     GroupSnapshot {
         group: name.clone(),
--- a/crates/engine/src/ports/peers.rs
+++ b/crates/engine/src/ports/peers.rs
@@ -40,7 +40,7 @@
     pub member: MemberId,
     /// Whether it is known to have become primary.
     pub confirmed: bool,
-    /// Age of the newest evidence for its term other than commits, ms.
+    /// Age of the newest evidence for its term, ms.
     pub evidence_age_ms: Option<u64>,
 }
 
--- a/crates/engine/src/serving.rs
+++ b/crates/engine/src/serving.rs
@@ -286,7 +286,7 @@
     async fn renew(&self, group: &Group, wanted: RequiredFreshness) {
         let now = Instant::now();
         let is_recent = |at: Option<Instant>, age| at.is_some_and(|at| now < at + age);
-        if !is_recent(group.confirmed_as_of(), MAX_EVIDENCE_AGE) {
+        if !is_recent(group.evidence(), MAX_EVIDENCE_AGE) {
             match wanted {
                 RequiredFreshness::StoreEvidence => {
                     if !term_confirmation::renew(&self.engine, group).await {
--- a/crates/engine/src/session/write.rs
+++ b/crates/engine/src/session/write.rs
@@ -250,13 +250,11 @@
             sent,
             answer_by,
         } = write;
-        // Checked first: the commit itself must not become the evidence that confirms it.
         if !access::has_lease_for_writes(&self.engine, group, leader, answer_by).await {
             self.report_unconfirmed(group, leader, position);
             return Err(Failure::may_have_run(FailureReason::NoLeader));
         }
-        let replicated = self.engine.sync_replicas(group.name()) > 0;
-        group.record_commit(leader, sent, position, replicated);
+        group.record_commit(leader, sent, position);
         self.floor
             .record_commit(group.name(), leader.epoch, position);
         Ok(())
--- a/crates/engine/tests/beliefs.rs
+++ b/crates/engine/tests/beliefs.rs
@@ -1,7 +1,6 @@
 //! Which evidence a process may rely on for which knowledge of a group, and for how long.
 
 use proptest::prelude::*;
-use rstest::rstest;
 use std::time::Duration;
 use stilequay_engine::group::{
     Epoch, Group, PositionOutcome, PositionSample, PositionSamples, PositionSource, TERM_LEASE,
@@ -60,39 +59,24 @@
     assert_eq!(leader(&group, Duration::from_secs(1)).as_deref(), Some("a"));
 }
 
-#[rstest]
-#[case::a_replica_received_it(true, Some("a"))]
-#[case::no_replica_received_it(false, None)]
-#[tokio::test(start_paused = true)]
-async fn commit_is_evidence_only_if_a_replica_received_it(
-    #[case] replicated: bool,
-    #[case] expected: Option<&str>,
-) {
-    let group = group();
-    group.apply_initial_leader(Some("a".into()), Some(Instant::now()));
-    advance(Duration::from_secs(1)).await;
-    let sent = Instant::now();
-    group.record_commit(
-        &usable_leader("a", 0),
-        sent,
-        Some(LogPosition::new(1, 5)),
-        replicated,
-    );
-    assert_eq!(leader(&group, Duration::ZERO).as_deref(), expected);
-    assert_eq!(group.covering_position(sent).is_some(), replicated);
-}
-
 /// It may have been acknowledged through a server that the next leader's choice doesn't wait for.
 #[tokio::test(start_paused = true)]
-async fn commit_is_no_evidence_for_further_writes() {
+async fn commit_is_no_evidence() {
     let group = group();
     group.apply_initial_leader(Some("a".into()), Some(Instant::now()));
-    let leader = usable_leader("a", 0);
+    let usable = usable_leader("a", 0);
     advance(TERM_LEASE / 2).await;
-    assert!(group.is_leased_by(&leader, Instant::now()));
-    group.record_commit(&leader, Instant::now(), None, true);
+    assert!(group.is_leased_by(&usable, Instant::now()));
+    let sent = Instant::now();
+    group.record_commit(&usable, sent, Some(LogPosition::new(1, 5)));
+    assert!(group.covering_position(sent).is_some());
     advance(TERM_LEASE / 2).await;
-    assert!(!group.is_leased_by(&leader, Instant::now()));
+    assert!(!group.is_leased_by(&usable, Instant::now()));
+    assert_eq!(leader(&group, Duration::ZERO), None);
+    let sent = Instant::now();
+    group.record_commit(&usable, sent, Some(LogPosition::new(1, 6)));
+    assert_eq!(leader(&group, Duration::ZERO), None);
+    assert_eq!(group.covering_position(sent), None);
 }
 
 #[tokio::test(start_paused = true)]
@@ -108,7 +92,6 @@
         &usable_leader("a", 0),
         Instant::now(),
         Some(LogPosition::new(1, 5)),
-        true,
     );
     assert_eq!(leader(&group, Duration::ZERO), None);
 }
